--- /dev/null
+++ b/cmd/ojcore/main.go
@@ -0,0 +1,103 @@
+// ojcore is a core machine: it votes, and leads when its turn comes.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+func main() {
+	flags := program.NewFlags("ojcore", "a core machine of orchidjunction: keeps settings on disk and elects the leader")
+	place := control.Place{}
+	data, peers := "", []string{}
+	beat, suspect, grace := 75, 300, 6000
+	flags.Parser.Int(&place.ID, "", "id", "this core's id, 1 to 99")
+	flags.Parser.String(&place.Zone, "", "zone", "zone this core stands in")
+	flags.Parser.String(&place.Wire, "", "wire", "IP:port for the system's own processes")
+	flags.Parser.String(&place.Operate, "", "operate", "IP:port for operators")
+	flags.Parser.StringSlice(&peers, "", "peer", "another core as id=IP:port; once per core")
+	flags.Parser.String(&data, "", "data", "data folder; only this one is written")
+	flags.Parser.String(&place.Platform, "", "platform", "IP:port of the platform's list")
+	flags.Parser.Bool(&place.Found, "", "found", "let a blank disk found a new system when every core is blank")
+	flags.Parser.Int(&beat, "", "beat-ms", "milliseconds between the leader's beats")
+	flags.Parser.Int(&suspect, "", "suspect-ms", "silence after which a leader is suspected")
+	flags.Parser.Int(&grace, "", "grace-ms", "grace after SIGTERM")
+	flags.Parse()
+	for _, text := range peers {
+		id, address, _ := strings.Cut(text, "=")
+		number, fault := strconv.Atoi(id)
+		if fault != nil {
+			flags.Exit(wire.New(wire.BadFlag, "--peer: %q is not id=IP:port", text))
+		}
+		place.Peers = append(place.Peers, control.Peer{ID: number, Address: address})
+	}
+	place.Beat, place.Suspect = time.Duration(beat)*time.Millisecond, time.Duration(suspect)*time.Millisecond
+	place.Seed = uint64(time.Now().UnixNano())
+	flags.Exit(place.Check())
+	flags.Exit(control.CheckAddress("--operate", place.Operate))
+	if place.Platform != "" {
+		flags.Exit(control.CheckAddress("--platform", place.Platform))
+	}
+	if data == "" {
+		flags.Exit(wire.New(wire.BadFlag, "--data must be given"))
+	}
+	if fault := os.MkdirAll(data, 0o700); fault != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--data: %v", fault))
+	}
+	threads, counts := run.NewThreads(), run.NewCounts()
+	line := wire.NewLine(program.Transport())
+	core, mishap := control.NewCore(place, control.Folder(data), line, threads, counts)
+	if mishap != nil {
+		fmt.Fprintf(os.Stderr, "ojcore: %v\n", mishap)
+		os.Exit(3)
+	}
+	door := wire.NewDoor(counts)
+	core.Register(door)
+	addresses := []string{place.Wire}
+	for _, peer := range place.Peers {
+		addresses = append(addresses, peer.Address)
+	}
+	finder := member.NewFinder(line, threads, addresses)
+	hold := member.NewHold(finder, line, counts)
+	name := fmt.Sprintf("core-%d", place.ID)
+	operate := member.NewOperate(name, hold, counts, func() (uint64, []byte) {
+		value := core.Committed(wire.SettingsRegister)
+		return value.Serial, value.Body
+	}, core.Sound)
+	wired, mishap := program.Listen(place.Wire, door, 64<<10)
+	flags.Exit(mishap)
+	operated, mishap := program.Listen(place.Operate, operate, 64<<10)
+	flags.Exit(mishap)
+	wired.Serve(threads)
+	operated.Serve(threads)
+	finder.Run()
+	core.Run()
+	program.LogCounts(threads, counts, name)
+	program.OnTerm(threads, func() {
+		begin := time.Now()
+		core.Retire(time.Duration(grace) * time.Millisecond)
+		operated.Drain(time.Duration(grace)*time.Millisecond - time.Since(begin))
+		threads.Stop()
+	})
+	klog.Infof("%s: started in zone %s", name, place.Zone)
+	threads.OnStop(func() {
+		wired.Close()
+		operated.Close()
+	})
+	threads.Wait()
+	core.Close()
+	if mishap := core.Broken(); mishap != nil {
+		fmt.Fprintf(os.Stderr, "ojcore: %v\n", mishap)
+		os.Exit(3)
+	}
+}
--- /dev/null
+++ b/conf/check.go
@@ -0,0 +1,90 @@
+package conf
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+const digestMark = "sha256:"
+
+// check looks at what one field alone cannot tell.
+func (reader *reader) check(settings *Settings) {
+	zones := map[string]string{}
+	for _, name := range sortedNames(settings.Regions) {
+		for index, zone := range settings.Regions[name].Zones {
+			if other, found := zones[zone]; found && other != name {
+				reader.wrong(fmt.Sprintf("regions.%s.zones[%d]", name, index), clash, "zone %q is in region %q too", zone, other)
+			}
+			zones[zone] = name
+		}
+	}
+	reader.regionsKnown("rule.forbid_regions", settings.Rule.ForbidRegions, settings)
+	keys := map[string]string{}
+	for _, name := range sortedNames(settings.Tenants) {
+		tenant := settings.Tenants[name]
+		path := "tenants." + name
+		reader.regionsKnown(path+".forbid_regions", tenant.ForbidRegions, settings)
+		for index, key := range tenant.Keys {
+			inner := fmt.Sprintf("%s.keys[%d]", path, index)
+			raw, fault := hex.DecodeString(strings.TrimPrefix(key, digestMark))
+			if !strings.HasPrefix(key, digestMark) || fault != nil || len(raw) != 32 {
+				reader.wrong(inner, outOfRange, "want sha256: and 64 hex digits")
+			}
+			if other, found := keys[key]; found && other != name {
+				reader.wrong(inner, clash, "tenant %q has this key too", other)
+			}
+			keys[key] = name
+		}
+	}
+	ranks := map[int]string{}
+	doors := map[string]string{}
+	for _, className := range sortedNames(settings.Classes) {
+		class := settings.Classes[className]
+		path := "classes." + className
+		if other, found := ranks[class.Rank]; found && class.Rank > 0 {
+			reader.wrong(path+".rank", clash, "class %q has this rank too", other)
+		}
+		ranks[class.Rank] = className
+		reader.regionsKnown(path+".rule.forbid_regions", class.Rule.ForbidRegions, settings)
+		for _, serviceName := range sortedNames(class.Services) {
+			service := class.Services[serviceName]
+			inner := path + ".services." + serviceName
+			reader.regionsKnown(inner+".rule.forbid_regions", service.Rule.ForbidRegions, settings)
+			for _, routeName := range sortedNames(service.Routes) {
+				route := service.Routes[routeName]
+				reader.routeFits(inner+".routes."+routeName, serviceName, route, doors, settings)
+			}
+		}
+	}
+	for index, zone := range settings.Drained.Zones {
+		if _, found := zones[zone]; !found {
+			reader.wrong(fmt.Sprintf("drained.zones[%d]", index), dangling, "no zone %q", zone)
+		}
+	}
+}
+
+func (reader *reader) routeFits(path, service string, route Route, doors map[string]string, settings *Settings) {
+	reader.regionsKnown(path+".rule.forbid_regions", route.Rule.ForbidRegions, settings)
+	switch route.Method {
+	case "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "":
+	default:
+		reader.wrong(path+".method", outOfRange, "%q is not among GET, HEAD, POST, PUT, PATCH, DELETE", route.Method)
+	}
+	if route.Path != "" && (!strings.HasPrefix(route.Path, "/") || strings.Contains(strings.TrimSuffix(route.Path, "*"), "*")) {
+		reader.wrong(path+".path", outOfRange, "begins with / and may end with *")
+	}
+	door := route.Method + " " + service + route.Path
+	if other, found := doors[door]; found {
+		reader.wrong(path+".path", clash, "%s is %s too", door, other)
+	}
+	doors[door] = path
+}
+
+func (reader *reader) regionsKnown(path string, regions []string, settings *Settings) {
+	for index, region := range regions {
+		if _, found := settings.Regions[region]; !found {
+			reader.wrong(fmt.Sprintf("%s[%d]", path, index), dangling, "no region %q", region)
+		}
+	}
+}
--- /dev/null
+++ b/conf/read.go
@@ -0,0 +1,335 @@
+package conf
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-faster/jx"
+	"orchidjunction/wire"
+)
+
+const (
+	unknownField = "unknown_field"
+	missingField = "missing_field"
+	doubleField  = "duplicate_field"
+	wrongType    = "wrong_type"
+	outOfRange   = "out_of_range"
+	dangling     = "dangling_name"
+	clash        = "clash"
+	badSyntax    = "bad_syntax"
+)
+
+// Read takes the tree field by field and names everything wrong in it.
+func Read(body []byte) (*Settings, *wire.Mishap) {
+	reader := &reader{}
+	settings := reader.settings(jx.DecodeBytes(body))
+	if reader.broken == nil {
+		reader.check(settings)
+	}
+	if len(reader.details) > 0 {
+		return nil, &wire.Mishap{Kind: wire.Invalid, Cause: fmt.Sprintf("%d wrong", len(reader.details)), Details: reader.details}
+	}
+	return settings, nil
+}
+
+type reader struct {
+	details []wire.Detail
+	broken  error
+}
+
+func (reader *reader) wrong(path, kind, format string, values ...any) {
+	if path == "" {
+		path = "."
+	}
+	reader.details = append(reader.details, wire.Detail{Path: path, Kind: kind, Cause: fmt.Sprintf(format, values...)})
+}
+
+// syntax keeps the first fault of the text itself and ends the reading.
+func (reader *reader) syntax(path string, fault error) error {
+	if fault != nil && reader.broken == nil {
+		reader.broken = fault
+		reader.wrong(path, badSyntax, "%v", fault)
+	}
+	return reader.broken
+}
+
+type fields map[string]func(decoder *jx.Decoder, path string)
+
+func (reader *reader) expect(decoder *jx.Decoder, path string, want jx.Type) bool {
+	if reader.broken != nil {
+		return false
+	}
+	got := decoder.Next()
+	if got == want {
+		return true
+	}
+	if got != jx.Invalid {
+		reader.wrong(path, wrongType, "want %s, got %s", want, got)
+	}
+	reader.syntax(path, decoder.Skip())
+	return false
+}
+
+// object reads known fields; those in need must be there.
+func (reader *reader) object(decoder *jx.Decoder, path string, known fields, need ...string) {
+	seen := reader.each(decoder, path, func(decoder *jx.Decoder, key, inner string) {
+		read, found := known[key]
+		if !found {
+			reader.wrong(inner, unknownField, "no such field")
+			reader.syntax(inner, decoder.Skip())
+			return
+		}
+		read(decoder, inner)
+	})
+	if seen == nil {
+		return
+	}
+	for _, name := range need {
+		if !seen[name] {
+			reader.wrong(join(path, name), missingField, "must be given")
+		}
+	}
+}
+
+func (reader *reader) each(decoder *jx.Decoder, path string, entry func(decoder *jx.Decoder, key, inner string)) map[string]bool {
+	if !reader.expect(decoder, path, jx.Object) {
+		return nil
+	}
+	seen := map[string]bool{}
+	fault := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+		inner := join(path, key)
+		if seen[key] {
+			reader.wrong(inner, doubleField, "given twice")
+			return reader.syntax(inner, decoder.Skip())
+		}
+		seen[key] = true
+		entry(decoder, key, inner)
+		return reader.broken
+	})
+	if reader.syntax(path, fault) != nil {
+		return nil
+	}
+	return seen
+}
+
+func named[T any](reader *reader, into map[string]T, read func(decoder *jx.Decoder, path string) T) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		reader.each(decoder, path, func(decoder *jx.Decoder, key, inner string) {
+			if !goodName(key) {
+				reader.wrong(inner, outOfRange, "a name is 1 to 64 of a-z, 0-9, - and _")
+			}
+			into[key] = read(decoder, inner)
+		})
+	}
+}
+
+func goodName(name string) bool {
+	if len(name) < 1 || len(name) > 64 {
+		return false
+	}
+	for _, letter := range name {
+		if !(letter >= 'a' && letter <= 'z' || letter >= '0' && letter <= '9' || letter == '-' || letter == '_') {
+			return false
+		}
+	}
+	return true
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (reader *reader) text(into *string, least, most int) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		if !reader.expect(decoder, path, jx.String) {
+			return
+		}
+		value, fault := decoder.Str()
+		if reader.syntax(path, fault) == nil && (len(value) < least || len(value) > most) {
+			reader.wrong(path, outOfRange, "%d letters, allowed %d to %d", len(value), least, most)
+		}
+		*into = value
+	}
+}
+
+func (reader *reader) whole(into *int, least, most int) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		if !reader.expect(decoder, path, jx.Number) {
+			return
+		}
+		number, fault := decoder.Num()
+		if reader.syntax(path, fault) != nil {
+			return
+		}
+		value, fault := number.Int64()
+		if fault != nil {
+			reader.wrong(path, wrongType, "want a whole number, got %s", number)
+			return
+		}
+		if value < int64(least) || value > int64(most) {
+			reader.wrong(path, outOfRange, "%d, allowed %d to %d", value, least, most)
+			return
+		}
+		*into = int(value)
+	}
+}
+
+func (reader *reader) maybe(into **int, least, most int) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		value := least
+		before := len(reader.details)
+		reader.whole(&value, least, most)(decoder, path)
+		if len(reader.details) == before {
+			*into = &value
+		}
+	}
+}
+
+func (reader *reader) part(into *float64, least, most float64) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		if !reader.expect(decoder, path, jx.Number) {
+			return
+		}
+		value, fault := decoder.Float64()
+		if reader.syntax(path, fault) == nil && (value < least || value > most) {
+			reader.wrong(path, outOfRange, "%v, allowed %v to %v", value, least, most)
+		}
+		*into = value
+	}
+}
+
+func (reader *reader) flag(into *bool) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		if !reader.expect(decoder, path, jx.Bool) {
+			return
+		}
+		value, fault := decoder.Bool()
+		reader.syntax(path, fault)
+		*into = value
+	}
+}
+
+func (reader *reader) texts(into *[]string, least, most int) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		if !reader.expect(decoder, path, jx.Array) {
+			return
+		}
+		values := []string{}
+		fault := decoder.Arr(func(decoder *jx.Decoder) error {
+			inner := fmt.Sprintf("%s[%d]", path, len(values))
+			value := ""
+			reader.text(&value, 1, 256)(decoder, inner)
+			for _, known := range values {
+				if known == value {
+					reader.wrong(inner, clash, "%q is there twice", value)
+				}
+			}
+			values = append(values, value)
+			return reader.broken
+		})
+		if reader.syntax(path, fault) == nil && (len(values) < least || len(values) > most) {
+			reader.wrong(path, outOfRange, "%d entries, allowed %d to %d", len(values), least, most)
+		}
+		*into = values
+	}
+}
+
+func (reader *reader) rule(into *Rule, need ...string) func(*jx.Decoder, string) {
+	return func(decoder *jx.Decoder, path string) {
+		reader.object(decoder, path, fields{
+			"limit_ms":       reader.maybe(&into.LimitMs, 10, 60_000),
+			"sends":          reader.maybe(&into.Sends, 1, 5),
+			"body_bytes":     reader.maybe(&into.BodyBytes, 0, 64<<20),
+			"receipt_bytes":  reader.maybe(&into.ReceiptBytes, 1, 256<<20),
+			"hold_ms":        reader.maybe(&into.HoldMs, 100, 600_000),
+			"fronts":         reader.maybe(&into.Fronts, 1, 16),
+			"pipes":          reader.maybe(&into.Pipes, 1, 1024),
+			"forbid_regions": reader.texts(&into.ForbidRegions, 0, 64),
+		}, need...)
+	}
+}
+
+func (reader *reader) settings(decoder *jx.Decoder) *Settings {
+	settings := &Settings{Regions: map[string]Region{}, Tenants: map[string]Tenant{}, Classes: map[string]Class{}}
+	reader.object(decoder, "", fields{
+		"format":  reader.whole(&settings.Format, 1, 1),
+		"partner": reader.text(&settings.Partner, 1, 64),
+		"ack_ms":  reader.whole(&settings.AckMs, 50, 1000),
+		"rule":    reader.rule(&settings.Rule, "limit_ms", "sends", "body_bytes", "receipt_bytes", "hold_ms", "fronts", "pipes"),
+		"retry": func(decoder *jx.Decoder, path string) {
+			reader.object(decoder, path, fields{
+				"fraction": reader.part(&settings.Retry.Fraction, 0, 0.2),
+				"floor":    reader.whole(&settings.Retry.Floor, 0, 60),
+				"span_ms":  reader.whole(&settings.Retry.SpanMs, 10_000, 10_000),
+			}, "fraction", "floor", "span_ms")
+		},
+		"regions": named(reader, settings.Regions, reader.region),
+		"tenants": named(reader, settings.Tenants, reader.tenant),
+		"classes": named(reader, settings.Classes, reader.class),
+		"drained": func(decoder *jx.Decoder, path string) {
+			reader.object(decoder, path, fields{
+				"zones":    reader.texts(&settings.Drained.Zones, 0, 256),
+				"backends": reader.texts(&settings.Drained.Backends, 0, 4096),
+			})
+		},
+	}, "format", "partner", "ack_ms", "rule", "retry", "regions", "tenants", "classes")
+	if reader.broken == nil {
+		if fault := decoder.Skip(); fault == nil {
+			reader.wrong("", badSyntax, "more text after the tree")
+		} else if fault != io.EOF && fault != io.ErrUnexpectedEOF && decoder.Next() != jx.Invalid {
+			reader.syntax("", fault)
+		}
+	}
+	return settings
+}
+
+func (reader *reader) region(decoder *jx.Decoder, path string) Region {
+	region := Region{}
+	reader.object(decoder, path, fields{"zones": reader.texts(&region.Zones, 1, 64)}, "zones")
+	return region
+}
+
+func (reader *reader) tenant(decoder *jx.Decoder, path string) Tenant {
+	tenant := Tenant{Share: 1}
+	reader.object(decoder, path, fields{
+		"keys":           reader.texts(&tenant.Keys, 0, 64),
+		"share":          reader.whole(&tenant.Share, 1, 1000),
+		"forbid_regions": reader.texts(&tenant.ForbidRegions, 0, 64),
+	}, "keys")
+	return tenant
+}
+
+func (reader *reader) class(decoder *jx.Decoder, path string) Class {
+	class := Class{Services: map[string]Service{}}
+	reader.object(decoder, path, fields{
+		"rank":       reader.whole(&class.Rank, 1, 16),
+		"money":      reader.flag(&class.Money),
+		"floor_rps":  reader.whole(&class.FloorRps, 0, 1_000_000),
+		"borrow_rps": reader.whole(&class.BorrowRps, 0, 1_000_000),
+		"rule":       reader.rule(&class.Rule),
+		"services":   named(reader, class.Services, reader.service),
+	}, "rank", "floor_rps", "services")
+	return class
+}
+
+func (reader *reader) service(decoder *jx.Decoder, path string) Service {
+	service := Service{Routes: map[string]Route{}}
+	reader.object(decoder, path, fields{
+		"rule":   reader.rule(&service.Rule),
+		"routes": named(reader, service.Routes, reader.route),
+	}, "routes")
+	return service
+}
+
+func (reader *reader) route(decoder *jx.Decoder, path string) Route {
+	route := Route{}
+	reader.object(decoder, path, fields{
+		"method": reader.text(&route.Method, 1, 16),
+		"path":   reader.text(&route.Path, 1, 256),
+		"rule":   reader.rule(&route.Rule),
+	}, "method", "path")
+	return route
+}
--- /dev/null
+++ b/conf/settings.go
@@ -0,0 +1,90 @@
+// Package conf reads, checks and resolves the operators' tree of settings.
+package conf
+
+import "sort"
+
+// Rule is what every branch may override; nil fields are inherited.
+type Rule struct {
+	LimitMs       *int     `json:"limit_ms,omitempty"`
+	Sends         *int     `json:"sends,omitempty"`
+	BodyBytes     *int     `json:"body_bytes,omitempty"`
+	ReceiptBytes  *int     `json:"receipt_bytes,omitempty"`
+	HoldMs        *int     `json:"hold_ms,omitempty"`
+	Fronts        *int     `json:"fronts,omitempty"`
+	Pipes         *int     `json:"pipes,omitempty"`
+	ForbidRegions []string `json:"forbid_regions,omitempty"`
+}
+
+type Region struct {
+	Zones []string `json:"zones"`
+}
+
+type Tenant struct {
+	Keys          []string `json:"keys"`
+	Share         int      `json:"share"`
+	ForbidRegions []string `json:"forbid_regions,omitempty"`
+}
+
+type Route struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Rule   Rule   `json:"rule"`
+}
+
+type Service struct {
+	Rule   Rule             `json:"rule"`
+	Routes map[string]Route `json:"routes"`
+}
+
+type Class struct {
+	Rank      int                `json:"rank"`
+	Money     bool               `json:"money"`
+	FloorRps  int                `json:"floor_rps"`
+	BorrowRps int                `json:"borrow_rps"`
+	Rule      Rule               `json:"rule"`
+	Services  map[string]Service `json:"services"`
+}
+
+type Retry struct {
+	Fraction float64 `json:"fraction"`
+	Floor    int     `json:"floor"`
+	SpanMs   int     `json:"span_ms"`
+}
+
+type Drained struct {
+	Zones    []string `json:"zones,omitempty"`
+	Backends []string `json:"backends,omitempty"`
+}
+
+// Settings is the whole tree of one partner.
+type Settings struct {
+	Format  int               `json:"format"`
+	Partner string            `json:"partner"`
+	AckMs   int               `json:"ack_ms"`
+	Rule    Rule              `json:"rule"`
+	Retry   Retry             `json:"retry"`
+	Regions map[string]Region `json:"regions"`
+	Tenants map[string]Tenant `json:"tenants"`
+	Classes map[string]Class  `json:"classes"`
+	Drained Drained           `json:"drained"`
+}
+
+func sortedNames[T any](named map[string]T) []string {
+	names := make([]string, 0, len(named))
+	for name := range named {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (settings *Settings) RegionOf(zone string) string {
+	for _, name := range sortedNames(settings.Regions) {
+		for _, known := range settings.Regions[name].Zones {
+			if known == zone {
+				return name
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+const writeLimit = 600 * time.Millisecond
+
+// Core is one core machine's part in the control plane.
+type Core struct {
+	place   Place
+	line    *wire.Line
+	threads *run.Threads
+	counts  *run.Counts
+	voter   *Voter
+	chart   *Chart
+	news    *run.Bell
+	prompt  *run.Bell
+	random  *draws
+
+	sessions *Sessions
+	platform *PlatformReader
+
+	mutex      sync.Mutex
+	leader     wire.Leader
+	heard      time.Time
+	duck       bool
+	successor  wire.Leader
+	round      uint64
+	passed     *wire.StepDown
+	leadership *Leadership
+	committed  [wire.Registers]wire.Accepted
+	table      *wire.Table
+	wanted     wire.TableMark
+	broken     *wire.Mishap
+	patience   time.Duration
+}
+
+func NewCore(place Place, disk Disk, line *wire.Line, threads *run.Threads, counts *run.Counts) (*Core, *wire.Mishap) {
+	store, mishap := OpenStore(disk)
+	if mishap != nil {
+		return nil, mishap
+	}
+	core := &Core{place: place, line: line, threads: threads, counts: counts, news: run.NewBell(), prompt: run.NewBell(),
+		random: newDraws(place.Seed + uint64(place.ID)), table: &wire.Table{}, heard: time.Now()}
+	core.voter = NewVoter(store, core.diskFault, core.raised)
+	core.chart = &Chart{now: Blank, counts: counts, core: place.ID}
+	if !core.voter.Blank() {
+		core.chart.now = Following
+	}
+	core.round = core.voter.State().Promised.Round
+	core.patience = core.nextPatience()
+	core.sessions = newSessions()
+	core.platform = newPlatformReader(place.Platform, counts)
+	return core, nil
+}
+
+// Run starts the core's duties.
+func (core *Core) Run() {
+	core.threads.Start(core.elect)
+	core.threads.Beat(run.Each(core.place.Beat), core.lead)
+	core.threads.Beat(run.Each(2*core.place.Beat), core.tellSessions)
+	core.threads.Beat(run.Each(core.place.Beat), core.buildTable)
+	core.threads.Beat(run.Each(core.place.Beat), core.copyTable)
+	core.threads.Beat(core.platform.pace, core.readPlatform)
+}
+
+// Register opens the core's side of the wire.
+func (core *Core) Register(door *wire.Door) {
+	wire.Take(door, "precheck", answer(core.onPrecheck))
+	wire.Take(door, "promise", answer(core.voterPromise))
+	wire.Take(door, "accept", answer(core.voterAccept))
+	wire.Take(door, "beat", answer(core.onBeat))
+	wire.Take(door, "stepdown", answer(core.onStepDown))
+	wire.Take(door, "restore", answer(core.onRestore))
+	wire.Take(door, "tell", answer(core.onTell))
+	wire.Take(door, "session", answer(core.onSession))
+	wire.Take(door, "watch", answer(core.onWatch))
+	wire.Take(door, "fetch", answer(core.onFetch))
+	wire.Take(door, "who", answer(core.onWho))
+	wire.Take(door, "confirm", answer(core.onConfirm))
+	wire.Take(door, "change", answer(core.onChange))
+	wire.Take(door, "read", answer(core.onRead))
+	wire.Take(door, "status", answer(core.onStatus))
+}
+
+func answer[Asked, Told any](inner func(*Asked) (*Told, *wire.Mishap)) func(context.Context, *Asked) (*Told, error) {
+	return func(_ context.Context, asked *Asked) (*Told, error) {
+		told, mishap := inner(asked)
+		if mishap != nil {
+			return nil, mishap
+		}
+		return told, nil
+	}
+}
+
+// askPeers asks every other core at once until need of them agreed.
+func askPeers[Told any](core *Core, ask func(peer Peer) (*Told, error), agrees func(*Told) bool, need int) map[int]*Told {
+	got, _ := run.Gather(core.threads, len(core.place.Peers), func(index int) (*Told, error) { return ask(core.place.Peers[index]) },
+		func(got map[int]*Told, _ map[int]error) bool {
+			count := 0
+			for _, told := range got {
+				if agrees(told) {
+					count++
+				}
+			}
+			return count >= need
+		})
+	byID := map[int]*Told{}
+	for index, told := range got {
+		byID[core.place.Peers[index].ID] = told
+	}
+	return byID
+}
+
+// pushValue sends the value to every core, this one too, until a majority took it.
+func (core *Core) pushValue(message *wire.Accept) *wire.Mishap {
+	until := time.Now().Add(writeLimit)
+	count, need := len(core.place.Peers)+1, core.place.majority()
+	push := func(index int) (*wire.AcceptTold, error) {
+		for {
+			var told *wire.AcceptTold
+			var fault error
+			if index == count-1 {
+				own, mishap := core.voter.Accept(message)
+				if mishap != nil {
+					return nil, mishap
+				}
+				told = own
+			} else {
+				told, fault = wire.Ask[wire.Accept, wire.AcceptTold](core.line, core.place.Peers[index].Address, "accept", time.Until(until), message)
+			}
+			if fault == nil || wire.KindOf(fault) != wire.Unreachable && wire.KindOf(fault) != wire.Unreached || time.Until(until) < core.place.Beat {
+				return told, fault
+			}
+			if !core.threads.Rest(core.place.Beat / 2) {
+				return nil, wire.New(wire.Stopping, "stopping")
+			}
+		}
+	}
+	got, _ := run.Gather(core.threads, count, push, func(got map[int]*wire.AcceptTold, failed map[int]error) bool {
+		taken := 0
+		for _, told := range got {
+			if told.Taken {
+				taken++
+			}
+		}
+		return taken >= need || count-len(failed)-(len(got)-taken) < need || time.Until(until) <= 0
+	})
+	taken := 0
+	for _, told := range got {
+		if told.Taken {
+			taken++
+		} else {
+			core.sawRound(told.Promised.Round)
+		}
+	}
+	if taken < need {
+		return wire.New(wire.StaleBallot, "%d of %d took serial %d under %s", taken, need, message.Value.Serial, message.Ballot)
+	}
+	return nil
+}
+
+func (core *Core) diskFault(mishap *wire.Mishap) {
+	core.mutex.Lock()
+	first := core.broken == nil
+	core.broken = mishap
+	core.mutex.Unlock()
+	if first {
+		klog.Errorf("core %d: store: %v", core.place.ID, mishap)
+		core.threads.Stop()
+	}
+}
+
+// Broken is the mishap that ended this core, if one did.
+func (core *Core) Broken() *wire.Mishap {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.broken
+}
+
+// raised is called when this core's own promise rose; an older leadership here ends.
+func (core *Core) raised(ballot wire.Ballot) {
+	core.sawRound(ballot.Round)
+	core.mutex.Lock()
+	leadership := core.leadership
+	core.mutex.Unlock()
+	if leadership != nil && leadership.ballot.Less(ballot) {
+		core.revoke(leadership)
+	}
+}
+
+func (core *Core) revoke(leadership *Leadership) {
+	leadership.end()
+	core.mutex.Lock()
+	mine := core.leadership == leadership
+	if mine {
+		core.leadership = nil
+		if core.leader.Ballot == leadership.ballot {
+			core.leader = wire.Leader{}
+		}
+		core.heard = time.Now()
+	}
+	core.mutex.Unlock()
+	if mine {
+		core.counts.Add("leaderships_ended", 1)
+		if core.chart.Now() == Leading {
+			core.chart.move(Following)
+		}
+		core.prompt.Ring()
+	}
+}
+
+func (core *Core) sawRound(round uint64) {
+	core.mutex.Lock()
+	core.round = max(core.round, round)
+	core.mutex.Unlock()
+}
+
+func (core *Core) commit(register wire.Register, accepted wire.Accepted) {
+	core.mutex.Lock()
+	fresh := core.committed[register].Value.Serial < accepted.Value.Serial
+	if fresh {
+		core.committed[register] = accepted
+	}
+	core.mutex.Unlock()
+	if fresh {
+		core.counts.Add("commits", 1)
+		core.news.Ring()
+	}
+}
+
+func (core *Core) Committed(register wire.Register) wire.Value {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.committed[register].Value
+}
+
+func (core *Core) Table() *wire.Table {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.table
+}
+
+func (core *Core) holdTable(table *wire.Table) {
+	core.mutex.Lock()
+	fresh := core.table.Mark.Less(table.Mark)
+	if fresh {
+		core.table = table
+	}
+	core.mutex.Unlock()
+	if fresh {
+		core.news.Ring()
+	}
+}
+
+func (core *Core) leading() (*Leadership, *wire.Mishap) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if core.leadership == nil {
+		mishap := &wire.Mishap{Kind: wire.NotLeader, Cause: "another core leads or none"}
+		if core.leader.Known() && core.leader.Core != core.place.ID {
+			mishap.Leader = core.leader.Address
+		}
+		return nil, mishap
+	}
+	return core.leadership, nil
+}
+
+// Sound is true while this core votes.
+func (core *Core) Sound() bool { return !core.voter.Blank() && core.Broken() == nil }
+
+// Close lets go of the disk, after the threads ended.
+func (core *Core) Close() {
+	core.voter.Close()
+	core.line.Close()
+}
--- /dev/null
+++ b/control/disk.go
@@ -0,0 +1,82 @@
+// Package control is the state that the core machines keep together.
+package control
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// File is one open segment or snapshot.
+type File interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// Disk is a data folder; only what was synced lasts.
+type Disk interface {
+	List() ([]string, error)
+	Read(name string) ([]byte, error)
+	Create(name string) (File, error)
+	Extend(name string, size int64) (File, error)
+	Rename(before, after string) error
+	Remove(name string) error
+	Sync() error
+}
+
+// Folder is a Disk on the machine's own file system.
+type Folder string
+
+func (folder Folder) path(name string) string { return filepath.Join(string(folder), name) }
+
+func (folder Folder) List() ([]string, error) {
+	entries, fault := os.ReadDir(string(folder))
+	if fault != nil {
+		return nil, fault
+	}
+	names := []string{}
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, nil
+}
+
+func (folder Folder) Read(name string) ([]byte, error) { return os.ReadFile(folder.path(name)) }
+
+func (folder Folder) Create(name string) (File, error) {
+	return os.OpenFile(folder.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+}
+
+// Extend opens for appending after size bytes; what lies behind is cut.
+func (folder Folder) Extend(name string, size int64) (File, error) {
+	file, fault := os.OpenFile(folder.path(name), os.O_WRONLY, 0o600)
+	if fault != nil {
+		return nil, fault
+	}
+	if fault = file.Truncate(size); fault == nil {
+		_, fault = file.Seek(size, io.SeekStart)
+	}
+	if fault == nil {
+		fault = file.Sync()
+	}
+	if fault != nil {
+		file.Close()
+		return nil, fault
+	}
+	return file, nil
+}
+
+func (folder Folder) Rename(before, after string) error {
+	return os.Rename(folder.path(before), folder.path(after))
+}
+
+func (folder Folder) Remove(name string) error { return os.Remove(folder.path(name)) }
+
+func (folder Folder) Sync() error {
+	handle, fault := os.Open(string(folder))
+	if fault != nil {
+		return fault
+	}
+	defer handle.Close()
+	return handle.Sync()
+}
--- /dev/null
+++ b/control/election.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+func (core *Core) nextPatience() time.Duration {
+	return core.random.span(core.place.Suspect, core.place.Suspect*3/2)
+}
+
+// elect is the duty of the election thread.
+func (core *Core) elect() {
+	yielded := false
+	for !core.threads.Stopping() {
+		seen := core.prompt.Count()
+		core.mutex.Lock()
+		passed := core.passed
+		core.passed = nil
+		silent := time.Since(core.heard)
+		patience := core.patience
+		leads := core.leadership != nil
+		core.mutex.Unlock()
+		switch standing := core.chart.Now(); {
+		case standing == Retired || standing == Lameduck || leads:
+		case standing == Blank:
+			core.restore()
+		case passed != nil:
+			core.succeed(passed)
+		case silent > patience:
+			yielded = core.stand(yielded)
+			core.mutex.Lock()
+			core.patience = time.Since(core.heard) + core.random.span(core.place.Beat/2, core.place.Suspect)
+			core.mutex.Unlock()
+			continue
+		}
+		core.prompt.Wait(seen, core.place.Beat/4)
+	}
+}
+
+// stand runs one candidacy by fence; true when it gave way to a fitter core.
+func (core *Core) stand(yielded bool) bool {
+	if !core.chart.move(Prechecking) {
+		return false
+	}
+	defer core.chart.moveBack()
+	core.counts.Add("prechecks", 1)
+	marks := core.voter.State().Marks()
+	told := askPeers(core, func(peer Peer) (*wire.PrecheckTold, error) {
+		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: core.place.ID, Marks: marks})
+	}, func(told *wire.PrecheckTold) bool { return false }, len(core.place.Peers))
+	willing, reach := 1, 1+len(told)
+	for _, answer := range told {
+		core.sawRound(answer.Round)
+		if answer.Heard {
+			core.counts.Add("prechecks_leader_alive", 1)
+			return false
+		}
+		if answer.Willing {
+			willing++
+		}
+	}
+	if willing < core.place.majority() {
+		core.counts.Add("prechecks_short", 1)
+		return false
+	}
+	for id, answer := range told {
+		if !yielded && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, core.place.ID) {
+			core.counts.Add("prechecks_yielded", 1)
+			return true
+		}
+	}
+	if !core.chart.move(Revoking) {
+		return false
+	}
+	ballot, revoked := core.nextBallot()
+	revocation, mishap := core.fence(ballot, revoked)
+	if mishap != nil {
+		core.counts.Add("revocations_short", 1)
+		return false
+	}
+	core.found(ballot, revocation)
+	return false
+}
+
+// succeed takes over from a leader that stepped down in this core's favour.
+func (core *Core) succeed(message *wire.StepDown) {
+	if !core.chart.move(Revoking) {
+		return
+	}
+	defer core.chart.moveBack()
+	ballot, _ := core.nextBallot()
+	core.found(ballot, steppedDown(message))
+}
+
+func (core *Core) nextBallot() (wire.Ballot, wire.Ballot) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	core.round++
+	return wire.Ballot{Round: core.round, Core: core.place.ID}, core.leader.Ballot
+}
+
+// found establishes under the ballot and takes the lead.
+func (core *Core) found(ballot wire.Ballot, revocation *Revocation) {
+	if !core.chart.move(Establishing) {
+		return
+	}
+	leadership, mishap := core.establish(ballot, revocation)
+	if mishap != nil {
+		core.counts.Add("establishments_short", 1)
+		return
+	}
+	core.mutex.Lock()
+	core.leadership = leadership
+	core.leader = core.place.leader(ballot)
+	core.duck, core.successor = false, wire.Leader{}
+	core.mutex.Unlock()
+	if core.voter.State().Promised != ballot || !core.chart.move(Leading) {
+		core.revoke(leadership)
+		return
+	}
+	klog.Infof("core %d: leads under %s, revoked %s by %s", core.place.ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
+	for register := range wire.Registers {
+		core.commit(register, wire.Accepted{Ballot: ballot, Value: leadership.value(register)})
+	}
+	core.platform.begin()
+	core.news.Ring()
+	leadership.beat()
+}
+
+// moveBack ends a candidacy that did not come to lead.
+func (chart *Chart) moveBack() {
+	switch chart.Now() {
+	case Prechecking, Revoking, Establishing:
+		chart.move(Following)
+	}
+}
+
+// lead is the duty of the beat thread.
+func (core *Core) lead() {
+	leadership, mishap := core.leading()
+	if mishap != nil {
+		return
+	}
+	if leadership.beat() {
+		return
+	}
+	leadership.mutex.Lock()
+	silent := time.Since(leadership.majority)
+	leadership.mutex.Unlock()
+	if silent > 2*core.place.Suspect {
+		core.counts.Add("leaderships_lost_reach", 1)
+		core.revoke(leadership)
+	}
+}
+
+func (core *Core) voterPromise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
+	core.sawRound(message.Ballot.Round)
+	told, mishap := core.voter.Promise(message.Ballot)
+	if mishap == nil && told.Granted {
+		core.mutex.Lock()
+		core.heard = time.Now()
+		core.mutex.Unlock()
+	}
+	return told, mishap
+}
+
+func (core *Core) voterAccept(message *wire.Accept) (*wire.AcceptTold, *wire.Mishap) {
+	core.sawRound(message.Ballot.Round)
+	return core.voter.Accept(message)
+}
+
+func (core *Core) onPrecheck(message *wire.Precheck) (*wire.PrecheckTold, *wire.Mishap) {
+	state := core.voter.State()
+	core.mutex.Lock()
+	heard := core.leadership != nil || (core.leader.Known() && !core.duck && time.Since(core.heard) < core.place.Suspect)
+	round := max(core.round, state.Promised.Round)
+	core.mutex.Unlock()
+	return &wire.PrecheckTold{Willing: state.Founded && !heard, Heard: heard, Voter: state.Founded, Marks: state.Marks(), Reach: core.reach(), Round: round}, nil
+}
+
+// reach is how many cores told something lately, this one included.
+func (core *Core) reach() int { return 1 + core.sessions.coresHeard(core.place.Suspect*2) }
+
+func (core *Core) onBeat(message *wire.Beat) (*wire.BeatTold, *wire.Mishap) {
+	state := core.voter.State()
+	core.sawRound(message.Ballot.Round)
+	if message.Ballot.Less(state.Promised) {
+		return &wire.BeatTold{Voter: state.Founded, Promised: state.Promised, Marks: state.Marks()}, nil
+	}
+	core.mutex.Lock()
+	moved := core.leader.Ballot != message.Ballot
+	core.leader, core.heard = message.Leader, time.Now()
+	core.duck, core.successor = message.Duck, message.Successor
+	core.wanted = message.Table
+	core.patience = core.nextPatience()
+	core.mutex.Unlock()
+	if moved {
+		klog.Infof("core %d: follows core %d under %s", core.place.ID, message.Leader.Core, message.Ballot)
+		core.news.Ring()
+	}
+	for register := range message.Committed {
+		if accepted := state.Accepted[register]; accepted.Mark() == message.Committed[register] {
+			core.commit(wire.Register(register), accepted)
+		}
+	}
+	return &wire.BeatTold{Taken: true, Voter: state.Founded, Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}, nil
+}
+
+func (core *Core) onStepDown(message *wire.StepDown) (*wire.StepDownTold, *wire.Mishap) {
+	state := core.voter.State()
+	if !state.Founded || message.Ballot.Less(state.Promised) || core.chart.Now() != Following {
+		return &wire.StepDownTold{}, nil
+	}
+	core.mutex.Lock()
+	core.passed = message
+	core.mutex.Unlock()
+	core.prompt.Ring()
+	return &wire.StepDownTold{Taken: true}, nil
+}
--- /dev/null
+++ b/control/establishment.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"orchidjunction/wire"
+)
+
+const (
+	RevokedCondition   = "former leadership revoked"
+	PromisedCondition  = "majority promised the ballot"
+	RewrittenCondition = "newest registers re-written under the ballot"
+	BeatingCondition   = "beats reach a majority"
+)
+
+// Establishment makes every condition of a leadership true, each round anew.
+type Establishment struct {
+	core       *Core
+	ballot     wire.Ballot
+	revocation *Revocation
+	promises   map[int]*wire.PromiseTold
+	newest     [wire.Registers]wire.Accepted
+}
+
+func (core *Core) establish(ballot wire.Ballot, revocation *Revocation) (*Leadership, *wire.Mishap) {
+	if !revocation.Complete {
+		return nil, wire.New(wire.StaleBallot, "revocation of %s is not complete", revocation.Revoked)
+	}
+	establishment := &Establishment{core: core, ballot: ballot, revocation: revocation}
+	for _, step := range []func() *wire.Mishap{establishment.promised, establishment.revoked, establishment.rewritten} {
+		if mishap := step(); mishap != nil {
+			return nil, mishap
+		}
+	}
+	leadership := newLeadership(core, ballot, establishment)
+	if !leadership.beat() {
+		return nil, wire.New(wire.StaleBallot, "no majority took the first beat of %s", ballot)
+	}
+	return leadership, nil
+}
+
+// promised reuses the fence's promises; after a step-down it asks for its own.
+func (establishment *Establishment) promised() *wire.Mishap {
+	if establishment.revocation.Method == BallotFence && establishment.revocation.Ballot == establishment.ballot {
+		establishment.promises = establishment.revocation.Promises
+	}
+	if len(establishment.promises) >= establishment.core.place.majority() {
+		return nil
+	}
+	promises, mishap := establishment.core.pushBallot(establishment.ballot, establishment.core.place.majority())
+	establishment.promises = promises
+	return mishap
+}
+
+// revoked falls back to the fence that the promises are, when a leader unknown
+// to the step-down shows itself.
+func (establishment *Establishment) revoked() *wire.Mishap {
+	if establishment.revocation.covers(establishment.promises) {
+		return nil
+	}
+	establishment.core.counts.Add("revocation_fell_back", 1)
+	establishment.revocation = &Revocation{Method: BallotFence, Ballot: establishment.ballot,
+		Revoked: establishment.revocation.Revoked, Promises: establishment.promises, Complete: true}
+	return nil
+}
+
+func (establishment *Establishment) rewritten() *wire.Mishap {
+	for _, promise := range establishment.promises {
+		for register := range promise.Accepted {
+			if establishment.newest[register].Mark().Less(promise.Accepted[register].Mark()) {
+				establishment.newest[register] = promise.Accepted[register]
+			}
+		}
+	}
+	for register := range establishment.newest {
+		establishment.newest[register].Ballot = establishment.ballot
+		message := &wire.Accept{Ballot: establishment.ballot, Register: wire.Register(register), Value: establishment.newest[register].Value}
+		if mishap := establishment.core.pushValue(message); mishap != nil {
+			return mishap
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/lameduck.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+// Retire is the planned change that SIGTERM brings: in-flight writes finish,
+// new ones are refused with the heir's name, and the heir is asked to take over.
+func (core *Core) Retire(limit time.Duration) {
+	until := time.Now().Add(limit)
+	leadership, mishap := core.leading()
+	if mishap != nil || !core.chart.move(Lameduck) {
+		core.chart.move(Retired)
+		return
+	}
+	core.counts.Add("lameducks", 1)
+	passed := map[int]bool{}
+	for time.Now().Before(until) {
+		heir, found := leadership.heir(passed)
+		if !found {
+			break
+		}
+		passed[heir.ID] = true
+		if leadership.handOver(heir, until) {
+			break
+		}
+	}
+	core.revoke(leadership)
+	core.chart.move(Retired)
+}
+
+// handOver names the heir, lets the write in flight end and steps down; true
+// once this core promised a newer ballot, which is the heir's revocation seen from here.
+func (leadership *Leadership) handOver(heir Peer, until time.Time) bool {
+	core := leadership.core
+	leadership.mutex.Lock()
+	leadership.duck = true
+	leadership.successor = wire.Leader{Core: heir.ID, Address: heir.Address}
+	leadership.mutex.Unlock()
+	leadership.beat()
+	leadership.writes.Lock()
+	defer leadership.writes.Unlock()
+	klog.Infof("core %d: lameduck, hands over to core %d", core.place.ID, heir.ID)
+	told, fault := wire.Ask[wire.StepDown, wire.StepDownTold](core.line, heir.Address, "stepdown", core.roundLimit(),
+		&wire.StepDown{Ballot: leadership.ballot, From: core.place.ID, Marks: core.voter.State().Marks()})
+	if fault != nil || !told.Taken {
+		core.counts.Add("handovers_refused", 1)
+		return false
+	}
+	patience := time.Now().Add(2 * core.place.Suspect)
+	for time.Now().Before(patience) && time.Now().Before(until) {
+		core.mutex.Lock()
+		led := leadership.ballot.Less(core.leader.Ballot)
+		core.mutex.Unlock()
+		if led {
+			core.counts.Add("handovers", 1)
+			return true
+		}
+		core.threads.Rest(core.place.Beat / 8)
+	}
+	core.counts.Add("handovers_late", 1)
+	return false
+}
--- /dev/null
+++ b/control/leadership.go
@@ -0,0 +1,219 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Leadership lives from one establishment to the next revocation.
+type Leadership struct {
+	core       *Core
+	ballot     wire.Ballot
+	revocation *Revocation
+	since      time.Time
+
+	writes sync.Mutex
+
+	mutex     sync.Mutex
+	ended     bool
+	duck      bool
+	successor wire.Leader
+	majority  time.Time
+	values    [wire.Registers]wire.Value
+	reports   map[int]*wire.BeatTold
+	confirmed *run.Bell
+	started   uint64
+	finished  uint64
+}
+
+func newLeadership(core *Core, ballot wire.Ballot, establishment *Establishment) *Leadership {
+	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(),
+		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell()}
+	for register := range establishment.newest {
+		leadership.values[register] = establishment.newest[register].Value
+	}
+	return leadership
+}
+
+// end is a revocation of this leadership; it never holds again.
+func (leadership *Leadership) end() {
+	leadership.mutex.Lock()
+	leadership.ended = true
+	leadership.mutex.Unlock()
+	leadership.confirmed.Ring()
+}
+
+func (leadership *Leadership) value(register wire.Register) wire.Value {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	return leadership.values[register]
+}
+
+// holds is nil while every condition stands, by the monotonic clock.
+func (leadership *Leadership) holds() *wire.Mishap {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	switch {
+	case leadership.ended:
+		return &wire.Mishap{Kind: wire.NotLeader, Cause: "leadership " + leadership.ballot.String() + " ended"}
+	case leadership.duck:
+		return &wire.Mishap{Kind: wire.Lameduck, Cause: "stepping down", Leader: leadership.successor.Address}
+	case time.Since(leadership.majority) > leadership.core.place.Suspect:
+		return &wire.Mishap{Kind: wire.NotLeader, Cause: "no majority took a beat lately"}
+	}
+	return nil
+}
+
+func (leadership *Leadership) conditions() []wire.Condition {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	since := time.Since(leadership.majority)
+	return []wire.Condition{
+		{Name: RevokedCondition, Holds: leadership.revocation.Complete, Detail: string(leadership.revocation.Method) + ", ballot " + leadership.revocation.Revoked.String()},
+		{Name: PromisedCondition, Holds: !leadership.ended, Detail: "ballot " + leadership.ballot.String()},
+		{Name: RewrittenCondition, Holds: !leadership.ended, Detail: "settings serial at establishment or later"},
+		{Name: BeatingCondition, Holds: since <= leadership.core.place.Suspect, Detail: since.Round(time.Millisecond).String() + " ago"},
+	}
+}
+
+// write puts the next value in the register; build sees the current one. Once
+// sent, a write ends taken by a majority, or the leadership ends with it.
+func (leadership *Leadership) write(register wire.Register, build func(current wire.Value) (*wire.Value, *wire.Mishap)) (uint64, *wire.Mishap) {
+	if mishap := leadership.holds(); mishap != nil {
+		return 0, mishap
+	}
+	leadership.writes.Lock()
+	defer leadership.writes.Unlock()
+	if mishap := leadership.holds(); mishap != nil {
+		return 0, mishap
+	}
+	next, mishap := build(leadership.value(register))
+	if mishap != nil || next == nil {
+		return 0, mishap
+	}
+	message := &wire.Accept{Ballot: leadership.ballot, Register: register, Value: *next}
+	if mishap := leadership.core.pushValue(message); mishap != nil {
+		leadership.core.counts.Add("write_unknown", 1)
+		leadership.core.revoke(leadership)
+		return 0, &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: mishap.Error()}
+	}
+	leadership.mutex.Lock()
+	leadership.values[register] = *next
+	leadership.mutex.Unlock()
+	leadership.core.commit(register, wire.Accepted{Ballot: leadership.ballot, Value: *next})
+	return next.Serial, nil
+}
+
+// beat tells every core once; true when a majority took it.
+func (leadership *Leadership) beat() bool {
+	begin := time.Now()
+	leadership.mutex.Lock()
+	leadership.started++
+	number := leadership.started
+	message := &wire.Beat{Ballot: leadership.ballot, Leader: leadership.core.place.leader(leadership.ballot), Duck: leadership.duck, Successor: leadership.successor,
+		Table: leadership.core.Table().Mark}
+	for register := range leadership.values {
+		message.Committed[register] = wire.Mark{Ballot: leadership.ballot, Serial: leadership.values[register].Serial}
+	}
+	leadership.mutex.Unlock()
+	core := leadership.core
+	told := askPeers(core, func(peer Peer) (*wire.BeatTold, error) {
+		told, fault := wire.Ask[wire.Beat, wire.BeatTold](core.line, peer.Address, "beat", core.roundLimit(), message)
+		if fault == nil {
+			leadership.note(peer, told, message.Committed)
+		}
+		return told, fault
+	}, func(told *wire.BeatTold) bool { return told.Taken && told.Voter }, core.place.majority()-1)
+	taken := 1
+	for _, answer := range told {
+		if answer.Taken && answer.Voter {
+			taken++
+		}
+		if leadership.ballot.Less(answer.Promised) {
+			core.sawRound(answer.Promised.Round)
+			core.revoke(leadership)
+			return false
+		}
+	}
+	if taken < core.place.majority() || core.voter.State().Promised != leadership.ballot {
+		return false
+	}
+	leadership.mutex.Lock()
+	leadership.majority = begin
+	leadership.finished = number
+	leadership.mutex.Unlock()
+	leadership.confirmed.Ring()
+	return true
+}
+
+// note keeps what a core told and sends it the values it lacks.
+func (leadership *Leadership) note(peer Peer, told *wire.BeatTold, committed wire.Marks) {
+	leadership.mutex.Lock()
+	leadership.reports[peer.ID] = told
+	values := leadership.values
+	leadership.mutex.Unlock()
+	if !told.Taken || !told.Voter {
+		return
+	}
+	for register := range committed {
+		if told.Marks[register].Less(committed[register]) {
+			leadership.core.counts.Add("copies_mended", 1)
+			wire.Ask[wire.Accept, wire.AcceptTold](leadership.core.line, peer.Address, "accept", leadership.core.roundLimit(),
+				&wire.Accept{Ballot: leadership.ballot, Register: wire.Register(register), Value: values[register]})
+		}
+	}
+}
+
+// confirm waits until a beat begun after the call was taken by a majority.
+func (leadership *Leadership) confirm(limit time.Duration) *wire.Mishap {
+	leadership.mutex.Lock()
+	need := leadership.started + 1
+	leadership.mutex.Unlock()
+	until := time.Now().Add(limit)
+	for {
+		seen := leadership.confirmed.Count()
+		if mishap := leadership.holds(); mishap != nil && mishap.Kind != wire.Lameduck {
+			return mishap
+		}
+		leadership.mutex.Lock()
+		done := leadership.finished >= need
+		leadership.mutex.Unlock()
+		if done {
+			return nil
+		}
+		if !leadership.confirmed.Wait(seen, time.Until(until)) {
+			return wire.New(wire.NoLeader, "no beat confirmed in %v", limit)
+		}
+	}
+}
+
+// heir is the best core to step down to: newest register, then reach, then id.
+func (leadership *Leadership) heir(passed map[int]bool) (Peer, bool) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	best, found := Peer{}, false
+	for _, peer := range leadership.core.place.Peers {
+		told := leadership.reports[peer.ID]
+		if told == nil || !told.Voter || !told.Taken || passed[peer.ID] {
+			continue
+		}
+		if !found || fitter(told.Marks, told.Reach, peer.ID, leadership.reports[best.ID].Marks, leadership.reports[best.ID].Reach, best.ID) {
+			best, found = peer, true
+		}
+	}
+	return best, found
+}
+
+// fitter is the rule for candidates.
+func fitter(marks wire.Marks, reach, id int, otherMarks wire.Marks, otherReach, otherID int) bool {
+	if marks != otherMarks {
+		return otherMarks.Less(marks)
+	}
+	if reach != otherReach {
+		return reach > otherReach
+	}
+	return id > otherID
+}
--- /dev/null
+++ b/control/restore.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+// restore makes a blank disk a voter again: by founding, when every core is new,
+// or by fencing so many others that no majority the lost disk helped to make is missed.
+func (core *Core) restore() {
+	core.threads.Rest(core.random.span(core.place.Beat, 2*core.place.Beat))
+	told := askPeers(core, func(peer Peer) (*wire.RestoreTold, error) {
+		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: core.place.ID})
+	}, func(*wire.RestoreTold) bool { return false }, len(core.place.Peers))
+	voters, untouched := 0, len(told) == len(core.place.Peers)
+	for _, answer := range told {
+		core.sawRound(answer.Promised.Round)
+		if answer.Founded {
+			voters++
+		}
+		if answer.Promised.Round > 0 || answer.Marks != (wire.Marks{}) {
+			untouched = false
+		}
+	}
+	if untouched && core.place.Found {
+		if mishap := core.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}); mishap == nil {
+			klog.Infof("core %d: founded", core.place.ID)
+			core.begin()
+		}
+		return
+	}
+	if voters < core.place.restorers() {
+		core.counts.Add("restores_short", 1)
+		return
+	}
+	ballot, revoked := core.nextBallot()
+	promises := askPeers(core, func(peer Peer) (*wire.PromiseTold, error) {
+		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot})
+	}, func(*wire.PromiseTold) bool { return false }, len(core.place.Peers))
+	granted := map[int]*wire.PromiseTold{}
+	accepted := [wire.Registers]wire.Accepted{}
+	for id, promise := range promises {
+		core.sawRound(promise.Promised.Round)
+		if !promise.Granted {
+			continue
+		}
+		granted[id] = promise
+		for register := range promise.Accepted {
+			if accepted[register].Mark().Less(promise.Accepted[register].Mark()) {
+				accepted[register] = promise.Accepted[register]
+			}
+		}
+	}
+	if len(granted) < core.place.restorers() {
+		core.counts.Add("restores_short", 1)
+		return
+	}
+	if mishap := core.voter.Found(ballot, accepted); mishap != nil {
+		return
+	}
+	core.counts.Add("restores", 1)
+	klog.Infof("core %d: restored from %d cores under %s", core.place.ID, len(granted), ballot)
+	granted[core.place.ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: accepted}
+	if core.chart.move(Revoking) {
+		core.found(ballot, &Revocation{Method: BallotFence, Ballot: ballot, Revoked: revoked, Promises: granted, Complete: true})
+		core.chart.moveBack()
+	}
+}
+
+func (core *Core) begin() {
+	core.mutex.Lock()
+	core.heard = time.Now()
+	core.mutex.Unlock()
+	core.chart.move(Following)
+}
+
+func (core *Core) onRestore(*wire.Restore) (*wire.RestoreTold, *wire.Mishap) {
+	state := core.voter.State()
+	return &wire.RestoreTold{Voter: state.Founded, Founded: state.Founded, Promised: state.Promised, Marks: state.Marks()}, nil
+}
--- /dev/null
+++ b/control/sessions.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+const (
+	sessionSpan = 1500 * time.Millisecond
+	watchSpan   = time.Second
+)
+
+type heldSession struct {
+	session wire.Session
+	core    int
+	until   time.Time
+	told    time.Time
+}
+
+// Sessions are the daemons this core knows, by its own word or another core's.
+type Sessions struct {
+	mutex sync.Mutex
+	held  map[string]heldSession
+	cores map[int]time.Time
+}
+
+func newSessions() *Sessions {
+	return &Sessions{held: map[string]heldSession{}, cores: map[int]time.Time{}}
+}
+
+// take keeps the newer word on a daemon.
+func (sessions *Sessions) take(session wire.Session, core int) {
+	told := time.Now().Add(-time.Duration(session.AgeMs) * time.Millisecond)
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	before, found := sessions.held[session.Member.Name]
+	if found && told.Before(before.told) {
+		return
+	}
+	sessions.held[session.Member.Name] = heldSession{session: session, core: core, told: told, until: told.Add(sessionSpan)}
+}
+
+func (sessions *Sessions) heardCore(core int) {
+	sessions.mutex.Lock()
+	sessions.cores[core] = time.Now()
+	sessions.mutex.Unlock()
+}
+
+func (sessions *Sessions) coresHeard(span time.Duration) int {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	count := 0
+	for _, heard := range sessions.cores {
+		if time.Since(heard) < span {
+			count++
+		}
+	}
+	return count
+}
+
+// standing lists the sessions that stand, by name; a core of 0 means from any.
+func (sessions *Sessions) standing(core int) []heldSession {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	now := time.Now()
+	all := []heldSession{}
+	for name, held := range sessions.held {
+		if now.After(held.until) {
+			delete(sessions.held, name)
+			continue
+		}
+		if core == 0 || held.core == core {
+			all = append(all, held)
+		}
+	}
+	sort.Slice(all, func(left, right int) bool { return all[left].session.Member.Name < all[right].session.Member.Name })
+	return all
+}
+
+func (core *Core) onSession(session *wire.Session) (*wire.SessionTold, *wire.Mishap) {
+	session.AgeMs = 0
+	core.sessions.take(*session, core.place.ID)
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark}
+	if !core.duck && (core.leadership != nil || time.Since(core.heard) < core.place.Suspect) {
+		told.Leader = core.leader
+	}
+	return told, nil
+}
+
+func (core *Core) onTell(tell *wire.Tell) (*wire.TellTold, *wire.Mishap) {
+	core.sessions.heardCore(tell.Core)
+	for _, session := range tell.Sessions {
+		core.sessions.take(session, tell.Core)
+	}
+	return &wire.TellTold{}, nil
+}
+
+// tellSessions sends what daemons told this core to the other cores.
+func (core *Core) tellSessions() {
+	tell := &wire.Tell{Core: core.place.ID}
+	for _, held := range core.sessions.standing(core.place.ID) {
+		held.session.AgeMs = time.Since(held.told).Milliseconds()
+		tell.Sessions = append(tell.Sessions, held.session)
+	}
+	askPeers(core, func(peer Peer) (*wire.TellTold, error) {
+		return wire.Ask[wire.Tell, wire.TellTold](core.line, peer.Address, "tell", core.roundLimit(), tell)
+	}, func(*wire.TellTold) bool { return false }, len(core.place.Peers))
+}
+
+func (core *Core) onWatch(watch *wire.Watch) (*wire.WatchTold, *wire.Mishap) {
+	span := min(time.Duration(watch.SpanMs)*time.Millisecond, watchSpan)
+	until := time.Now().Add(span)
+	for {
+		seen := core.news.Count()
+		core.mutex.Lock()
+		told := &wire.WatchTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark}
+		core.mutex.Unlock()
+		if told.Serial > watch.Serial || watch.Table.Less(told.Table) || core.threads.Stopping() {
+			return told, nil
+		}
+		if !core.news.Wait(seen, time.Until(until)) {
+			return told, nil
+		}
+	}
+}
+
+func (core *Core) onFetch(fetch *wire.Fetch) (*wire.FetchTold, *wire.Mishap) {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	told := &wire.FetchTold{}
+	if value := core.committed[wire.SettingsRegister].Value; value.Serial > fetch.Serial {
+		told.Serial, told.Body = value.Serial, value.Body
+	}
+	if fetch.Table.Less(core.table.Mark) {
+		told.Table = core.table
+	}
+	return told, nil
+}
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// onStatus is this core's view; the leader's is the whole one.
+func (core *Core) onStatus(*wire.Status) (*wire.StatusTold, *wire.Mishap) {
+	core.mutex.Lock()
+	told := &wire.StatusTold{Leader: core.leader, Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Backends: core.table.Backends}
+	leadership := core.leadership
+	core.mutex.Unlock()
+	told.State = string(core.chart.Now())
+	told.Counts = core.counts.All()
+	state := core.voter.State()
+	told.Cores = []wire.CoreStatus{{Core: core.place.ID, Address: core.place.Wire, Voter: state.Founded, Seen: true, Marks: state.Marks()}}
+	if leadership != nil {
+		told.Conditions = leadership.conditions()
+		told.Revocation = string(leadership.revocation.Method)
+		leadership.mutex.Lock()
+		for _, peer := range core.place.Peers {
+			status := wire.CoreStatus{Core: peer.ID, Address: peer.Address}
+			if report := leadership.reports[peer.ID]; report != nil {
+				status.Voter, status.Seen, status.Marks = report.Voter, report.Taken, report.Marks
+			}
+			told.Cores = append(told.Cores, status)
+		}
+		leadership.mutex.Unlock()
+	}
+	for _, held := range core.sessions.standing(0) {
+		told.Members = append(told.Members, wire.MemberStatus{Member: held.session.Member, Serial: held.session.Serial, Table: held.session.Table,
+			Parent: held.session.Parent, AgeMs: time.Since(held.told).Milliseconds(), Core: held.core, Probes: held.session.Probes})
+	}
+	return told, nil
+}
--- /dev/null
+++ b/control/table.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"reflect"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// buildTable is the leader's duty: members by their sessions, backends by the platform.
+func (core *Core) buildTable() {
+	leadership, mishap := core.leading()
+	if mishap != nil || leadership.holds() != nil {
+		return
+	}
+	before := core.Table()
+	sessions := core.sessions.standing(0)
+	if before.Mark == (wire.TableMark{}) || !before.Complete {
+		before = core.askHeld(before, sessions)
+	}
+	next := &wire.Table{Mark: wire.TableMark{Ballot: leadership.ballot, Number: 1}, Members: []wire.Member{}, Backends: before.Backends, Complete: before.Complete}
+	if before.Mark.Ballot == leadership.ballot {
+		next.Mark.Number = before.Mark.Number + 1
+	}
+	known := map[string]bool{}
+	for _, held := range sessions {
+		next.Members = append(next.Members, held.session.Member)
+		known[held.session.Member.Name] = true
+	}
+	if time.Since(leadership.since) < sessionSpan {
+		for _, member := range before.Members {
+			if !known[member.Name] {
+				next.Members = append(next.Members, member)
+			}
+		}
+	}
+	if backends, whole := core.platform.list(); whole {
+		next.Backends, next.Complete = backends, true
+	}
+	if before.Mark.Ballot == leadership.ballot && reflect.DeepEqual(before.Members, next.Members) &&
+		reflect.DeepEqual(before.Backends, next.Backends) && before.Complete == next.Complete {
+		return
+	}
+	core.counts.Add("tables", 1)
+	core.holdTable(next)
+}
+
+// askHeld rebuilds from a daemon that still holds what the cores lost.
+func (core *Core) askHeld(table *wire.Table, sessions []heldSession) *wire.Table {
+	best, from := table.Mark, ""
+	for _, held := range sessions {
+		if best.Less(held.session.Table) {
+			best, from = held.session.Table, held.session.Member.Wire
+		}
+	}
+	if from == "" {
+		return table
+	}
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Table: table.Mark})
+	if fault != nil || told.Table == nil {
+		core.counts.Add("tables_not_rebuilt", 1)
+		return table
+	}
+	core.counts.Add("tables_rebuilt", 1)
+	return told.Table
+}
+
+// copyTable keeps the leader's table at the other cores.
+func (core *Core) copyTable() {
+	core.mutex.Lock()
+	leader, wanted, held, leads := core.leader, core.wanted, core.table.Mark, core.leadership != nil
+	core.mutex.Unlock()
+	if leads || !leader.Known() || !held.Less(wanted) {
+		return
+	}
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Table: held})
+	if fault == nil && told.Table != nil {
+		core.holdTable(told.Table)
+	}
+}
--- /dev/null
+++ b/control/voter.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"orchidjunction/wire"
+)
+
+// Voter is the part of a core that promises ballots and accepts values, synced
+// before it answers. Reads see the last synced state without waiting for the disk.
+type Voter struct {
+	mutex  sync.Mutex
+	store  *Store
+	synced atomic.Pointer[State]
+	fault  func(*wire.Mishap)
+	raised func(wire.Ballot)
+}
+
+func NewVoter(store *Store, fault func(*wire.Mishap), raised func(wire.Ballot)) *Voter {
+	voter := &Voter{store: store, fault: fault, raised: raised}
+	voter.publish()
+	return voter
+}
+
+func (voter *Voter) publish() {
+	state := voter.store.state
+	voter.synced.Store(&state)
+}
+
+func (voter *Voter) State() *State { return voter.synced.Load() }
+
+func (voter *Voter) Blank() bool { return !voter.State().Founded }
+
+// keep appends under the mutex and shows the new state.
+func (voter *Voter) keep(steps ...record) *wire.Mishap {
+	before := voter.store.state.Promised
+	if mishap := voter.store.Append(steps...); mishap != nil {
+		voter.fault(mishap)
+		return mishap
+	}
+	voter.publish()
+	if after := voter.store.state.Promised; before != after {
+		voter.raised(after)
+	}
+	return nil
+}
+
+func (voter *Voter) Promise(ballot wire.Ballot) (*wire.PromiseTold, *wire.Mishap) {
+	voter.mutex.Lock()
+	defer voter.mutex.Unlock()
+	state := &voter.store.state
+	if !state.Founded {
+		return nil, wire.New(wire.Blank, "not restored yet")
+	}
+	if ballot.Less(state.Promised) {
+		return &wire.PromiseTold{Promised: state.Promised}, nil
+	}
+	if state.Promised.Less(ballot) {
+		if mishap := voter.keep(record{Promised: &ballot}); mishap != nil {
+			return nil, mishap
+		}
+	}
+	return &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: state.Accepted}, nil
+}
+
+func (voter *Voter) Accept(message *wire.Accept) (*wire.AcceptTold, *wire.Mishap) {
+	voter.mutex.Lock()
+	defer voter.mutex.Unlock()
+	state := &voter.store.state
+	if !state.Founded {
+		return nil, wire.New(wire.Blank, "not restored yet")
+	}
+	if message.Ballot.Less(state.Promised) {
+		return &wire.AcceptTold{Promised: state.Promised}, nil
+	}
+	held := state.Accepted[message.Register].Mark()
+	offered := wire.Mark{Ballot: message.Ballot, Serial: message.Value.Serial}
+	if held == offered {
+		return &wire.AcceptTold{Taken: true, Promised: state.Promised}, nil
+	}
+	if offered.Less(held) {
+		return &wire.AcceptTold{Promised: state.Promised}, nil
+	}
+	step := record{Register: message.Register, Accepted: &wire.Accepted{Ballot: message.Ballot, Value: message.Value}}
+	if state.Promised.Less(message.Ballot) {
+		step.Promised = &message.Ballot
+	}
+	if mishap := voter.keep(step); mishap != nil {
+		return nil, mishap
+	}
+	return &wire.AcceptTold{Taken: true, Promised: state.Promised}, nil
+}
+
+// Found makes a blank disk a voter with what the others hold.
+func (voter *Voter) Found(promised wire.Ballot, accepted [wire.Registers]wire.Accepted) *wire.Mishap {
+	voter.mutex.Lock()
+	defer voter.mutex.Unlock()
+	if voter.store.state.Founded {
+		return nil
+	}
+	step := record{Founded: true}
+	if promised.Round > 0 {
+		step.Promised = &promised
+	}
+	steps := []record{}
+	for register := range accepted {
+		if accepted[register].Ballot.Round > 0 {
+			steps = append(steps, record{Register: wire.Register(register), Accepted: &accepted[register]})
+		}
+	}
+	return voter.keep(append(steps, step)...)
+}
+
+func (voter *Voter) Close() {
+	voter.mutex.Lock()
+	defer voter.mutex.Unlock()
+	voter.store.Close()
+}
--- /dev/null
+++ b/member/daemon.go
@@ -0,0 +1,219 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/control"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Place is what a daemon learns of itself from flags or its file.
+type Place struct {
+	Name    string
+	Kind    string
+	Zone    string
+	Wire    string
+	Outer   string
+	Operate string
+	Seeds   []string
+}
+
+func (place *Place) Check() *wire.Mishap {
+	if place.Name == "" || place.Zone == "" {
+		return wire.New(wire.BadFlag, "--name and --zone must be given")
+	}
+	if len(place.Seeds) == 0 || len(place.Seeds) > 3 {
+		return wire.New(wire.BadFlag, "--seed: %d seeds, want one to three", len(place.Seeds))
+	}
+	for _, seed := range place.Seeds {
+		if mishap := control.CheckAddress("--seed", seed); mishap != nil {
+			return mishap
+		}
+	}
+	for flag, address := range map[string]string{"--wire": place.Wire, "--listen": place.Outer, "--operate": place.Operate} {
+		if mishap := control.CheckAddress(flag, address); mishap != nil {
+			return mishap
+		}
+	}
+	return nil
+}
+
+const (
+	sessionPace  = 300 * time.Millisecond
+	askLimit     = 400 * time.Millisecond
+	watchSpan    = 800 * time.Millisecond
+	behindSpan   = 500 * time.Millisecond
+	aloneSpan    = 3 * time.Second
+	behindServes = 2 * time.Second
+)
+
+// Daemon is a member: it keeps a session, holds a version and relays news.
+type Daemon struct {
+	place       Place
+	incarnation string
+	line        *wire.Line
+	threads     *run.Threads
+	counts      *run.Counts
+	Finder      *Finder
+	Hold        *Hold
+	news        *run.Bell
+	version     atomic.Pointer[Version]
+	apply       func(*Version)
+	probes      func() []wire.Probe
+
+	mutex       sync.Mutex
+	core        int
+	told        wire.SessionTold
+	heard       time.Time
+	behind      time.Time
+	seen        uint64
+	seenSince   time.Time
+	confirmed   bool
+	leaving     bool
+	parent      string
+	failed      map[string]time.Time
+	latestTable wire.TableMark
+}
+
+func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
+	daemon := &Daemon{place: place, incarnation: incarnation, line: line, threads: threads, counts: counts,
+		news: run.NewBell(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }}
+	daemon.Finder = NewFinder(line, threads, place.Seeds)
+	daemon.Hold = NewHold(daemon.Finder, line, counts)
+	daemon.version.Store(&Version{Table: &wire.Table{}})
+	return daemon
+}
+
+// Serve names what uses each new version and what it found at the backends.
+func (daemon *Daemon) Serve(apply func(*Version), probes func() []wire.Probe) {
+	daemon.apply = apply
+	if probes != nil {
+		daemon.probes = probes
+	}
+}
+
+func (daemon *Daemon) Run() {
+	daemon.Finder.Run()
+	daemon.threads.Beat(run.Each(sessionPace), daemon.session)
+	daemon.threads.Start(daemon.relay)
+	daemon.threads.Start(daemon.confirm)
+}
+
+func (daemon *Daemon) Register(door *wire.Door) {
+	wire.Take(door, "watch", daemon.onWatch)
+	wire.Take(door, "fetch", daemon.onFetch)
+	wire.Take(door, "who", daemon.onWho)
+	wire.Take(door, "change", func(_ context.Context, change *wire.Change) (*wire.ChangeTold, error) {
+		told, mishap := Send[wire.Change, wire.ChangeTold](daemon.Hold, "change", change)
+		if mishap != nil {
+			return nil, mishap
+		}
+		return told, nil
+	})
+}
+
+func (daemon *Daemon) Version() *Version { return daemon.version.Load() }
+
+// Ready is true once a confirmed serial is in force and nothing newer was seen for long.
+func (daemon *Daemon) Ready() bool {
+	version := daemon.Version()
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	late := daemon.seen > version.Serial && time.Since(daemon.seenSince) > behindServes
+	return daemon.confirmed && !late && version.Serial > 0 && version.Table.Complete
+}
+
+// Alone is true when no core answered for a while.
+func (daemon *Daemon) Alone() bool {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	return time.Since(daemon.heard) > aloneSpan
+}
+
+// Seen takes a serial that a backend has seen; being behind it starts a catching up.
+func (daemon *Daemon) Seen(serial uint64) {
+	if serial <= daemon.Version().Serial {
+		return
+	}
+	daemon.mutex.Lock()
+	if serial > daemon.seen {
+		if daemon.seen <= daemon.Version().Serial {
+			daemon.seenSince = time.Now()
+		}
+		daemon.seen = serial
+	}
+	daemon.mutex.Unlock()
+	daemon.counts.Add("behind_a_backend", 1)
+}
+
+func (daemon *Daemon) member() wire.Member {
+	ready := daemon.Ready()
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	return wire.Member{Name: daemon.place.Name, Kind: daemon.place.Kind, Zone: daemon.place.Zone, Wire: daemon.place.Wire,
+		Outer: daemon.place.Outer, Operate: daemon.place.Operate, Incarnation: daemon.incarnation, Leaving: daemon.leaving, Ready: ready && !daemon.leaving}
+}
+
+// session tells a core that this daemon lives; a silent core is left for the next.
+func (daemon *Daemon) session() {
+	cores := daemon.Finder.Cores()
+	version := daemon.Version()
+	daemon.mutex.Lock()
+	parent, index := daemon.parent, daemon.core
+	daemon.mutex.Unlock()
+	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes()}
+	told, fault := wire.Ask[wire.Session, wire.SessionTold](daemon.line, cores[index%len(cores)], "session", askLimit, session)
+	daemon.mutex.Lock()
+	if fault != nil {
+		daemon.core++
+		daemon.mutex.Unlock()
+		daemon.counts.Add("sessions_failed", 1)
+		return
+	}
+	daemon.told, daemon.heard = *told, time.Now()
+	if told.Serial <= version.Serial && !version.Table.Mark.Less(told.Table) {
+		daemon.behind = time.Time{}
+	} else if daemon.behind.IsZero() {
+		daemon.behind = time.Now()
+	}
+	daemon.mutex.Unlock()
+	daemon.Finder.Heard(told.Leader)
+}
+
+// Leave tells the cores at once that nothing more should come here.
+func (daemon *Daemon) Leave() {
+	daemon.mutex.Lock()
+	daemon.leaving = true
+	daemon.mutex.Unlock()
+	daemon.session()
+}
+
+// confirm lets a started daemon serve only on a serial that the leader proved.
+func (daemon *Daemon) confirm() {
+	for !daemon.threads.Stopping() {
+		leader := daemon.Finder.Wait(time.Second)
+		if leader.Known() {
+			told, fault := wire.Ask[wire.Confirm, wire.ConfirmTold](daemon.line, leader.Address, "confirm", askLimit, &wire.Confirm{})
+			if fault == nil && told.Serial > 0 && daemon.reach(leader, told.Serial) {
+				daemon.mutex.Lock()
+				daemon.confirmed = true
+				daemon.mutex.Unlock()
+				klog.Infof("%s: serial %d confirmed", daemon.place.Name, told.Serial)
+				return
+			}
+			if fault != nil {
+				daemon.Finder.Drop(leader, false)
+			}
+		}
+		daemon.threads.Rest(sessionPace / 3)
+	}
+}
+
+func (daemon *Daemon) reach(leader wire.Leader, serial uint64) bool {
+	return daemon.Version().Serial >= serial || daemon.fetch(leader.Address) && daemon.Version().Serial >= serial
+}
--- /dev/null
+++ b/member/finder.go
@@ -0,0 +1,129 @@
+// Package member is what every daemon shares: its session with the cores, its
+// place in the relay tree, and the operators' door.
+package member
+
+import (
+	"sync"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Finder knows the leader, and looks for it while somebody waits.
+type Finder struct {
+	line    *wire.Line
+	threads *run.Threads
+	bell    *run.Bell
+
+	mutex   sync.Mutex
+	cores   []string
+	leader  wire.Leader
+	dropped wire.Ballot
+	waiting int
+}
+
+const (
+	seekPace  = 20 * time.Millisecond
+	seekLimit = 150 * time.Millisecond
+)
+
+func NewFinder(line *wire.Line, threads *run.Threads, cores []string) *Finder {
+	return &Finder{line: line, threads: threads, bell: run.NewBell(), cores: append([]string{}, cores...)}
+}
+
+func (finder *Finder) Run() { finder.threads.Beat(run.Each(seekPace), finder.seek) }
+
+func (finder *Finder) Leader() wire.Leader {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return finder.leader
+}
+
+func (finder *Finder) Cores() []string {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return append([]string{}, finder.cores...)
+}
+
+// Heard takes anyone's word of a leader; older ballots are passed over.
+func (finder *Finder) Heard(leader wire.Leader) {
+	finder.mutex.Lock()
+	fresh := leader.Known() && !leader.Ballot.Less(finder.leader.Ballot) && finder.dropped.Less(leader.Ballot) && leader != finder.leader
+	if fresh {
+		finder.leader = leader
+	}
+	finder.mutex.Unlock()
+	if fresh {
+		finder.bell.Ring()
+	}
+}
+
+// Drop forgets a leader that said it leads no more, or fell silent.
+func (finder *Finder) Drop(leader wire.Leader, ended bool) {
+	finder.mutex.Lock()
+	if finder.leader.Ballot == leader.Ballot {
+		finder.leader = wire.Leader{Ballot: leader.Ballot}
+	}
+	if ended && finder.dropped.Less(leader.Ballot) {
+		finder.dropped = leader.Ballot
+	}
+	finder.mutex.Unlock()
+}
+
+// Wait holds until a leader is known or the span is over.
+func (finder *Finder) Wait(span time.Duration) wire.Leader {
+	until := time.Now().Add(span)
+	finder.mutex.Lock()
+	finder.waiting++
+	finder.mutex.Unlock()
+	defer func() {
+		finder.mutex.Lock()
+		finder.waiting--
+		finder.mutex.Unlock()
+	}()
+	for {
+		seen := finder.bell.Count()
+		if leader := finder.Leader(); leader.Known() || finder.threads.Stopping() {
+			return leader
+		}
+		if !finder.bell.Wait(seen, time.Until(until)) {
+			return finder.Leader()
+		}
+	}
+}
+
+func (finder *Finder) seek() {
+	finder.mutex.Lock()
+	idle := finder.waiting == 0 || finder.leader.Known()
+	cores := finder.cores
+	finder.mutex.Unlock()
+	if idle {
+		return
+	}
+	run.Gather(finder.threads, len(cores), func(index int) (bool, error) {
+		told, fault := wire.Ask[wire.Who, wire.WhoTold](finder.line, cores[index], "who", seekLimit, &wire.Who{})
+		if fault != nil {
+			return false, fault
+		}
+		finder.learn(told.Cores)
+		if !told.Duck {
+			finder.Heard(told.Leader)
+		}
+		return told.Leader.Known(), nil
+	}, func(map[int]bool, map[int]error) bool { return finder.Leader().Known() })
+}
+
+func (finder *Finder) learn(cores []string) {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	for _, core := range cores {
+		known := false
+		for _, held := range finder.cores {
+			known = known || held == core
+		}
+		if !known && len(finder.cores) < 16 {
+			finder.cores = append(finder.cores, core)
+		}
+	}
+}
--- /dev/null
+++ b/member/hold.go
@@ -0,0 +1,114 @@
+package member
+
+import (
+	"sync"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Hold keeps work that has not started while the lead changes, bounded in
+// count and time, and sends it to the new leader.
+type Hold struct {
+	finder *Finder
+	line   *wire.Line
+	counts *run.Counts
+	depth  int
+	span   time.Duration
+	limit  time.Duration
+
+	mutex sync.Mutex
+	held  int
+}
+
+const (
+	holdDepth   = 64
+	holdSpan    = 750 * time.Millisecond
+	answerLimit = 950 * time.Millisecond
+	sendLimit   = 350 * time.Millisecond
+	comeBack    = 500
+)
+
+func NewHold(finder *Finder, line *wire.Line, counts *run.Counts) *Hold {
+	return &Hold{finder: finder, line: line, counts: counts, depth: holdDepth, span: holdSpan, limit: answerLimit}
+}
+
+func (hold *Hold) enter() bool {
+	hold.mutex.Lock()
+	defer hold.mutex.Unlock()
+	if hold.held >= hold.depth {
+		return false
+	}
+	hold.held++
+	return true
+}
+
+func (hold *Hold) leave() {
+	hold.mutex.Lock()
+	hold.held--
+	hold.mutex.Unlock()
+}
+
+// Send brings one message to the leader, whoever that becomes within the limit.
+func Send[Asked, Told any](hold *Hold, name string, asked *Asked) (*Told, *wire.Mishap) {
+	begin := time.Now()
+	sent, holding := false, false
+	defer func() {
+		if holding {
+			hold.leave()
+		}
+	}()
+	final := func() *wire.Mishap {
+		if sent {
+			return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: "the leader fell silent; send the same change id again", Retry: comeBack}
+		}
+		return &wire.Mishap{Kind: wire.NotStarted, Cause: "no leader within the hold; nothing was started", Retry: comeBack}
+	}
+	for {
+		rest := hold.limit - time.Since(begin)
+		leader := hold.finder.Leader()
+		if !leader.Known() {
+			if !holding {
+				if !hold.enter() {
+					hold.counts.Add("hold_full", 1)
+					if sent {
+						return nil, final()
+					}
+					return nil, &wire.Mishap{Kind: wire.HoldFull, Cause: "too much waits for a leader", Retry: comeBack}
+				}
+				holding = true
+				hold.counts.Add("held", 1)
+			}
+			leader = hold.finder.Wait(min(hold.span-time.Since(begin), rest))
+			if !leader.Known() {
+				hold.counts.Add("hold_given_up", 1)
+				return nil, final()
+			}
+		}
+		if rest <= 0 {
+			return nil, final()
+		}
+		told, fault := wire.Ask[Asked, Told](hold.line, leader.Address, name, min(rest, sendLimit), asked)
+		if fault == nil {
+			if holding {
+				hold.counts.Add("held_flushed", 1)
+			}
+			return told, nil
+		}
+		switch mishap := wire.AsMishap(fault); mishap.Kind {
+		case wire.NotLeader, wire.Lameduck, wire.NoLeader:
+			hold.finder.Drop(leader, mishap.Kind == wire.Lameduck)
+		case wire.Unreached:
+			hold.finder.Drop(leader, false)
+		case wire.Unreachable, wire.OutcomeUnknown:
+			sent = true
+			hold.finder.Drop(leader, false)
+		default:
+			return nil, mishap
+		}
+		if time.Since(begin) < hold.limit {
+			hold.finder.threads.Rest(seekPace / 4)
+		}
+	}
+}
--- /dev/null
+++ b/member/operate.go
@@ -0,0 +1,200 @@
+package member
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"orchidjunction/conf"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+const changeBytes = 16 << 20
+
+// Operate is the operators' door that every daemon opens.
+type Operate struct {
+	hold   *Hold
+	counts *run.Counts
+	name   string
+	local  func() (uint64, []byte)
+	ready  func() bool
+	mux    *http.ServeMux
+}
+
+func NewOperate(name string, hold *Hold, counts *run.Counts, local func() (uint64, []byte), ready func() bool) *Operate {
+	operate := &Operate{hold: hold, counts: counts, name: name, local: local, ready: ready, mux: http.NewServeMux()}
+	operate.mux.HandleFunc("GET /v1/settings", operate.read)
+	operate.mux.HandleFunc("PUT /v1/settings", func(writer http.ResponseWriter, request *http.Request) { operate.change(writer, request, "whole") })
+	operate.mux.HandleFunc("PATCH /v1/settings", func(writer http.ResponseWriter, request *http.Request) { operate.change(writer, request, "partial") })
+	operate.mux.HandleFunc("POST /v1/check", operate.check)
+	operate.mux.HandleFunc("GET /v1/changes", operate.trail)
+	operate.mux.HandleFunc("GET /v1/status", operate.status)
+	operate.mux.HandleFunc("GET /v1/counts", func(writer http.ResponseWriter, _ *http.Request) { Answer(writer, http.StatusOK, counts.All()) })
+	operate.mux.HandleFunc("GET /v1/health", operate.health)
+	operate.mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
+		Refuse(writer, wire.New(wire.NotFound, "%s %s", request.Method, request.URL.Path))
+	})
+	return operate
+}
+
+func (operate *Operate) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	operate.mux.ServeHTTP(writer, request)
+}
+
+// Answer writes one JSON document.
+func Answer(writer http.ResponseWriter, status int, document any) {
+	body, fault := json.Marshal(document)
+	if fault != nil {
+		status, body = http.StatusInternalServerError, []byte(`{"code":"bad_message"}`)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	writer.WriteHeader(status)
+	writer.Write(append(body, '\n'))
+}
+
+// Refuse writes a mishap and, where it has one, the time to come back.
+func Refuse(writer http.ResponseWriter, mishap *wire.Mishap) {
+	if mishap.Retry > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa((mishap.Retry+999)/1000))
+	}
+	Answer(writer, mishap.Kind.Status(), mishap)
+}
+
+type settingsDocument struct {
+	Serial    uint64           `json:"serial"`
+	Confirmed bool             `json:"confirmed"`
+	Settings  json.RawMessage  `json:"settings"`
+	Effective []conf.Effective `json:"effective,omitempty"`
+}
+
+// read gives the leader's confirmed settings or, with no leader, what is in force here.
+func (operate *Operate) read(writer http.ResponseWriter, request *http.Request) {
+	document := settingsDocument{Confirmed: true}
+	var body []byte
+	told, mishap := Send[wire.Read, wire.ReadTold](operate.hold, "read", &wire.Read{})
+	if mishap != nil {
+		operate.counts.Add("reads_unconfirmed", 1)
+		document.Confirmed = false
+		document.Serial, body = operate.local()
+	} else {
+		document.Serial, body = told.Serial, told.Body
+	}
+	if len(body) == 0 {
+		body = []byte("null")
+	}
+	document.Settings = body
+	if request.URL.Query().Get("effective") != "" && document.Serial > 0 {
+		settings, mishap := conf.Read(body)
+		if mishap != nil {
+			Refuse(writer, mishap)
+			return
+		}
+		document.Effective = settings.Resolve()
+	}
+	Answer(writer, http.StatusOK, document)
+}
+
+type changeDocument struct {
+	Base     *uint64         `json:"base"`
+	Change   string          `json:"change"`
+	Operator string          `json:"operator"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+type outcomeDocument struct {
+	Serial uint64 `json:"serial"`
+	Change string `json:"change"`
+	Again  bool   `json:"again,omitempty"`
+}
+
+type refusalDocument struct {
+	wire.Mishap
+	Change string `json:"change,omitempty"`
+}
+
+func (operate *Operate) change(writer http.ResponseWriter, request *http.Request, kind string) {
+	body, fault := io.ReadAll(http.MaxBytesReader(writer, request.Body, changeBytes))
+	if fault != nil {
+		Refuse(writer, wire.New(wire.TooLarge, "at most %d bytes: %v", changeBytes, fault))
+		return
+	}
+	document := changeDocument{}
+	if fault := json.Unmarshal(body, &document); fault != nil {
+		Refuse(writer, wire.New(wire.BadRequest, "%v", fault))
+		return
+	}
+	if document.Base == nil || len(document.Settings) == 0 || len(document.Change) > 128 {
+		Refuse(writer, wire.New(wire.BadRequest, "base and settings must be given; change has at most 128 letters"))
+		return
+	}
+	if document.Change == "" {
+		document.Change = NewID()
+	}
+	change := &wire.Change{ID: document.Change, Base: *document.Base, Kind: kind, Body: document.Settings, Operator: document.Operator}
+	told, mishap := Send[wire.Change, wire.ChangeTold](operate.hold, "change", change)
+	if mishap != nil {
+		operate.counts.Add("operator_refused_"+string(mishap.Kind), 1)
+		if mishap.Retry > 0 {
+			writer.Header().Set("Retry-After", strconv.Itoa((mishap.Retry+999)/1000))
+		}
+		Answer(writer, mishap.Kind.Status(), refusalDocument{Mishap: *mishap, Change: document.Change})
+		return
+	}
+	operate.counts.Add("operator_changes", 1)
+	Answer(writer, http.StatusOK, outcomeDocument{Serial: told.Serial, Change: document.Change, Again: told.Again})
+}
+
+func (operate *Operate) check(writer http.ResponseWriter, request *http.Request) {
+	body, fault := io.ReadAll(http.MaxBytesReader(writer, request.Body, changeBytes))
+	if fault != nil {
+		Refuse(writer, wire.New(wire.TooLarge, "at most %d bytes", changeBytes))
+		return
+	}
+	if _, mishap := conf.Read(body); mishap != nil {
+		Refuse(writer, mishap)
+		return
+	}
+	Answer(writer, http.StatusOK, map[string]string{"code": "valid"})
+}
+
+func (operate *Operate) trail(writer http.ResponseWriter, _ *http.Request) {
+	told, mishap := Send[wire.Read, wire.ReadTold](operate.hold, "read", &wire.Read{Trail: true})
+	if mishap != nil {
+		Refuse(writer, mishap)
+		return
+	}
+	if told.Trail == nil {
+		told.Trail = []wire.Entry{}
+	}
+	Answer(writer, http.StatusOK, map[string]any{"serial": told.Serial, "changes": told.Trail})
+}
+
+func (operate *Operate) status(writer http.ResponseWriter, _ *http.Request) {
+	told, mishap := Send[wire.Status, wire.StatusTold](operate.hold, "status", &wire.Status{})
+	if mishap != nil {
+		Refuse(writer, mishap)
+		return
+	}
+	Answer(writer, http.StatusOK, told)
+}
+
+func (operate *Operate) health(writer http.ResponseWriter, _ *http.Request) {
+	serial, _ := operate.local()
+	status := http.StatusOK
+	if !operate.ready() {
+		status = http.StatusServiceUnavailable
+	}
+	Answer(writer, status, map[string]any{"name": operate.name, "ready": operate.ready(), "serial": serial})
+}
+
+// NewID is a random name nobody else uses.
+func NewID() string {
+	raw := make([]byte, 12)
+	rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/member/relay.go
@@ -0,0 +1,132 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+// relay waits at the parent for news and fetches the bodies from it.
+func (daemon *Daemon) relay() {
+	for !daemon.threads.Stopping() {
+		parent := daemon.chooseParent()
+		if parent == "" {
+			if leader := daemon.Finder.Wait(time.Second); !leader.Known() {
+				continue
+			}
+			continue
+		}
+		version := daemon.Version()
+		told, fault := wire.Ask[wire.Watch, wire.WatchTold](daemon.line, parent, "watch", watchSpan+askLimit,
+			&wire.Watch{Name: daemon.place.Name, Serial: version.Serial, Table: version.Table.Mark, SpanMs: int(watchSpan.Milliseconds())})
+		if fault != nil {
+			daemon.lost(parent)
+			continue
+		}
+		if told.Serial <= version.Serial && !version.Table.Mark.Less(told.Table) {
+			continue
+		}
+		if !daemon.fetch(parent) {
+			daemon.lost(parent)
+		}
+	}
+}
+
+// chooseParent is the nearest living relay above, or the leader when none is,
+// or when this daemon stayed behind what its core told.
+func (daemon *Daemon) chooseParent() string {
+	parents := newTree(daemon.Version().Table).parents(daemon.place.Name)
+	leader := daemon.Finder.Leader()
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	chosen := leader.Address
+	late := !daemon.behind.IsZero() && time.Since(daemon.behind) > behindSpan || daemon.seen > daemon.Version().Serial
+	if !late || chosen == "" {
+		for _, parent := range parents {
+			if time.Since(daemon.failed[parent.Wire]) > aloneSpan {
+				chosen = parent.Wire
+				break
+			}
+		}
+	}
+	if chosen != daemon.parent {
+		daemon.parent = chosen
+		daemon.counts.Add("parents_changed", 1)
+	}
+	return chosen
+}
+
+func (daemon *Daemon) lost(parent string) {
+	daemon.counts.Add("parents_lost", 1)
+	if leader := daemon.Finder.Leader(); leader.Address == parent {
+		daemon.Finder.Drop(leader, false)
+	}
+	daemon.mutex.Lock()
+	daemon.failed[parent] = time.Now()
+	daemon.mutex.Unlock()
+	daemon.threads.Rest(seekPace)
+}
+
+func (daemon *Daemon) fetch(parent string) bool {
+	version := daemon.Version()
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](daemon.line, parent, "fetch", 5*askLimit, &wire.Fetch{Serial: version.Serial, Table: version.Table.Mark})
+	if fault != nil {
+		return false
+	}
+	return daemon.take(told)
+}
+
+// take puts fetched parts in force, unless newer ones came meanwhile.
+func (daemon *Daemon) take(told *wire.FetchTold) bool {
+	daemon.mutex.Lock()
+	before := daemon.Version()
+	next, mishap := before.after(told)
+	if mishap != nil {
+		daemon.mutex.Unlock()
+		daemon.counts.Add("versions_refused", 1)
+		return false
+	}
+	if next.Serial == before.Serial && next.Table == before.Table {
+		daemon.mutex.Unlock()
+		return true
+	}
+	daemon.apply(next)
+	daemon.version.Store(next)
+	daemon.mutex.Unlock()
+	if next.Serial != before.Serial {
+		klog.Infof("%s: serial %d in force", daemon.place.Name, next.Serial)
+		daemon.counts.Add("serials_in_force", 1)
+	}
+	daemon.news.Ring()
+	return true
+}
+
+func (daemon *Daemon) onWatch(_ context.Context, watch *wire.Watch) (*wire.WatchTold, error) {
+	until := time.Now().Add(min(time.Duration(watch.SpanMs)*time.Millisecond, watchSpan))
+	for {
+		seen := daemon.news.Count()
+		version := daemon.Version()
+		told := &wire.WatchTold{Serial: version.Serial, Table: version.Table.Mark}
+		if told.Serial > watch.Serial || watch.Table.Less(told.Table) || daemon.threads.Stopping() || !daemon.news.Wait(seen, time.Until(until)) {
+			return told, nil
+		}
+	}
+}
+
+func (daemon *Daemon) onFetch(_ context.Context, fetch *wire.Fetch) (*wire.FetchTold, error) {
+	version := daemon.Version()
+	told := &wire.FetchTold{}
+	if version.Serial > fetch.Serial {
+		told.Serial, told.Body = version.Serial, version.Body
+	}
+	if fetch.Table.Less(version.Table.Mark) {
+		told.Table = version.Table
+	}
+	return told, nil
+}
+
+func (daemon *Daemon) onWho(context.Context, *wire.Who) (*wire.WhoTold, error) {
+	return &wire.WhoTold{Leader: daemon.Finder.Leader(), Cores: daemon.Finder.Cores()}, nil
+}
--- /dev/null
+++ b/program/program.go
@@ -0,0 +1,172 @@
+// Package program is what the thin programs share: flags, logs, listeners, signals.
+package program
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"k8s.io/klog/v2"
+	"orchidjunction/control"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+const Release = "0.1.0"
+
+// Flags is one program's command line.
+type Flags struct {
+	Parser *flaggy.Parser
+	name   string
+	levels int
+}
+
+func NewFlags(name, about string) *Flags {
+	flags := &Flags{Parser: flaggy.NewParser(name), name: name}
+	flags.Parser.Description = about
+	flags.Parser.Version = Release
+	flags.Parser.Int(&flags.levels, "", "log-level", "verbosity of the log, 0 to 9")
+	return flags
+}
+
+// Parse reads the arguments, with those of a --place file laid under them.
+func (flags *Flags) Parse() {
+	arguments, mishap := placeFile(os.Args[1:])
+	flags.Exit(mishap)
+	if fault := flags.Parser.ParseArgs(arguments); fault != nil {
+		flags.Exit(wire.New(wire.BadFlag, "%v", fault))
+	}
+	if flags.levels < 0 || flags.levels > 9 {
+		flags.Exit(wire.New(wire.BadFlag, "--log-level: %d is not in 0 to 9", flags.levels))
+	}
+	set := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(set)
+	set.Set("logtostderr", "true")
+	set.Set("v", strconv.Itoa(flags.levels))
+}
+
+// Exit ends with status 2 and one line, where there is a mishap.
+func (flags *Flags) Exit(mishap *wire.Mishap) {
+	if mishap != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", flags.name, mishap)
+		os.Exit(2)
+	}
+}
+
+// placeFile turns the lines "flag value" of a file into arguments; the command line wins.
+func placeFile(arguments []string) ([]string, *wire.Mishap) {
+	for index, argument := range arguments {
+		path, given := strings.CutPrefix(argument, "--place=")
+		width := 1
+		if argument == "--place" && index+1 < len(arguments) {
+			path, given, width = arguments[index+1], true, 2
+		}
+		if !given {
+			continue
+		}
+		rest := append(append([]string{}, arguments[:index]...), arguments[index+width:]...)
+		body, fault := os.ReadFile(path)
+		if fault != nil {
+			return nil, wire.New(wire.BadFlag, "--place: %v", fault)
+		}
+		fromFile := []string{}
+		for number, line := range strings.Split(string(body), "\n") {
+			line = strings.TrimSpace(line)
+			if line == "" || strings.HasPrefix(line, "#") {
+				continue
+			}
+			name, value, _ := strings.Cut(line, " ")
+			if strings.HasPrefix(name, "-") {
+				return nil, wire.New(wire.BadFlag, "%s:%d: want \"flag value\"", path, number+1)
+			}
+			if !overridden(rest, name) {
+				fromFile = append(fromFile, "--"+name+"="+strings.TrimSpace(value))
+			}
+		}
+		return append(fromFile, rest...), nil
+	}
+	return arguments, nil
+}
+
+func overridden(arguments []string, name string) bool {
+	for _, argument := range arguments {
+		if argument == "--"+name || strings.HasPrefix(argument, "--"+name+"=") {
+			return true
+		}
+	}
+	return false
+}
+
+// Transport is how processes reach each other.
+func Transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 32,
+		IdleConnTimeout:     30 * time.Second,
+	}
+}
+
+// Listener is one open address and what serves it.
+type Listener struct {
+	server *http.Server
+	open   net.Listener
+}
+
+func Listen(address string, handler http.Handler, header int) (*Listener, *wire.Mishap) {
+	if mishap := control.CheckAddress("listen", address); mishap != nil {
+		return nil, mishap
+	}
+	open, fault := net.Listen("tcp", address)
+	if fault != nil {
+		return nil, wire.New(wire.BadFlag, "%s: %v", address, fault)
+	}
+	return &Listener{open: open, server: &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+		MaxHeaderBytes: header, ErrorLog: klog.NewStandardLogger("INFO")}}, nil
+}
+
+func (listener *Listener) Serve(threads *run.Threads) {
+	threads.Start(func() { listener.server.Serve(listener.open) })
+}
+
+// Drain takes nothing new and waits for what is in flight, at most the grace.
+func (listener *Listener) Drain(grace time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if listener.server.Shutdown(ctx) == nil {
+		return true
+	}
+	listener.server.Close()
+	return false
+}
+
+func (listener *Listener) Close() { listener.server.Close() }
+
+// OnTerm calls the hook at SIGTERM or SIGINT.
+func OnTerm(threads *run.Threads, hook func()) {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	threads.OnStop(cancel)
+	threads.Start(func() {
+		<-ctx.Done()
+		hook()
+	})
+}
+
+// LogCounts writes the counters now and then.
+func LogCounts(threads *run.Threads, counts *run.Counts, name string) {
+	threads.Beat(run.Each(time.Minute), func() {
+		line := ""
+		for _, counter := range counts.Names() {
+			line += fmt.Sprintf(" %s=%d", counter, counts.Get(counter))
+		}
+		klog.Infof("%s counts:%s", name, line)
+	})
+}
--- /dev/null
+++ b/run/gather.go
@@ -0,0 +1,37 @@
+package run
+
+import "sync"
+
+// Gather asks all at once and returns as soon as enough says so or all have
+// answered; those still under way are left to end by their own limits.
+func Gather[T any](threads *Threads, count int, ask func(index int) (T, error), enough func(got map[int]T, failed map[int]error) bool) (map[int]T, map[int]error) {
+	var mutex sync.Mutex
+	wake := sync.NewCond(&mutex)
+	got, failed := map[int]T{}, map[int]error{}
+	for index := range count {
+		threads.Start(func() {
+			value, mishap := ask(index)
+			mutex.Lock()
+			if mishap != nil {
+				failed[index] = mishap
+			} else {
+				got[index] = value
+			}
+			wake.Broadcast()
+			mutex.Unlock()
+		})
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	for len(got)+len(failed) < count && !enough(got, failed) {
+		wake.Wait()
+	}
+	gotNow, failedNow := make(map[int]T, len(got)), make(map[int]error, len(failed))
+	for index, value := range got {
+		gotNow[index] = value
+	}
+	for index, mishap := range failed {
+		failedNow[index] = mishap
+	}
+	return gotNow, failedNow
+}
--- /dev/null
+++ b/wire/change.go
@@ -0,0 +1,77 @@
+package wire
+
+// Change is an operator's new settings, whole or partial.
+type Change struct {
+	ID       string
+	Base     uint64
+	Kind     string
+	Body     []byte
+	Operator string
+}
+
+func (change *Change) Check() *Mishap {
+	if change.ID == "" || len(change.ID) > 128 {
+		return New(BadMessage, "change id has %d letters, allowed 1 to 128", len(change.ID))
+	}
+	if change.Kind != "whole" && change.Kind != "partial" {
+		return New(BadMessage, "change kind %q", change.Kind)
+	}
+	return nil
+}
+
+type ChangeTold struct {
+	Serial uint64
+	Again  bool
+}
+
+// Read asks the leader for a register's confirmed content.
+type Read struct {
+	Trail bool
+}
+
+type ReadTold struct {
+	Serial uint64
+	Body   []byte
+	Trail  []Entry
+}
+
+// Status asks the leader for the fleet as it sees it.
+type Status struct{}
+
+// Condition is one named thing a leadership needs.
+type Condition struct {
+	Name   string `json:"name"`
+	Holds  bool   `json:"holds"`
+	Detail string `json:"detail"`
+}
+
+type CoreStatus struct {
+	Core    int    `json:"core"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+	Seen    bool   `json:"seen"`
+	Marks   Marks  `json:"marks"`
+}
+
+type MemberStatus struct {
+	Member Member    `json:"member"`
+	Serial uint64    `json:"serial"`
+	Table  TableMark `json:"table"`
+	Parent string    `json:"parent"`
+	AgeMs  int64     `json:"age_ms"`
+	Core   int       `json:"core"`
+	Probes []Probe   `json:"probes,omitempty"`
+}
+
+type StatusTold struct {
+	Leader     Leader            `json:"leader"`
+	State      string            `json:"state"`
+	Revocation string            `json:"revocation"`
+	Conditions []Condition       `json:"conditions"`
+	Serial     uint64            `json:"serial"`
+	Table      TableMark         `json:"table"`
+	Cores      []CoreStatus      `json:"cores"`
+	Members    []MemberStatus    `json:"members"`
+	Backends   []Backend         `json:"backends"`
+	Counts     map[string]uint64 `json:"counts"`
+}
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,54 @@
+// Package wire holds what the system's own processes say to each other.
+package wire
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const messageLimit = 32 << 20
+
+// Codec is msgpack on plain structs; a field nobody knows is refused.
+type Codec struct{}
+
+func (Codec) Name() string { return "msgpack" }
+
+func (Codec) Marshal(message any) ([]byte, error) { return pack(message) }
+
+func (Codec) Unmarshal(body []byte, message any) error {
+	if mishap := unpack(body, message); mishap != nil {
+		return mishap
+	}
+	if checked, able := message.(interface{ Check() *Mishap }); able {
+		if mishap := checked.Check(); mishap != nil {
+			return mishap
+		}
+	}
+	return nil
+}
+
+func pack(message any) ([]byte, error) {
+	body, fault := msgpack.Marshal(message)
+	if fault != nil {
+		return nil, New(BadMessage, "%T: %v", message, fault)
+	}
+	return body, nil
+}
+
+func unpack(body []byte, message any) error {
+	reader := bytes.NewReader(body)
+	decoder := msgpack.NewDecoder(reader)
+	decoder.DisallowUnknownFields(true)
+	if fault := decoder.Decode(message); fault != nil {
+		return New(BadMessage, "%T: %v", message, fault)
+	}
+	if reader.Len() > 0 {
+		return New(BadMessage, "%T: %d bytes too many", message, reader.Len())
+	}
+	return nil
+}
+
+// Pack and Unpack serve the store, which keeps the same structs.
+func Pack(message any) ([]byte, error)      { return pack(message) }
+func Unpack(body []byte, message any) error { return unpack(body, message) }
--- /dev/null
+++ b/wire/core.go
@@ -0,0 +1,119 @@
+package wire
+
+// What cores say to each other.
+
+type Precheck struct {
+	Core  int
+	Marks Marks
+}
+
+type PrecheckTold struct {
+	Willing bool
+	Heard   bool
+	Voter   bool
+	Marks   Marks
+	Reach   int
+	Round   uint64
+}
+
+type Promise struct {
+	Ballot Ballot
+}
+
+type PromiseTold struct {
+	Granted  bool
+	Promised Ballot
+	Accepted [Registers]Accepted
+}
+
+type Accept struct {
+	Ballot   Ballot
+	Register Register
+	Value    Value
+}
+
+type AcceptTold struct {
+	Taken    bool
+	Promised Ballot
+}
+
+type Beat struct {
+	Ballot    Ballot
+	Leader    Leader
+	Committed Marks
+	Duck      bool
+	Successor Leader
+	Table     TableMark
+}
+
+type BeatTold struct {
+	Taken    bool
+	Voter    bool
+	Promised Ballot
+	Marks    Marks
+	Reach    int
+}
+
+type StepDown struct {
+	Ballot Ballot
+	From   int
+	Marks  Marks
+}
+
+type StepDownTold struct {
+	Taken bool
+}
+
+// Restore asks a core what it holds, for one whose disk is blank.
+type Restore struct {
+	Core int
+}
+
+type RestoreTold struct {
+	Voter    bool
+	Founded  bool
+	Promised Ballot
+	Marks    Marks
+}
+
+// Tell carries the sessions one core keeps to the others.
+type Tell struct {
+	Core     int
+	Sessions []Session
+}
+
+type TellTold struct{}
+
+func (message *Promise) Check() *Mishap { return message.Ballot.check() }
+func (message *Accept) Check() *Mishap {
+	if message.Register < 0 || message.Register >= Registers {
+		return New(BadMessage, "no register %d", message.Register)
+	}
+	return message.Ballot.check()
+}
+func (message *Beat) Check() *Mishap     { return message.Ballot.check() }
+func (message *StepDown) Check() *Mishap { return message.Ballot.check() }
+func (message *Precheck) Check() *Mishap { return checkCore(message.Core) }
+func (message *Restore) Check() *Mishap  { return checkCore(message.Core) }
+func (message *Tell) Check() *Mishap {
+	for index := range message.Sessions {
+		if mishap := message.Sessions[index].Check(); mishap != nil {
+			return mishap
+		}
+	}
+	return checkCore(message.Core)
+}
+
+func (ballot Ballot) check() *Mishap {
+	if ballot.Round == 0 {
+		return New(BadMessage, "ballot without a round")
+	}
+	return checkCore(ballot.Core)
+}
+
+func checkCore(core int) *Mishap {
+	if core < 1 || core > 99 {
+		return New(BadMessage, "core id %d is not in 1 to 99", core)
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/member.go
@@ -0,0 +1,138 @@
+package wire
+
+import "net/netip"
+
+// Leader is who leads the cores, as far as the teller knows.
+type Leader struct {
+	Ballot  Ballot `json:"ballot"`
+	Core    int    `json:"core"`
+	Address string `json:"address"`
+}
+
+func (leader Leader) Known() bool { return leader.Address != "" }
+
+// Member is one daemon as the others see it.
+type Member struct {
+	Name        string `json:"name"`
+	Kind        string `json:"kind"`
+	Zone        string `json:"zone"`
+	Wire        string `json:"wire"`
+	Outer       string `json:"outer"`
+	Operate     string `json:"operate"`
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	Ready       bool   `json:"ready"`
+}
+
+// Backend is one backend as the platform lists it and the proxies find it.
+type Backend struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Probe is what one proxy last found at a backend.
+type Probe struct {
+	Backend     string  `json:"backend"`
+	Incarnation string  `json:"incarnation"`
+	Healthy     bool    `json:"healthy"`
+	Leaving     bool    `json:"leaving"`
+	Cold        bool    `json:"cold"`
+	Gentle      float64 `json:"gentle"`
+	Usage       float64 `json:"usage"`
+	Serial      uint64  `json:"serial"`
+}
+
+// Session is what a daemon tells its core, again and again.
+type Session struct {
+	Member Member
+	Serial uint64
+	Table  TableMark
+	Parent string
+	Probes []Probe
+	AgeMs  int64
+}
+
+func (session *Session) Check() *Mishap {
+	if session.Member.Name == "" || session.Member.Incarnation == "" {
+		return New(BadMessage, "session without name or incarnation")
+	}
+	if session.Member.Kind != "proxy" && session.Member.Kind != "dir" {
+		return New(BadMessage, "session of unknown kind %q", session.Member.Kind)
+	}
+	if _, fault := netip.ParseAddrPort(session.Member.Wire); fault != nil {
+		return New(BadMessage, "session from %q: %v", session.Member.Wire, fault)
+	}
+	return nil
+}
+
+type SessionTold struct {
+	Leader Leader
+	Serial uint64
+	Table  TableMark
+}
+
+// TableMark orders tables: a new leader's are newer than all before.
+type TableMark struct {
+	Ballot Ballot `json:"ballot"`
+	Number uint64 `json:"number"`
+}
+
+func (mark TableMark) Less(other TableMark) bool {
+	if mark.Ballot != other.Ballot {
+		return mark.Ballot.Less(other.Ballot)
+	}
+	return mark.Number < other.Number
+}
+
+// Table is the soft state every daemon holds.
+type Table struct {
+	Mark     TableMark `json:"mark"`
+	Members  []Member  `json:"members"`
+	Backends []Backend `json:"backends"`
+	Complete bool      `json:"complete"`
+}
+
+// Watch waits at the parent for news.
+type Watch struct {
+	Name   string
+	Serial uint64
+	Table  TableMark
+	SpanMs int
+}
+
+type WatchTold struct {
+	Serial uint64
+	Table  TableMark
+}
+
+// Fetch takes the bodies that are newer than what the asker holds.
+type Fetch struct {
+	Serial uint64
+	Table  TableMark
+}
+
+type FetchTold struct {
+	Serial uint64
+	Body   []byte
+	Table  *Table
+}
+
+// Who asks any daemon for the leader.
+type Who struct{}
+
+type WhoTold struct {
+	Leader Leader
+	Duck   bool
+	Cores  []string
+}
+
+// Confirm asks the leader for the newest serial, proved by a beat after the ask.
+type Confirm struct{}
+
+type ConfirmTold struct {
+	Serial uint64
+	Table  TableMark
+}
--- /dev/null
+++ b/wire/register.go
@@ -0,0 +1,37 @@
+package wire
+
+// Register names one of the two whole values that the cores agree on.
+type Register int
+
+const (
+	SettingsRegister Register = iota
+	ReportsRegister
+	Registers
+)
+
+// Entry is one change in a register's trail.
+type Entry struct {
+	Serial   uint64 `json:"serial"`
+	Change   string `json:"change"`
+	Digest   string `json:"digest"`
+	Kind     string `json:"kind"`
+	Operator string `json:"operator"`
+	AtMs     int64  `json:"at_ms"`
+}
+
+// Value is the whole content of a register at a serial.
+type Value struct {
+	Serial uint64
+	Body   []byte
+	Trail  []Entry
+}
+
+// Accepted is a value and the ballot it was written under.
+type Accepted struct {
+	Ballot Ballot
+	Value  Value
+}
+
+func (accepted Accepted) Mark() Mark {
+	return Mark{Ballot: accepted.Ballot, Serial: accepted.Value.Serial}
+}
