--- /dev/null
+++ b/cmd/ojback/main.go
@@ -0,0 +1,48 @@
+// ojback stands in for a partner's backend.
+package main
+
+import (
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/stand"
+	"orchidjunction/wire"
+	"time"
+)
+
+func main() {
+	flags := program.NewFlags("ojback", "a stand-in for a partner's backend")
+	place := stand.BackendPlace{Room: 32, WorkMs: 5, GentleRate: 10}
+	listen, leaveMs := "", 2500
+	flags.Parser.String(&listen, "", "listen", "IP:port to answer on")
+	flags.Parser.String(&place.Service, "", "service", "service this backend belongs to")
+	flags.Parser.String(&place.Instance, "", "instance", "this backend's name")
+	flags.Parser.Int(&place.WorkMs, "", "work-ms", "time a task takes")
+	flags.Parser.Int(&place.ColdMs, "", "cold-ms", "time it stays cold after its start")
+	flags.Parser.Float64(&place.GentleRate, "", "gentle-rate", "tasks a second while cold")
+	flags.Parser.Int(&place.Room, "", "room", "tasks in flight at full usage")
+	flags.Parser.String(&place.Journal, "", "journal", "file that keeps the charges")
+	flags.Parser.Int(&leaveMs, "", "leave-ms", "time between SIGTERM and the end")
+	flags.Parse()
+	flags.Exit(control.CheckAddress("--listen", listen))
+	if place.Service == "" || place.Instance == "" {
+		flags.Exit(wire.New(wire.BadFlag, "--service and --instance must be given"))
+	}
+	place.Incarnation = member.NewID()
+	backend, fault := stand.NewBackend(place)
+	if fault != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--journal: %v", fault))
+	}
+	threads := run.NewThreads()
+	listener, mishap := program.Listen(listen, backend, 64<<10)
+	flags.Exit(mishap)
+	listener.Serve(threads)
+	program.OnTerm(threads, func() {
+		backend.Leave()
+		threads.Rest(time.Duration(leaveMs) * time.Millisecond)
+		listener.Drain(6 * time.Second)
+		threads.Stop()
+	})
+	threads.Wait()
+}
--- /dev/null
+++ b/cmd/ojctl/main.go
@@ -0,0 +1,331 @@
+// ojctl is the operators' command.
+package main
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"orchidjunction/conf"
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/operator"
+	"orchidjunction/program"
+	"orchidjunction/wire"
+)
+
+const (
+	exitRefused = 1
+	exitUnknown = 3
+	exitSilent  = 4
+	tries       = 5
+)
+
+type errand struct {
+	client   *operator.Client
+	daemons  []string
+	file     string
+	name     string
+	kind     string
+	changeID string
+	operator string
+	base     int
+	whole    bool
+}
+
+func main() {
+	flags := program.NewFlags("ojctl", "reads and changes orchidjunction's settings")
+	command := &errand{base: -1}
+	flags.Parser.StringSlice(&command.daemons, "d", "daemon", "IP:port of a daemon's operators' side; may be given more than once")
+	uses := map[*flaggy.Subcommand]func(*errand) *wire.Mishap{}
+	add := func(name, about string, run func(*errand) *wire.Mishap, shape func(*flaggy.Subcommand)) {
+		subcommand := flaggy.NewSubcommand(name)
+		subcommand.Description = about
+		if shape != nil {
+			shape(subcommand)
+		}
+		flags.Parser.AttachSubcommand(subcommand, 1)
+		uses[subcommand] = run
+	}
+	file := func(subcommand *flaggy.Subcommand) {
+		subcommand.AddPositionalValue(&command.file, "file", 1, true, "settings as JSON, - for standard input")
+	}
+	change := func(subcommand *flaggy.Subcommand) {
+		subcommand.Int(&command.base, "b", "base", "serial that the change is based on; what is in force when not given")
+		subcommand.String(&command.changeID, "c", "change", "change id; the same id never makes a second change")
+		subcommand.String(&command.operator, "o", "operator", "who changes it, for the history")
+	}
+	which := func(subcommand *flaggy.Subcommand) {
+		subcommand.AddPositionalValue(&command.kind, "kind", 1, true, "zone or backend")
+		subcommand.AddPositionalValue(&command.name, "name", 2, true, "which one")
+		change(subcommand)
+	}
+	add("check", "reads a settings file and names everything wrong in it", (*errand).check, file)
+	add("digest", "gives the form of a tenant's key that settings keep", (*errand).digest, func(subcommand *flaggy.Subcommand) {
+		subcommand.AddPositionalValue(&command.name, "key", 1, true, "the key")
+	})
+	add("show", "shows the settings in force", (*errand).show, func(subcommand *flaggy.Subcommand) {
+		subcommand.Bool(&command.whole, "e", "effective", "show each route's values and the branch they come from")
+	})
+	add("put", "puts a whole version in force", (*errand).put, func(subcommand *flaggy.Subcommand) { file(subcommand); change(subcommand) })
+	add("patch", "lays a partial version over the one in force", (*errand).patch, func(subcommand *flaggy.Subcommand) { file(subcommand); change(subcommand) })
+	add("drain", "empties a zone or a backend", (*errand).drain, which)
+	add("refill", "takes a zone or a backend back", (*errand).refill, which)
+	add("history", "lists the changes in force so far", (*errand).history, nil)
+	add("status", "shows the leader, the cores and every daemon", (*errand).status, nil)
+	flags.Parse()
+	for subcommand, run := range uses {
+		if !subcommand.Used {
+			continue
+		}
+		if subcommand.Name != "check" && subcommand.Name != "digest" {
+			if len(command.daemons) == 0 {
+				flags.Exit(wire.New(wire.BadFlag, "--daemon must be given"))
+			}
+			for _, daemon := range command.daemons {
+				flags.Exit(control.CheckAddress("--daemon", daemon))
+			}
+		}
+		command.client = operator.NewClient(command.daemons, program.Transport())
+		end(run(command))
+		return
+	}
+	flags.Exit(wire.New(wire.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history or status"))
+}
+
+
+// end prints a mishap and turns it into the exit status that scripts read.
+func end(mishap *wire.Mishap) {
+	if mishap == nil {
+		return
+	}
+	for _, detail := range mishap.Details {
+		fmt.Fprintf(os.Stderr, "%s: %s: %s\n", detail.Path, detail.Kind, detail.Cause)
+	}
+	plain := *mishap
+	plain.Details = nil
+	fmt.Fprintf(os.Stderr, "ojctl: %v\n", &plain)
+	switch {
+	case mishap.Kind == wire.BadFlag:
+		os.Exit(2)
+	case mishap.Kind == wire.OutcomeUnknown:
+		os.Exit(exitUnknown)
+	case mishap.Kind == wire.Unreachable || mishap.Kind.Status() == 503:
+		os.Exit(exitSilent)
+	}
+	os.Exit(exitRefused)
+}
+
+func (command *errand) read() ([]byte, *wire.Mishap) {
+	var body []byte
+	var fault error
+	if command.file == "-" {
+		buffer := bytes.Buffer{}
+		_, fault = buffer.ReadFrom(os.Stdin)
+		body = buffer.Bytes()
+	} else {
+		body, fault = os.ReadFile(command.file)
+	}
+	if fault != nil {
+		return nil, wire.New(wire.BadFlag, "%v", fault)
+	}
+	return body, nil
+}
+
+func show(document any) {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	encoder.Encode(document)
+}
+
+func (command *errand) check() *wire.Mishap {
+	body, mishap := command.read()
+	if mishap != nil {
+		return mishap
+	}
+	settings, mishap := conf.Read(body)
+	if mishap != nil {
+		return mishap
+	}
+	fmt.Printf("valid: %d classes, %d routes, %d tenants\n", len(settings.Classes), len(settings.Resolve()), len(settings.Tenants))
+	return nil
+}
+
+func (command *errand) digest() *wire.Mishap {
+	sum := sha256.Sum256([]byte(command.name))
+	fmt.Println("sha256:" + hex.EncodeToString(sum[:]))
+	return nil
+}
+
+func (command *errand) show() *wire.Mishap {
+	settings, mishap := command.client.Read(command.whole)
+	if mishap != nil {
+		return mishap
+	}
+	if !settings.Confirmed {
+		fmt.Fprintln(os.Stderr, "ojctl: no leader; this is what the asked daemon has in force")
+	}
+	if !command.whole {
+		show(settings)
+		return nil
+	}
+	routes := []conf.Effective{}
+	json.Unmarshal(settings.Effective, &routes)
+	fmt.Printf("serial %d\n", settings.Serial)
+	for _, route := range routes {
+		fmt.Printf("%s %s/%s: %s %s\n", route.Class, route.Service, route.Route, route.Method, route.Path)
+		names := []string{}
+		for name := range route.Values {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			fmt.Printf("  %-16s %-12v from %s\n", name, route.Values[name].Value, route.Values[name].From)
+		}
+	}
+	return nil
+}
+
+func (command *errand) change(body []byte) (operator.Change, *wire.Mishap) {
+	change := operator.Change{Base: uint64(max(command.base, 0)), Change: command.changeID, Operator: command.operator, Settings: body}
+	if change.Change == "" {
+		change.Change = member.NewID()
+	}
+	if command.base < 0 {
+		settings, mishap := command.client.Read(false)
+		if mishap != nil {
+			return change, mishap
+		}
+		change.Base = settings.Serial
+	}
+	return change, nil
+}
+
+// apply sends the change; an unknown outcome is asked again under the same id.
+func (command *errand) apply(change operator.Change, send func(operator.Change) (*operator.Outcome, *wire.Mishap)) *wire.Mishap {
+	outcome, mishap := send(change)
+	for try := 1; try < tries && mishap != nil && mishap.Kind == wire.OutcomeUnknown; try++ {
+		outcome, mishap = send(change)
+	}
+	if mishap != nil {
+		fmt.Fprintf(os.Stderr, "change id %s\n", change.Change)
+		return mishap
+	}
+	show(outcome)
+	return nil
+}
+
+func (command *errand) put() *wire.Mishap {
+	return command.send(func(change operator.Change) (*operator.Outcome, *wire.Mishap) { return command.client.Put(change) })
+}
+
+func (command *errand) patch() *wire.Mishap {
+	return command.send(func(change operator.Change) (*operator.Outcome, *wire.Mishap) { return command.client.Patch(change) })
+}
+
+func (command *errand) send(send func(operator.Change) (*operator.Outcome, *wire.Mishap)) *wire.Mishap {
+	body, mishap := command.read()
+	if mishap != nil {
+		return mishap
+	}
+	if !json.Valid(body) {
+		return wire.New(wire.BadFlag, "%s is not JSON", command.file)
+	}
+	change, mishap := command.change(body)
+	if mishap != nil {
+		return mishap
+	}
+	return command.apply(change, send)
+}
+
+func (command *errand) drain() *wire.Mishap  { return command.mark(true) }
+func (command *errand) refill() *wire.Mishap { return command.mark(false) }
+
+// mark empties or refills; losing a race to another change, it looks again.
+func (command *errand) mark(drained bool) *wire.Mishap {
+	if command.kind != "zone" && command.kind != "backend" {
+		return wire.New(wire.BadFlag, "%q is neither zone nor backend", command.kind)
+	}
+	for try := 0; ; try++ {
+		settings, mishap := command.client.Read(false)
+		if mishap != nil {
+			return mishap
+		}
+		tree, mishap := conf.Read(settings.Settings)
+		if mishap != nil {
+			return mishap
+		}
+		names := tree.Drained.Zones
+		if command.kind == "backend" {
+			names = tree.Drained.Backends
+		}
+		kept := []string{}
+		for _, name := range names {
+			if name != command.name {
+				kept = append(kept, name)
+			}
+		}
+		if drained {
+			kept = append(kept, command.name)
+		}
+		body, _ := json.Marshal(map[string]any{"drained": map[string]any{command.kind + "s": kept}})
+		change := operator.Change{Base: settings.Serial, Change: command.changeID, Operator: command.operator, Settings: body}
+		if command.base >= 0 {
+			change.Base = uint64(command.base)
+		}
+		if change.Change == "" {
+			change.Change = member.NewID()
+		}
+		mishap = command.apply(change, command.client.Patch)
+		if mishap == nil || mishap.Kind != wire.StaleBase || command.base >= 0 || try >= tries {
+			return mishap
+		}
+	}
+}
+
+func (command *errand) history() *wire.Mishap {
+	trail := struct {
+		Serial  uint64       `json:"serial"`
+		Changes []wire.Entry `json:"changes"`
+	}{}
+	if mishap := command.client.Ask("GET", "/v1/changes", nil, &trail); mishap != nil {
+		return mishap
+	}
+	for _, entry := range trail.Changes {
+		fmt.Printf("%6d  %-8s %-26s %s\n", entry.Serial, entry.Kind, entry.Change, entry.Operator)
+	}
+	return nil
+}
+
+func (command *errand) status() *wire.Mishap {
+	status, mishap := command.client.Status()
+	if mishap != nil {
+		return mishap
+	}
+	fmt.Printf("leader core %d at %s, ballot %s, %s, revoked by %s\n", status.Leader.Core, status.Leader.Address, status.Leader.Ballot, status.State, status.Revocation)
+	for _, condition := range status.Conditions {
+		fmt.Printf("  [%s] %s (%s)\n", mark(condition.Holds), condition.Name, condition.Detail)
+	}
+	fmt.Printf("settings serial %d, table %s/%d, %d backends\n", status.Serial, status.Table.Ballot, status.Table.Number, len(status.Backends))
+	for _, core := range status.Cores {
+		fmt.Printf("core %d %-21s voter %s seen %s serial %d under %s\n", core.Core, core.Address, mark(core.Voter), mark(core.Seen), core.Marks[0].Serial, core.Marks[0].Ballot)
+	}
+	for _, daemon := range status.Members {
+		fmt.Printf("%-5s %-16s %-12s ready %s leaving %s serial %d table %d parent %s\n", daemon.Member.Kind, daemon.Member.Name, daemon.Member.Zone,
+			mark(daemon.Member.Ready), mark(daemon.Member.Leaving), daemon.Serial, daemon.Table.Number, strings.TrimSpace(daemon.Parent))
+	}
+	return nil
+}
+
+func mark(holds bool) string {
+	if holds {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/cmd/ojdir/main.go
@@ -0,0 +1,17 @@
+// ojdir tells callers which front machines to use.
+package main
+
+import (
+	"orchidjunction/member"
+	"orchidjunction/place"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+func main() {
+	flags := program.NewFlags("ojdir", "a directory node of orchidjunction: tells callers where to go")
+	program.RunDaemon(flags, "dir", func(daemon *member.Daemon, _ *run.Threads, counts *run.Counts) (program.Plane, func() []wire.Probe) {
+		return place.NewDirectory(daemon, counts), nil
+	})
+}
--- /dev/null
+++ b/cmd/ojorigin/main.go
@@ -0,0 +1,41 @@
+// ojorigin stands in for callers: it asks where to go and sends tasks there.
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/stand"
+	"orchidjunction/wire"
+)
+
+func main() {
+	flags := program.NewFlags("ojorigin", "a stand-in for callers; prints what they saw as JSON")
+	path := ""
+	flags.Parser.String(&path, "", "plan", "JSON file saying who calls what, where and how often")
+	flags.Parse()
+	plan := stand.OriginPlan{}
+	body, fault := os.ReadFile(path)
+	if fault == nil {
+		fault = json.Unmarshal(body, &plan)
+	}
+	if fault != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--plan: %v", fault))
+	}
+	if plan.PerSecond < 1 || plan.Seconds <= 0 || len(plan.Directories) == 0 || len(plan.Callers) == 0 || len(plan.Calls) == 0 {
+		flags.Exit(wire.New(wire.BadFlag, "--plan: directories, callers, calls, per_second and seconds must be given"))
+	}
+	threads := run.NewThreads()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
+	origin := stand.NewOrigin(plan, client, threads.Start)
+	program.OnTerm(threads, threads.Stop)
+	report := origin.Run(threads.Rest)
+	threads.Stop()
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	encoder.Encode(report)
+}
--- /dev/null
+++ b/cmd/ojplat/main.go
@@ -0,0 +1,48 @@
+// ojplat stands in for the platform: its list of backends and its billing.
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/stand"
+	"orchidjunction/wire"
+)
+
+func main() {
+	flags := program.NewFlags("ojplat", "a stand-in for the platform: a paged, late, rate-limited list")
+	listen, backends, page, lag, rate := "", "", 10, 1000, 20
+	flags.Parser.String(&listen, "", "listen", "IP:port to answer on")
+	flags.Parser.String(&backends, "", "backends", "JSON file with the first list")
+	flags.Parser.Int(&page, "", "page", "backends on a page")
+	flags.Parser.Int(&lag, "", "lag-ms", "how late the list is")
+	flags.Parser.Int(&rate, "", "rate", "pages a second")
+	flags.Parse()
+	flags.Exit(control.CheckAddress("--listen", listen))
+	items := []stand.Listed{}
+	if backends != "" {
+		body, fault := os.ReadFile(backends)
+		if fault == nil {
+			fault = json.Unmarshal(body, &items)
+		}
+		if fault != nil {
+			flags.Exit(wire.New(wire.BadFlag, "--backends: %v", fault))
+		}
+	}
+	if rate < 1 || page < 1 || lag < 0 {
+		flags.Exit(wire.New(wire.BadFlag, "--rate and --page are at least 1, --lag-ms at least 0"))
+	}
+	threads := run.NewThreads()
+	listener, mishap := program.Listen(listen, stand.NewPlatform(page, time.Duration(lag)*time.Millisecond, float64(rate), items), 64<<10)
+	flags.Exit(mishap)
+	listener.Serve(threads)
+	program.OnTerm(threads, func() {
+		listener.Drain(time.Second)
+		threads.Stop()
+	})
+	threads.Wait()
+}
--- /dev/null
+++ b/cmd/ojproxy/main.go
@@ -0,0 +1,22 @@
+// ojproxy carries callers' tasks to backends.
+package main
+
+import (
+	"net"
+	"time"
+
+	"orchidjunction/data"
+	"orchidjunction/member"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+func main() {
+	flags := program.NewFlags("ojproxy", "a front machine of orchidjunction: carries callers' tasks to backends")
+	dialer := &net.Dialer{Timeout: time.Second}
+	program.RunDaemon(flags, "proxy", func(daemon *member.Daemon, threads *run.Threads, counts *run.Counts) (program.Plane, func() []wire.Probe) {
+		proxy := data.NewProxy(daemon, threads, counts, dialer.DialContext)
+		return proxy, proxy.Probes
+	})
+}
--- a/conf/read.go
+++ b/conf/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 
 	"github.com/go-faster/jx"
 	"orchidjunction/wire"
@@ -23,6 +22,9 @@
 func Read(body []byte) (*Settings, *wire.Mishap) {
 	reader := &reader{}
 	settings := reader.settings(jx.DecodeBytes(body))
+	if reader.broken == nil && !jx.Valid(body) {
+		reader.wrong("", badSyntax, "more text after the tree")
+	}
 	if reader.broken == nil {
 		reader.check(settings)
 	}
@@ -276,13 +278,6 @@
 			})
 		},
 	}, "format", "partner", "ack_ms", "rule", "retry", "regions", "tenants", "classes")
-	if reader.broken == nil {
-		if fault := decoder.Skip(); fault == nil {
-			reader.wrong("", badSyntax, "more text after the tree")
-		} else if fault != io.EOF && fault != io.ErrUnexpectedEOF && decoder.Next() != jx.Invalid {
-			reader.syntax("", fault)
-		}
-	}
 	return settings
 }
 
--- /dev/null
+++ b/data/identity.go
@@ -0,0 +1,77 @@
+package data
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+const identityBytes = 16 << 10
+
+// Identity is what a backend says of itself on each new pipe.
+type Identity struct {
+	Service     string  `json:"service"`
+	Instance    string  `json:"instance"`
+	Incarnation string  `json:"incarnation"`
+	Usage       float64 `json:"usage"`
+	Cold        bool    `json:"cold"`
+	GentleRate  float64 `json:"gentle_rate"`
+	Leaving     bool    `json:"leaving"`
+	Serial      uint64  `json:"serial"`
+}
+
+// ask reads the identity on the pipe itself, before anything else goes over it.
+func (identity *Identity) ask(pipe net.Conn, host string, limit time.Time) *wire.Mishap {
+	pipe.SetDeadline(limit)
+	defer pipe.SetDeadline(time.Time{})
+	if _, fault := io.WriteString(pipe, "GET /oj/identity HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"); fault != nil {
+		return wire.New(wire.PipeBroken, "identity: %v", fault)
+	}
+	reader := bufio.NewReader(pipe)
+	response, fault := http.ReadResponse(reader, nil)
+	if fault != nil {
+		return wire.New(wire.BadReceipt, "identity: %v", fault)
+	}
+	body, fault := io.ReadAll(io.LimitReader(response.Body, identityBytes+1))
+	response.Body.Close()
+	if fault != nil || len(body) > identityBytes || response.StatusCode != http.StatusOK || response.Close || reader.Buffered() > 0 {
+		return wire.New(wire.BadReceipt, "identity: status %d, %d bytes, %v", response.StatusCode, len(body), fault)
+	}
+	if fault := json.Unmarshal(body, identity); fault != nil {
+		return wire.New(wire.BadReceipt, "identity: %v", fault)
+	}
+	if identity.Incarnation == "" {
+		return wire.New(wire.BadReceipt, "identity without incarnation")
+	}
+	return nil
+}
+
+// belongs is nil when the identity is that of the listed backend.
+func (identity *Identity) belongs(backend wire.Backend) *wire.Mishap {
+	if identity.Service != backend.Service || identity.Instance != backend.Name {
+		return wire.New(wire.WrongIdentity, "%s is %s of %s, listed as %s of %s", backend.Address, identity.Instance, identity.Service, backend.Name, backend.Service)
+	}
+	return nil
+}
+
+// fromReceipt lays what the receipt's headers tell over the identity.
+func (identity *Identity) fromReceipt(header http.Header) {
+	if usage, fault := strconv.ParseFloat(header.Get("Oj-Usage"), 64); fault == nil && usage >= 0 {
+		identity.Usage = usage
+	}
+	if serial, fault := strconv.ParseUint(header.Get("Oj-Serial"), 10, 64); fault == nil && serial > identity.Serial {
+		identity.Serial = serial
+	}
+	if leaving := header.Get("Oj-Leaving"); leaving != "" {
+		identity.Leaving = leaving == "true"
+	}
+	if cold := header.Get("Oj-Cold"); cold != "" {
+		identity.Cold = cold == "true"
+	}
+}
--- /dev/null
+++ b/data/pipe.go
@@ -0,0 +1,74 @@
+package data
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// countedConn knows how many bytes went out, so that "surely not run" is known.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (conn *countedConn) Write(body []byte) (int, error) {
+	conn.written.Add(int64(len(body)))
+	return conn.Conn.Write(body)
+}
+
+// Pipe is one connection to one incarnation of a backend.
+type Pipe struct {
+	conn   *countedConn
+	client *http.ClientConn
+	used   time.Time
+}
+
+// Dialer opens a raw connection; the simulator brings its own.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// openPipe dials and learns who is there before net/http gets the connection.
+func openPipe(dial Dialer, backend wire.Backend, limit time.Time) (*Pipe, *Identity, *wire.Mishap) {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	conn, fault := dial(ctx, "tcp", backend.Address)
+	if fault != nil {
+		return nil, nil, wire.New(wire.Unreached, "%v", fault)
+	}
+	identity := &Identity{}
+	mishap := identity.ask(conn, backend.Address, limit)
+	if mishap == nil {
+		mishap = identity.belongs(backend)
+	}
+	if mishap != nil {
+		conn.Close()
+		return nil, nil, mishap
+	}
+	counted := &countedConn{Conn: conn}
+	transport := &http.Transport{
+		DialContext:            func(context.Context, string, string) (net.Conn, error) { return counted, nil },
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+	client, fault := transport.NewClientConn(ctx, "http", backend.Address)
+	if fault != nil {
+		conn.Close()
+		return nil, nil, wire.New(wire.PipeBroken, "%v", fault)
+	}
+	return &Pipe{conn: counted, client: client, used: time.Now()}, identity, nil
+}
+
+// send gives the request to this pipe only; ran is false when no byte of it left.
+func (pipe *Pipe) send(request *http.Request) (response *http.Response, ran bool, fault error) {
+	before := pipe.conn.written.Load()
+	response, fault = pipe.client.RoundTrip(request)
+	return response, pipe.conn.written.Load() > before, fault
+}
+
+func (pipe *Pipe) sound() bool { return pipe.client.Err() == nil && pipe.client.Available() == 1 }
+
+func (pipe *Pipe) close() { pipe.client.Close() }
--- /dev/null
+++ b/data/proxy.go
@@ -0,0 +1,147 @@
+package data
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"orchidjunction/member"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Proxy lives as long as the process and swaps its plan with each version.
+type Proxy struct {
+	daemon  *member.Daemon
+	threads *run.Threads
+	counts  *run.Counts
+	dial    Dialer
+	budget  *Budget
+	keys    *Keys
+	plan    atomic.Pointer[plan]
+	mutex   sync.Mutex
+	targets map[string]*Target
+	taskIDs atomic.Uint64
+	prefix  string
+}
+
+// plan is one version as this proxy uses it: whole, and never changed.
+type plan struct {
+	routes   *Routes
+	services map[string][]*Target
+	all      []*Target
+}
+
+func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
+	return &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(), keys: NewKeys(),
+		targets: map[string]*Target{}, prefix: member.NewID()[:10]}
+}
+
+// Apply makes the plan of a version.
+func (proxy *Proxy) Apply(version *member.Version) {
+	if version.Settings == nil {
+		return
+	}
+	shares := 0
+	for _, known := range version.Table.Members {
+		if known.Kind == "proxy" {
+			shares++
+		}
+	}
+	shares = max(shares, 1)
+	proxy.budget.Share(shares)
+	next := &plan{services: map[string][]*Target{}}
+	if before := proxy.plan.Load(); before != nil && before.routes.Serial == version.Serial {
+		next.routes = before.routes
+	} else {
+		next.routes = NewRoutes(version.Serial, version.Settings)
+	}
+	proxy.mutex.Lock()
+	listed := map[string]bool{}
+	for _, backend := range version.Table.Backends {
+		listed[backend.Name] = true
+		target := proxy.targets[backend.Name]
+		if target == nil || target.backend.Address != backend.Address || target.backend.Service != backend.Service {
+			if target != nil {
+				target.close()
+			}
+			target = newTarget(backend, proxy.dial)
+			proxy.targets[backend.Name] = target
+			proxy.threads.Start(func() { proxy.watchTarget(target) })
+		}
+		target.relist(backend, shares)
+		next.services[backend.Service] = append(next.services[backend.Service], target)
+		next.all = append(next.all, target)
+	}
+	for name, target := range proxy.targets {
+		if !listed[name] {
+			target.close()
+			delete(proxy.targets, name)
+		}
+	}
+	proxy.mutex.Unlock()
+	proxy.plan.Store(next)
+}
+
+// watchTarget is the probing duty of one target.
+func (proxy *Proxy) watchTarget(target *Target) {
+	for {
+		proxy.mutex.Lock()
+		listed := proxy.targets[target.backend.Name] == target
+		proxy.mutex.Unlock()
+		if !listed {
+			return
+		}
+		serial, mishap := target.probe()
+		if mishap != nil {
+			proxy.counts.Add("probes_"+string(mishap.Kind), 1)
+		} else {
+			proxy.daemon.Seen(serial)
+		}
+		if !proxy.threads.Rest(probePace) {
+			return
+		}
+	}
+}
+
+// Probes tell the cores what this proxy found.
+func (proxy *Proxy) Probes() []wire.Probe {
+	plan := proxy.plan.Load()
+	if plan == nil {
+		return nil
+	}
+	probes := make([]wire.Probe, 0, len(plan.all))
+	for _, target := range plan.all {
+		probes = append(probes, target.told())
+	}
+	return probes
+}
+
+// draw takes the less loaded of two among those a task may go to.
+func (plan *plan) draw(route, tenant int, tried map[*Target]bool) (*Target, bool) {
+	type choice struct {
+		target *Target
+		usage  float64
+	}
+	choices := []choice{}
+	for _, target := range plan.services[plan.routes.routes[route].Service] {
+		zone := target.backend.Zone
+		if tried[target] || plan.routes.drained[zone] || plan.routes.gone[target.backend.Name] || !plan.routes.allowed(zone, tenant, route) {
+			continue
+		}
+		if usable, usage := target.usable(); usable {
+			choices = append(choices, choice{target, usage})
+		}
+	}
+	for len(choices) > 0 {
+		first, second := rand.IntN(len(choices)), rand.IntN(len(choices))
+		if choices[second].usage < choices[first].usage {
+			first = second
+		}
+		if choices[first].target.admit() {
+			return choices[first].target, true
+		}
+		choices = append(choices[:first], choices[first+1:]...)
+	}
+	return nil, false
+}
--- /dev/null
+++ b/data/receipt.go
@@ -0,0 +1,87 @@
+package data
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"orchidjunction/wire"
+)
+
+const wholeBytes = 1 << 20
+
+// Receipt is a backend's answer; body holds all of it, or its beginning with
+// the rest still to come.
+type Receipt struct {
+	status int
+	header http.Header
+	body   []byte
+	rest   io.ReadCloser
+	length int64
+}
+
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// takeReceipt checks whose answer it is and reads it whole, up to where
+// streaming begins.
+func takeReceipt(response *http.Response, taskID string, most int, whole bool) (*Receipt, *wire.Mishap) {
+	if echoed := response.Header.Get("Oj-Task"); echoed != taskID {
+		return nil, wire.New(wire.BadReceipt, "the answer is for task %q", echoed)
+	}
+	if response.StatusCode < 200 {
+		return nil, wire.New(wire.BadReceipt, "status %d", response.StatusCode)
+	}
+	if response.ContentLength > int64(most) {
+		return nil, wire.New(wire.BadReceipt, "%d bytes, allowed %d", response.ContentLength, most)
+	}
+	receipt := &Receipt{status: response.StatusCode, header: response.Header, length: response.ContentLength}
+	first := most
+	if !whole {
+		first = min(most, wholeBytes)
+	}
+	body, fault := io.ReadAll(io.LimitReader(response.Body, int64(first)+1))
+	if fault != nil {
+		return nil, wire.New(wire.BadReceipt, "after %d bytes: %v", len(body), fault)
+	}
+	if len(body) > most {
+		return nil, wire.New(wire.BadReceipt, "more than %d bytes", most)
+	}
+	receipt.body = body
+	if len(body) > first {
+		receipt.rest = response.Body
+	} else {
+		receipt.length = int64(len(body))
+	}
+	return receipt, nil
+}
+
+// write gives the receipt to the caller; an error means that it was not whole.
+func (receipt *Receipt) write(writer http.ResponseWriter, most int, replayed bool) error {
+	header := writer.Header()
+	for name, values := range receipt.header {
+		header[name] = append([]string{}, values...)
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	for _, name := range []string{"Oj-Usage", "Oj-Serial", "Oj-Leaving", "Oj-Cold", "Oj-Incarnation"} {
+		header.Del(name)
+	}
+	if replayed {
+		header.Set("Oj-Replayed", "true")
+	}
+	header.Del("Content-Length")
+	if receipt.length >= 0 && receipt.status != http.StatusNoContent && receipt.status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.FormatInt(receipt.length, 10))
+	}
+	writer.WriteHeader(receipt.status)
+	if _, fault := writer.Write(receipt.body); fault != nil || receipt.rest == nil {
+		return fault
+	}
+	rest, fault := io.Copy(writer, io.LimitReader(receipt.rest, int64(most-len(receipt.body))+1))
+	if fault == nil && rest > int64(most-len(receipt.body)) {
+		fault = errors.New(string(wire.TooLarge))
+	}
+	return fault
+}
--- /dev/null
+++ b/data/target.go
@@ -0,0 +1,211 @@
+package data
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"orchidjunction/wire"
+)
+
+const (
+	probeLimit   = 600 * time.Millisecond
+	probePace    = 500 * time.Millisecond
+	failuresDown = 2
+	idlePipeSpan = 20 * time.Second
+)
+
+// Target is one listed backend as this proxy knows it; its pipes belong to the
+// incarnation that opened them.
+type Target struct {
+	backend wire.Backend
+	dial    Dialer
+
+	mutex    sync.Mutex
+	identity Identity
+	probed   bool
+	faults   int
+	wrong    bool
+	inFlight int
+	idle     []*Pipe
+	gentle   *rate.Limiter
+	shares   int
+}
+
+func newTarget(backend wire.Backend, dial Dialer) *Target {
+	return &Target{backend: backend, dial: dial, shares: 1}
+}
+
+// relist keeps what is known of a backend whose listing changed elsewhere than in its address.
+func (target *Target) relist(backend wire.Backend, shares int) {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	target.backend = backend
+	if target.shares != shares {
+		target.shares = shares
+		target.pace()
+	}
+}
+
+// pace sets this proxy's share of the gentle rate.
+func (target *Target) pace() {
+	if !target.identity.Cold || target.identity.GentleRate <= 0 {
+		target.gentle = nil
+		return
+	}
+	share := rate.Limit(target.identity.GentleRate / float64(target.shares))
+	if target.gentle == nil {
+		target.gentle = rate.NewLimiter(share, 1)
+		return
+	}
+	target.gentle.SetLimit(share)
+}
+
+// learn takes an identity; pipes of another incarnation are closed.
+func (target *Target) learn(identity Identity) {
+	target.mutex.Lock()
+	stale := []*Pipe{}
+	if target.probed && target.identity.Incarnation != identity.Incarnation {
+		stale, target.idle = target.idle, nil
+	}
+	target.identity, target.probed, target.faults, target.wrong = identity, true, 0, false
+	target.pace()
+	target.mutex.Unlock()
+	for _, pipe := range stale {
+		pipe.close()
+	}
+}
+
+func (target *Target) learnReceipt(incarnation string, lay func(*Identity)) {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	if target.identity.Incarnation == incarnation {
+		lay(&target.identity)
+		target.pace()
+	}
+}
+
+// failed counts a mishap; a wrong identity takes the target out at once.
+func (target *Target) failed(mishap *wire.Mishap) {
+	target.mutex.Lock()
+	stale := []*Pipe{}
+	target.faults++
+	if mishap.Kind == wire.WrongIdentity {
+		target.wrong = true
+	}
+	if target.wrong || target.faults >= failuresDown {
+		stale, target.idle = target.idle, nil
+	}
+	target.mutex.Unlock()
+	for _, pipe := range stale {
+		pipe.close()
+	}
+}
+
+func (target *Target) healthy() bool {
+	return target.probed && !target.wrong && target.faults < failuresDown
+}
+
+// usable is whether a draw may take it, and how loaded it is.
+func (target *Target) usable() (bool, float64) {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	if !target.healthy() || target.identity.Leaving || target.backend.Leaving {
+		return false, 0
+	}
+	return true, target.identity.Usage + float64(target.inFlight)*0.05
+}
+
+// admit takes one place at the target; a cold one gives only its gentle share.
+func (target *Target) admit() bool {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	if target.gentle != nil && !target.gentle.Allow() {
+		return false
+	}
+	target.inFlight++
+	return true
+}
+
+func (target *Target) leave() {
+	target.mutex.Lock()
+	target.inFlight--
+	target.mutex.Unlock()
+}
+
+// pipe gives an idle pipe of the present incarnation or opens a new one.
+func (target *Target) pipe(limit time.Time) (*Pipe, string, *wire.Mishap) {
+	for {
+		target.mutex.Lock()
+		incarnation := target.identity.Incarnation
+		if len(target.idle) == 0 {
+			target.mutex.Unlock()
+			break
+		}
+		pipe := target.idle[len(target.idle)-1]
+		target.idle = target.idle[:len(target.idle)-1]
+		target.mutex.Unlock()
+		if pipe.sound() && time.Since(pipe.used) < idlePipeSpan {
+			return pipe, incarnation, nil
+		}
+		pipe.close()
+	}
+	until := time.Now().Add(probeLimit)
+	if limit.Before(until) {
+		until = limit
+	}
+	pipe, identity, mishap := openPipe(target.dial, target.backend, until)
+	if mishap != nil {
+		target.failed(mishap)
+		return nil, "", mishap
+	}
+	target.learn(*identity)
+	if identity.Leaving {
+		pipe.close()
+		return nil, "", wire.New(wire.NoBackend, "%s is leaving", target.backend.Name)
+	}
+	return pipe, identity.Incarnation, nil
+}
+
+// giveBack keeps the pipe when it is still sound and its incarnation still stands.
+func (target *Target) giveBack(pipe *Pipe, incarnation string, most int) {
+	pipe.used = time.Now()
+	target.mutex.Lock()
+	keep := pipe.sound() && target.identity.Incarnation == incarnation && target.healthy() && len(target.idle) < most
+	if keep {
+		target.idle = append(target.idle, pipe)
+	}
+	target.mutex.Unlock()
+	if !keep {
+		pipe.close()
+	}
+}
+
+// probe opens a fresh pipe, so that who is there now is what counts.
+func (target *Target) probe() (uint64, *wire.Mishap) {
+	pipe, identity, mishap := openPipe(target.dial, target.backend, time.Now().Add(probeLimit))
+	if mishap != nil {
+		target.failed(mishap)
+		return 0, mishap
+	}
+	target.learn(*identity)
+	target.giveBack(pipe, identity.Incarnation, 4)
+	return identity.Serial, nil
+}
+
+func (target *Target) told() wire.Probe {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return wire.Probe{Backend: target.backend.Name, Incarnation: target.identity.Incarnation, Healthy: target.healthy(), Leaving: target.identity.Leaving,
+		Cold: target.identity.Cold, Gentle: target.identity.GentleRate, Usage: target.identity.Usage, Serial: target.identity.Serial}
+}
+
+func (target *Target) close() {
+	target.mutex.Lock()
+	stale := target.idle
+	target.idle, target.wrong = nil, true
+	target.mutex.Unlock()
+	for _, pipe := range stale {
+		pipe.close()
+	}
+}
--- /dev/null
+++ b/data/task.go
@@ -0,0 +1,341 @@
+package data
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"orchidjunction/conf"
+	"orchidjunction/member"
+	"orchidjunction/wire"
+)
+
+const (
+	comeBack    = 1000
+	moneyHeader = "Idempotency-Key"
+)
+
+// task lives for one request of a caller.
+type task struct {
+	proxy    *Proxy
+	plan     *plan
+	walk     *Walk
+	id       string
+	request  *http.Request
+	tenant   int
+	route    int
+	rule     *conf.Effective
+	path     string
+	body     []byte
+	limit    time.Time
+	tried    map[*Target]bool
+	money    moneyKey
+	receipt  *Receipt
+	finish   func()
+	replayed bool
+}
+
+// ServeHTTP takes a caller's request through the chart.
+func (proxy *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	task := &task{proxy: proxy, walk: newWalk(proxy.counts), request: request, tried: map[*Target]bool{}, finish: func() {},
+		id: proxy.prefix + "-" + strconv.FormatUint(proxy.taskIDs.Add(1), 36)}
+	defer func() { task.finish() }()
+	writer.Header().Set("Oj-Task", task.id)
+	mishap := task.serve(writer)
+	if mishap == nil {
+		task.deliver(writer)
+		return
+	}
+	if mishap.Outcome == "" {
+		mishap.Outcome = wire.NotRun
+	}
+	if mishap.Outcome == wire.NotRun {
+		task.walk.step(Refused)
+	} else {
+		task.walk.step(Unknown)
+	}
+	proxy.counts.Add("refused_"+string(mishap.Kind), 1)
+	member.Refuse(writer, mishap)
+}
+
+func (task *task) deliver(writer http.ResponseWriter) {
+	if fault := task.receipt.write(writer, task.rule.Whole("receipt_bytes"), task.replayed); fault != nil {
+		task.walk.step(Broken)
+		panic(http.ErrAbortHandler)
+	}
+	if !task.replayed {
+		task.walk.step(Answered)
+	}
+}
+
+func (task *task) serve(writer http.ResponseWriter) *wire.Mishap {
+	task.plan = task.proxy.plan.Load()
+	if task.plan == nil || !task.proxy.daemon.Ready() {
+		return &wire.Mishap{Kind: wire.NotReady, Cause: "no confirmed settings in force here", Retry: comeBack}
+	}
+	for _, step := range []func() *wire.Mishap{task.know, task.find, func() *wire.Mishap { return task.load(writer) }} {
+		if mishap := step(); mishap != nil {
+			return mishap
+		}
+	}
+	if !task.rule.Money {
+		return task.send()
+	}
+	return task.sendOnce()
+}
+
+func (task *task) know() *wire.Mishap {
+	key, bearer := strings.CutPrefix(task.request.Header.Get("Authorization"), "Bearer ")
+	if !bearer || key == "" {
+		return wire.New(wire.UnknownKey, "want Authorization: Bearer and a tenant's key")
+	}
+	tenant, found := task.plan.routes.Tenant(key)
+	if !found {
+		return wire.New(wire.UnknownKey, "no tenant has this key")
+	}
+	if named := task.request.Header.Get("Oj-Tenant"); named != "" && named != task.plan.routes.TenantName(tenant) {
+		return wire.New(wire.WrongTenant, "the key is not that of %q", named)
+	}
+	task.tenant = tenant
+	task.walk.step(Known)
+	return nil
+}
+
+func (task *task) find() *wire.Mishap {
+	service, path, _ := strings.Cut(strings.TrimPrefix(task.request.URL.Path, "/"), "/")
+	task.path = "/" + path
+	route, otherMethod := task.plan.routes.Route(service, task.request.Method, task.path)
+	if otherMethod {
+		return wire.New(wire.WrongMethod, "%s is not for %s", task.request.Method, task.request.URL.Path)
+	}
+	if route < 0 {
+		return wire.New(wire.UnknownRoute, "%s", task.request.URL.Path)
+	}
+	task.route, task.rule = route, &task.plan.routes.routes[route]
+	if !task.plan.routes.allowed(task.proxy.daemon.Zone(), task.tenant, route) {
+		return wire.New(wire.ForbiddenPlace, "zone %s is closed to this task", task.proxy.daemon.Zone())
+	}
+	span := time.Duration(task.rule.Whole("limit_ms")) * time.Millisecond
+	if asked := task.request.Header.Get("Oj-Limit-Ms"); asked != "" {
+		own, fault := strconv.Atoi(asked)
+		if fault != nil || own < 1 {
+			return wire.New(wire.BadRequest, "Oj-Limit-Ms: %q is not a whole number above 0", asked)
+		}
+		span = min(span, time.Duration(own)*time.Millisecond)
+	}
+	task.limit = time.Now().Add(span)
+	task.walk.step(Routed)
+	return nil
+}
+
+// load takes the body whole, so that a broken caller starts nothing.
+func (task *task) load(writer http.ResponseWriter) *wire.Mishap {
+	most := int64(task.rule.Whole("body_bytes"))
+	if task.request.ContentLength > most {
+		return wire.New(wire.TooLarge, "%d bytes, allowed %d", task.request.ContentLength, most)
+	}
+	http.NewResponseController(writer).SetReadDeadline(task.limit)
+	body, fault := io.ReadAll(http.MaxBytesReader(writer, task.request.Body, most))
+	http.NewResponseController(writer).SetReadDeadline(time.Time{})
+	if fault != nil {
+		if int64(len(body)) >= most {
+			return wire.New(wire.TooLarge, "allowed %d bytes", most)
+		}
+		return wire.New(wire.BadRequest, "body: %v", fault)
+	}
+	task.body = body
+	return nil
+}
+
+// sendOnce lets a money key through once; later ones get what the first got.
+func (task *task) sendOnce() *wire.Mishap {
+	key := task.request.Header.Get(moneyHeader)
+	if key == "" || len(key) > 200 {
+		return wire.New(wire.KeyRequired, "want %s of 1 to 200 letters", moneyHeader)
+	}
+	task.money = moneyKey{tenant: task.plan.routes.TenantName(task.tenant), service: task.rule.Service, key: key}
+	sum := sha256.Sum256(append([]byte(fmt.Sprintf("%s %s?%s\n", task.request.Method, task.path, task.request.URL.RawQuery)), task.body...))
+	mine, receipt, mishap := task.proxy.keys.claim(task.money, hex.EncodeToString(sum[:]))
+	if mishap != nil {
+		return mishap
+	}
+	task.walk.step(Claimed)
+	if !mine {
+		task.receipt, task.replayed = receipt, true
+		task.walk.step(Replayed)
+		return nil
+	}
+	mishap = task.send()
+	task.proxy.keys.settle(task.money, task.receipt, mishap)
+	return mishap
+}
+
+// send draws and sends until a receipt is whole, or what is left is unsafe,
+// out of budget or out of time.
+func (task *task) send() *wire.Mishap {
+	last := &wire.Mishap{Kind: wire.NoBackend, Cause: "no backend can take this now", Retry: comeBack, Outcome: wire.NotRun}
+	retry := task.plan.routes.settings.Retry
+	mayRun := false
+	for sends := 0; sends < task.rule.Whole("sends"); sends++ {
+		if sends > 0 && !task.proxy.budget.Take(retry.Fraction, retry.Floor) {
+			task.proxy.counts.Add("resends_refused", 1)
+			break
+		}
+		target, found := task.plan.draw(task.route, task.tenant, task.tried)
+		if !found {
+			break
+		}
+		task.tried[target] = true
+		task.walk.step(Drawn)
+		if sends == 0 {
+			task.proxy.budget.First()
+		} else {
+			task.proxy.counts.Add("resends", 1)
+		}
+		receipt, ran, mishap := task.sendTo(target)
+		if mishap == nil {
+			task.receipt = receipt
+			return nil
+		}
+		task.proxy.counts.Add("sends_"+string(mishap.Kind), 1)
+		last, mayRun = mishap, mayRun || ran
+		if ran && task.rule.Money || ran && task.request.Method != http.MethodGet && task.request.Method != http.MethodHead {
+			break
+		}
+		if time.Until(task.limit) < 5*time.Millisecond || task.request.Context().Err() != nil {
+			break
+		}
+	}
+	return task.final(last, mayRun)
+}
+
+// final never says 503 of a task that may have run.
+func (task *task) final(last *wire.Mishap, mayRun bool) *wire.Mishap {
+	mishap := *last
+	mishap.Outcome = wire.NotRun
+	if mayRun {
+		mishap.Outcome = wire.MayHaveRun
+		if mishap.Kind.Status() == http.StatusServiceUnavailable {
+			mishap.Kind, mishap.Retry = wire.OutcomeUnknown, 0
+		}
+		return &mishap
+	}
+	switch mishap.Kind {
+	case wire.LimitPassed:
+	default:
+		mishap.Cause = string(mishap.Kind) + ": " + mishap.Cause
+		mishap.Kind, mishap.Retry = wire.NoBackend, comeBack
+	}
+	return &mishap
+}
+
+// sendTo makes one send over one pipe.
+func (task *task) sendTo(target *Target) (*Receipt, bool, *wire.Mishap) {
+	left := false
+	leave := func() {
+		if !left {
+			left = true
+			target.leave()
+		}
+	}
+	pipe, incarnation, mishap := target.pipe(task.limit)
+	if mishap != nil {
+		leave()
+		return nil, false, mishap
+	}
+	// The caller's going away does not cut a send short: what it did must be known.
+	ctx, cancel := context.WithDeadline(context.Background(), task.limit)
+	request, fault := task.outgoing(ctx, target.backend.Address)
+	if fault != nil {
+		cancel()
+		leave()
+		target.giveBack(pipe, incarnation, task.rule.Whole("pipes"))
+		return nil, false, wire.New(wire.BadRequest, "%v", fault)
+	}
+	task.walk.step(Sent)
+	response, ran, fault := pipe.send(request)
+	if fault != nil {
+		cancel()
+		leave()
+		pipe.close()
+		if time.Now().Before(task.limit) {
+			mishap = wire.New(wire.PipeBroken, "%v", fault)
+			if ran {
+				mishap.Kind = wire.BadReceipt
+			}
+			target.failed(mishap)
+			return nil, ran, mishap
+		}
+		return nil, ran, wire.New(wire.LimitPassed, "no answer within the limit")
+	}
+	task.walk.step(Receiving)
+	target.learnReceipt(incarnation, func(identity *Identity) { identity.fromReceipt(response.Header) })
+	if serial, fault := strconv.ParseUint(response.Header.Get("Oj-Serial"), 10, 64); fault == nil {
+		task.proxy.daemon.Seen(serial)
+	}
+	receipt, mishap := takeReceipt(response, task.id, task.rule.Whole("receipt_bytes"), task.rule.Money)
+	if mishap != nil {
+		cancel()
+		leave()
+		pipe.close()
+		if !time.Now().Before(task.limit) {
+			mishap.Kind = wire.LimitPassed
+		}
+		return nil, true, mishap
+	}
+	if busy := receipt.status == http.StatusServiceUnavailable || receipt.status == http.StatusTooManyRequests; busy && receipt.rest == nil {
+		cancel()
+		leave()
+		target.giveBack(pipe, incarnation, task.rule.Whole("pipes"))
+		if receipt.header.Get("Oj-Not-Run") == "true" {
+			return nil, false, &wire.Mishap{Kind: wire.Busy, Cause: "the backend is busy", Retry: comeBack}
+		}
+		return nil, true, &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: fmt.Sprintf("the backend said %d and not whether it ran", receipt.status)}
+	}
+	done := func() {
+		cancel()
+		leave()
+		if receipt.rest != nil {
+			receipt.rest.Close()
+		}
+		target.giveBack(pipe, incarnation, task.rule.Whole("pipes"))
+	}
+	if receipt.rest == nil {
+		response.Body.Close()
+		done()
+	} else {
+		task.finish = done
+	}
+	return receipt, true, nil
+}
+
+func (task *task) outgoing(ctx context.Context, address string) (*http.Request, error) {
+	url := "http://" + address + task.path
+	if query := task.request.URL.RawQuery; query != "" {
+		url += "?" + query
+	}
+	request, fault := http.NewRequestWithContext(ctx, task.request.Method, url, bytes.NewReader(task.body))
+	if fault != nil {
+		return nil, fault
+	}
+	request.GetBody = nil
+	for name, values := range task.request.Header {
+		request.Header[name] = append([]string{}, values...)
+	}
+	for _, name := range append(hopHeaders, "Authorization", "Accept-Encoding", "Oj-Limit-Ms") {
+		request.Header.Del(name)
+	}
+	for name, value := range map[string]string{"Oj-Task": task.id, "Oj-Tenant": task.plan.routes.TenantName(task.tenant), "Oj-Class": task.rule.Class,
+		"Oj-Service": task.rule.Service, "Oj-Serial": strconv.FormatUint(task.plan.routes.Serial, 10),
+		"Oj-Limit-Ms": strconv.FormatInt(max(time.Until(task.limit).Milliseconds(), 1), 10)} {
+		request.Header.Set(name, value)
+	}
+	return request, nil
+}
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -217,3 +217,7 @@
 func (daemon *Daemon) reach(leader wire.Leader, serial uint64) bool {
 	return daemon.Version().Serial >= serial || daemon.fetch(leader.Address) && daemon.Version().Serial >= serial
 }
+
+func (daemon *Daemon) Zone() string { return daemon.place.Zone }
+
+func (daemon *Daemon) Name() string { return daemon.place.Name }
--- /dev/null
+++ b/place/directory.go
@@ -0,0 +1,151 @@
+// Package place tells callers where to go.
+package place
+
+import (
+	"hash/fnv"
+	"net/http"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"orchidjunction/data"
+	"orchidjunction/member"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+const comeBack = 1000
+
+// Directory answers callers from one immutable map per version.
+type Directory struct {
+	daemon *member.Daemon
+	counts *run.Counts
+	chart  atomic.Pointer[chart]
+}
+
+type chart struct {
+	routes *data.Routes
+	fronts []wire.Member
+}
+
+// Front is one machine a caller may use.
+type Front struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// Placement is the answer, good for hold_ms.
+type Placement struct {
+	Serial uint64  `json:"serial"`
+	Tenant string  `json:"tenant"`
+	HoldMs int64   `json:"hold_ms"`
+	Fronts []Front `json:"fronts"`
+}
+
+func NewDirectory(daemon *member.Daemon, counts *run.Counts) *Directory {
+	return &Directory{daemon: daemon, counts: counts}
+}
+
+// Apply swaps in the map of a version.
+func (directory *Directory) Apply(version *member.Version) {
+	if version.Settings == nil {
+		return
+	}
+	next := &chart{}
+	if before := directory.chart.Load(); before != nil && before.routes.Serial == version.Serial {
+		next.routes = before.routes
+	} else {
+		next.routes = data.NewRoutes(version.Serial, version.Settings)
+	}
+	for _, known := range version.Table.Members {
+		if known.Kind == "proxy" && known.Ready && !known.Leaving {
+			next.fronts = append(next.fronts, known)
+		}
+	}
+	directory.chart.Store(next)
+}
+
+func (directory *Directory) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	placement, mishap := directory.answer(request)
+	if mishap != nil {
+		directory.counts.Add("places_"+string(mishap.Kind), 1)
+		member.Refuse(writer, mishap)
+		return
+	}
+	directory.counts.Add("places", 1)
+	member.Answer(writer, http.StatusOK, placement)
+}
+
+func (directory *Directory) answer(request *http.Request) (*Placement, *wire.Mishap) {
+	if request.URL.Path != "/v1/place" {
+		return nil, wire.New(wire.NotFound, "%s", request.URL.Path)
+	}
+	if request.Method != http.MethodGet {
+		return nil, wire.New(wire.WrongMethod, "want GET")
+	}
+	chart := directory.chart.Load()
+	if chart == nil || !directory.daemon.Ready() {
+		return nil, &wire.Mishap{Kind: wire.NotReady, Cause: "no confirmed settings in force here", Retry: comeBack}
+	}
+	key, bearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	tenant, found := chart.routes.Tenant(key)
+	if !bearer || !found {
+		return nil, wire.New(wire.UnknownKey, "no tenant has this key")
+	}
+	return chart.place(tenant, request.URL.Query().Get("zone"))
+}
+
+// place ranks the fronts by the tenant's own order, near ones first, and
+// spreads the answer over zones before it takes a second one of any.
+func (chart *chart) place(tenant int, near string) (*Placement, *wire.Mishap) {
+	settings := chart.routes.Settings()
+	name := chart.routes.TenantName(tenant)
+	ranked := []wire.Member{}
+	for _, front := range chart.fronts {
+		if !chart.routes.Drained(front.Zone) && chart.routes.ZoneAllowed(front.Zone, tenant) {
+			ranked = append(ranked, front)
+		}
+	}
+	if len(ranked) == 0 {
+		return nil, &wire.Mishap{Kind: wire.NoBackend, Cause: "no front machine may take this tenant now", Retry: comeBack}
+	}
+	sort.Slice(ranked, func(left, right int) bool {
+		leftNear, rightNear := ranked[left].Zone == near, ranked[right].Zone == near
+		if leftNear != rightNear {
+			return leftNear
+		}
+		return score(name, ranked[left].Name) > score(name, ranked[right].Name)
+	})
+	most := *settings.Rule.Fronts
+	placement := &Placement{Serial: chart.routes.Serial, Tenant: name, HoldMs: (time.Duration(*settings.Rule.HoldMs) * time.Millisecond).Milliseconds(), Fronts: []Front{}}
+	zones := map[string]int{}
+	for round := 0; len(placement.Fronts) < most && round < len(ranked); round++ {
+		for _, front := range ranked {
+			if zones[front.Zone] == round && len(placement.Fronts) < most && !placement.has(front.Name) {
+				zones[front.Zone]++
+				placement.Fronts = append(placement.Fronts, Front{Name: front.Name, Address: front.Outer, Zone: front.Zone})
+			}
+		}
+	}
+	return placement, nil
+}
+
+func (placement *Placement) has(name string) bool {
+	for _, front := range placement.Fronts {
+		if front.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func score(tenant, front string) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(tenant + "\x00" + front))
+	mixed := sum.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	return mixed ^ mixed>>33
+}
--- a/program/program.go
+++ b/program/program.go
@@ -34,6 +34,7 @@
 	flags := &Flags{Parser: flaggy.NewParser(name), name: name}
 	flags.Parser.Description = about
 	flags.Parser.Version = Release
+	flags.Parser.ShowHelpOnUnexpected = false
 	flags.Parser.Int(&flags.levels, "", "log-level", "verbosity of the log, 0 to 9")
 	return flags
 }
@@ -42,6 +43,12 @@
 func (flags *Flags) Parse() {
 	arguments, mishap := placeFile(os.Args[1:])
 	flags.Exit(mishap)
+	for index, argument := range arguments {
+		if argument == "-" {
+			arguments[index] = "/dev/stdin"
+		}
+	}
+	flags.Exit(flags.known(arguments))
 	if fault := flags.Parser.ParseArgs(arguments); fault != nil {
 		flags.Exit(wire.New(wire.BadFlag, "%v", fault))
 	}
@@ -54,6 +61,38 @@
 	set.Set("v", strconv.Itoa(flags.levels))
 }
 
+// known refuses what flaggy would pass over in silence.
+func (flags *Flags) known(arguments []string) *wire.Mishap {
+	takesValue := map[string]bool{"help": false, "h": false, "version": false}
+	learn := func(known []*flaggy.Flag) {
+		for _, one := range known {
+			_, switched := one.AssignmentVar.(*bool)
+			takesValue[one.LongName], takesValue[one.ShortName] = !switched, !switched
+		}
+	}
+	learn(flags.Parser.Flags)
+	for _, subcommand := range flags.Parser.Subcommands {
+		learn(subcommand.Flags)
+	}
+	for index := 0; index < len(arguments); index++ {
+		name, _, joined := strings.Cut(strings.TrimLeft(arguments[index], "-"), "=")
+		if !strings.HasPrefix(arguments[index], "-") {
+			if len(flags.Parser.Subcommands) == 0 {
+				return wire.New(wire.BadFlag, "%q belongs to no flag", arguments[index])
+			}
+			continue
+		}
+		valued, found := takesValue[name]
+		if !found || name == "" {
+			return wire.New(wire.BadFlag, "no flag %s", arguments[index])
+		}
+		if valued && !joined {
+			index++
+		}
+	}
+	return nil
+}
+
 // Exit ends with status 2 and one line, where there is a mishap.
 func (flags *Flags) Exit(mishap *wire.Mishap) {
 	if mishap != nil {
--- /dev/null
+++ b/stand/platform.go
@@ -0,0 +1,120 @@
+package stand
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Listed is one backend as the platform lists it.
+type Listed struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Platform lists backends in pages, late and rate-limited, and takes reports.
+type Platform struct {
+	page    int
+	lag     time.Duration
+	limiter *rate.Limiter
+
+	mutex    sync.Mutex
+	lists    []datedList
+	Reports  map[string][]string
+	ReportAt map[string]int64
+	Limited  int
+}
+
+type datedList struct {
+	at    time.Time
+	items []Listed
+}
+
+func NewPlatform(page int, lag time.Duration, perSecond float64, items []Listed) *Platform {
+	return &Platform{page: max(page, 1), lag: lag, limiter: rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1)),
+		lists: []datedList{{items: items}}, Reports: map[string][]string{}, ReportAt: map[string]int64{}}
+}
+
+// Set takes effect once the lag is over.
+func (platform *Platform) Set(items []Listed) {
+	platform.mutex.Lock()
+	platform.lists = append(platform.lists, datedList{at: time.Now(), items: items})
+	platform.mutex.Unlock()
+}
+
+func (platform *Platform) visible() []Listed {
+	for len(platform.lists) > 1 && time.Since(platform.lists[1].at) >= platform.lag {
+		platform.lists = platform.lists[1:]
+	}
+	return platform.lists[0].items
+}
+
+func (platform *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	switch request.URL.Path {
+	case "/v1/backends":
+		platform.list(writer, request)
+	case "/v1/usage":
+		platform.usage(writer, request)
+	case "/stand/backends":
+		items := []Listed{}
+		if fault := json.NewDecoder(request.Body).Decode(&items); fault != nil {
+			http.Error(writer, fault.Error(), http.StatusBadRequest)
+			return
+		}
+		platform.Set(items)
+	case "/stand/reports":
+		platform.mutex.Lock()
+		defer platform.mutex.Unlock()
+		json.NewEncoder(writer).Encode(map[string]any{"reports": platform.Reports, "at_ms": platform.ReportAt, "limited": platform.Limited})
+	default:
+		http.NotFound(writer, request)
+	}
+}
+
+func (platform *Platform) list(writer http.ResponseWriter, request *http.Request) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	if !platform.limiter.Allow() {
+		platform.Limited++
+		writer.Header().Set("Retry-After", "1")
+		writer.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	items := platform.visible()
+	start, _ := strconv.Atoi(request.URL.Query().Get("page"))
+	start = min(max(start, 0), len(items))
+	end := min(start+platform.page, len(items))
+	next := ""
+	if end < len(items) {
+		next = strconv.Itoa(end)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(writer).Encode(map[string]any{"items": items[start:end], "next": next})
+}
+
+// usage keeps every body that came for a report's id, so that differing ones show.
+func (platform *Platform) usage(writer http.ResponseWriter, request *http.Request) {
+	body, fault := io.ReadAll(io.LimitReader(request.Body, 1<<20))
+	report := struct {
+		ID string `json:"id"`
+	}{}
+	if fault != nil || json.Unmarshal(body, &report) != nil || report.ID == "" {
+		http.Error(writer, "bad report", http.StatusBadRequest)
+		return
+	}
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.Reports[report.ID] = append(platform.Reports[report.ID], string(body))
+	if platform.ReportAt[report.ID] == 0 {
+		platform.ReportAt[report.ID] = time.Now().UnixMilli()
+	}
+	writer.WriteHeader(http.StatusOK)
+}
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -68,9 +68,16 @@
 	Serial  uint64   `json:"serial,omitempty"`
 	Leader  string   `json:"leader,omitempty"`
 	Retry   int      `json:"retry_after_ms,omitempty"`
+	Outcome string   `json:"outcome,omitempty"`
 	Details []Detail `json:"details,omitempty"`
 }
 
+// Outcome tells a caller whether its task may have run.
+const (
+	NotRun     = "not_run"
+	MayHaveRun = "unknown"
+)
+
 func (mishap *Mishap) Error() string {
 	text := string(mishap.Kind)
 	if mishap.Cause != "" {
