--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -99,7 +99,6 @@
 	flags.Exit(wire.New(wire.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history or status"))
 }
 
-
 // end prints a mishap and turns it into the exit status that scripts read.
 func end(mishap *wire.Mishap) {
 	if mishap == nil {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -42,9 +42,17 @@
 	ColdTasks     int            `json:"cold_tasks"`
 	ColdMostPerS  int            `json:"cold_most_per_s"`
 	HighestSerial uint64         `json:"highest_serial"`
-	Resends       int            `json:"resends"`
 	ByTenant      map[string]int `json:"by_tenant"`
 	LastMs        int64          `json:"last_ms"`
+	Arrivals      []Arrival      `json:"arrivals"`
+}
+
+// Arrival is one send as a backend saw it.
+type Arrival struct {
+	AtMs   int64  `json:"at"`
+	Task   string `json:"task"`
+	Tenant string `json:"tenant"`
+	Serial uint64 `json:"serial"`
 }
 
 // Backend answers by the contract, remembers all, and can be told to misbehave.
@@ -84,7 +92,9 @@
 	return backend, fault
 }
 
-func (backend *Backend) cold() bool { return time.Since(backend.since) < time.Duration(backend.place.ColdMs)*time.Millisecond }
+func (backend *Backend) cold() bool {
+	return time.Since(backend.since) < time.Duration(backend.place.ColdMs)*time.Millisecond
+}
 
 // Leave marks the backend as leaving, as a warned machine does.
 func (backend *Backend) Leave() {
@@ -107,6 +117,7 @@
 	defer backend.mutex.Unlock()
 	seen := backend.seen
 	seen.Charges, seen.ByTenant = map[string]int{}, map[string]int{}
+	seen.Arrivals = append([]Arrival{}, backend.seen.Arrivals...)
 	for key, count := range backend.seen.Charges {
 		seen.Charges[key] = count
 	}
@@ -143,7 +154,9 @@
 	writer.Write(body)
 }
 
-func (backend *Backend) usage() float64 { return float64(backend.inFlight) / float64(max(backend.place.Room, 1)) }
+func (backend *Backend) usage() float64 {
+	return float64(backend.inFlight) / float64(max(backend.place.Room, 1))
+}
 
 // take notes a task's arrival and gives the misbehaviour due to it.
 func (backend *Backend) take(request *http.Request) string {
@@ -160,6 +173,7 @@
 		backend.seen.LateTasks++
 	}
 	serial, _ := strconv.ParseUint(request.Header.Get("Oj-Serial"), 10, 64)
+	backend.seen.Arrivals = append(backend.seen.Arrivals, Arrival{AtMs: now.UnixMilli(), Task: request.Header.Get("Oj-Task"), Tenant: request.Header.Get("Oj-Tenant"), Serial: serial})
 	if serial > backend.seen.HighestSerial {
 		backend.seen.HighestSerial, backend.serialSince = serial, now
 	} else if serial < backend.seen.HighestSerial && now.Sub(backend.serialSince) > slideSpan {
