--- a/control/core.go
+++ b/control/core.go
@@ -57,7 +57,10 @@
 	core.round = core.voter.State().Promised.Round
 	core.patience = core.nextPatience()
 	core.sessions = newSessions()
-	core.platform = newPlatformReader(place.Platform, counts)
+	core.platform = newPlatformReader(place.Platform, line.Transport(), counts)
+	if core.place.Observe == nil {
+		core.place.Observe = func(Standing, wire.Ballot) {}
+	}
 	return core, nil
 }
 
@@ -281,3 +284,9 @@
 	core.voter.Close()
 	core.line.Close()
 }
+
+// Leads is true while this core leads and every condition stands.
+func (core *Core) Leads() bool {
+	leadership, mishap := core.leading()
+	return mishap == nil && leadership.holds() == nil
+}
--- a/control/election.go
+++ b/control/election.go
@@ -121,6 +121,7 @@
 		core.revoke(leadership)
 		return
 	}
+	core.place.Observe(Leading, ballot)
 	klog.Infof("core %d: leads under %s, revoked %s by %s", core.place.ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
 	for register := range wire.Registers {
 		core.commit(register, wire.Accepted{Ballot: ballot, Value: leadership.value(register)})
--- a/control/lameduck.go
+++ b/control/lameduck.go
@@ -41,8 +41,8 @@
 	leadership.successor = wire.Leader{Core: heir.ID, Address: heir.Address}
 	leadership.mutex.Unlock()
 	leadership.beat()
-	leadership.writes.Lock()
-	defer leadership.writes.Unlock()
+	leadership.writes.Take()
+	defer leadership.writes.Give()
 	klog.Infof("core %d: lameduck, hands over to core %d", core.place.ID, heir.ID)
 	told, fault := wire.Ask[wire.StepDown, wire.StepDownTold](core.line, heir.Address, "stepdown", core.roundLimit(),
 		&wire.StepDown{Ballot: leadership.ballot, From: core.place.ID, Marks: core.voter.State().Marks()})
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -15,7 +15,7 @@
 	revocation *Revocation
 	since      time.Time
 
-	writes sync.Mutex
+	writes *run.Turn
 
 	mutex     sync.Mutex
 	ended     bool
@@ -31,7 +31,7 @@
 
 func newLeadership(core *Core, ballot wire.Ballot, establishment *Establishment) *Leadership {
 	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(),
-		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell()}
+		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn()}
 	for register := range establishment.newest {
 		leadership.values[register] = establishment.newest[register].Value
 	}
@@ -85,8 +85,8 @@
 	if mishap := leadership.holds(); mishap != nil {
 		return 0, mishap
 	}
-	leadership.writes.Lock()
-	defer leadership.writes.Unlock()
+	leadership.writes.Take()
+	defer leadership.writes.Give()
 	if mishap := leadership.holds(); mishap != nil {
 		return 0, mishap
 	}
--- a/control/place.go
+++ b/control/place.go
@@ -26,6 +26,7 @@
 	Beat     time.Duration
 	Suspect  time.Duration
 	Seed     uint64
+	Observe  func(standing Standing, ballot wire.Ballot)
 }
 
 func (place *Place) Check() *wire.Mishap {
--- a/control/platform.go
+++ b/control/platform.go
@@ -44,8 +44,8 @@
 	wait     time.Duration
 }
 
-func newPlatformReader(address string, counts *run.Counts) *PlatformReader {
-	return &PlatformReader{address: address, counts: counts, client: &http.Client{Timeout: platformLimit}, backends: map[string]wire.Backend{}, missed: map[string]int{}}
+func newPlatformReader(address string, transport http.RoundTripper, counts *run.Counts) *PlatformReader {
+	return &PlatformReader{address: address, counts: counts, client: &http.Client{Transport: transport}, backends: map[string]wire.Backend{}, missed: map[string]int{}}
 }
 
 // begin forgets what an earlier leadership read: it may be old by now.
--- a/control/store.go
+++ b/control/store.go
@@ -267,3 +267,6 @@
 		store.file.Close()
 	}
 }
+
+// State is a copy of what is stored.
+func (store *Store) State() State { return store.state }
--- a/control/voter.go
+++ b/control/voter.go
@@ -1,16 +1,16 @@
 package control
 
 import (
-	"sync"
 	"sync/atomic"
 
+	"orchidjunction/run"
 	"orchidjunction/wire"
 )
 
 // Voter is the part of a core that promises ballots and accepts values, synced
 // before it answers. Reads see the last synced state without waiting for the disk.
 type Voter struct {
-	mutex  sync.Mutex
+	turn   *run.Turn
 	store  *Store
 	synced atomic.Pointer[State]
 	fault  func(*wire.Mishap)
@@ -18,7 +18,7 @@
 }
 
 func NewVoter(store *Store, fault func(*wire.Mishap), raised func(wire.Ballot)) *Voter {
-	voter := &Voter{store: store, fault: fault, raised: raised}
+	voter := &Voter{turn: run.NewTurn(), store: store, fault: fault, raised: raised}
 	voter.publish()
 	return voter
 }
@@ -32,7 +32,7 @@
 
 func (voter *Voter) Blank() bool { return !voter.State().Founded }
 
-// keep appends under the mutex and shows the new state.
+// keep appends within the turn and shows the new state.
 func (voter *Voter) keep(steps ...record) *wire.Mishap {
 	before := voter.store.state.Promised
 	if mishap := voter.store.Append(steps...); mishap != nil {
@@ -47,8 +47,8 @@
 }
 
 func (voter *Voter) Promise(ballot wire.Ballot) (*wire.PromiseTold, *wire.Mishap) {
-	voter.mutex.Lock()
-	defer voter.mutex.Unlock()
+	voter.turn.Take()
+	defer voter.turn.Give()
 	state := &voter.store.state
 	if !state.Founded {
 		return nil, wire.New(wire.Blank, "not restored yet")
@@ -65,8 +65,8 @@
 }
 
 func (voter *Voter) Accept(message *wire.Accept) (*wire.AcceptTold, *wire.Mishap) {
-	voter.mutex.Lock()
-	defer voter.mutex.Unlock()
+	voter.turn.Take()
+	defer voter.turn.Give()
 	state := &voter.store.state
 	if !state.Founded {
 		return nil, wire.New(wire.Blank, "not restored yet")
@@ -94,8 +94,8 @@
 
 // Found makes a blank disk a voter with what the others hold.
 func (voter *Voter) Found(promised wire.Ballot, accepted [wire.Registers]wire.Accepted) *wire.Mishap {
-	voter.mutex.Lock()
-	defer voter.mutex.Unlock()
+	voter.turn.Take()
+	defer voter.turn.Give()
 	if voter.store.state.Founded {
 		return nil
 	}
@@ -113,7 +113,7 @@
 }
 
 func (voter *Voter) Close() {
-	voter.mutex.Lock()
-	defer voter.mutex.Unlock()
+	voter.turn.Take()
+	defer voter.turn.Give()
 	voter.store.Close()
 }
--- /dev/null
+++ b/sim/chaos.go
@@ -0,0 +1,89 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Chaos harms cores for a while, one draw after another, and heals each harm.
+type Chaos struct {
+	world  *World
+	random *rand.Rand
+	Done   map[string]int
+}
+
+func (world *World) Chaos() *Chaos {
+	return &Chaos{world: world, random: rand.New(rand.NewPCG(world.Seed, 23)), Done: map[string]int{}}
+}
+
+// Kinds are the harms there are.
+var Kinds = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader"}
+
+func (chaos *Chaos) span(least, most time.Duration) time.Duration {
+	return least + time.Duration(chaos.random.Int64N(int64(most-least)))
+}
+
+// Run draws harms for the span; every one is healed before the next but one.
+func (chaos *Chaos) Run(span time.Duration) {
+	world := chaos.world
+	for until := time.Now().Add(span); time.Now().Before(until); {
+		chaos.Harm(Kinds[chaos.random.IntN(len(Kinds))], chaos.random.IntN(len(world.Cores)))
+		world.Rest(chaos.span(100*time.Millisecond, 1500*time.Millisecond))
+	}
+}
+
+func (chaos *Chaos) Harm(kind string, index int) {
+	world := chaos.world
+	machine := world.Cores[index]
+	other := world.Cores[(index+1+chaos.random.IntN(len(world.Cores)-1))%len(world.Cores)]
+	chaos.Done[kind]++
+	switch kind {
+	case "kill", "power":
+		world.KillCore(index, kind == "power")
+		world.Rest(chaos.span(10*time.Millisecond, 1200*time.Millisecond))
+		world.StartCore(index)
+	case "kill-leader":
+		if leader := world.Leader(); leader >= 0 {
+			world.KillCore(leader, true)
+			world.Rest(chaos.span(10*time.Millisecond, 900*time.Millisecond))
+			world.StartCore(leader)
+		}
+	case "term":
+		world.TermCore(index)
+		world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
+		world.StartCore(index)
+	case "freeze":
+		world.Net.Freeze(machine.Host, true)
+		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
+		world.Net.Freeze(machine.Host, false)
+	case "cut":
+		world.Net.Cut(machine.Host, other.Host, true)
+		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
+		world.Net.Cut(machine.Host, other.Host, false)
+	case "one-way":
+		world.Net.CutOneWay(machine.Host, other.Host, true)
+		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
+		world.Net.CutOneWay(machine.Host, other.Host, false)
+	case "stall":
+		machine.Disk.Stall(true)
+		world.Rest(chaos.span(50*time.Millisecond, 1200*time.Millisecond))
+		machine.Disk.Stall(false)
+	case "wipe":
+		world.WipeCore(index)
+		world.Rest(chaos.span(10*time.Millisecond, 800*time.Millisecond))
+		world.StartCore(index)
+		world.Until(10*time.Second, func() bool { return machine.Core.Sound() })
+	case "all":
+		for each := range world.Cores {
+			world.KillCore(each, true)
+		}
+		world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
+		for each := range world.Cores {
+			world.StartCore(each)
+		}
+	case "faults":
+		world.Net.Faults(Faults{LoseAsked: 60, LoseTold: 60, Twice: 100, SlowMs: 30})
+		world.Rest(chaos.span(500*time.Millisecond, 2*time.Second))
+		world.Net.Faults(Faults{})
+	}
+}
--- /dev/null
+++ b/sim/conn.go
@@ -0,0 +1,118 @@
+package sim
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// half is one direction of a connection: bytes arrive after the net's delay,
+// and not while the way is shut.
+type half struct {
+	mutex    sync.Mutex
+	wake     *sync.Cond
+	parts    []part
+	closed   bool
+	limit    time.Time
+	shut     func() bool
+	attached *Net
+}
+
+type part struct {
+	body []byte
+	at   time.Time
+}
+
+func newHalf(net *Net, shut func() bool) *half {
+	half := &half{shut: shut, attached: net}
+	half.wake = sync.NewCond(&half.mutex)
+	return half
+}
+
+func (half *half) stir() {
+	half.mutex.Lock()
+	half.wake.Broadcast()
+	half.mutex.Unlock()
+}
+
+func (half *half) write(body []byte, delay time.Duration) (int, error) {
+	half.mutex.Lock()
+	defer half.mutex.Unlock()
+	if half.closed {
+		return 0, io.ErrClosedPipe
+	}
+	half.parts = append(half.parts, part{body: append([]byte{}, body...), at: time.Now().Add(delay)})
+	time.AfterFunc(delay, half.stir)
+	return len(body), nil
+}
+
+func (half *half) read(into []byte) (int, error) {
+	half.mutex.Lock()
+	defer half.mutex.Unlock()
+	for {
+		if !half.limit.IsZero() && !time.Now().Before(half.limit) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		if len(half.parts) > 0 && !time.Now().Before(half.parts[0].at) && !half.shut() {
+			count := copy(into, half.parts[0].body)
+			if half.parts[0].body = half.parts[0].body[count:]; len(half.parts[0].body) == 0 {
+				half.parts = half.parts[1:]
+			}
+			return count, nil
+		}
+		if half.closed && len(half.parts) == 0 {
+			return 0, io.EOF
+		}
+		half.wake.Wait()
+	}
+}
+
+func (half *half) close(drop bool) {
+	half.mutex.Lock()
+	half.closed = true
+	if drop {
+		half.parts = nil
+	}
+	half.wake.Broadcast()
+	half.mutex.Unlock()
+}
+
+func (half *half) setLimit(limit time.Time) {
+	half.mutex.Lock()
+	half.limit = limit
+	half.wake.Broadcast()
+	half.mutex.Unlock()
+	if !limit.IsZero() {
+		time.AfterFunc(time.Until(limit), half.stir)
+	}
+}
+
+// conn is one end.
+type conn struct {
+	in, out       *half
+	local, remote address
+	net           *Net
+}
+
+type address string
+
+func (address address) Network() string { return "tcp" }
+func (address address) String() string  { return string(address) }
+
+func (conn *conn) Read(into []byte) (int, error)  { return conn.in.read(into) }
+func (conn *conn) Write(body []byte) (int, error) { return conn.out.write(body, conn.net.delay()) }
+func (conn *conn) Close() error {
+	conn.in.close(true)
+	conn.out.close(false)
+	return nil
+}
+func (conn *conn) LocalAddr() net.Addr  { return conn.local }
+func (conn *conn) RemoteAddr() net.Addr { return conn.remote }
+func (conn *conn) SetDeadline(limit time.Time) error {
+	conn.in.setLimit(limit)
+	return nil
+}
+func (conn *conn) SetReadDeadline(limit time.Time) error { return conn.SetDeadline(limit) }
+func (conn *conn) SetWriteDeadline(time.Time) error      { return nil }
--- /dev/null
+++ b/sim/election_test.go
@@ -0,0 +1,110 @@
+package sim
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+var (
+	seeds = flag.Int("seeds", 12, "how many seeds a simulated run takes")
+	first = flag.Int("seed", 1, "the first of them")
+	loud  = flag.Bool("loud", false, "show the programs' logs")
+)
+
+func TestMain(main *testing.M) {
+	flag.Parse()
+	if !*loud {
+		klog.LogToStderr(false)
+		klog.SetOutput(io.Discard)
+	}
+	os.Exit(main.Run())
+}
+
+// each plays one world per seed and shows what it broke.
+func each(test *testing.T, play func(test *testing.T, seed uint64)) {
+	for seed := *first; seed < *first+*seeds; seed++ {
+		test.Run(fmt.Sprint(seed), func(test *testing.T) {
+			test.Parallel()
+			synctest.Test(test, func(test *testing.T) { play(test, uint64(seed)) })
+		})
+	}
+}
+
+func (world *World) report(test *testing.T) {
+	test.Helper()
+	for _, broken := range world.Broken {
+		test.Error(broken)
+	}
+}
+
+// up starts cores and daemons and puts the first settings in force.
+func (world *World) up(test *testing.T, daemons int) {
+	test.Helper()
+	world.List()
+	for index := range world.Cores {
+		world.StartCore(index)
+	}
+	zones := []string{"e1", "w1", "s1"}
+	for index := range daemons {
+		kind := "proxy"
+		if index%4 == 0 {
+			kind = "dir"
+		}
+		world.StartDaemon(world.AddDaemon(kind, zones[index%3]))
+	}
+	world.first(test)
+	if !world.Until(10*time.Second, world.ready) {
+		test.Fatal("daemons not ready")
+	}
+}
+
+func (world *World) ready() bool {
+	for _, daemon := range world.Daemons {
+		if daemon.Alive && !daemon.Daemon.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func TestChaosKeepsWhatOperatorsWereTold(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3+2*int(seed%5/4))
+		defer world.Close()
+		world.up(test, 3)
+		ledger := world.Operators(3, 150*time.Millisecond)
+		chaos := world.Chaos()
+		chaos.Run(40 * time.Second)
+		ledger.Stop()
+		ledger.Judge()
+		if ledger.Longest > time.Second {
+			world.broke("an operator waited %v", ledger.Longest)
+		}
+		if len(ledger.Acked) < 20 {
+			world.broke("only %d changes acknowledged", len(ledger.Acked))
+		}
+		last := uint64(0)
+		for _, serial := range ledger.Acked {
+			last = max(last, serial)
+		}
+		if !world.Until(4*time.Second, func() bool {
+			for _, daemon := range world.Daemons {
+				if daemon.Daemon.Version().Serial < last {
+					return false
+				}
+			}
+			return true
+		}) {
+			world.broke("serial %d is not in force everywhere after 4 s", last)
+		}
+		test.Logf("%d acknowledged, %d refused, %d unknown, %d leaderships, longest answer %v, harms %v", len(ledger.Acked), len(ledger.Refused), len(ledger.Unknown), len(world.Leads), ledger.Longest, chaos.Done)
+		world.report(test)
+	})
+}
--- /dev/null
+++ b/sim/keys.go
@@ -0,0 +1,11 @@
+package sim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+func digestOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/sim/net.go
@@ -0,0 +1,305 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"orchidjunction/run"
+)
+
+// Faults are the odds, in a thousand, of what happens to a message.
+type Faults struct {
+	LoseAsked int
+	LoseTold  int
+	Twice     int
+	SlowMs    int
+}
+
+// Net joins hosts; the host of an address is its IP.
+type Net struct {
+	mutex     sync.Mutex
+	random    *rand.Rand
+	listeners map[string]*listener
+	conns     []*conn
+	cut       map[[2]string]bool
+	frozen    map[string]bool
+	faults    Faults
+	threads   *run.Threads
+	Messages  int
+	Bytes     int
+}
+
+var (
+	errRefused = errors.New("connection refused")
+	errLost    = errors.New("message lost")
+)
+
+func NewNet(seed uint64) *Net {
+	return &Net{random: rand.New(rand.NewPCG(seed, 13)), listeners: map[string]*listener{}, cut: map[[2]string]bool{}, frozen: map[string]bool{}, threads: run.NewThreads()}
+}
+
+func (net *Net) odds(of int) bool { return of > 0 && net.random.IntN(1000) < of }
+
+func (net *Net) delay() time.Duration {
+	net.mutex.Lock()
+	defer net.mutex.Unlock()
+	return time.Duration(200+net.random.IntN(800)) * time.Microsecond
+}
+
+func host(address string) string {
+	name, _, _ := splitHost(address)
+	return name
+}
+
+func splitHost(address string) (string, string, error) { return net.SplitHostPort(address) }
+
+// shut is whether bytes from one host to another stand still.
+func (net *Net) shut(from, to string) bool {
+	net.mutex.Lock()
+	defer net.mutex.Unlock()
+	return net.cut[[2]string{from, to}] || net.frozen[from] || net.frozen[to]
+}
+
+func (net *Net) change(turn func()) {
+	net.mutex.Lock()
+	turn()
+	conns := append([]*conn{}, net.conns...)
+	net.mutex.Unlock()
+	for _, conn := range conns {
+		conn.in.stir()
+		conn.out.stir()
+	}
+}
+
+// Cut stops all bytes between two hosts, both ways, until healed.
+func (net *Net) Cut(left, right string, cut bool) {
+	net.change(func() { net.cut[[2]string{left, right}], net.cut[[2]string{right, left}] = cut, cut })
+}
+
+// CutOneWay stops bytes in one direction only.
+func (net *Net) CutOneWay(from, to string, cut bool) {
+	net.change(func() { net.cut[[2]string{from, to}] = cut })
+}
+
+// Freeze stops a host's bytes; thawed, what was under way arrives late.
+func (net *Net) Freeze(host string, frozen bool) {
+	net.change(func() { net.frozen[host] = frozen })
+}
+
+func (net *Net) Faults(faults Faults) {
+	net.mutex.Lock()
+	net.faults = faults
+	net.mutex.Unlock()
+}
+
+// Kill breaks every connection of a host, as a killed process does.
+func (net *Net) Kill(name string) {
+	net.mutex.Lock()
+	kept, broken := []*conn{}, []*conn{}
+	for _, conn := range net.conns {
+		if host(string(conn.local)) == name || host(string(conn.remote)) == name {
+			broken = append(broken, conn)
+		} else {
+			kept = append(kept, conn)
+		}
+	}
+	net.conns = kept
+	closing := []*listener{}
+	for address, open := range net.listeners {
+		if host(address) == name {
+			closing = append(closing, open)
+		}
+	}
+	net.mutex.Unlock()
+	for _, open := range closing {
+		open.Close()
+	}
+	for _, conn := range broken {
+		conn.Close()
+	}
+}
+
+type listener struct {
+	net     *Net
+	address string
+	mutex   sync.Mutex
+	wake    *sync.Cond
+	waiting []*conn
+	closed  bool
+}
+
+func (net *Net) Listen(address string) (*listener, error) {
+	net.mutex.Lock()
+	defer net.mutex.Unlock()
+	if net.listeners[address] != nil {
+		return nil, errRefused
+	}
+	open := &listener{net: net, address: address}
+	open.wake = sync.NewCond(&open.mutex)
+	net.listeners[address] = open
+	return open, nil
+}
+
+func (listener *listener) Accept() (net.Conn, error) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	for len(listener.waiting) == 0 {
+		if listener.closed {
+			return nil, net.ErrClosed
+		}
+		listener.wake.Wait()
+	}
+	conn := listener.waiting[0]
+	listener.waiting = listener.waiting[1:]
+	return conn, nil
+}
+
+func (listener *listener) Close() error {
+	listener.net.mutex.Lock()
+	if listener.net.listeners[listener.address] == listener {
+		delete(listener.net.listeners, listener.address)
+	}
+	listener.net.mutex.Unlock()
+	listener.mutex.Lock()
+	listener.closed = true
+	waiting := listener.waiting
+	listener.waiting = nil
+	listener.wake.Broadcast()
+	listener.mutex.Unlock()
+	for _, conn := range waiting {
+		conn.Close()
+	}
+	return nil
+}
+
+func (listener *listener) Addr() net.Addr { return address(listener.address) }
+
+// Dialer is how a host reaches others.
+func (net *Net) Dialer(from string) func(ctx context.Context, network, to string) (net.Conn, error) {
+	return func(ctx context.Context, _, to string) (conn_ netConn, fault error) { return net.dial(ctx, from, to) }
+}
+
+type netConn = net.Conn
+
+func (network *Net) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	until := time.Now().Add(time.Second)
+	if limit, found := ctx.Deadline(); found && limit.Before(until) {
+		until = limit
+	}
+	for network.shut(from, host(to)) {
+		if !time.Now().Before(until) {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded}
+		}
+		time.Sleep(5 * time.Millisecond)
+		if ctx.Err() != nil {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		}
+	}
+	network.mutex.Lock()
+	open := network.listeners[to]
+	if open == nil {
+		network.mutex.Unlock()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
+	}
+	target := host(to)
+	there := newHalf(network, func() bool { return network.shut(from, target) })
+	back := newHalf(network, func() bool { return network.shut(target, from) })
+	near := &conn{in: back, out: there, local: address(from + ":1"), remote: address(to), net: network}
+	far := &conn{in: there, out: back, local: address(to), remote: address(from + ":1"), net: network}
+	network.conns = append(network.conns, near, far)
+	network.mutex.Unlock()
+	open.mutex.Lock()
+	defer open.mutex.Unlock()
+	if open.closed {
+		near.Close()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
+	}
+	open.waiting = append(open.waiting, far)
+	open.wake.Signal()
+	return near, nil
+}
+
+// Transport carries a host's messages, with the net's faults.
+func (net *Net) Transport(from string) *Transport {
+	return &Transport{net: net, inner: &http.Transport{DialContext: net.Dialer(from), IdleConnTimeout: 20 * time.Second, MaxIdleConnsPerHost: 8}}
+}
+
+// Transport loses, doubles and delays whole messages.
+type Transport struct {
+	net   *Net
+	inner *http.Transport
+}
+
+func (transport *Transport) CloseIdleConnections() { transport.inner.CloseIdleConnections() }
+
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	network := transport.net
+	network.mutex.Lock()
+	faults := network.faults
+	network.Messages++
+	network.Bytes += int(max(request.ContentLength, 0))
+	loseAsked, loseTold, twice := network.odds(faults.LoseAsked), network.odds(faults.LoseTold), network.odds(faults.Twice)
+	wait := time.Duration(0)
+	if faults.SlowMs > 0 {
+		wait = time.Duration(network.random.IntN(faults.SlowMs*1000)) * time.Microsecond
+	}
+	network.mutex.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	if loseAsked {
+		<-request.Context().Done()
+		return nil, errLost
+	}
+	if twice && request.Body != nil {
+		body, fault := io.ReadAll(request.Body)
+		request.Body.Close()
+		if fault != nil {
+			return nil, fault
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		network.threads.Start(func() { transport.again(request, body) })
+	}
+	response, fault := transport.inner.RoundTrip(request)
+	if fault == nil && loseTold {
+		response.Body.Close()
+		<-request.Context().Done()
+		return nil, errLost
+	}
+	return response, fault
+}
+
+// again sends the same message once more, later, and drops the answer.
+func (transport *Transport) again(request *http.Request, body []byte) {
+	transport.net.mutex.Lock()
+	wait := time.Duration(transport.net.random.IntN(400)) * time.Millisecond
+	transport.net.mutex.Unlock()
+	time.Sleep(wait)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	copied := request.Clone(ctx)
+	copied.Body = io.NopCloser(bytes.NewReader(body))
+	if response, fault := transport.inner.RoundTrip(copied); fault == nil {
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+}
+
+// Close ends what is left once a world ends.
+func (net *Net) Close() {
+	net.threads.Wait()
+	net.mutex.Lock()
+	conns := net.conns
+	net.conns = nil
+	net.mutex.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/sim/world.go
@@ -0,0 +1,401 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/data"
+	"orchidjunction/member"
+	"orchidjunction/operator"
+	"orchidjunction/place"
+	"orchidjunction/run"
+	"orchidjunction/stand"
+	"orchidjunction/wire"
+)
+
+// World is a whole fleet in one bubble of virtual time.
+type World struct {
+	Net      *Net
+	Seed     uint64
+	Cores    []*Core
+	Daemons  []*Daemon
+	Backends []*Backend
+	Platform *stand.Platform
+	random   *rand.Rand
+	threads  *run.Threads
+	servers  []*http.Server
+
+	mutex   sync.Mutex
+	Broken  []string
+	Leads   []Lead
+	applied map[uint64]string
+}
+
+// Lead is one leadership that came to stand.
+type Lead struct {
+	Core   int
+	Ballot wire.Ballot
+	At     time.Time
+}
+
+// Core is one core machine of the world.
+type Core struct {
+	ID      int
+	Host    string
+	Wire    string
+	Operate string
+	Disk    *Disk
+	Core    *control.Core
+	Alive   bool
+	threads *run.Threads
+	servers []*http.Server
+	line    *wire.Line
+	starts  uint64
+}
+
+// Daemon is one directory node or proxy of the world.
+type Daemon struct {
+	Name    string
+	Kind    string
+	Host    string
+	Zone    string
+	Outer   string
+	Wire    string
+	Operate string
+	Daemon  *member.Daemon
+	Proxy   *data.Proxy
+	Counts  *run.Counts
+	Alive   bool
+	threads *run.Threads
+	servers []*http.Server
+	line    *wire.Line
+	highest uint64
+}
+
+// Backend is one backend of the world.
+type Backend struct {
+	Listed  stand.Listed
+	Backend *stand.Backend
+	server  *http.Server
+}
+
+const (
+	platformAddress = "10.9.0.1:80"
+	Beat            = 75 * time.Millisecond
+	Suspect         = 300 * time.Millisecond
+)
+
+func NewWorld(seed uint64, cores int) *World {
+	world := &World{Net: NewNet(seed), Seed: seed, random: rand.New(rand.NewPCG(seed, 17)), threads: run.NewThreads(), applied: map[uint64]string{}}
+	for index := range cores {
+		host := fmt.Sprintf("10.0.0.%d", index+1)
+		world.Cores = append(world.Cores, &Core{ID: index + 1, Host: host, Wire: host + ":41", Operate: host + ":42", Disk: NewDisk(seed + uint64(index))})
+	}
+	return world
+}
+
+func (world *World) broke(format string, values ...any) {
+	world.mutex.Lock()
+	world.Broken = append(world.Broken, fmt.Sprintf(format, values...))
+	world.mutex.Unlock()
+}
+
+func (world *World) serve(threads *run.Threads, address string, handler http.Handler) *http.Server {
+	open, fault := world.Net.Listen(address)
+	if fault != nil {
+		world.broke("listen %s: %v", address, fault)
+		return &http.Server{}
+	}
+	server := &http.Server{Handler: handler}
+	threads.Start(func() { server.Serve(open) })
+	return server
+}
+
+// StartCore starts a core on whatever its disk holds.
+func (world *World) StartCore(index int) {
+	machine := world.Cores[index]
+	place := control.Place{ID: machine.ID, Zone: "z", Wire: machine.Wire, Operate: machine.Operate, Found: true, Platform: platformAddress, Beat: Beat, Suspect: Suspect, Seed: world.Seed + machine.starts*1000}
+	machine.starts++
+	for _, other := range world.Cores {
+		if other != machine {
+			place.Peers = append(place.Peers, control.Peer{ID: other.ID, Address: other.Wire})
+		}
+	}
+	place.Observe = func(_ control.Standing, ballot wire.Ballot) { world.led(machine, ballot) }
+	machine.threads = run.NewThreads()
+	machine.line = wire.NewLine(world.Net.Transport(machine.Host))
+	counts := run.NewCounts()
+	core, mishap := control.NewCore(place, machine.Disk, machine.line, machine.threads, counts)
+	if mishap != nil {
+		world.broke("core %d does not start: %v", machine.ID, mishap)
+		return
+	}
+	machine.Core, machine.Alive = core, true
+	door := wire.NewDoor(counts)
+	core.Register(door)
+	addresses := []string{}
+	for _, other := range world.Cores {
+		addresses = append(addresses, other.Wire)
+	}
+	finder := member.NewFinder(machine.line, machine.threads, addresses)
+	operate := member.NewOperate(fmt.Sprint(machine.ID), member.NewHold(finder, machine.line, counts), counts, func() (uint64, []byte) {
+		value := core.Committed(wire.SettingsRegister)
+		return value.Serial, value.Body
+	}, core.Sound)
+	machine.servers = []*http.Server{world.serve(machine.threads, machine.Wire, door), world.serve(machine.threads, machine.Operate, operate)}
+	finder.Run()
+	core.Run()
+}
+
+// led judges each leadership as it comes to stand: its ballot must by then be
+// lasting at a majority, and no register it left behind may be newer.
+func (world *World) led(leader *Core, ballot wire.Ballot) {
+	promised, rewritten := 0, 0
+	for _, machine := range world.Cores {
+		store, mishap := control.OpenStore(machine.Disk.Copy())
+		if mishap != nil {
+			continue
+		}
+		state := store.State()
+		if !state.Promised.Less(ballot) {
+			promised++
+		}
+		if !state.Accepted[wire.SettingsRegister].Ballot.Less(ballot) {
+			rewritten++
+		}
+	}
+	need := len(world.Cores)/2 + 1
+	if promised < need {
+		world.broke("core %d leads under %s, fenced at %d of %d", leader.ID, ballot, promised, need)
+	}
+	if rewritten < need {
+		world.broke("core %d leads under %s, re-written at %d of %d", leader.ID, ballot, rewritten, need)
+	}
+	world.mutex.Lock()
+	world.Leads = append(world.Leads, Lead{Core: leader.ID, Ballot: ballot, At: time.Now()})
+	world.mutex.Unlock()
+}
+
+// KillCore ends a core at once; with power lost only synced data stays.
+func (world *World) KillCore(index int, power bool) {
+	machine := world.Cores[index]
+	if !machine.Alive {
+		return
+	}
+	machine.Alive = false
+	machine.Disk = machine.Disk.Sever(power)
+	world.Net.Kill(machine.Host)
+	machine.threads.Stop()
+	for _, server := range machine.servers {
+		server.Close()
+	}
+	machine.line.Close()
+}
+
+// TermCore is the platform's warning: the core steps down if it leads, then ends.
+func (world *World) TermCore(index int) {
+	machine := world.Cores[index]
+	if !machine.Alive {
+		return
+	}
+	machine.Core.Retire(6 * time.Second)
+	world.KillCore(index, false)
+}
+
+// WipeCore ends a core and gives it an empty disk.
+func (world *World) WipeCore(index int) {
+	world.KillCore(index, true)
+	world.Cores[index].Disk = NewDisk(world.Seed + uint64(index) + 77)
+}
+
+// AddDaemon lays out a directory node or a proxy; StartDaemon starts it.
+func (world *World) AddDaemon(kind, zone string) *Daemon {
+	index := len(world.Daemons)
+	host := fmt.Sprintf("10.1.%d.%d", index/200, index%200+1)
+	daemon := &Daemon{Name: fmt.Sprintf("%s-%03d", kind, index), Kind: kind, Host: host, Zone: zone, Outer: host + ":80", Wire: host + ":41", Operate: host + ":42"}
+	world.Daemons = append(world.Daemons, daemon)
+	return daemon
+}
+
+func (world *World) StartDaemon(daemon *Daemon) {
+	seeds := []string{}
+	for _, core := range world.Cores[:min(3, len(world.Cores))] {
+		seeds = append(seeds, core.Wire)
+	}
+	place_ := member.Place{Name: daemon.Name, Kind: daemon.Kind, Zone: daemon.Zone, Wire: daemon.Wire, Outer: daemon.Outer, Operate: daemon.Operate, Seeds: seeds}
+	daemon.threads, daemon.Counts = run.NewThreads(), run.NewCounts()
+	daemon.line = wire.NewLine(world.Net.Transport(daemon.Host))
+	daemon.Daemon = member.NewDaemon(place_, member.NewID(), daemon.line, daemon.threads, daemon.Counts)
+	var outer http.Handler
+	if daemon.Kind == "proxy" {
+		daemon.Proxy = data.NewProxy(daemon.Daemon, daemon.threads, daemon.Counts, world.Net.Dialer(daemon.Host))
+		outer = daemon.Proxy
+		daemon.Daemon.Serve(func(version *member.Version) { world.takes(daemon, version); daemon.Proxy.Apply(version) }, daemon.Proxy.Probes)
+	} else {
+		directory := place.NewDirectory(daemon.Daemon, daemon.Counts)
+		outer = directory
+		daemon.Daemon.Serve(func(version *member.Version) { world.takes(daemon, version); directory.Apply(version) }, nil)
+	}
+	door := wire.NewDoor(daemon.Counts)
+	daemon.Daemon.Register(door)
+	operate := member.NewOperate(daemon.Name, daemon.Daemon.Hold, daemon.Counts, func() (uint64, []byte) {
+		version := daemon.Daemon.Version()
+		return version.Serial, version.Body
+	}, daemon.Daemon.Ready)
+	daemon.servers = []*http.Server{world.serve(daemon.threads, daemon.Outer, outer), world.serve(daemon.threads, daemon.Wire, door), world.serve(daemon.threads, daemon.Operate, operate)}
+	daemon.Alive, daemon.highest = true, 0
+	daemon.Daemon.Run()
+}
+
+// takes judges each version as it comes into force.
+func (world *World) takes(daemon *Daemon, version *member.Version) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	if version.Serial < daemon.highest {
+		world.Broken = append(world.Broken, fmt.Sprintf("%s slid from %d to %d", daemon.Name, daemon.highest, version.Serial))
+	}
+	daemon.highest = version.Serial
+	if body, found := world.applied[version.Serial]; found && body != string(version.Body) {
+		world.Broken = append(world.Broken, fmt.Sprintf("serial %d has two contents", version.Serial))
+	}
+	world.applied[version.Serial] = string(version.Body)
+}
+
+func (world *World) KillDaemon(daemon *Daemon) {
+	if !daemon.Alive {
+		return
+	}
+	daemon.Alive = false
+	world.Net.Kill(daemon.Host)
+	daemon.threads.Stop()
+	for _, server := range daemon.servers {
+		server.Close()
+	}
+	daemon.line.Close()
+}
+
+// AddBackend starts a backend; List makes the platform list all that were added.
+func (world *World) AddBackend(service, zone string, place stand.BackendPlace) *Backend {
+	index := len(world.Backends)
+	address := fmt.Sprintf("10.2.%d.%d:80", index/200, index%200+1)
+	place.Service, place.Instance = service, fmt.Sprintf("back-%03d", index)
+	if place.Incarnation == "" {
+		place.Incarnation = "1"
+	}
+	inner, _ := stand.NewBackend(place)
+	backend := &Backend{Backend: inner, Listed: stand.Listed{Name: place.Instance, Service: service, Address: address, Zone: zone}}
+	backend.server = world.serve(world.threads, address, inner)
+	world.Backends = append(world.Backends, backend)
+	return backend
+}
+
+// Stop ends a backend as a crash does.
+func (world *World) StopBackend(backend *Backend) {
+	world.Net.Kill(host(backend.Listed.Address))
+	backend.server.Close()
+}
+
+// ServeBackend opens an address again, for another stand-in if need be.
+func (world *World) ServeBackend(backend *Backend, inner *stand.Backend) {
+	backend.Backend = inner
+	backend.server = world.serve(world.threads, backend.Listed.Address, inner)
+}
+
+func (world *World) List() {
+	items := []stand.Listed{}
+	for _, backend := range world.Backends {
+		items = append(items, backend.Listed)
+	}
+	if world.Platform == nil {
+		world.Platform = stand.NewPlatform(10, 200*time.Millisecond, 50, items)
+		world.servers = append(world.servers, world.serve(world.threads, platformAddress, world.Platform))
+		return
+	}
+	world.Platform.Set(items)
+}
+
+// Client is an operator's, at one daemon's or core's door.
+func (world *World) Client(door string) *operator.Client {
+	return operator.NewClient([]string{door}, &http.Transport{DialContext: world.Net.Dialer("10.8.0.1"), DisableKeepAlives: true})
+}
+
+// Doors are the operators' doors of all that live.
+func (world *World) Doors() []string {
+	doors := []string{}
+	for _, core := range world.Cores {
+		if core.Alive {
+			doors = append(doors, core.Operate)
+		}
+	}
+	for _, daemon := range world.Daemons {
+		if daemon.Alive {
+			doors = append(doors, daemon.Operate)
+		}
+	}
+	return doors
+}
+
+// Leader is the index of the core that leads with all conditions standing, or -1.
+func (world *World) Leader() int {
+	for index, machine := range world.Cores {
+		if machine.Alive && machine.Core.Leads() {
+			return index
+		}
+	}
+	return -1
+}
+
+// Until waits in virtual time for a condition.
+func (world *World) Until(limit time.Duration, holds func() bool) bool {
+	for until := time.Now().Add(limit); time.Now().Before(until); {
+		if holds() {
+			return true
+		}
+		world.threads.Rest(5 * time.Millisecond)
+	}
+	return holds()
+}
+
+func (world *World) Rest(span time.Duration) { world.threads.Rest(span) }
+
+// Origin plays callers from outside.
+func (world *World) Origin(plan stand.OriginPlan) (*stand.Origin, *http.Client) {
+	client := &http.Client{Transport: &http.Transport{DialContext: world.Net.Dialer("10.7.0.1"), MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
+	return stand.NewOrigin(plan, client, world.threads.Start), client
+}
+
+// Close ends everything, so that the bubble can end.
+func (world *World) Close() {
+	for _, daemon := range world.Daemons {
+		world.KillDaemon(daemon)
+	}
+	for index := range world.Cores {
+		world.KillCore(index, false)
+	}
+	world.threads.Stop()
+	for _, backend := range world.Backends {
+		backend.server.Close()
+	}
+	for _, server := range world.servers {
+		server.Close()
+	}
+	time.Sleep(10 * time.Second)
+	world.Net.Close()
+	time.Sleep(10 * time.Second)
+}
+
+// Settings is a small tree for worlds.
+func Settings(hold int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"format":1,"partner":"sim","ack_ms":400,
+	"rule":{"limit_ms":2000,"sends":3,"body_bytes":65536,"receipt_bytes":4194304,"hold_ms":%d,"fronts":3,"pipes":16},
+	"retry":{"fraction":0.2,"floor":60,"span_ms":10000},
+	"regions":{"east":{"zones":["e1"]},"west":{"zones":["w1"]},"south":{"zones":["s1"]}},
+	"tenants":{"alder":{"keys":[%q]},"birch":{"keys":[%q],"forbid_regions":["south"]}},
+	"classes":{"money":{"rank":1,"money":true,"floor_rps":20,"services":{"meters":{"routes":{"credit":{"method":"POST","path":"/credits"}}}}},
+	"pages":{"rank":2,"floor_rps":40,"services":{"meters":{"routes":{"page":{"method":"GET","path":"/pages/*"}}}}}}}`, hold, digestOf("key-of-alder"), digestOf("key-of-birch")))
+}
--- a/wire/line.go
+++ b/wire/line.go
@@ -20,6 +20,9 @@
 	return &Line{client: &http.Client{Transport: transport}, made: map[string]any{}}
 }
 
+// Transport is what the line goes over.
+func (line *Line) Transport() http.RoundTripper { return line.client.Transport }
+
 func (line *Line) Close() { line.client.CloseIdleConnections() }
 
 // Ask sends one message and waits for its answer at most the limit.
