Simulated deaths are whole, so that a stale core's election can lose a change

Cause: a killed core's pending dials still reached the others once a cut was healed, so the stale core was mended by the dead and no run could tell an establishment that re-writes any register from one that re-writes the newest.

--- a/sim/chaos.go
+++ b/sim/chaos.go
@@ -17,7 +17,7 @@
 }
 
 // Kinds are the harms there are.
-var Kinds = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader"}
+var Kinds = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader", "alone", "stale-leader-lost", "stale-disk-lost"}
 
 func (chaos *Chaos) span(least, most time.Duration) time.Duration {
 	return least + time.Duration(chaos.random.Int64N(int64(most-least)))
@@ -81,9 +81,44 @@
 		for each := range world.Cores {
 			world.StartCore(each)
 		}
+	case "alone":
+		if leader := world.Leader(); leader >= 0 {
+			index = leader
+		}
+		world.isolate(index, true)
+		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
+		world.isolate(index, false)
+	case "stale-leader-lost", "stale-disk-lost":
+		leader := world.Leader()
+		if leader < 0 {
+			return
+		}
+		stale := (leader + 1) % len(world.Cores)
+		world.isolate(stale, true)
+		world.Rest(chaos.span(400*time.Millisecond, 1200*time.Millisecond))
+		lost := (leader + 2) % len(world.Cores)
+		world.KillCore(leader, true)
+		if kind == "stale-disk-lost" {
+			world.WipeCore(lost)
+			world.StartCore(lost)
+		}
+		world.isolate(stale, false)
+		world.Until(4*time.Second, func() bool { return world.Leader() >= 0 })
+		world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
+		world.StartCore(leader)
+		world.Until(10*time.Second, func() bool { return world.Cores[lost].Core.Sound() })
 	case "faults":
 		world.Net.Faults(Faults{LoseAsked: 60, LoseTold: 60, Twice: 100, SlowMs: 30})
 		world.Rest(chaos.span(500*time.Millisecond, 2*time.Second))
 		world.Net.Faults(Faults{})
 	}
 }
+
+// isolate cuts a core off from the other cores, not from the daemons.
+func (world *World) isolate(index int, cut bool) {
+	for other := range world.Cores {
+		if other != index {
+			world.Net.Cut(world.Cores[index].Host, world.Cores[other].Host, cut)
+		}
+	}
+}
--- a/sim/ledger.go
+++ b/sim/ledger.go
@@ -111,6 +111,9 @@
 	switch {
 	case mishap == nil:
 		ledger.Acked[change.Change] = outcome.Serial
+		if outcome.Serial != change.Base+1 {
+			ledger.world.broke("%s based on %d acknowledged as %d", change.Change, change.Base, outcome.Serial)
+		}
 	case mishap.Kind == wire.OutcomeUnknown || mishap.Kind == wire.Unreachable:
 		ledger.Unknown[change.Change] = true
 	default:
--- a/sim/net.go
+++ b/sim/net.go
@@ -30,6 +30,7 @@
 	conns     []*conn
 	cut       map[[2]string]bool
 	frozen    map[string]bool
+	lives     map[string]int
 	faults    Faults
 	threads   *run.Threads
 	Messages  int
@@ -42,7 +43,7 @@
 )
 
 func NewNet(seed uint64) *Net {
-	return &Net{random: rand.New(rand.NewPCG(seed, 13)), listeners: map[string]*listener{}, cut: map[[2]string]bool{}, frozen: map[string]bool{}, threads: run.NewThreads()}
+	return &Net{random: rand.New(rand.NewPCG(seed, 13)), listeners: map[string]*listener{}, cut: map[[2]string]bool{}, frozen: map[string]bool{}, lives: map[string]int{}, threads: run.NewThreads()}
 }
 
 func (net *Net) odds(of int) bool { return of > 0 && net.random.IntN(1000) < of }
@@ -99,9 +100,12 @@
 	net.mutex.Unlock()
 }
 
-// Kill breaks every connection of a host, as a killed process does.
+// Kill breaks every connection of a host, as a killed process does; bytes that
+// a cut held back are lost, since nobody is left to send them again. What the
+// dead process had under way reaches nobody any more.
 func (net *Net) Kill(name string) {
 	net.mutex.Lock()
+	net.lives[name]++
 	kept, broken := []*conn{}, []*conn{}
 	for _, conn := range net.conns {
 		if host(string(conn.local)) == name || host(string(conn.remote)) == name {
@@ -122,7 +126,8 @@
 		open.Close()
 	}
 	for _, conn := range broken {
-		conn.Close()
+		conn.in.close(true)
+		conn.out.close(conn.out.shut())
 	}
 }
 
@@ -183,12 +188,17 @@
 
 // Dialer is how a host reaches others.
 func (net *Net) Dialer(from string) func(ctx context.Context, network, to string) (net.Conn, error) {
-	return func(ctx context.Context, _, to string) (conn_ netConn, fault error) { return net.dial(ctx, from, to) }
+	net.mutex.Lock()
+	life := net.lives[from]
+	net.mutex.Unlock()
+	return func(ctx context.Context, _, to string) (conn_ netConn, fault error) {
+		return net.dial(ctx, from, to, func() bool { return net.lives[from] != life })
+	}
 }
 
 type netConn = net.Conn
 
-func (network *Net) dial(ctx context.Context, from, to string) (net.Conn, error) {
+func (network *Net) dial(ctx context.Context, from, to string, dead func() bool) (net.Conn, error) {
 	until := time.Now().Add(time.Second)
 	if limit, found := ctx.Deadline(); found && limit.Before(until) {
 		until = limit
@@ -204,7 +214,7 @@
 	}
 	network.mutex.Lock()
 	open := network.listeners[to]
-	if open == nil {
+	if open == nil || dead() {
 		network.mutex.Unlock()
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
 	}
--- /dev/null
+++ b/sim/stale_test.go
@@ -0,0 +1,33 @@
+package sim
+
+import (
+	"testing"
+	"time"
+)
+
+// A core that missed writes returns just as the leader dies, alone or with a
+// third core's disk: what was acknowledged without it must still win.
+func TestStaleCoreNeverWins(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		world.up(test, 1)
+		ledger := world.Operators(3, 100*time.Millisecond)
+		chaos := world.Chaos()
+		for round := range 8 {
+			kind := "stale-leader-lost"
+			if round%2 == 1 {
+				kind = "stale-disk-lost"
+			}
+			if !world.Until(10*time.Second, func() bool { return world.Leader() >= 0 }) {
+				world.broke("no leader before round %d", round)
+			}
+			world.Rest(500 * time.Millisecond)
+			chaos.Harm(kind, 0)
+		}
+		ledger.Stop()
+		ledger.Judge()
+		test.Logf("%d acknowledged, %d leaderships, harms %v", len(ledger.Acked), len(world.Leads), chaos.Done)
+		world.report(test)
+	})
+}
