--- a/conf/patch.go
+++ b/conf/patch.go
@@ -4,11 +4,17 @@
 	"bytes"
 	"encoding/json"
 
+	"github.com/go-faster/jx"
 	"orchidjunction/wire"
 )
 
 // Patch lays a partial tree over a whole one: objects merge, null removes.
 func Patch(base, partial []byte) ([]byte, *wire.Mishap) {
+	reader := &reader{}
+	reader.once(jx.DecodeBytes(partial), "")
+	if len(reader.details) > 0 {
+		return nil, reader.refusal()
+	}
 	var whole, part any
 	for _, pair := range []struct {
 		text []byte
@@ -33,6 +39,21 @@
 	return body, nil
 }
 
+// once names every field that an object gives twice, at any depth.
+func (reader *reader) once(decoder *jx.Decoder, path string) {
+	switch decoder.Next() {
+	case jx.Object:
+		reader.each(decoder, path, func(decoder *jx.Decoder, _, inner string) { reader.once(decoder, inner) })
+	case jx.Array:
+		reader.syntax(path, decoder.Arr(func(decoder *jx.Decoder) error {
+			reader.once(decoder, path)
+			return reader.broken
+		}))
+	default:
+		reader.syntax(path, decoder.Skip())
+	}
+}
+
 func merge(whole, part any) any {
 	branch, object := part.(map[string]any)
 	if !object {
--- a/conf/read.go
+++ b/conf/read.go
@@ -29,11 +29,15 @@
 		reader.check(settings)
 	}
 	if len(reader.details) > 0 {
-		return nil, &wire.Mishap{Kind: wire.Invalid, Cause: fmt.Sprintf("%d wrong", len(reader.details)), Details: reader.details}
+		return nil, reader.refusal()
 	}
 	return settings, nil
 }
 
+func (reader *reader) refusal() *wire.Mishap {
+	return &wire.Mishap{Kind: wire.Invalid, Cause: fmt.Sprintf("%d wrong", len(reader.details)), Details: reader.details}
+}
+
 type reader struct {
 	details []wire.Detail
 	broken  error
--- /dev/null
+++ b/conf/read_test.go
@@ -0,0 +1,52 @@
+package conf_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"orchidjunction/conf"
+)
+
+// TestTree lays one partial change over the small example and shows what is
+// wrong with the whole, or what one route then inherits.
+func TestTree(test *testing.T) {
+	base, fault := os.ReadFile("../examples/small.json")
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	datadriven.Walk(test, "testdata/tree", func(test *testing.T, path string) {
+		datadriven.RunTest(test, path, func(test *testing.T, line *datadriven.TestData) string {
+			body := []byte(line.Input)
+			if line.Cmd != "text" {
+				patched, mishap := conf.Patch(base, body)
+				if mishap != nil {
+					return mishap.Error() + "\n"
+				}
+				body = patched
+			}
+			settings, mishap := conf.Read(body)
+			if mishap != nil {
+				lines := []string{}
+				for _, detail := range mishap.Details {
+					lines = append(lines, fmt.Sprintf("%s: %s: %s", detail.Path, detail.Kind, detail.Cause))
+				}
+				return strings.Join(lines, "\n") + "\n"
+			}
+			if line.Cmd != "effective" {
+				return "valid\n"
+			}
+			var route, field string
+			line.ScanArgs(test, "route", &route)
+			line.ScanArgs(test, "field", &field)
+			for _, effective := range settings.Resolve() {
+				if effective.Route == route {
+					return fmt.Sprintf("%v from %s\n", effective.Values[field].Value, effective.Values[field].From)
+				}
+			}
+			return "no such route\n"
+		})
+	})
+}
--- a/control/store.go
+++ b/control/store.go
@@ -18,7 +18,7 @@
 	Accepted [wire.Registers]wire.Accepted
 }
 
-func (state *State) Marks() wire.Marks {
+func (state State) Marks() wire.Marks {
 	marks := wire.Marks{}
 	for register := range marks {
 		marks[register] = state.Accepted[register].Mark()
@@ -96,6 +96,9 @@
 		if mishap := store.loadSnapshot(first); mishap != nil {
 			return nil, mishap
 		}
+		if mishap := store.sweep(first); mishap != nil {
+			return nil, mishap
+		}
 	}
 	for len(segments) > 0 && segments[0] < first {
 		segments = segments[1:]
@@ -248,12 +251,17 @@
 		return mishap
 	}
 	before.Close()
+	return store.sweep(next)
+}
+
+// sweep removes what the snapshot of that number replaces.
+func (store *Store) sweep(number uint64) *wire.Mishap {
 	names, fault := store.disk.List()
 	if fault != nil {
 		return storeFault(wire.DiskFault, fault, "list")
 	}
 	for _, name := range names {
-		if strings.HasPrefix(name, "segment-") && name < segmentName(next) || strings.HasPrefix(name, "snapshot-") && name < snapshotName(next) {
+		if strings.HasPrefix(name, "segment-") && name < segmentName(number) || strings.HasPrefix(name, "snapshot-") && name < snapshotName(number) {
 			if fault := store.disk.Remove(name); fault != nil {
 				return storeFault(wire.DiskFault, fault, "remove %s", name)
 			}
--- /dev/null
+++ b/control/store_test.go
@@ -0,0 +1,102 @@
+package control_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"orchidjunction/control"
+	"orchidjunction/sim"
+	"orchidjunction/wire"
+)
+
+// fill makes steps on a voter and returns what it answered for last.
+func fill(test *testing.T, disk *sim.Disk, random *rand.Rand, steps int) control.State {
+	test.Helper()
+	store, mishap := control.OpenStore(disk)
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	voter := control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
+	voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{})
+	for range steps {
+		ballot := voter.State().Promised
+		ballot.Round++
+		ballot.Core = 1
+		if random.IntN(2) == 0 {
+			voter.Promise(ballot)
+			continue
+		}
+		voter.Accept(&wire.Accept{Ballot: ballot, Register: wire.Register(random.IntN(2)), Value: wire.Value{Serial: ballot.Round, Body: make([]byte, random.IntN(300_000))}})
+	}
+	return *voter.State()
+}
+
+func same(left, right control.State) bool {
+	return left.Founded == right.Founded && left.Promised == right.Promised && left.Marks() == right.Marks()
+}
+
+// Whatever was answered lasts through a power loss, over many segments.
+func TestAnsweredLasts(test *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		disk := sim.NewDisk(seed)
+		for round := range 4 {
+			answered := fill(test, disk, random, 15)
+			disk = disk.Sever(true)
+			store, mishap := control.OpenStore(disk)
+			if mishap != nil {
+				test.Fatalf("seed %d round %d: %v", seed, round, mishap)
+			}
+			if !same(answered, store.State()) {
+				test.Fatalf("seed %d round %d: answered %v %v, kept %v %v", seed, round, answered.Promised, answered.Marks(), store.State().Promised, store.State().Marks())
+			}
+			store.Close()
+		}
+		names, _ := disk.List()
+		if len(names) > 2 {
+			test.Fatalf("old files stay: %v", names)
+		}
+	}
+}
+
+// A torn tail is cut; a flipped bit anywhere before it stops the daemon.
+func TestTornTailIsCutAndWornBitsStop(test *testing.T) {
+	stopped, cut := 0, 0
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		disk := sim.NewDisk(seed)
+		before := fill(test, disk, random, 1+random.IntN(6))
+		names, _ := disk.List()
+		name := names[len(names)-1]
+		length := disk.Size(name)
+		whole := disk.Fork()
+		fill(test, disk, random, 1)
+		grown := disk.Size(name)
+		if grown <= length || strings.HasPrefix(name, "snapshot") {
+			continue
+		}
+		torn := disk.Fork()
+		torn.Cut(name, length+random.IntN(grown-length))
+		store, mishap := control.OpenStore(torn)
+		if mishap != nil || !same(before, store.State()) {
+			test.Fatalf("seed %d: torn tail gave %v", seed, mishap)
+		}
+		cut++
+		if length == 0 {
+			continue
+		}
+		disk.Harm(name, random.IntN(length))
+		if _, mishap := control.OpenStore(disk); mishap == nil || mishap.Kind != wire.Corrupt {
+			test.Fatalf("seed %d: worn bit gave %v", seed, mishap)
+		}
+		stopped++
+		if store, mishap := control.OpenStore(whole); mishap != nil || !same(before, store.State()) {
+			test.Fatalf("seed %d: %v", seed, mishap)
+		}
+	}
+	if stopped < 20 || cut < 20 {
+		test.Fatal(fmt.Sprint("too few tried: ", stopped, cut))
+	}
+}
--- /dev/null
+++ b/control/voter_test.go
@@ -0,0 +1,72 @@
+package control_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"orchidjunction/control"
+	"orchidjunction/sim"
+	"orchidjunction/wire"
+)
+
+// TestVoter sends one message after another, each changed in one thing, and
+// shows what was answered and what a power loss would leave.
+func TestVoter(test *testing.T) {
+	datadriven.Walk(test, "testdata/voter", func(test *testing.T, path string) {
+		disk := sim.NewDisk(1)
+		raised := []string{}
+		open := func() *control.Voter {
+			store, mishap := control.OpenStore(disk)
+			if mishap != nil {
+				test.Fatal(mishap)
+			}
+			return control.NewVoter(store, func(mishap *wire.Mishap) { raised = append(raised, string(mishap.Kind)) }, func(ballot wire.Ballot) { raised = append(raised, "raised to "+ballot.String()) })
+		}
+		voter := open()
+		datadriven.RunTest(test, path, func(test *testing.T, line *datadriven.TestData) string {
+			var round uint64
+			var core, register int
+			var serial uint64
+			line.MaybeScanArgs(test, "round", &round)
+			line.MaybeScanArgs(test, "core", &core)
+			line.MaybeScanArgs(test, "register", &register)
+			line.MaybeScanArgs(test, "serial", &serial)
+			ballot := wire.Ballot{Round: round, Core: core}
+			answer := ""
+			raised = nil
+			switch line.Cmd {
+			case "found":
+				answer = fmt.Sprint(voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}) == nil)
+			case "promise":
+				if told, mishap := voter.Promise(ballot); mishap != nil {
+					answer = string(mishap.Kind)
+				} else {
+					answer = fmt.Sprintf("granted %v, promised %s, settings %d under %s", told.Granted, told.Promised, told.Accepted[0].Value.Serial, told.Accepted[0].Ballot)
+				}
+			case "accept":
+				if told, mishap := voter.Accept(&wire.Accept{Ballot: ballot, Register: wire.Register(register), Value: wire.Value{Serial: serial}}); mishap != nil {
+					answer = string(mishap.Kind)
+				} else {
+					answer = fmt.Sprintf("taken %v, promised %s", told.Taken, told.Promised)
+				}
+			case "fail":
+				disk.Fail(true)
+				answer = "every write fails from here"
+			case "power":
+				disk = disk.Sever(true)
+				voter = open()
+				state := voter.State()
+				answer = fmt.Sprintf("founded %v, promised %s, settings %d under %s, reports %d under %s", state.Founded, state.Promised,
+					state.Accepted[0].Value.Serial, state.Accepted[0].Ballot, state.Accepted[1].Value.Serial, state.Accepted[1].Ballot)
+			default:
+				test.Fatalf("no command %s", line.Cmd)
+			}
+			if len(raised) > 0 {
+				answer += "; " + strings.Join(raised, ", ")
+			}
+			return answer + "\n"
+		})
+	})
+}
--- a/data/budget.go
+++ b/data/budget.go
@@ -5,65 +5,96 @@
 	"time"
 )
 
-const budgetCells = 20
-
-// Budget lets resends be a part of the first sends plus a share of the floor,
-// over a window that slides.
+// Budget lets resends be a part of the first sends plus this proxy's share of
+// the fleet's floor. Tokens come from first sends and, slowly, from the floor;
+// what is kept at most is half the floor, so that kept and coming tokens
+// together never pass the floor in any ten seconds.
 type Budget struct {
-	mutex  sync.Mutex
-	span   time.Duration
-	cells  [budgetCells + 1]budgetCell
-	shares int
+	mutex    sync.Mutex
+	span     time.Duration
+	begun    time.Time
+	last     time.Time
+	tokens   float64
+	shares   []budgetShare
+	fraction float64
+	floor    float64
+}
+
+// budgetShare is among how many proxies the floor was split, and when that was last so.
+type budgetShare struct {
+	count int
+	until time.Time
 }
 
-type budgetCell struct {
-	number  int64
-	first   int
-	resends int
+func NewBudget() *Budget {
+	now := time.Now()
+	return &Budget{span: 10 * time.Second, begun: now, last: now, shares: []budgetShare{{count: 1, until: now}}}
 }
 
-func NewBudget() *Budget { return &Budget{span: 10 * time.Second, shares: 1} }
+// Share says among how many proxies the fleet's floor is split now.
+func (budget *Budget) Share(count int) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.fill()
+	if last := &budget.shares[len(budget.shares)-1]; last.count != max(count, 1) {
+		budget.shares = append(budget.shares, budgetShare{count: max(count, 1)})
+	}
+	budget.shares[len(budget.shares)-1].until = time.Now()
+}
 
-// Share says among how many proxies the fleet's floor is split.
-func (budget *Budget) Share(shares int) {
+// Rule sets what operators allow.
+func (budget *Budget) Rule(fraction float64, floor int) {
 	budget.mutex.Lock()
-	budget.shares = max(shares, 1)
+	budget.fill()
+	budget.fraction, budget.floor = fraction, float64(floor)
 	budget.mutex.Unlock()
 }
 
-func (budget *Budget) cell(now time.Time) *budgetCell {
-	number := now.UnixNano() / int64(budget.span/budgetCells)
-	cell := &budget.cells[number%int64(len(budget.cells))]
-	if cell.number != number {
-		*cell = budgetCell{number: number}
+// among is the largest split of the last span: proxies that left may still
+// have used their share.
+func (budget *Budget) among() float64 {
+	now := time.Now()
+	budget.shares[len(budget.shares)-1].until = now
+	for len(budget.shares) > 1 && now.Sub(budget.shares[0].until) > budget.span {
+		budget.shares = budget.shares[1:]
+	}
+	most := 1
+	for _, share := range budget.shares {
+		most = max(most, share.count)
 	}
-	return cell
+	return float64(most)
 }
 
+// fill brings the floor's tokens; a proxy that has just started gets none
+// until the others surely split with it.
+func (budget *Budget) fill() {
+	now := time.Now()
+	half := budget.floor / 2 / budget.among()
+	if now.Sub(budget.begun) > budget.span {
+		budget.tokens += half * float64(now.Sub(budget.last)) / float64(budget.span)
+	}
+	budget.tokens = min(budget.tokens, budget.most())
+	budget.last = now
+}
+
+func (budget *Budget) most() float64 { return max(budget.floor/2/budget.among(), 1) }
+
 // First counts a task's first send.
 func (budget *Budget) First() {
 	budget.mutex.Lock()
-	budget.cell(time.Now()).first++
-	budget.mutex.Unlock()
+	defer budget.mutex.Unlock()
+	budget.fill()
+	budget.tokens = min(budget.tokens+budget.fraction, budget.most())
 }
 
-// Take grants one resend when the window has room.
-func (budget *Budget) Take(fraction float64, floor int) bool {
+// Take grants one resend.
+func (budget *Budget) Take() bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	now := budget.cell(time.Now())
-	first, resends := 0, 0
-	for index := range budget.cells {
-		if cell := &budget.cells[index]; cell.number > now.number-int64(len(budget.cells)) {
-			if cell.number > now.number-budgetCells {
-				first += cell.first
-			}
-			resends += cell.resends
-		}
-	}
-	if float64(resends+1) > fraction*float64(first)+float64(floor)/float64(budget.shares) {
+	budget.fill()
+	if budget.tokens < 1 {
 		return false
 	}
-	now.resends++
+	budget.tokens--
 	return true
 }
--- /dev/null
+++ b/data/budget_test.go
@@ -0,0 +1,55 @@
+package data
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// In any ten seconds resends stay within a fifth and the share of the floor,
+// however first sends and wishes for resends come.
+func TestBudgetInAnySpan(test *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(test, func(test *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			budget := NewBudget()
+			budget.Share(3)
+			budget.Rule(0.2, 60)
+			type event struct {
+				at    time.Time
+				again bool
+			}
+			events := []event{}
+			pace := time.Millisecond
+			granted := 0
+			for range 20_000 {
+				if random.IntN(200) == 0 {
+					pace = time.Duration(100+random.IntN(20_000)) * time.Microsecond
+				}
+				time.Sleep(pace)
+				if random.IntN(2) == 0 {
+					budget.First()
+					events = append(events, event{time.Now(), false})
+				} else if budget.Take() {
+					granted++
+					events = append(events, event{time.Now(), true})
+				}
+				first, again := 0, 0
+				for index := len(events) - 1; index >= 0 && time.Since(events[index].at) < 10*time.Second; index-- {
+					if events[index].again {
+						again++
+					} else {
+						first++
+					}
+				}
+				if len(events)%50 == 0 && float64(again) > 0.2*float64(first)+20 {
+					test.Fatalf("seed %d: %d resends beside %d first sends", seed, again, first)
+				}
+			}
+			if granted < 1000 {
+				test.Fatalf("seed %d: only %d granted", seed, granted)
+			}
+		})
+	}
+}
--- a/data/proxy.go
+++ b/data/proxy.go
@@ -50,6 +50,7 @@
 	}
 	shares = max(shares, 1)
 	proxy.budget.Share(shares)
+	proxy.budget.Rule(version.Settings.Retry.Fraction, version.Settings.Retry.Floor)
 	next := &plan{services: map[string][]*Target{}}
 	if before := proxy.plan.Load(); before != nil && before.routes.Serial == version.Serial {
 		next.routes = before.routes
--- a/data/task.go
+++ b/data/task.go
@@ -181,10 +181,9 @@
 // out of budget or out of time.
 func (task *task) send() *wire.Mishap {
 	last := &wire.Mishap{Kind: wire.NoBackend, Cause: "no backend can take this now", Retry: comeBack, Outcome: wire.NotRun}
-	retry := task.plan.routes.settings.Retry
 	mayRun := false
 	for sends := 0; sends < task.rule.Whole("sends"); sends++ {
-		if sends > 0 && !task.proxy.budget.Take(retry.Fraction, retry.Floor) {
+		if sends > 0 && !task.proxy.budget.Take() {
 			task.proxy.counts.Add("resends_refused", 1)
 			break
 		}
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -67,6 +67,16 @@
 	if power {
 		disk.PowerLoss()
 	}
+	next := disk.Fork()
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	disk.failing, disk.stalled = true, false
+	disk.wake.Broadcast()
+	return next
+}
+
+// Fork is a second disk with the same content.
+func (disk *Disk) Fork() *Disk {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
 	next := NewDisk(disk.random.Uint64())
@@ -77,8 +87,6 @@
 			next.lasting[name] = kept
 		}
 	}
-	disk.failing, disk.stalled = true, false
-	disk.wake.Broadcast()
 	return next
 }
 
@@ -224,3 +232,10 @@
 }
 
 func (file *file) Close() error { return nil }
+
+// Cut leaves only the first bytes of a file.
+func (disk *Disk) Cut(name string, size int) {
+	disk.mutex.Lock()
+	disk.files[name].body = disk.files[name].body[:size]
+	disk.mutex.Unlock()
+}
--- /dev/null
+++ b/sim/traffic_test.go
@@ -0,0 +1,187 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"orchidjunction/stand"
+)
+
+// plan is a mix of money, pages and one large receipt.
+func (world *World) plan(perSecond int, seconds float64) stand.OriginPlan {
+	plan := stand.OriginPlan{PerSecond: perSecond, Seconds: seconds, Tries: 4, Seed: world.Seed,
+		Callers: []stand.Caller{{Tenant: "alder", Key: "key-of-alder", Weight: 2}, {Tenant: "birch", Key: "key-of-birch", Weight: 1}},
+		Calls: []stand.Call{{Weight: 40, Method: "POST", Path: "/meters/credits", Money: true, Body: 50, LimitMs: 2000},
+			{Weight: 55, Method: "GET", Path: "/meters/pages/7?bytes=500", LimitMs: 2000},
+			{Weight: 5, Method: "GET", Path: "/meters/pages/9?bytes=1500000", LimitMs: 2000}}}
+	for _, daemon := range world.Daemons {
+		if daemon.Kind == "dir" {
+			plan.Directories = append(plan.Directories, daemon.Outer)
+		}
+	}
+	return plan
+}
+
+// judgeTraffic compares what callers were told with what backends saw.
+func (world *World) judgeTraffic(report stand.OriginReport, seen []stand.Seen) {
+	charges, sends := map[string]int{}, map[string]int{}
+	for _, backend := range seen {
+		for key, count := range backend.Charges {
+			charges[key] += count
+		}
+		for _, arrival := range backend.Arrivals {
+			sends[arrival.Task]++
+		}
+		if backend.ForeignTasks+backend.LateTasks+backend.SlidBack > 0 {
+			world.broke("%s saw %d foreign, %d late, %d slid back", backend.Instance, backend.ForeignTasks, backend.LateTasks, backend.SlidBack)
+		}
+	}
+	for key, count := range charges {
+		if count > 1 {
+			world.broke("%s charged %d times", key, count)
+		}
+	}
+	for key, outcome := range report.Money {
+		if outcome.Paid && charges[key] == 0 {
+			world.broke("%s paid and not charged", key)
+		}
+		if outcome.NotRun && charges[key] > 0 {
+			world.broke("%s told not run and charged", key)
+		}
+	}
+	if report.Mangled+report.Foreign > 0 {
+		world.broke("%d receipts mangled, %d foreign", report.Mangled, report.Foreign)
+	}
+}
+
+func (world *World) seen() []stand.Seen {
+	all := []stand.Seen{}
+	for _, backend := range world.Backends {
+		all = append(all, backend.Backend.Seen())
+	}
+	return all
+}
+
+// Backends lose answers, send garbage, break and leave while callers go on.
+func TestBackendsMisbehave(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		zones := []string{"e1", "w1", "s1"}
+		for index := range 6 {
+			world.AddBackend("meters", zones[index%3], stand.BackendPlace{WorkMs: 5, Room: 16, GentleRate: 10})
+		}
+		world.up(test, 5)
+		origin, client := world.Origin(world.plan(40, 20))
+		random := rand.New(rand.NewPCG(seed, 31))
+		done := atomic.Bool{}
+		world.threads.Start(func() {
+			for !done.Load() {
+				kinds := []string{"lose", "garbage", "truncate", "foreign", "overlong", "vanish", "busy"}
+				world.Backends[random.IntN(6)].Backend.Misbehave(kinds[random.IntN(len(kinds))], 1+random.IntN(3))
+				world.threads.Rest(time.Duration(50+random.IntN(300)) * time.Millisecond)
+			}
+		})
+		world.threads.Start(func() {
+			world.threads.Rest(8 * time.Second)
+			world.Backends[1].Backend.Leave()
+		})
+		report := origin.Run(world.threads.Rest)
+		done.Store(true)
+		client.CloseIdleConnections()
+		world.judgeTraffic(report, world.seen())
+		if report.Served < report.Asked*8/10 {
+			world.broke("only %d of %d served: %v", report.Served, report.Asked, report.Statuses)
+		}
+		test.Logf("%d asked, %d served, %d unknown, statuses %v", report.Asked, report.Served, report.Unknown, report.Statuses)
+		world.report(test)
+	})
+}
+
+// A backend's address goes to another service, and its pipes are still open.
+func TestReusedAddress(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		for range 3 {
+			world.AddBackend("meters", "e1", stand.BackendPlace{WorkMs: 5, Room: 16})
+		}
+		world.up(test, 5)
+		origin, client := world.Origin(world.plan(60, 10))
+		old := world.Backends[0].Backend
+		world.threads.Start(func() {
+			world.Rest(3 * time.Second)
+			world.StopBackend(world.Backends[0])
+			other, _ := stand.NewBackend(stand.BackendPlace{Service: "gifts", Instance: "stranger", Incarnation: "2", WorkMs: 5})
+			world.ServeBackend(world.Backends[0], other)
+		})
+		report := origin.Run(world.threads.Rest)
+		client.CloseIdleConnections()
+		stranger := world.Backends[0].Backend.Seen()
+		if stranger.Tasks != 0 {
+			world.broke("%d tasks reached another service's backend", stranger.Tasks)
+		}
+		world.judgeTraffic(report, append(world.seen(), old.Seen()))
+		if old.Seen().Tasks == 0 || report.Served < report.Asked*9/10 {
+			world.broke("%d tasks at the old backend, %d of %d served", old.Seen().Tasks, report.Served, report.Asked)
+		}
+		world.report(test)
+	})
+}
+
+// Wrong callers touch no backend.
+func TestRefusalsTouchNoBackend(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		world.AddBackend("meters", "e1", stand.BackendPlace{WorkMs: 5, Room: 16})
+		world.AddBackend("meters", "s1", stand.BackendPlace{WorkMs: 5, Room: 16})
+		world.up(test, 5)
+		_, client := world.Origin(world.plan(1, 1))
+		front := func(zone string) string {
+			for _, daemon := range world.Daemons {
+				if daemon.Kind == "proxy" && daemon.Zone == zone {
+					return daemon.Outer
+				}
+			}
+			return ""
+		}
+		for _, wrong := range []struct{ method, zone, path, key, header, value, body, want string }{
+			{"GET", "w1", "/meters/pages/1", "", "", "", "", "401 unknown_key"},
+			{"GET", "w1", "/meters/pages/1", "key-of-nobody", "", "", "", "401 unknown_key"},
+			{"GET", "w1", "/meters/pages/1", "key-of-alder", "Oj-Tenant", "birch", "", "403 wrong_tenant"},
+			{"GET", "s1", "/meters/pages/1", "key-of-birch", "", "", "", "403 forbidden_region"},
+			{"GET", "w1", "/meters/nothing", "key-of-alder", "", "", "", "404 unknown_route"},
+			{"GET", "w1", "/nobody/pages/1", "key-of-alder", "", "", "", "404 unknown_route"},
+			{"POST", "w1", "/meters/pages/1", "key-of-alder", "", "", "", "405 wrong_method"},
+			{"POST", "w1", "/meters/credits", "key-of-alder", "", "", "x", "400 money_key_required"},
+			{"POST", "w1", "/meters/credits", "key-of-alder", "Idempotency-Key", strings.Repeat("k", 201), "x", "400 money_key_required"},
+			{"POST", "w1", "/meters/credits", "key-of-alder", "Idempotency-Key", "k", strings.Repeat("x", 70_000), "413 too_large"},
+			{"GET", "w1", "/meters/pages/1", "key-of-alder", "Oj-Limit-Ms", "soon", "", "400 bad_request"},
+		} {
+			status, code := world.ask(client, wrong.method, "http://"+front(wrong.zone)+wrong.path, wrong.key, wrong.header, wrong.value, wrong.body)
+			if got := fmt.Sprintf("%d %s", status, code); got != wrong.want {
+				world.broke("%s %s with %s %.20s: %s, want %s", wrong.method, wrong.path, wrong.key, wrong.value, got, wrong.want)
+			}
+		}
+		for _, backend := range world.seen() {
+			if backend.Tasks > 0 {
+				world.broke("%s was touched", backend.Instance)
+			}
+		}
+		for range 20 {
+			if status, _ := world.ask(client, "GET", "http://"+front("w1")+"/meters/pages/1", "key-of-birch", "", "", ""); status != 200 {
+				world.broke("a good call got %d", status)
+			}
+		}
+		if south := world.seen()[1]; south.Tasks > 0 {
+			world.broke("a forbidden region's backend served %d tasks", south.Tasks)
+		}
+		client.CloseIdleConnections()
+		world.report(test)
+	})
+}
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -242,6 +242,7 @@
 		hijack(writer, fmt.Sprintf("HTTP/1.1 200 OK\r\nOj-Task: %s\r\nContent-Length: %d\r\n\r\n%s", request.Header.Get("Oj-Task"), len(answer), answer[:len(answer)/2]))
 	case "foreign":
 		header.Set("Oj-Task", "someone-else")
+		header.Set("Stand-For", "someone else")
 		writer.Write(answer)
 	case "overlong":
 		hijack(writer, fmt.Sprintf("HTTP/1.1 200 OK\r\nOj-Task: %s\r\nContent-Length: %d\r\n\r\n", request.Header.Get("Oj-Task"), int64(1)<<40))
--- /dev/null
+++ b/wire/codec_test.go
@@ -0,0 +1,83 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"orchidjunction/run"
+)
+
+// One message, changed in one field at a time: what nobody knows, what has the
+// wrong type and what lies out of range is refused and counted, and the door lives on.
+func TestDoorRefusesOneFieldAtATime(test *testing.T) {
+	counts := run.NewCounts()
+	door := NewDoor(counts)
+	taken := 0
+	Take(door, "beat", func(context.Context, *Beat) (*BeatTold, error) {
+		taken++
+		return &BeatTold{Taken: true}, nil
+	})
+	good := map[string]any{"Ballot": map[string]any{"Round": 3, "Core": 1}, "Duck": false}
+	send := func(path, kind string, body []byte) int {
+		request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body))
+		request.Header.Set("Content-Type", kind)
+		recorder := httptest.NewRecorder()
+		door.ServeHTTP(recorder, request)
+		io.Copy(io.Discard, recorder.Body)
+		return recorder.Code
+	}
+	pack := func(change func(map[string]any)) []byte {
+		message := map[string]any{}
+		for name, value := range good {
+			message[name] = value
+		}
+		change(message)
+		body, fault := msgpack.Marshal(message)
+		if fault != nil {
+			test.Fatal(fault)
+		}
+		return body
+	}
+	plain := pack(func(map[string]any) {})
+	if code := send("/oj/beat", "application/msgpack", plain); code != http.StatusOK || taken != 1 {
+		test.Fatalf("the good message: %d", code)
+	}
+	for name, body := range map[string][]byte{
+		"unknown field":      pack(func(message map[string]any) { message["Colour"] = 1 }),
+		"unknown inner":      pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 3, "Core": 1, "Age": 2} }),
+		"text for a ballot":  pack(func(message map[string]any) { message["Ballot"] = "3.1" }),
+		"text for a round":   pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": "three", "Core": 1} }),
+		"number for a flag":  pack(func(message map[string]any) { message["Duck"] = "yes" }),
+		"no ballot":          pack(func(message map[string]any) { delete(message, "Ballot") }),
+		"round 0":            pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 0, "Core": 1} }),
+		"core 0":             pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 3, "Core": 0} }),
+		"core 100":           pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 3, "Core": 100} }),
+		"truncated":          plain[:len(plain)-1],
+		"bytes behind":       append(append([]byte{}, plain...), 0),
+		"not msgpack":        []byte("{\"Ballot\":1}"),
+		"a list":             {0x93, 1, 2, 3},
+		"huge announced map": {0xdf, 0xff, 0xff, 0xff, 0xff},
+	} {
+		before := counts.Get("wire_bad_message")
+		if code := send("/oj/beat", "application/msgpack", body); code == http.StatusOK {
+			test.Errorf("%s is taken", name)
+		}
+		if counts.Get("wire_bad_message") != before+1 {
+			test.Errorf("%s is not counted", name)
+		}
+	}
+	if code := send("/oj/nothing", "application/msgpack", plain); code != http.StatusNotFound || counts.Get("wire_unknown_message") != 1 {
+		test.Errorf("unknown message: %d", code)
+	}
+	if code := send("/oj/beat", "application/json", []byte("{}")); code == http.StatusOK {
+		test.Errorf("json is taken")
+	}
+	if code := send("/oj/beat", "application/msgpack", plain); code != http.StatusOK || taken != 2 {
+		test.Errorf("the good message afterwards: %d, taken %d", code, taken)
+	}
+}
