--- /dev/null
+++ b/fleet/harms.go
@@ -0,0 +1,343 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"orchidjunction/operator"
+)
+
+// stop ends a process by a signal, waits, rests and starts it again.
+func (fleet *Fleet) stop(process *Process, signal syscall.Signal, away time.Duration) {
+	process.Signal(signal)
+	if code := process.Wait(9 * time.Second); signal == syscall.SIGTERM && code != 0 {
+		fleet.codes = append(fleet.codes, fmt.Sprintf("%s exit %d", process.Name, code))
+	}
+	fleet.threads.Rest(away)
+	if mishap := process.Start(); mishap != nil {
+		fleet.codes = append(fleet.codes, mishap.Error())
+	}
+}
+
+func (fleet *Fleet) random() *rand.Rand { return rand.New(rand.NewPCG(fleet.Spec.Seed, 41)) }
+
+func (fleet *Fleet) fault(process *Process, mode string, count int) {
+	response, fault := fleet.client.Get(fmt.Sprintf("http://%s/stand/fault?mode=%s&count=%d", process.Outer, mode, count))
+	if fault == nil {
+		response.Body.Close()
+	}
+}
+
+func backendsMisbehave(fleet *Fleet) {
+	random := fleet.random()
+	for range 30 {
+		kinds := []string{"lose", "garbage", "truncate", "foreign", "overlong", "vanish", "busy"}
+		fleet.fault(fleet.Backends[random.IntN(len(fleet.Backends))], kinds[random.IntN(len(kinds))], 1+random.IntN(3))
+		fleet.rest(0.03)
+	}
+}
+
+func backendsCrash(fleet *Fleet) {
+	random := fleet.random()
+	for range 4 {
+		fleet.rest(0.1)
+		process := fleet.Backends[random.IntN(len(fleet.Backends))]
+		fleet.Lose(process)
+		fleet.stop(process, syscall.SIGKILL, time.Second)
+	}
+}
+
+func backendsVanish(fleet *Fleet) {
+	fleet.rest(0.1)
+	for _, process := range fleet.Backends[:2] {
+		process.Signal(syscall.SIGSTOP)
+	}
+	fleet.rest(0.4)
+	for _, process := range fleet.Backends[:2] {
+		process.Signal(syscall.SIGCONT)
+	}
+}
+
+// backendsReplaced stops them one by one with the platform's warning; each comes back cold.
+func backendsReplaced(fleet *Fleet) {
+	for _, process := range fleet.Backends[:min(4, len(fleet.Backends))] {
+		fleet.Lose(process)
+		process.arguments = fleet.backArguments(process, 6000)
+		fleet.stop(process, syscall.SIGTERM, 300*time.Millisecond)
+		fleet.rest(0.05)
+	}
+}
+
+// addressReused gives a dead backend's address to another service's backend.
+func addressReused(fleet *Fleet) {
+	fleet.rest(0.2)
+	process := fleet.Backends[0]
+	fleet.Lose(process)
+	process.Signal(syscall.SIGKILL)
+	process.Wait(time.Second)
+	fleet.lost = append(fleet.lost, fleet.journal(process))
+	other := fleet.services[len(fleet.services)-1]
+	process.arguments = []string{"--listen", process.Outer, "--service", other, "--instance", "stranger", "--journal", filepath.Join(fleet.Spec.Folder, "stranger.charges")}
+	process.Start()
+}
+
+func backendDrained(fleet *Fleet) {
+	fleet.rest(0.2)
+	fleet.drain("backends", fleet.Backends[0].Name)
+	fleet.rest(0.5)
+	fleet.drain("backends", "")
+}
+
+func zoneEmptied(fleet *Fleet) {
+	fleet.rest(0.2)
+	fleet.drain("zones", fleet.zones[0])
+	fleet.rest(0.5)
+	fleet.drain("zones", "")
+}
+
+// drain empties what is named, or refills all, and notes the window for the verdict.
+func (fleet *Fleet) drain(kind, name string) {
+	names := []string{}
+	if name != "" {
+		names = append(names, name)
+	}
+	body, _ := json.Marshal(map[string]any{"drained": map[string][]string{kind: names}})
+	if !fleet.patch(body) {
+		fleet.codes = append(fleet.codes, "drain not acknowledged")
+		return
+	}
+	now := time.Now().UnixMilli()
+	for index := range fleet.emptied {
+		if fleet.emptied[index].until == 0 {
+			fleet.emptied[index].until = now
+		}
+	}
+	for _, process := range fleet.Backends {
+		if name != "" && (process.Name == name || process.Zone == name) {
+			fleet.emptied = append(fleet.emptied, window{subject: process.Name, from: now + 4000})
+		}
+	}
+}
+
+// window is a span in which a backend or a tenant must not be seen.
+type window struct {
+	subject string
+	tenant  bool
+	from    int64
+	until   int64
+}
+
+// patch makes a partial change, again after lost races.
+func (fleet *Fleet) patch(body []byte) bool {
+	for try := range 20 {
+		settings, mishap := fleet.Operator(try).Read(false)
+		if mishap == nil && settings.Confirmed {
+			if _, mishap = fleet.Operator(try).Patch(operator.Change{Base: settings.Serial, Change: fmt.Sprintf("fleet-%d-%d", time.Now().UnixNano(), try), Operator: "ojfleet", Settings: body}); mishap == nil {
+				return true
+			}
+		}
+		fleet.threads.Rest(30 * time.Millisecond)
+	}
+	return false
+}
+
+func keysWithdrawn(fleet *Fleet) {
+	fleet.rest(0.3)
+	names := sortedKeys(fleet.settings.Tenants)
+	name := names[0]
+	if fleet.patch([]byte(fmt.Sprintf(`{"tenants":{%q:{"keys":[]}}}`, name))) {
+		fleet.emptied = append(fleet.emptied, window{subject: name, tenant: true, from: time.Now().UnixMilli() + 4000})
+	}
+}
+
+func settingsLarge(fleet *Fleet) {
+	fleet.rest(0.2)
+	routes := map[string]any{}
+	for index := range 20_000 {
+		routes[fmt.Sprintf("bulk-%d", index)] = map[string]any{"method": "GET", "path": fmt.Sprintf("/bulk/%d/%s", index, strings.Repeat("x", 60))}
+	}
+	class := sortedKeys(fleet.settings.Classes)[len(fleet.settings.Classes)-1]
+	body, _ := json.Marshal(map[string]any{"classes": map[string]any{class: map[string]any{"services": map[string]any{fleet.services[0]: map[string]any{"routes": routes}}}}})
+	begin := time.Now()
+	taken := fleet.patch(body)
+	fmt.Printf("large settings: %d bytes, acknowledged %v after %v\n", len(body), taken, time.Since(begin).Round(time.Millisecond))
+	if !taken {
+		fleet.codes = append(fleet.codes, "large settings not acknowledged")
+	}
+}
+
+func proxiesKilled(fleet *Fleet) {
+	random := fleet.random()
+	for range 4 {
+		fleet.rest(0.1)
+		fleet.stop(fleet.Proxies[random.IntN(len(fleet.Proxies))], syscall.SIGKILL, 500*time.Millisecond)
+	}
+}
+
+func herdKilled(fleet *Fleet) {
+	fleet.rest(0.2)
+	herd := append(append([]*Process{}, fleet.Proxies[:len(fleet.Proxies)/2]...), fleet.Directories[0], fleet.Cores[0])
+	for _, process := range herd {
+		process.Signal(syscall.SIGKILL)
+	}
+	fleet.rest(0.1)
+	for _, process := range herd {
+		process.Wait(time.Second)
+		process.Start()
+	}
+}
+
+func restartedInTurn(fleet *Fleet) {
+	for _, process := range append(append(append([]*Process{}, fleet.Cores...), fleet.Directories...), fleet.Proxies...) {
+		fleet.stop(process, syscall.SIGTERM, 100*time.Millisecond)
+		fleet.threads.Rest(700 * time.Millisecond)
+	}
+}
+
+func frozen(fleet *Fleet) {
+	for _, process := range []*Process{fleet.Leader(), fleet.Proxies[0], fleet.Directories[0]} {
+		if process == nil {
+			continue
+		}
+		fleet.rest(0.05)
+		process.Signal(syscall.SIGSTOP)
+		fleet.rest(0.15)
+		process.Signal(syscall.SIGCONT)
+	}
+}
+
+func coreDiskLost(fleet *Fleet) {
+	fleet.rest(0.2)
+	for _, process := range fleet.Cores {
+		process.Signal(syscall.SIGKILL)
+		process.Wait(time.Second)
+		os.RemoveAll(filepath.Join(fleet.Spec.Folder, process.Name))
+		process.Start()
+		fleet.rest(0.2)
+	}
+}
+
+func coreGone(fleet *Fleet) {
+	fleet.rest(0.2)
+	for _, process := range fleet.Cores {
+		process.Signal(syscall.SIGKILL)
+	}
+	fleet.rest(0.4)
+	for _, process := range fleet.Cores {
+		process.Wait(time.Second)
+		process.Start()
+	}
+}
+
+func zoneLost(fleet *Fleet) { fleet.placesLost([]string{fleet.zones[0]}) }
+
+func regionLost(fleet *Fleet) {
+	for _, name := range sortedKeys(fleet.settings.Regions) {
+		fleet.placesLost(fleet.settings.Regions[name].Zones)
+		return
+	}
+}
+
+func (fleet *Fleet) placesLost(zones []string) {
+	fleet.rest(0.2)
+	lost := []*Process{}
+	for _, process := range fleet.all() {
+		for _, zone := range zones {
+			if process.Zone == zone {
+				lost = append(lost, process)
+			}
+		}
+	}
+	for _, process := range lost {
+		if process.Kind == "ojback" {
+			fleet.Lose(process)
+		}
+	}
+	for _, process := range lost {
+		process.Signal(syscall.SIGKILL)
+	}
+	fleet.rest(0.3)
+	for _, process := range lost {
+		process.Wait(time.Second)
+		process.Start()
+	}
+}
+
+// allDown kills every process of ours at once and measures until callers are served again.
+func allDown(fleet *Fleet) {
+	fleet.rest(0.25)
+	ours := append(append(append([]*Process{}, fleet.Cores...), fleet.Directories...), fleet.Proxies...)
+	for _, process := range ours {
+		process.Signal(syscall.SIGKILL)
+	}
+	for _, process := range ours {
+		process.Wait(time.Second)
+	}
+	begin := time.Now()
+	for _, process := range ours {
+		process.Start()
+	}
+	if mishap := fleet.ready(begin.Add(15 * time.Second)); mishap != nil {
+		fleet.codes = append(fleet.codes, "not back in 15 s: "+mishap.Error())
+	}
+	fmt.Printf("all down: ready again after %v\n", time.Since(begin).Round(time.Millisecond))
+}
+
+func sortedKeys[T any](named map[string]T) []string {
+	names := []string{}
+	for name := range named {
+		names = append(names, name)
+	}
+	for left := range names {
+		for right := left + 1; right < len(names); right++ {
+			if names[right] < names[left] {
+				names[left], names[right] = names[right], names[left]
+			}
+		}
+	}
+	return names
+}
+
+// compare asks a backend directly and through a proxy, in turns.
+func compare(fleet *Fleet) {
+	fleet.rest(0.2)
+	backend, proxy := fleet.Backends[0], fleet.Proxies[0]
+	var path string
+	for _, route := range fleet.settings.Resolve() {
+		if route.Service == backend.Service && route.Method == http.MethodGet && route.Whole("receipt_bytes") <= 1<<20 {
+			path = strings.Replace(route.Path, "*", "7?bytes=2000", 1)
+		}
+	}
+	tenant := sortedKeys(fleet.settings.Tenants)[0]
+	times := map[string][]float64{}
+	for number := range 400 {
+		for name, address := range map[string]string{"direct": backend.Outer + path, "through": proxy.Outer + "/" + backend.Service + path} {
+			request, _ := http.NewRequest(http.MethodGet, "http://"+address, nil)
+			request.Header.Set("Authorization", "Bearer key-of-"+tenant)
+			request.Header.Set("Oj-Service", backend.Service)
+			request.Header.Set("Oj-Task", fmt.Sprintf("compare-%d", number))
+			begin := time.Now()
+			response, fault := fleet.client.Do(request)
+			if fault != nil {
+				continue
+			}
+			buffer := make([]byte, 4096)
+			for fault == nil {
+				_, fault = response.Body.Read(buffer)
+			}
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				times[name] = append(times[name], float64(time.Since(begin).Microseconds())/1000)
+			}
+		}
+	}
+	fmt.Printf("compare: direct p50 %.2f ms p99 %.2f ms, through p50 %.2f ms p99 %.2f ms, ratio of p50 %.2f, of %d and %d\n", part(times["direct"], 0.5), part(times["direct"], 0.99),
+		part(times["through"], 0.5), part(times["through"], 0.99), part(times["through"], 0.5)/part(times["direct"], 0.5), len(times["direct"]), len(times["through"]))
+}
--- /dev/null
+++ b/fleet/process.go
@@ -0,0 +1,95 @@
+// Package fleet runs and harms a whole fleet of real processes on one machine.
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Process is one program of the fleet, and can be started again.
+type Process struct {
+	Name      string
+	Kind      string
+	Zone      string
+	Service   string
+	Outer     string
+	Wire      string
+	Operate   string
+	path      string
+	arguments []string
+	log       string
+	threads   *run.Threads
+
+	mutex   sync.Mutex
+	wake    *sync.Cond
+	command *exec.Cmd
+	alive   bool
+	code    int
+}
+
+func (process *Process) Start() *wire.Mishap {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	if process.alive {
+		return nil
+	}
+	log, fault := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if fault != nil {
+		return wire.New(wire.DiskFault, "%v", fault)
+	}
+	command := exec.Command(process.path, process.arguments...)
+	command.Stdout, command.Stderr = log, log
+	if fault := command.Start(); fault != nil {
+		log.Close()
+		return wire.New(wire.BadFlag, "%s: %v", process.Name, fault)
+	}
+	process.command, process.alive = command, true
+	process.threads.Start(func() {
+		command.Wait()
+		log.Close()
+		process.mutex.Lock()
+		process.alive, process.code = false, command.ProcessState.ExitCode()
+		process.wake.Broadcast()
+		process.mutex.Unlock()
+	})
+	return nil
+}
+
+func (process *Process) Signal(signal syscall.Signal) {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	if process.alive {
+		process.command.Process.Signal(signal)
+	}
+}
+
+func (process *Process) Alive() bool {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.alive
+}
+
+// Wait gives the exit code once the process has ended, or kills it at the limit.
+func (process *Process) Wait(limit time.Duration) int {
+	beat := time.AfterFunc(limit, func() { process.Signal(syscall.SIGKILL) })
+	defer beat.Stop()
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	for process.alive {
+		process.wake.Wait()
+	}
+	return process.code
+}
+
+func newProcess(threads *run.Threads, bin, folder, name, kind string, arguments ...string) *Process {
+	process := &Process{Name: name, Kind: kind, path: filepath.Join(bin, kind), arguments: arguments, log: filepath.Join(folder, name+".log"), threads: threads}
+	process.wake = sync.NewCond(&process.mutex)
+	return process
+}
--- /dev/null
+++ b/fleet/scenario.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"syscall"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// Scenario harms a running fleet in a named way.
+type Scenario struct {
+	About   string
+	Planned bool
+	Harm    func(fleet *Fleet)
+}
+
+// Scenarios is the catalogue.
+var Scenarios = map[string]Scenario{
+	"calm":           {About: "nothing is harmed", Planned: true, Harm: func(*Fleet) {}},
+	"compare":        {About: "a backend asked directly and through a proxy, in turns", Planned: true, Harm: compare},
+	"misbehaviour":   {About: "backends lose answers and send garbage", Harm: backendsMisbehave},
+	"backend-crash":  {About: "backends are killed and come back", Harm: backendsCrash},
+	"backend-vanish": {About: "backends fall silent and come back", Harm: backendsVanish},
+	"replaced":       {About: "backends are replaced one by one and come back cold", Planned: true, Harm: backendsReplaced},
+	"reused":         {About: "a backend's address goes to another service", Harm: addressReused},
+	"drained":        {About: "a backend is drained and taken back", Planned: true, Harm: backendDrained},
+	"zone-emptied":   {About: "a zone is emptied by settings and taken back", Planned: true, Harm: zoneEmptied},
+	"zone-lost":      {About: "a zone loses power", Harm: zoneLost},
+	"region-lost":    {About: "a region loses power", Harm: regionLost},
+	"keys-withdrawn": {About: "a tenant's keys are withdrawn while its callers are connected", Harm: keysWithdrawn},
+	"large":          {About: "settings grow very large", Planned: true, Harm: settingsLarge},
+	"proxies-killed": {About: "proxies are killed, one after another", Harm: proxiesKilled},
+	"herd":           {About: "half the proxies, a directory and a core are killed at once", Harm: herdKilled},
+	"in-turn":        {About: "every machine of ours is restarted in turn", Planned: true, Harm: restartedInTurn},
+	"frozen":         {About: "the leader, a proxy and a directory freeze", Harm: frozen},
+	"disk-lost":      {About: "each core loses its disk, one after another", Harm: coreDiskLost},
+	"core-gone":      {About: "all cores are killed for a while", Harm: coreGone},
+	"all-down":       {About: "every process of ours is killed at once", Harm: allDown},
+	"leader-changes": {About: "the leader is stopped once by SIGTERM, once by SIGKILL", Planned: true, Harm: leaderChanges},
+}
+
+func Names() []string {
+	names := []string{}
+	for name := range Scenarios {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func leaderChanges(fleet *Fleet) {
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		fleet.rest(0.15)
+		leader := fleet.Leader()
+		if leader == nil {
+			fleet.codes = append(fleet.codes, "no leader to stop")
+			continue
+		}
+		leader.Signal(signal)
+		code := leader.Wait(8 * time.Second)
+		if signal == syscall.SIGTERM && code != 0 {
+			fleet.codes = append(fleet.codes, fmt.Sprintf("%s exit %d", leader.Name, code))
+		}
+		fleet.rest(0.1)
+		leader.Start()
+	}
+}
+
+// rest waits for a part of the run's whole time.
+func (fleet *Fleet) rest(part float64) {
+	fleet.threads.Rest(time.Duration(part * fleet.Spec.Seconds * float64(time.Second)))
+}
+
+// Play runs a scenario from start to verdict.
+func (fleet *Fleet) Play(scenario Scenario) ([]Verdict, *wire.Mishap) {
+	defer fleet.Down()
+	if mishap := fleet.Up(); mishap != nil {
+		return nil, mishap
+	}
+	if mishap := fleet.Call(); mishap != nil {
+		return nil, mishap
+	}
+	ledger := NewLedger(fleet)
+	if fleet.Spec.Changes > 0 {
+		ledger.Operate(2 * time.Second / time.Duration(fleet.Spec.Changes))
+	}
+	scenario.Harm(fleet)
+	report, mishap := fleet.Callers()
+	ledger.Stop()
+	if mishap != nil {
+		return nil, mishap
+	}
+	fleet.threads.Rest(1500 * time.Millisecond)
+	trail := struct {
+		Changes []wire.Entry `json:"changes"`
+	}{}
+	if mishap := fleet.Operator(1).Ask(http.MethodGet, "/v1/changes", nil, &trail); mishap != nil {
+		return nil, mishap
+	}
+	evidence := &Evidence{Callers: report, Backends: fleet.Seen(), Ledger: ledger, Trail: trail.Changes, Planned: scenario.Planned, Gentle: 10, Windows: fleet.emptied}
+	if body, fault := os.ReadFile(filepath.Join(fleet.Spec.Folder, "origin.log")); fault == nil {
+		os.WriteFile(filepath.Join(fleet.Spec.Folder, "callers.json"), body, 0o600)
+	}
+	fleet.Down()
+	evidence.Codes = fleet.codes
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return evidence.Judge(), nil
+}
--- /dev/null
+++ b/fleet/spec.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"orchidjunction/conf"
+	"orchidjunction/wire"
+)
+
+// Spec is the fleet to bring up.
+type Spec struct {
+	Settings    string
+	Bin         string
+	Folder      string
+	BasePort    int
+	Cores       int
+	Directories int
+	Proxies     int
+	Backends    int
+	Rate        int
+	MoneyPart   int
+	Seconds     float64
+	Seed        uint64
+	ColdMs      int
+	LagMs       int
+	Changes     int
+	Tries       int
+}
+
+// Sizes are the fleets that have a name.
+var Sizes = map[string]Spec{
+	"small":  {Settings: "small", Cores: 3, Directories: 2, Proxies: 4, Backends: 6, Rate: 60, MoneyPart: 25},
+	"volta":  {Settings: "volta", Cores: 3, Directories: 2, Proxies: 9, Backends: 33, Rate: 220, MoneyPart: 25},
+	"saqtau": {Settings: "saqtau", Cores: 3, Directories: 2, Proxies: 10, Backends: 36, Rate: 460, MoneyPart: 25},
+}
+
+func (spec *Spec) ports() int {
+	return 2*spec.Cores + 3*(spec.Directories+spec.Proxies) + spec.Backends + 1
+}
+
+// Check refuses what could not run, before anything starts.
+func (spec *Spec) Check() (*conf.Settings, []byte, *wire.Mishap) {
+	if spec.Cores%2 == 0 || spec.Cores < 1 || spec.Cores > 7 || spec.Directories < 1 || spec.Proxies < 1 || spec.Proxies > 64 || spec.Backends < 1 || spec.Backends > 256 {
+		return nil, nil, wire.New(wire.BadFlag, "impossible size: %d cores, %d directories, %d proxies, %d backends", spec.Cores, spec.Directories, spec.Proxies, spec.Backends)
+	}
+	if spec.Rate < 1 || spec.Rate > 5000 || spec.Seconds < 1 || spec.Seconds > 3600 {
+		return nil, nil, wire.New(wire.BadFlag, "impossible load: %d a second for %v seconds", spec.Rate, spec.Seconds)
+	}
+	if spec.BasePort < 1024 || spec.BasePort+spec.ports() > 65535 {
+		return nil, nil, wire.New(wire.BadFlag, "--base-port: %d does not leave room for %d ports", spec.BasePort, spec.ports())
+	}
+	body, fault := os.ReadFile(spec.Settings)
+	if fault != nil {
+		return nil, nil, wire.New(wire.BadFlag, "--settings: %v", fault)
+	}
+	settings, mishap := conf.Read(body)
+	if mishap != nil {
+		return nil, nil, mishap
+	}
+	for _, program := range []string{"ojcore", "ojdir", "ojproxy", "ojback", "ojplat", "ojorigin"} {
+		if _, fault := os.Stat(filepath.Join(spec.Bin, program)); fault != nil {
+			return nil, nil, wire.New(wire.BadFlag, "--bin: %v", fault)
+		}
+	}
+	for port := spec.BasePort; port < spec.BasePort+spec.ports(); port++ {
+		open, fault := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if fault != nil {
+			return nil, nil, wire.New(wire.BadFlag, "--base-port: %v", fault)
+		}
+		open.Close()
+	}
+	return settings, body, nil
+}
--- a/program/daemon.go
+++ b/program/daemon.go
@@ -21,7 +21,7 @@
 // RunDaemon is the life of a directory node or a proxy.
 func RunDaemon(flags *Flags, kind string, make func(*member.Daemon, *run.Threads, *run.Counts) (Plane, func() []wire.Probe)) {
 	place := member.Place{Kind: kind}
-	grace, settle := 6000, 1000
+	grace, settle := 6000, 2500
 	flags.Parser.String(&place.Name, "", "name", "this daemon's name, unlike any other's")
 	flags.Parser.String(&place.Zone, "", "zone", "zone this daemon stands in")
 	flags.Parser.String(&place.Outer, "", "listen", "IP:port for callers")
