Usage reports are sealed at a majority of disks before they are sent

Proxies tell running counts per tenant with their sessions; the leader keeps them in the reports register five times a second and closes a period after 4 s. Cause of a first failure: counts were only kept at the period's end, so that a fall of everything lost up to a period.

--- a/control/core.go
+++ b/control/core.go
@@ -26,6 +26,7 @@
 
 	sessions *Sessions
 	platform *PlatformReader
+	usage    *Usage
 
 	mutex      sync.Mutex
 	leader     wire.Leader
@@ -57,6 +58,7 @@
 	core.round = core.voter.State().Promised.Round
 	core.patience = core.nextPatience()
 	core.sessions = newSessions()
+	core.usage = newUsage(line.Transport())
 	core.platform = newPlatformReader(place.Platform, line.Transport(), counts)
 	if core.place.Observe == nil {
 		core.place.Observe = func(Standing, wire.Ballot) {}
@@ -72,6 +74,7 @@
 	core.threads.Beat(run.Each(core.place.Beat), core.buildTable)
 	core.threads.Beat(run.Each(core.place.Beat), core.copyTable)
 	core.threads.Beat(core.platform.pace, core.readPlatform)
+	core.threads.Beat(run.Each(usagePace), core.reportUsage)
 }
 
 // Register opens the core's side of the wire.
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -83,6 +83,7 @@
 func (core *Core) onSession(session *wire.Session) (*wire.SessionTold, *wire.Mishap) {
 	session.AgeMs = 0
 	core.sessions.take(*session, core.place.ID)
+	core.usage.take(session)
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark}
@@ -96,6 +97,7 @@
 	core.sessions.heardCore(tell.Core)
 	for _, session := range tell.Sessions {
 		core.sessions.take(session, tell.Core)
+		core.usage.take(&session)
 	}
 	return &wire.TellTold{}, nil
 }
--- /dev/null
+++ b/control/usage.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"orchidjunction/conf"
+	"orchidjunction/wire"
+)
+
+const (
+	usagePeriod = 4 * time.Second
+	usagePace   = 250 * time.Millisecond
+	usageSilent = time.Minute
+	usageForget = time.Hour
+)
+
+// UsageReport is what the platform bills; once sealed it never changes.
+type UsageReport struct {
+	ID     string `json:"id"`
+	Tenant string `json:"tenant"`
+	Period uint64 `json:"period"`
+	FromMs int64  `json:"from_ms"`
+	ToMs   int64  `json:"to_ms"`
+	Tasks  uint64 `json:"tasks"`
+}
+
+// usageBook is the content of the reports register.
+type usageBook struct {
+	Period  uint64
+	ToMs    int64
+	Marks   map[string]usageMark
+	Open    map[string]uint64
+	Pending []UsageReport
+}
+
+// usageMark is how much of a proxy's running counts the reports so far hold.
+type usageMark struct {
+	Counts map[string]uint64
+	SeenMs int64
+}
+
+// Usage gathers the proxies' running counts and reports them, sealed first.
+type Usage struct {
+	mutex     sync.Mutex
+	counts    map[string]map[string]uint64
+	told      map[string]time.Time
+	delivered map[string]bool
+	client    *http.Client
+}
+
+func newUsage(transport http.RoundTripper) *Usage {
+	return &Usage{counts: map[string]map[string]uint64{}, told: map[string]time.Time{}, delivered: map[string]bool{}, client: &http.Client{Transport: transport}}
+}
+
+// take keeps the highest counts told by one process; counts never fall.
+func (usage *Usage) take(session *wire.Session) {
+	if len(session.Usage) == 0 {
+		return
+	}
+	usage.mutex.Lock()
+	defer usage.mutex.Unlock()
+	held := usage.counts[session.Member.Incarnation]
+	if held == nil {
+		held = map[string]uint64{}
+		usage.counts[session.Member.Incarnation] = held
+	}
+	usage.told[session.Member.Incarnation] = time.Now()
+	for tenant, count := range session.Usage {
+		held[tenant] = max(held[tenant], count)
+	}
+}
+
+// reportUsage is the leader's duty: seal when a period is over, send what is sealed.
+func (core *Core) reportUsage() {
+	leadership, mishap := core.leading()
+	if mishap != nil || leadership.holds() != nil || core.place.Platform == "" {
+		return
+	}
+	value := leadership.value(wire.ReportsRegister)
+	book := usageBook{}
+	if len(value.Body) > 0 {
+		if fault := wire.Unpack(value.Body, &book); fault != nil {
+			core.counts.Add("usage_book_unreadable", 1)
+			return
+		}
+	}
+	settings := leadership.value(wire.SettingsRegister)
+	if settings.Serial == 0 {
+		return
+	}
+	if core.usage.fresh(&book) || book.over(time.Now().UnixMilli()) {
+		if next, mishap := core.seal(leadership, settings); mishap == nil {
+			book = *next
+		} else {
+			core.counts.Add("usage_seals_failed", 1)
+			return
+		}
+	}
+	for _, report := range book.Pending {
+		if !core.usage.sent(report.ID) && core.deliver(report) {
+			core.usage.mutex.Lock()
+			core.usage.delivered[report.ID] = true
+			core.usage.mutex.Unlock()
+			core.counts.Add("usage_reports_delivered", 1)
+		}
+	}
+}
+
+// over is whether the period ended, or the clock went back by more than one.
+func (book *usageBook) over(now int64) bool {
+	return now-book.ToMs >= usagePeriod.Milliseconds() || now < book.ToMs-usagePeriod.Milliseconds()
+}
+
+// fresh is whether proxies told counts that the book does not hold yet.
+func (usage *Usage) fresh(book *usageBook) bool {
+	usage.mutex.Lock()
+	defer usage.mutex.Unlock()
+	for incarnation, counts := range usage.counts {
+		for tenant, count := range counts {
+			if count > book.Marks[incarnation].Counts[tenant] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (usage *Usage) sent(id string) bool {
+	usage.mutex.Lock()
+	defer usage.mutex.Unlock()
+	return usage.delivered[id]
+}
+
+// seal keeps the running counts at a majority of disks, and with them the
+// reports of an ended period, before any is sent.
+func (core *Core) seal(leadership *Leadership, settings wire.Value) (*usageBook, *wire.Mishap) {
+	tree, mishap := conf.Read(settings.Body)
+	if mishap != nil {
+		return nil, mishap
+	}
+	var sealed usageBook
+	_, mishap = leadership.write(wire.ReportsRegister, func(current wire.Value) (*wire.Value, *wire.Mishap) {
+		book := usageBook{}
+		if len(current.Body) > 0 {
+			if fault := wire.Unpack(current.Body, &book); fault != nil {
+				return nil, wire.AsMishap(fault)
+			}
+		}
+		sealed = core.usage.advance(book, tree, time.Now().UnixMilli())
+		body, fault := wire.Pack(&sealed)
+		if fault != nil {
+			return nil, wire.AsMishap(fault)
+		}
+		return &wire.Value{Serial: current.Serial + 1, Body: body}, nil
+	})
+	return &sealed, mishap
+}
+
+// advance lays what proxies told since into the book, and ends the period when it is over.
+func (usage *Usage) advance(before usageBook, tree *conf.Settings, now int64) usageBook {
+	usage.mutex.Lock()
+	defer usage.mutex.Unlock()
+	next := usageBook{Period: before.Period, ToMs: before.ToMs, Marks: map[string]usageMark{}, Open: map[string]uint64{}, Pending: before.Pending}
+	for tenant, count := range before.Open {
+		next.Open[tenant] = count
+	}
+	for incarnation, mark := range before.Marks {
+		if now-mark.SeenMs < usageForget.Milliseconds() {
+			next.Marks[incarnation] = mark
+		}
+	}
+	for incarnation, counts := range usage.counts {
+		mark := usageMark{Counts: map[string]uint64{}, SeenMs: now}
+		for tenant, count := range counts {
+			reported := before.Marks[incarnation].Counts[tenant]
+			if count > reported {
+				next.Open[tenant] += count - reported
+			}
+			mark.Counts[tenant] = max(count, reported)
+		}
+		if before.Marks[incarnation].SeenMs > 0 && time.Since(usage.told[incarnation]) > usageSilent {
+			mark.SeenMs = before.Marks[incarnation].SeenMs
+		}
+		next.Marks[incarnation] = mark
+		if now-mark.SeenMs >= usageForget.Milliseconds() {
+			delete(usage.counts, incarnation)
+			delete(usage.told, incarnation)
+			delete(next.Marks, incarnation)
+		}
+	}
+	if before.over(now) {
+		next.end(tree, now, usage.delivered)
+	}
+	return next
+}
+
+// end turns the open counts into reports, one for every tenant, and drops what was delivered.
+func (book *usageBook) end(tree *conf.Settings, now int64, delivered map[string]bool) {
+	from := book.ToMs
+	book.Period++
+	book.ToMs = max(now, from)
+	if from == 0 {
+		from = now - usagePeriod.Milliseconds()
+	}
+	pending := []UsageReport{}
+	for _, report := range book.Pending {
+		if !delivered[report.ID] {
+			pending = append(pending, report)
+		}
+		delete(delivered, report.ID)
+	}
+	for tenant := range tree.Tenants {
+		book.Open[tenant] += 0
+	}
+	tenants := make([]string, 0, len(book.Open))
+	for tenant := range book.Open {
+		tenants = append(tenants, tenant)
+	}
+	sort.Strings(tenants)
+	for _, tenant := range tenants {
+		pending = append(pending, UsageReport{ID: fmt.Sprintf("%s-%s-%d", tree.Partner, tenant, book.Period), Tenant: tenant, Period: book.Period, FromMs: from, ToMs: book.ToMs, Tasks: book.Open[tenant]})
+	}
+	book.Pending, book.Open = pending, map[string]uint64{}
+}
+
+func (core *Core) deliver(report UsageReport) bool {
+	body, fault := json.Marshal(report)
+	if fault != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platformLimit)
+	defer cancel()
+	request, fault := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+core.place.Platform+"/v1/usage", bytes.NewReader(body))
+	if fault != nil {
+		return false
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, fault := core.usage.client.Do(request)
+	if fault != nil {
+		core.counts.Add("usage_reports_unsent", 1)
+		return false
+	}
+	defer response.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(response.Body, 1<<16))
+	return response.StatusCode >= 200 && response.StatusCode < 300
+}
--- a/data/proxy.go
+++ b/data/proxy.go
@@ -18,6 +18,7 @@
 	dial    Dialer
 	budget  *Budget
 	claims  *Claims
+	usage   *run.Counts
 	plan    atomic.Pointer[plan]
 	mutex   sync.Mutex
 	targets map[string]*Target
@@ -33,10 +34,11 @@
 }
 
 func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
-	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(),
+	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(), usage: run.NewCounts(),
 		targets: map[string]*Target{}, prefix: member.NewID()[:10]}
 	proxy.claims = newClaims(proxy)
 	daemon.Keep(proxy.claims.Grown)
+	daemon.Count(proxy.usage.All)
 	return proxy
 }
 
--- a/data/task.go
+++ b/data/task.go
@@ -214,6 +214,9 @@
 			task.proxy.counts.Add("resends", 1)
 		}
 		receipt, ran, mishap := task.sendTo(target)
+		if ran && !mayRun {
+			task.proxy.usage.Add(task.plan.routes.TenantName(task.tenant), 1)
+		}
 		if mishap == nil {
 			task.receipt = receipt
 			return nil
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -106,6 +106,15 @@
 	if body, fault := os.ReadFile(filepath.Join(fleet.Spec.Folder, "origin.log")); fault == nil {
 		os.WriteFile(filepath.Join(fleet.Spec.Folder, "callers.json"), body, 0o600)
 	}
+	fleet.threads.Rest(4500 * time.Millisecond)
+	reports := struct {
+		Reports map[string][]string `json:"reports"`
+		AtMs    map[string]int64    `json:"at_ms"`
+	}{}
+	if fault := fleet.get(fleet.Platform.Outer, "/stand/reports", &reports); fault != nil {
+		return nil, wire.New(wire.PlatformFault, "reports: %v", fault)
+	}
+	evidence.Reports, evidence.ReportAt = reports.Reports, reports.AtMs
 	fleet.Down()
 	evidence.Codes = fleet.codes
 	ledger.mutex.Lock()
--- a/fleet/verdict.go
+++ b/fleet/verdict.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"sort"
 
 	"orchidjunction/stand"
@@ -27,6 +29,8 @@
 	Gentle   float64
 	Codes    []string
 	Windows  []window
+	Reports  map[string][]string
+	ReportAt map[string]int64
 }
 
 func (evidence *Evidence) Judge() []Verdict {
@@ -35,7 +39,7 @@
 		return verdict
 	}
 	return []Verdict{evidence.chargedOnce(), evidence.busyMeansNotRun(), evidence.paidIsCharged(), evidence.wholeReceipts(), evidence.ownService(), timed(evidence.leavingIsLeft()),
-		timed(evidence.emptied()), timed(evidence.serialsRise()), timed(evidence.inForce()), evidence.losersNever(), evidence.ackedKept(), timed(evidence.resendsBounded()), timed(evidence.coldGentle()), timed(evidence.operatorsAnswered()), timed(evidence.nothingCut()), evidence.exits()}
+		timed(evidence.emptied()), timed(evidence.serialsRise()), timed(evidence.inForce()), evidence.losersNever(), evidence.ackedKept(), timed(evidence.resendsBounded()), timed(evidence.coldGentle()), timed(evidence.operatorsAnswered()), timed(evidence.nothingCut()), timed(evidence.usageReported()), evidence.usageSame(), evidence.exits()}
 }
 
 func (evidence *Evidence) charges() map[string]int {
@@ -258,6 +262,73 @@
 		evidence.Callers.Unknown, evidence.Callers.Broken, evidence.Callers.LatencyMs["p50"], evidence.Callers.LatencyMs["p99"], evidence.Callers.GapMs)
 }
 
+type usageReport struct {
+	ID     string `json:"id"`
+	Tenant string `json:"tenant"`
+	Period uint64 `json:"period"`
+	ToMs   int64  `json:"to_ms"`
+	Tasks  int    `json:"tasks"`
+}
+
+// usageReported compares what the platform was told with the tasks that the
+// backends saw, in all, and looks for late and missing periods.
+func (evidence *Evidence) usageReported() Verdict {
+	told, seen, bad := map[string]int{}, map[string]int{}, []string{}
+	periods, last := map[string]map[uint64]bool{}, uint64(0)
+	late := int64(0)
+	for id, bodies := range evidence.Reports {
+		report := usageReport{}
+		json.Unmarshal([]byte(bodies[0]), &report)
+		told[report.Tenant] += report.Tasks
+		if periods[report.Tenant] == nil {
+			periods[report.Tenant] = map[uint64]bool{}
+		}
+		periods[report.Tenant][report.Period] = true
+		last = max(last, report.Period)
+		late = max(late, evidence.ReportAt[id]-report.ToMs)
+	}
+	for tenant, held := range periods {
+		for period := uint64(1); period <= last; period++ {
+			if !held[period] {
+				bad = append(bad, fmt.Sprintf("%s lacks period %d", tenant, period))
+			}
+		}
+	}
+	tasks := map[string]bool{}
+	for _, backend := range evidence.Backends {
+		for _, arrival := range backend.Arrivals {
+			if !tasks[arrival.Task] {
+				tasks[arrival.Task] = true
+				seen[arrival.Tenant]++
+			}
+		}
+	}
+	worst := 0.0
+	for tenant, count := range seen {
+		off := math.Abs(float64(told[tenant]-count)) / float64(count)
+		worst = max(worst, off)
+		if off > 0.05 {
+			bad = append(bad, fmt.Sprintf("%s told %d, seen %d", tenant, told[tenant], count))
+		}
+	}
+	if late > 6000 {
+		bad = append(bad, fmt.Sprintf("a report came %d ms after its period", late))
+	}
+	return verdict("usage reported within 5% and 10 s, none missing", bad, "%d reports, worst %.1f%% off, latest %d ms after its period", len(evidence.Reports), worst*100, late)
+}
+
+func (evidence *Evidence) usageSame() Verdict {
+	bad := []string{}
+	for id, bodies := range evidence.Reports {
+		for _, body := range bodies {
+			if body != bodies[0] {
+				bad = append(bad, id)
+			}
+		}
+	}
+	return verdict("no report sent twice with different counts", bad, "%d reports", len(evidence.Reports))
+}
+
 func (evidence *Evidence) exits() Verdict {
 	return verdict("stops end with 0", evidence.Codes, "%d others", len(evidence.Codes))
 }
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -66,6 +66,7 @@
 	apply       func(*Version)
 	probes      func() []wire.Probe
 	keeper      func() bool
+	usage       func() map[string]uint64
 
 	mutex       sync.Mutex
 	core        int
@@ -83,7 +84,7 @@
 
 func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
 	daemon := &Daemon{place: place, incarnation: incarnation, line: line, threads: threads, counts: counts,
-		news: run.NewBell(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }}
+		news: run.NewBell(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, usage: func() map[string]uint64 { return nil }}
 	daemon.Finder = NewFinder(line, threads, place.Seeds)
 	daemon.Hold = NewHold(daemon.Finder, line, counts)
 	daemon.version.Store(&Version{Table: &wire.Table{}})
@@ -101,6 +102,9 @@
 // Keep names what tells whether this daemon keeps claims.
 func (daemon *Daemon) Keep(keeper func() bool) { daemon.keeper = keeper }
 
+// Count names what gives the tasks served so far, by tenant.
+func (daemon *Daemon) Count(usage func() map[string]uint64) { daemon.usage = usage }
+
 func (daemon *Daemon) Line() *wire.Line { return daemon.line }
 
 func (daemon *Daemon) Incarnation() string { return daemon.incarnation }
@@ -174,7 +178,7 @@
 	daemon.mutex.Lock()
 	parent, index := daemon.parent, daemon.core
 	daemon.mutex.Unlock()
-	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes()}
+	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes(), Usage: daemon.usage()}
 	told, fault := wire.Ask[wire.Session, wire.SessionTold](daemon.line, cores[index%len(cores)], "session", askLimit, session)
 	daemon.mutex.Lock()
 	if fault != nil {
@@ -201,6 +205,22 @@
 	daemon.session()
 }
 
+// Farewell tells the last counts, to another core if the first is silent.
+func (daemon *Daemon) Farewell() {
+	for range daemon.Finder.Cores() {
+		daemon.mutex.Lock()
+		before := daemon.heard
+		daemon.mutex.Unlock()
+		daemon.session()
+		daemon.mutex.Lock()
+		heard := daemon.heard.After(before)
+		daemon.mutex.Unlock()
+		if heard {
+			return
+		}
+	}
+}
+
 // confirm lets a started daemon serve only on a serial that the leader proved.
 func (daemon *Daemon) confirm() {
 	for !daemon.threads.Stopping() {
--- a/program/daemon.go
+++ b/program/daemon.go
@@ -67,6 +67,7 @@
 		daemon.Leave()
 		threads.Rest(time.Duration(settle) * time.Millisecond)
 		whole := listeners[0].Drain(time.Duration(grace)*time.Millisecond - time.Since(begin))
+		daemon.Farewell()
 		klog.Infof("%s: stops, all in flight finished: %v", place.Name, whole)
 		threads.Stop()
 	})
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -118,3 +118,14 @@
 	}
 	writer.WriteHeader(http.StatusOK)
 }
+
+// Told is every body sent for each report, and when the first came.
+func (platform *Platform) Told() (map[string][]string, map[string]int64) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	bodies, at := map[string][]string{}, map[string]int64{}
+	for id, sent := range platform.Reports {
+		bodies[id], at[id] = append([]string{}, sent...), platform.ReportAt[id]
+	}
+	return bodies, at
+}
--- a/wire/member.go
+++ b/wire/member.go
@@ -53,6 +53,7 @@
 	Table  TableMark
 	Parent string
 	Probes []Probe
+	Usage  map[string]uint64
 	AgeMs  int64
 }
 
