--- a/conf/effective.go
+++ b/conf/effective.go
@@ -1,5 +1,7 @@
 package conf
 
+import "reflect"
+
 // Source is an effective value and the branch that gave it.
 type Source struct {
 	Value any    `json:"value"`
@@ -63,3 +65,6 @@
 	}
 	return all
 }
+
+// Same compares two effective values.
+func Same(left, right any) bool { return reflect.DeepEqual(left, right) }
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -88,3 +88,18 @@
 	}
 	return ""
 }
+
+// Open is whether neither the zone nor the backend is drained.
+func (settings *Settings) Open(zone, backend string) bool {
+	for _, drained := range settings.Drained.Zones {
+		if drained == zone {
+			return false
+		}
+	}
+	for _, drained := range settings.Drained.Backends {
+		if drained == backend {
+			return false
+		}
+	}
+	return true
+}
--- a/data/routes.go
+++ b/data/routes.go
@@ -61,6 +61,16 @@
 	return index, found
 }
 
+// TenantNamed finds a tenant by name.
+func (routes *Routes) TenantNamed(name string) (int, bool) {
+	for index := range routes.tenants {
+		if routes.tenants[index].name == name {
+			return index, true
+		}
+	}
+	return 0, false
+}
+
 func (routes *Routes) TenantName(index int) string { return routes.tenants[index].name }
 
 // Route finds the route of a method and path within a service; exact paths go first, then the longest prefix.
--- a/fleet/harms.go
+++ b/fleet/harms.go
@@ -7,11 +7,15 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sort"
 	"strings"
 	"syscall"
 	"time"
 
+	"orchidjunction/conf"
 	"orchidjunction/operator"
+	"orchidjunction/place"
+	"orchidjunction/plan"
 )
 
 // stop ends a process by a signal, waits, rests and starts it again.
@@ -97,8 +101,11 @@
 
 func zoneEmptied(fleet *Fleet) {
 	fleet.rest(0.2)
+	forecast := fleet.forecast(fleet.zones[0])
 	fleet.drain("zones", fleet.zones[0])
-	fleet.rest(0.5)
+	fleet.threads.Rest(2 * time.Second)
+	fleet.compareForecast(forecast)
+	fleet.rest(0.4)
 	fleet.drain("zones", "")
 }
 
@@ -341,3 +348,54 @@
 	fmt.Printf("compare: direct p50 %.2f ms p99 %.2f ms, through p50 %.2f ms p99 %.2f ms, ratio of p50 %.2f, of %d and %d\n", part(times["direct"], 0.5), part(times["direct"], 0.99),
 		part(times["through"], 0.5), part(times["through"], 0.99), part(times["through"], 0.5)/part(times["direct"], 0.5), len(times["direct"]), len(times["through"]))
 }
+
+// forecast is what the planner says of emptying a zone.
+func (fleet *Fleet) forecast(zone string) *plan.Forecast {
+	held, mishap := fleet.Operator(0).Read(false)
+	status, silent := fleet.Operator(0).Status()
+	if mishap != nil || silent != nil {
+		return nil
+	}
+	before, mishap := conf.Read(held.Settings)
+	if mishap != nil {
+		return nil
+	}
+	after := *before
+	after.Drained.Zones = []string{zone}
+	look := plan.Fleet{Serial: held.Serial, Settings: before, Backends: status.Backends, Capacity: 30}
+	for _, known := range status.Members {
+		look.Members = append(look.Members, known.Member)
+	}
+	return plan.Look(look, &after)
+}
+
+// compareForecast asks a directory where tenants go now and sets it against the forecast.
+func (fleet *Fleet) compareForecast(forecast *plan.Forecast) {
+	if forecast == nil {
+		fleet.codes = append(fleet.codes, "no forecast")
+		return
+	}
+	right := 0
+	for _, move := range forecast.Moves {
+		request, _ := http.NewRequest(http.MethodGet, "http://"+fleet.Directories[0].Outer+"/v1/place", nil)
+		request.Header.Set("Authorization", "Bearer key-of-"+move.Tenant)
+		response, fault := fleet.client.Do(request)
+		if fault != nil {
+			continue
+		}
+		placement := place.Placement{}
+		json.NewDecoder(response.Body).Decode(&placement)
+		response.Body.Close()
+		got := []string{}
+		for _, front := range placement.Fronts {
+			got = append(got, front.Name)
+		}
+		sort.Strings(got)
+		if strings.Join(got, " ") == strings.Join(move.To, " ") {
+			right++
+		} else {
+			fleet.codes = append(fleet.codes, fmt.Sprintf("%s forecast at %v, found at %v", move.Tenant, move.To, got))
+		}
+	}
+	fmt.Printf("forecast: %d of %d tenants would move, %d moved as said\n", len(forecast.Moves), forecast.Tenants, right)
+}
--- a/place/directory.go
+++ b/place/directory.go
@@ -21,10 +21,11 @@
 type Directory struct {
 	daemon *member.Daemon
 	counts *run.Counts
-	chart  atomic.Pointer[chart]
+	chart  atomic.Pointer[Chart]
 }
 
-type chart struct {
+// Chart is one version as a directory uses it.
+type Chart struct {
 	routes *data.Routes
 	fronts []wire.Member
 }
@@ -57,18 +58,24 @@
 	if version.Settings == nil {
 		return
 	}
-	next := &chart{}
+	var routes *data.Routes
 	if before := directory.chart.Load(); before != nil && before.routes.Serial == version.Serial {
-		next.routes = before.routes
+		routes = before.routes
 	} else {
-		next.routes = data.NewRoutes(version.Serial, version.Settings)
+		routes = data.NewRoutes(version.Serial, version.Settings)
 	}
-	for _, known := range version.Table.Members {
+	directory.chart.Store(NewChart(routes, version.Table.Members))
+}
+
+// NewChart takes the proxies that may be given to callers.
+func NewChart(routes *data.Routes, members []wire.Member) *Chart {
+	next := &Chart{routes: routes}
+	for _, known := range members {
 		if known.Kind == "proxy" && known.Ready && !known.Leaving {
 			next.fronts = append(next.fronts, known)
 		}
 	}
-	directory.chart.Store(next)
+	return next
 }
 
 func (directory *Directory) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
@@ -98,12 +105,12 @@
 	if !bearer || !found {
 		return nil, wire.New(wire.UnknownKey, "no tenant has this key")
 	}
-	return chart.place(tenant, request.URL.Query().Get("zone"))
+	return chart.Place(tenant, request.URL.Query().Get("zone"))
 }
 
-// place ranks the fronts by the tenant's own order, near ones first, and
+// Place ranks the fronts by the tenant's own order, near ones first, and
 // spreads the answer over zones before it takes a second one of any.
-func (chart *chart) place(tenant int, near string) (*Placement, *wire.Mishap) {
+func (chart *Chart) Place(tenant int, near string) (*Placement, *wire.Mishap) {
 	settings := chart.routes.Settings()
 	name := chart.routes.TenantName(tenant)
 	ranked := []wire.Member{}
--- /dev/null
+++ b/plan/forecast.go
@@ -0,0 +1,200 @@
+// Package plan shows what a change would move before it is made.
+package plan
+
+import (
+	"sort"
+
+	"orchidjunction/conf"
+	"orchidjunction/data"
+	"orchidjunction/place"
+	"orchidjunction/wire"
+)
+
+// Fleet is what a forecast starts from.
+type Fleet struct {
+	Serial   uint64
+	Settings *conf.Settings
+	Members  []wire.Member
+	Backends []wire.Backend
+	Capacity float64
+}
+
+// Move is a tenant whose front machines change.
+type Move struct {
+	Tenant string   `json:"tenant"`
+	From   []string `json:"from"`
+	To     []string `json:"to"`
+	Left   []string `json:"left"`
+	Joined []string `json:"joined"`
+}
+
+// Room is what a service has to run on.
+type Room struct {
+	Service string         `json:"service"`
+	Before  int            `json:"before"`
+	After   int            `json:"after"`
+	ByZone  map[string]int `json:"after_by_zone"`
+}
+
+// Short is a floor that the backends left could not carry.
+type Short struct {
+	Service  string  `json:"service"`
+	Floor    int     `json:"floor_rps"`
+	Capacity float64 `json:"capacity_rps"`
+}
+
+// Change is a setting of a route that would differ.
+type Change struct {
+	Route  string `json:"route"`
+	Field  string `json:"field"`
+	Before any    `json:"before"`
+	After  any    `json:"after"`
+}
+
+// Forecast is all that would move.
+type Forecast struct {
+	Tenants int      `json:"tenants"`
+	Moves   []Move   `json:"moves"`
+	Rooms   []Room   `json:"rooms"`
+	Shorts  []Short  `json:"floors_short"`
+	Changes []Change `json:"changes"`
+}
+
+// Moving is whether anything would.
+func (forecast *Forecast) Moving() bool {
+	if len(forecast.Moves)+len(forecast.Changes) > 0 {
+		return true
+	}
+	for _, room := range forecast.Rooms {
+		if room.Before != room.After {
+			return true
+		}
+	}
+	return false
+}
+
+// Look lays the new settings over the same machines and compares.
+func Look(fleet Fleet, next *conf.Settings) *Forecast {
+	forecast := &Forecast{Moves: []Move{}, Rooms: []Room{}, Shorts: []Short{}, Changes: []Change{}}
+	before, after := data.NewRoutes(fleet.Serial, fleet.Settings), data.NewRoutes(fleet.Serial+1, next)
+	former, later := place.NewChart(before, fleet.Members), place.NewChart(after, fleet.Members)
+	for _, tenant := range union(fleet.Settings.Tenants, next.Tenants) {
+		from, to := fronts(former, before, tenant), fronts(later, after, tenant)
+		forecast.Tenants++
+		move := Move{Tenant: tenant, From: from, To: to, Left: without(from, to), Joined: without(to, from)}
+		if len(move.Left)+len(move.Joined) > 0 {
+			forecast.Moves = append(forecast.Moves, move)
+		}
+	}
+	forecast.rooms(fleet, next)
+	forecast.changes(fleet.Settings.Resolve(), next.Resolve())
+	return forecast
+}
+
+func fronts(chart *place.Chart, routes *data.Routes, tenant string) []string {
+	index, found := routes.TenantNamed(tenant)
+	if !found {
+		return []string{}
+	}
+	placement, mishap := chart.Place(index, "")
+	if mishap != nil {
+		return []string{}
+	}
+	names := []string{}
+	for _, front := range placement.Fronts {
+		names = append(names, front.Name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func union(left, right map[string]conf.Tenant) []string {
+	names := []string{}
+	for name := range left {
+		names = append(names, name)
+	}
+	for name := range right {
+		if _, found := left[name]; !found {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func without(names, others []string) []string {
+	rest := []string{}
+	for _, name := range names {
+		found := false
+		for _, other := range others {
+			found = found || other == name
+		}
+		if !found {
+			rest = append(rest, name)
+		}
+	}
+	return rest
+}
+
+// rooms counts the backends a service may use, and sets its floors against them.
+func (forecast *Forecast) rooms(fleet Fleet, next *conf.Settings) {
+	rooms, names := map[string]*Room{}, []string{}
+	for _, backend := range fleet.Backends {
+		room := rooms[backend.Service]
+		if room == nil {
+			room = &Room{Service: backend.Service, ByZone: map[string]int{}}
+			rooms[backend.Service] = room
+			names = append(names, backend.Service)
+		}
+		if fleet.Settings.Open(backend.Zone, backend.Name) && !backend.Leaving {
+			room.Before++
+		}
+		if next.Open(backend.Zone, backend.Name) && !backend.Leaving {
+			room.After++
+			room.ByZone[backend.Zone]++
+		}
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		forecast.Rooms = append(forecast.Rooms, *rooms[name])
+		floor := 0
+		for _, class := range next.Classes {
+			if _, found := class.Services[name]; found {
+				floor += class.FloorRps / max(len(class.Services), 1)
+			}
+		}
+		if capacity := float64(rooms[name].After) * fleet.Capacity; capacity < float64(floor) {
+			forecast.Shorts = append(forecast.Shorts, Short{Service: name, Floor: floor, Capacity: capacity})
+		}
+	}
+}
+
+func (forecast *Forecast) changes(before, after []conf.Effective) {
+	type field struct{ route, name string }
+	former, later, keys := map[field]any{}, map[field]any{}, []field{}
+	lay := func(into, other map[field]any, routes []conf.Effective) {
+		for _, route := range routes {
+			for name, source := range route.Values {
+				key := field{route.Class + "/" + route.Service + "/" + route.Route, name}
+				_, known := other[key]
+				if _, twice := into[key]; !known && !twice {
+					keys = append(keys, key)
+				}
+				into[key] = source.Value
+			}
+		}
+	}
+	lay(former, nil, before)
+	lay(later, former, after)
+	sort.Slice(keys, func(left, right int) bool {
+		if keys[left].route != keys[right].route {
+			return keys[left].route < keys[right].route
+		}
+		return keys[left].name < keys[right].name
+	})
+	for _, key := range keys {
+		if !conf.Same(former[key], later[key]) {
+			forecast.Changes = append(forecast.Changes, Change{Route: key.route, Field: key.name, Before: former[key], After: later[key]})
+		}
+	}
+}
