Floors are kept and idle room is lent by class; quick retries count as resends

A proxy's share of each floor and of what may be borrowed follows its part of the demand in the table; a class above its floor borrows only while backends report room, the lower the sooner refused, at once and with a time to return.

--- a/data/proxy.go
+++ b/data/proxy.go
@@ -19,6 +19,8 @@
 	budget  *Budget
 	claims  *Claims
 	usage   *run.Counts
+	room    *Room
+	quick   *Quick
 	plan    atomic.Pointer[plan]
 	mutex   sync.Mutex
 	targets map[string]*Target
@@ -34,11 +36,12 @@
 }
 
 func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
-	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(), usage: run.NewCounts(),
+	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(), usage: run.NewCounts(), room: NewRoom(), quick: NewQuick(),
 		targets: map[string]*Target{}, prefix: member.NewID()[:10]}
 	proxy.claims = newClaims(proxy)
 	daemon.Keep(proxy.claims.Grown)
 	daemon.Count(proxy.usage.All)
+	daemon.Ask(proxy.room.Demand)
 	return proxy
 }
 
@@ -59,6 +62,7 @@
 	shares = max(shares, 1)
 	proxy.budget.Share(shares)
 	proxy.budget.Rule(version.Settings.Retry.Fraction, version.Settings.Retry.Floor)
+	proxy.room.Apply(version.Settings, version.Table, proxy.daemon.Name())
 	next := &plan{services: map[string][]*Target{}}
 	if before := proxy.plan.Load(); before != nil && before.routes.Serial == version.Serial {
 		next.routes = before.routes
@@ -155,3 +159,18 @@
 	}
 	return nil, false
 }
+
+// usage is the mean of what a service's usable backends report.
+func (plan *plan) usage(service string) float64 {
+	sum, count := 0.0, 0
+	for _, target := range plan.services[service] {
+		if usable, usage := target.usable(); usable {
+			sum += min(usage, 1)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
--- /dev/null
+++ b/data/room.go
@@ -0,0 +1,122 @@
+package data
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"orchidjunction/conf"
+	"orchidjunction/wire"
+)
+
+const (
+	fullUsage  = 0.85
+	rankUsage  = 0.1
+	leastUsage = 0.3
+	burstSpan  = 0.5
+	evenPart   = 0.3
+	demandSpan = 2 * time.Second
+)
+
+// Room is what this proxy may send for each class: its share of the floor
+// always, and beyond it a share of what may be borrowed while backends are idle
+// enough; the lower the class, the sooner it gives room back.
+type Room struct {
+	mutex   sync.Mutex
+	classes map[string]*classRoom
+	since   time.Time
+	tasks   float64
+	demand  float64
+}
+
+type classRoom struct {
+	rank   int
+	floor  *rate.Limiter
+	borrow *rate.Limiter
+}
+
+func NewRoom() *Room { return &Room{classes: map[string]*classRoom{}, since: time.Now()} }
+
+// Apply splits floors and borrowing among the proxies by their demand, a part
+// of it evenly; all read the same table, so the shares add up to the whole.
+func (room *Room) Apply(settings *conf.Settings, table *wire.Table, name string) {
+	count, total, own := 0, 0.0, 0.0
+	for _, known := range table.Members {
+		if known.Kind != "proxy" {
+			continue
+		}
+		count++
+		total += known.Demand
+		if known.Name == name {
+			own = known.Demand
+		}
+	}
+	part := 1 / float64(max(count, 1))
+	if total > 0 {
+		part = evenPart*part + (1-evenPart)*own/total
+	}
+	room.mutex.Lock()
+	defer room.mutex.Unlock()
+	for className, class := range settings.Classes {
+		held := room.classes[className]
+		if held == nil {
+			held = &classRoom{floor: rate.NewLimiter(0, 0), borrow: rate.NewLimiter(0, 0)}
+			room.classes[className] = held
+		}
+		held.rank = class.Rank
+		resize(held.floor, float64(class.FloorRps)*part)
+		resize(held.borrow, float64(class.BorrowRps)*part)
+	}
+	for className := range room.classes {
+		if _, found := settings.Classes[className]; !found {
+			delete(room.classes, className)
+		}
+	}
+}
+
+func resize(limiter *rate.Limiter, share float64) {
+	burst := 0
+	if share > 0 {
+		burst = int(max(2, math.Ceil(share*burstSpan)))
+	}
+	if limiter.Limit() != rate.Limit(share) {
+		limiter.SetLimit(rate.Limit(share))
+	}
+	if limiter.Burst() != burst {
+		limiter.SetBurst(burst)
+	}
+}
+
+// Take lets one task of a class in, or says that it borrows too much now.
+func (room *Room) Take(class string, usage float64) *wire.Mishap {
+	room.mutex.Lock()
+	room.tasks++
+	held := room.classes[class]
+	room.mutex.Unlock()
+	if held == nil || held.floor.Allow() {
+		return nil
+	}
+	if usage > max(fullUsage-rankUsage*float64(held.rank-1), leastUsage) {
+		return &wire.Mishap{Kind: wire.Busy, Cause: "class " + class + " is above its floor and backends have no room to lend", Retry: comeBack, Outcome: wire.NotRun}
+	}
+	if !held.borrow.Allow() {
+		return &wire.Mishap{Kind: wire.Busy, Cause: "class " + class + " has its floor and all it may borrow", Retry: comeBack, Outcome: wire.NotRun}
+	}
+	return nil
+}
+
+// Demand is the tasks a second asked of this proxy, in coarse steps, so that
+// the table changes seldom.
+func (room *Room) Demand() float64 {
+	room.mutex.Lock()
+	defer room.mutex.Unlock()
+	if span := time.Since(room.since); span >= demandSpan {
+		now := room.tasks / span.Seconds()
+		if step := math.Pow(1.5, math.Round(math.Log(max(now, 1))/math.Log(1.5))); math.Abs(now-room.demand) > 0.4*room.demand {
+			room.demand = step
+		}
+		room.tasks, room.since = 0, time.Now()
+	}
+	return room.demand
+}
--- a/data/task.go
+++ b/data/task.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +40,7 @@
 	receipt  *Receipt
 	finish   func()
 	replayed bool
+	mark     uint64
 }
 
 // ServeHTTP takes a caller's request through the chart.
@@ -60,6 +62,9 @@
 	} else {
 		task.walk.step(Unknown)
 	}
+	if task.mark != 0 && mishap.Kind.Status() >= 500 {
+		proxy.quick.Failed(task.mark)
+	}
 	proxy.counts.Add("refused_"+string(mishap.Kind), 1)
 	member.Refuse(writer, mishap)
 }
@@ -87,6 +92,8 @@
 			return mishap
 		}
 	}
+	origin, _, _ := net.SplitHostPort(task.request.RemoteAddr)
+	task.mark = fingerprint(origin+" "+task.plan.routes.TenantName(task.tenant), task.request.Header.Get(moneyHeader), task.request.Method, task.request.URL.RequestURI(), task.body)
 	if !task.rule.Money {
 		return task.send()
 	}
@@ -195,6 +202,13 @@
 // send draws and sends until a receipt is whole, or what is left is unsafe,
 // out of budget or out of time.
 func (task *task) send() *wire.Mishap {
+	if mishap := task.proxy.room.Take(task.rule.Class, task.plan.usage(task.rule.Service)); mishap != nil {
+		return mishap
+	}
+	if task.proxy.quick.Again(task.mark) && !task.proxy.budget.Take() {
+		task.proxy.counts.Add("quick_retries_refused", 1)
+		return &wire.Mishap{Kind: wire.Busy, Cause: "this task just failed here and the budget for retries is used up", Retry: comeBack, Outcome: wire.NotRun}
+	}
 	last := &wire.Mishap{Kind: wire.NoBackend, Cause: "no backend can take this now", Retry: comeBack, Outcome: wire.NotRun}
 	mayRun := false
 	for sends := 0; sends < task.rule.Whole("sends"); sends++ {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -307,12 +307,18 @@
 			other = append(other, call)
 		}
 	}
+	large := 0
+	for _, call := range other {
+		if strings.Contains(call.Path, "1500000") {
+			large++
+		}
+	}
 	for _, call := range money {
 		call.Weight = 100 * fleet.Spec.MoneyPart / len(money)
 		plan.Calls = append(plan.Calls, call)
 	}
 	for _, call := range other {
-		call.Weight = 100 * (100 - fleet.Spec.MoneyPart) / len(other)
+		call.Weight = (100*(100-fleet.Spec.MoneyPart) - 20*large) / max(len(other)-large, 1)
 		if strings.Contains(call.Path, "1500000") {
 			call.Weight = 20
 		}
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -67,6 +67,7 @@
 	probes      func() []wire.Probe
 	keeper      func() bool
 	usage       func() map[string]uint64
+	demand      func() float64
 
 	mutex       sync.Mutex
 	core        int
@@ -84,7 +85,7 @@
 
 func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
 	daemon := &Daemon{place: place, incarnation: incarnation, line: line, threads: threads, counts: counts,
-		news: run.NewBell(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, usage: func() map[string]uint64 { return nil }}
+		news: run.NewBell(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, usage: func() map[string]uint64 { return nil }, demand: func() float64 { return 0 }}
 	daemon.Finder = NewFinder(line, threads, place.Seeds)
 	daemon.Hold = NewHold(daemon.Finder, line, counts)
 	daemon.version.Store(&Version{Table: &wire.Table{}})
@@ -102,6 +103,9 @@
 // Keep names what tells whether this daemon keeps claims.
 func (daemon *Daemon) Keep(keeper func() bool) { daemon.keeper = keeper }
 
+// Ask names what gives the tasks a second that callers ask of this daemon.
+func (daemon *Daemon) Ask(demand func() float64) { daemon.demand = demand }
+
 // Count names what gives the tasks served so far, by tenant.
 func (daemon *Daemon) Count(usage func() map[string]uint64) { daemon.usage = usage }
 
@@ -164,11 +168,11 @@
 }
 
 func (daemon *Daemon) member() wire.Member {
-	ready, keeper := daemon.Ready(), daemon.keeper()
+	ready, keeper, demand := daemon.Ready(), daemon.keeper(), daemon.demand()
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	return wire.Member{Name: daemon.place.Name, Kind: daemon.place.Kind, Zone: daemon.place.Zone, Wire: daemon.place.Wire,
-		Outer: daemon.place.Outer, Operate: daemon.place.Operate, Incarnation: daemon.incarnation, Leaving: daemon.leaving, Ready: ready && !daemon.leaving, Keeper: keeper && !daemon.leaving}
+		Outer: daemon.place.Outer, Operate: daemon.place.Operate, Incarnation: daemon.incarnation, Leaving: daemon.leaving, Ready: ready && !daemon.leaving, Keeper: keeper && !daemon.leaving, Demand: demand}
 }
 
 // session tells a core that this daemon lives; a silent core is left for the next.
--- a/sim/traffic_test.go
+++ b/sim/traffic_test.go
@@ -184,6 +184,7 @@
 			}
 		}
 		for range 20 {
+			world.Rest(100 * time.Millisecond)
 			if status, _ := world.ask(client, "GET", "http://"+front("w1")+"/meters/pages/1", "key-of-birch", "", "", ""); status != 200 {
 				world.broke("a good call got %d", status)
 			}
--- a/stand/origin.go
+++ b/stand/origin.go
@@ -215,6 +215,9 @@
 	origin.report.SentBy[caller.Tenant]++
 	number := origin.report.Asked
 	origin.mutex.Unlock()
+	if strings.Contains(call.Path, "?") {
+		call.Path += "&task=" + key
+	}
 	name := caller.Tenant + "/" + key
 	outcome := MoneyOutcome{}
 	for try := range max(origin.plan.Tries, 1) {
--- a/wire/member.go
+++ b/wire/member.go
@@ -13,16 +13,17 @@
 
 // Member is one daemon as the others see it.
 type Member struct {
-	Name        string `json:"name"`
-	Kind        string `json:"kind"`
-	Zone        string `json:"zone"`
-	Wire        string `json:"wire"`
-	Outer       string `json:"outer"`
-	Operate     string `json:"operate"`
-	Incarnation string `json:"incarnation"`
-	Leaving     bool   `json:"leaving"`
-	Ready       bool   `json:"ready"`
-	Keeper      bool   `json:"keeper,omitempty"`
+	Name        string  `json:"name"`
+	Kind        string  `json:"kind"`
+	Zone        string  `json:"zone"`
+	Wire        string  `json:"wire"`
+	Outer       string  `json:"outer"`
+	Operate     string  `json:"operate"`
+	Incarnation string  `json:"incarnation"`
+	Leaving     bool    `json:"leaving"`
+	Ready       bool    `json:"ready"`
+	Keeper      bool    `json:"keeper,omitempty"`
+	Demand      float64 `json:"demand,omitempty"`
 }
 
 // Backend is one backend as the platform lists it and the proxies find it.
