Platform pages put off are asked again; routes are found by index; scale measured

- A list longer than the platform's allowed burst was never read to its end: each refusal began the list anew.
- A new leader's first, lagging list could drop backends: it starts from the table it holds now.
- Malformed HTTP gets a typed refusal.

--- a/conf/effective.go
+++ b/conf/effective.go
@@ -68,3 +68,59 @@
 
 // Same compares two effective values.
 func Same(left, right any) bool { return reflect.DeepEqual(left, right) }
+
+// Flat is a route as the data plane uses it: values without where they came from.
+type Flat struct {
+	Class         string
+	Service       string
+	Route         string
+	Method        string
+	Path          string
+	Rank          int
+	Money         bool
+	LimitMs       int
+	Sends         int
+	BodyBytes     int
+	ReceiptBytes  int
+	Pipes         int
+	ForbidRegions []string
+}
+
+// over lays the rule's own values over what is inherited.
+func (rule *Rule) over(flat Flat) Flat {
+	for _, field := range []struct {
+		given *int
+		into  *int
+	}{{rule.LimitMs, &flat.LimitMs}, {rule.Sends, &flat.Sends}, {rule.BodyBytes, &flat.BodyBytes}, {rule.ReceiptBytes, &flat.ReceiptBytes}, {rule.Pipes, &flat.Pipes}} {
+		if field.given != nil {
+			*field.into = *field.given
+		}
+	}
+	if rule.ForbidRegions != nil {
+		flat.ForbidRegions = rule.ForbidRegions
+	}
+	return flat
+}
+
+// Flatten resolves every route, in the order of Resolve.
+func (settings *Settings) Flatten() []Flat {
+	all := []Flat{}
+	top := settings.Rule.over(Flat{})
+	for _, className := range sortedNames(settings.Classes) {
+		class := settings.Classes[className]
+		ofClass := class.Rule.over(top)
+		ofClass.Class, ofClass.Rank, ofClass.Money = className, class.Rank, class.Money
+		for _, serviceName := range sortedNames(class.Services) {
+			service := class.Services[serviceName]
+			ofService := service.Rule.over(ofClass)
+			ofService.Service = serviceName
+			for _, routeName := range sortedNames(service.Routes) {
+				route := service.Routes[routeName]
+				flat := route.Rule.over(ofService)
+				flat.Route, flat.Method, flat.Path = routeName, route.Method, route.Path
+				all = append(all, flat)
+			}
+		}
+	}
+	return all
+}
--- a/conf/read_test.go
+++ b/conf/read_test.go
@@ -35,6 +35,14 @@
 				}
 				return strings.Join(lines, "\n") + "\n"
 			}
+			for index, effective := range settings.Resolve() {
+				flat := settings.Flatten()[index]
+				if flat.Route != effective.Route || flat.Service != effective.Service || flat.Class != effective.Class || flat.Money != effective.Money ||
+					flat.LimitMs != effective.Whole("limit_ms") || flat.Sends != effective.Whole("sends") || flat.BodyBytes != effective.Whole("body_bytes") ||
+					flat.ReceiptBytes != effective.Whole("receipt_bytes") || flat.Pipes != effective.Whole("pipes") || fmt.Sprint(flat.ForbidRegions) != fmt.Sprint(effective.ForbidRegions()) {
+					test.Errorf("%s: %+v is not %+v", effective.Route, flat, effective)
+				}
+			}
 			if line.Cmd != "effective" {
 				return "valid\n"
 			}
--- a/control/election.go
+++ b/control/election.go
@@ -126,7 +126,7 @@
 	for register := range wire.Registers {
 		core.commit(register, wire.Accepted{Ballot: ballot, Value: leadership.value(register)})
 	}
-	core.platform.begin()
+	core.platform.begin(core.Table().Backends)
 	core.news.Ring()
 	leadership.beat()
 }
--- a/control/platform.go
+++ b/control/platform.go
@@ -22,6 +22,7 @@
 	platformLimit = 2 * time.Second
 	pageBytes     = 4 << 20
 	pagesLimit    = 1000
+	putOffLimit   = 60
 	goneAfter     = 3
 )
 
@@ -48,11 +49,15 @@
 	return &PlatformReader{address: address, counts: counts, client: &http.Client{Transport: transport}, backends: map[string]wire.Backend{}, missed: map[string]int{}}
 }
 
-// begin forgets what an earlier leadership read: it may be old by now.
-func (reader *PlatformReader) begin() {
+// begin starts a leadership's reading from the table it holds, so that a first
+// list that lags or shifted between pages takes nothing away.
+func (reader *PlatformReader) begin(held []wire.Backend) {
 	reader.mutex.Lock()
 	reader.whole = false
-	reader.missed = map[string]int{}
+	reader.backends, reader.missed = map[string]wire.Backend{}, map[string]int{}
+	for _, backend := range held {
+		reader.backends[backend.Name] = backend
+	}
 	reader.wait = 0
 	reader.mutex.Unlock()
 }
@@ -85,14 +90,21 @@
 	if mishap != nil || leadership.holds() != nil || core.platform.address == "" {
 		return
 	}
-	core.platform.read()
+	core.platform.read(core.threads.Rest, func() bool { return leadership.holds() == nil })
 }
 
-func (reader *PlatformReader) read() {
+// read goes through all pages; one that the platform puts off is asked again,
+// not the whole list, or a list longer than the allowed burst would never end.
+func (reader *PlatformReader) read(rest func(time.Duration) bool, going func() bool) {
 	listed := map[string]wire.Backend{}
 	next := ""
-	for pages := 0; ; pages++ {
+	for pages, putOff := 0, 0; ; pages++ {
 		page, wait, mishap := reader.page(next)
+		if mishap != nil && wait > 0 && putOff < putOffLimit && rest(wait) && going() {
+			putOff++
+			pages--
+			continue
+		}
 		if mishap != nil || pages >= pagesLimit {
 			reader.counts.Add("platform_reads_broken", 1)
 			reader.mutex.Lock()
@@ -115,9 +127,6 @@
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
 	reader.wait = 0
-	if !reader.whole {
-		reader.backends = map[string]wire.Backend{}
-	}
 	reader.whole = true
 	for name, backend := range listed {
 		reader.backends[name] = backend
--- a/control/usage.go
+++ b/control/usage.go
@@ -54,6 +54,8 @@
 	told      map[string]time.Time
 	delivered map[string]bool
 	client    *http.Client
+	serial    uint64
+	settings  *conf.Settings
 }
 
 func newUsage(transport http.RoundTripper) *Usage {
@@ -142,7 +144,7 @@
 // seal keeps the running counts at a majority of disks, and with them the
 // reports of an ended period, before any is sent.
 func (core *Core) seal(leadership *Leadership, settings wire.Value) (*usageBook, *wire.Mishap) {
-	tree, mishap := conf.Read(settings.Body)
+	tree, mishap := core.usage.tree(settings)
 	if mishap != nil {
 		return nil, mishap
 	}
@@ -164,6 +166,20 @@
 	return &sealed, mishap
 }
 
+// tree reads each serial's settings once.
+func (usage *Usage) tree(value wire.Value) (*conf.Settings, *wire.Mishap) {
+	usage.mutex.Lock()
+	defer usage.mutex.Unlock()
+	if usage.settings != nil && usage.serial == value.Serial {
+		return usage.settings, nil
+	}
+	tree, mishap := conf.Read(value.Body)
+	if mishap == nil {
+		usage.serial, usage.settings = value.Serial, tree
+	}
+	return tree, mishap
+}
+
 // advance lays what proxies told since into the book, and ends the period when it is over.
 func (usage *Usage) advance(before usageBook, tree *conf.Settings, now int64) usageBook {
 	usage.mutex.Lock()
--- a/data/routes.go
+++ b/data/routes.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"sort"
 	"strings"
 
 	"orchidjunction/conf"
@@ -14,8 +15,10 @@
 	settings *conf.Settings
 	tenants  []tenantEntry
 	byKey    map[string]int
-	routes   []conf.Effective
-	services map[string][]int
+	routes   []conf.Flat
+	exact    map[door]int
+	open     map[string][]int
+	paths    map[door]bool
 	drained  map[string]bool
 	gone     map[string]bool
 	regions  map[string]string
@@ -27,7 +30,7 @@
 }
 
 func NewRoutes(serial uint64, settings *conf.Settings) *Routes {
-	routes := &Routes{Serial: serial, settings: settings, byKey: map[string]int{}, services: map[string][]int{}, drained: map[string]bool{}, gone: map[string]bool{}, regions: map[string]string{}}
+	routes := &Routes{Serial: serial, settings: settings, byKey: map[string]int{}, exact: map[door]int{}, open: map[string][]int{}, paths: map[door]bool{}, drained: map[string]bool{}, gone: map[string]bool{}, regions: map[string]string{}}
 	for name, tenant := range settings.Tenants {
 		index := len(routes.tenants)
 		routes.tenants = append(routes.tenants, tenantEntry{name: name, forbids: tenant.ForbidRegions})
@@ -35,10 +38,20 @@
 			routes.byKey[strings.ToLower(key)] = index
 		}
 	}
-	routes.routes = settings.Resolve()
+	routes.routes = settings.Flatten()
 	for index := range routes.routes {
-		service := routes.routes[index].Service
-		routes.services[service] = append(routes.services[service], index)
+		route := &routes.routes[index]
+		if strings.HasSuffix(route.Path, "*") {
+			routes.open[route.Service] = append(routes.open[route.Service], index)
+			continue
+		}
+		routes.exact[door{route.Method, route.Service, route.Path}] = index
+		routes.paths[door{"", route.Service, route.Path}] = true
+	}
+	for _, open := range routes.open {
+		sort.Slice(open, func(left, right int) bool {
+			return len(routes.routes[open[left]].Path) > len(routes.routes[open[right]].Path)
+		})
 	}
 	for _, zone := range settings.Drained.Zones {
 		routes.drained[zone] = true
@@ -73,29 +86,26 @@
 
 func (routes *Routes) TenantName(index int) string { return routes.tenants[index].name }
 
+// door is what a task knocks at.
+type door struct{ method, service, path string }
+
 // Route finds the route of a method and path within a service; exact paths go first, then the longest prefix.
 func (routes *Routes) Route(service, method, path string) (found int, otherMethod bool) {
-	found = -1
-	best := -1
-	for _, index := range routes.services[service] {
+	if index, known := routes.exact[door{method, service, path}]; known {
+		return index, false
+	}
+	otherMethod = routes.paths[door{"", service, path}]
+	for _, index := range routes.open[service] {
 		route := &routes.routes[index]
-		prefix, open := strings.CutSuffix(route.Path, "*")
-		if !(path == route.Path || open && strings.HasPrefix(path, prefix)) {
-			continue
-		}
-		if route.Method != method {
-			otherMethod = true
+		if !strings.HasPrefix(path, strings.TrimSuffix(route.Path, "*")) {
 			continue
 		}
-		weight := len(prefix)
-		if !open {
-			weight = 1 << 20
-		}
-		if weight > best {
-			found, best = index, weight
+		if route.Method == method {
+			return index, false
 		}
+		otherMethod = true
 	}
-	return found, otherMethod && found < 0
+	return -1, otherMethod
 }
 
 // allowed is whether a backend's or front's zone may serve this tenant's task on this route.
@@ -106,7 +116,7 @@
 			return false
 		}
 	}
-	for _, forbidden := range routes.routes[route].ForbidRegions() {
+	for _, forbidden := range routes.routes[route].ForbidRegions {
 		if region == forbidden {
 			return false
 		}
--- a/data/task.go
+++ b/data/task.go
@@ -32,7 +32,7 @@
 	request  *http.Request
 	tenant   int
 	route    int
-	rule     *conf.Effective
+	rule     *conf.Flat
 	path     string
 	body     []byte
 	limit    time.Time
@@ -70,7 +70,7 @@
 }
 
 func (task *task) deliver(writer http.ResponseWriter) {
-	if fault := task.receipt.write(writer, task.rule.Whole("receipt_bytes"), task.replayed); fault != nil {
+	if fault := task.receipt.write(writer, task.rule.ReceiptBytes, task.replayed); fault != nil {
 		task.walk.step(Broken)
 		panic(http.ErrAbortHandler)
 	}
@@ -131,7 +131,7 @@
 	if !task.plan.routes.allowed(task.proxy.daemon.Zone(), task.tenant, route) {
 		return wire.New(wire.ForbiddenPlace, "zone %s is closed to this task", task.proxy.daemon.Zone())
 	}
-	span := time.Duration(task.rule.Whole("limit_ms")) * time.Millisecond
+	span := time.Duration(task.rule.LimitMs) * time.Millisecond
 	if asked := task.request.Header.Get("Oj-Limit-Ms"); asked != "" {
 		own, fault := strconv.Atoi(asked)
 		if fault != nil || own < 1 {
@@ -146,7 +146,7 @@
 
 // load takes the body whole, so that a broken caller starts nothing.
 func (task *task) load(writer http.ResponseWriter) *wire.Mishap {
-	most := int64(task.rule.Whole("body_bytes"))
+	most := int64(task.rule.BodyBytes)
 	if task.request.ContentLength > most {
 		return wire.New(wire.TooLarge, "%d bytes, allowed %d", task.request.ContentLength, most)
 	}
@@ -211,7 +211,7 @@
 	}
 	last := &wire.Mishap{Kind: wire.NoBackend, Cause: "no backend can take this now", Retry: comeBack, Outcome: wire.NotRun}
 	mayRun := false
-	for sends := 0; sends < task.rule.Whole("sends"); sends++ {
+	for sends := 0; sends < task.rule.Sends; sends++ {
 		if sends > 0 && !task.proxy.budget.Take() {
 			task.proxy.counts.Add("resends_refused", 1)
 			break
@@ -287,7 +287,7 @@
 	if fault != nil {
 		cancel()
 		leave()
-		target.giveBack(pipe, incarnation, task.rule.Whole("pipes"))
+		target.giveBack(pipe, incarnation, task.rule.Pipes)
 		return nil, false, wire.New(wire.BadRequest, "%v", fault)
 	}
 	task.walk.step(Sent)
@@ -311,7 +311,7 @@
 	if serial, fault := strconv.ParseUint(response.Header.Get("Oj-Serial"), 10, 64); fault == nil {
 		task.proxy.daemon.Seen(serial)
 	}
-	receipt, mishap := takeReceipt(response, task.id, task.rule.Whole("receipt_bytes"), task.rule.Money)
+	receipt, mishap := takeReceipt(response, task.id, task.rule.ReceiptBytes, task.rule.Money)
 	if mishap != nil {
 		cancel()
 		leave()
@@ -324,7 +324,7 @@
 	if busy := receipt.status == http.StatusServiceUnavailable || receipt.status == http.StatusTooManyRequests; busy && receipt.rest == nil {
 		cancel()
 		leave()
-		target.giveBack(pipe, incarnation, task.rule.Whole("pipes"))
+		target.giveBack(pipe, incarnation, task.rule.Pipes)
 		if receipt.header.Get("Oj-Not-Run") == "true" {
 			return nil, false, &wire.Mishap{Kind: wire.Busy, Cause: "the backend is busy", Retry: comeBack}
 		}
@@ -336,7 +336,7 @@
 		if receipt.rest != nil {
 			receipt.rest.Close()
 		}
-		target.giveBack(pipe, incarnation, task.rule.Whole("pipes"))
+		target.giveBack(pipe, incarnation, task.rule.Pipes)
 	}
 	if receipt.rest == nil {
 		response.Body.Close()
--- a/program/program.go
+++ b/program/program.go
@@ -168,7 +168,7 @@
 	if fault != nil {
 		return nil, wire.New(wire.BadFlag, "%s: %v", address, fault)
 	}
-	return &Listener{open: open, server: &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+	return &Listener{open: typedListener{open}, server: &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
 		MaxHeaderBytes: header, ErrorLog: klog.NewStandardLogger("INFO")}}, nil
 }
 
--- /dev/null
+++ b/program/typed.go
@@ -0,0 +1,53 @@
+package program
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+
+	"orchidjunction/wire"
+)
+
+// typedListener gives net/http's own refusals of malformed requests the form
+// that all other refusals have.
+type typedListener struct{ net.Listener }
+
+func (listener typedListener) Accept() (net.Conn, error) {
+	conn, fault := listener.Listener.Accept()
+	if fault != nil {
+		return nil, fault
+	}
+	return typedConn{conn}, nil
+}
+
+type typedConn struct{ net.Conn }
+
+// CloseWrite lets the library end an answer before it closes.
+func (conn typedConn) CloseWrite() error {
+	if half, able := conn.Conn.(interface{ CloseWrite() error }); able {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// bareHead is how the library's refusals go on after the status line; answers
+// of handlers always have a date.
+var bareHead = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
+
+func (conn typedConn) Write(body []byte) (int, error) {
+	line, text, found := bytes.Cut(body, bareHead)
+	if !found || !bytes.HasPrefix(line, []byte("HTTP/1.")) || bytes.Contains(line, []byte("\r\n")) {
+		return conn.Conn.Write(body)
+	}
+	kind := wire.BadRequest
+	if strings.Contains(string(line), " 431 ") || strings.Contains(string(line), " 413 ") {
+		kind = wire.TooLarge
+	}
+	refusal, _ := json.Marshal(&wire.Mishap{Kind: kind, Cause: strings.TrimSpace(string(text)), Outcome: wire.NotRun})
+	if _, fault := fmt.Fprintf(conn.Conn, "%s\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s\n", line, len(refusal)+1, refusal); fault != nil {
+		return 0, fault
+	}
+	return len(body), nil
+}
--- a/sim/net.go
+++ b/sim/net.go
@@ -313,3 +313,10 @@
 		conn.Close()
 	}
 }
+
+// Count is how many messages went out so far, and their bytes.
+func (net *Net) Count() (int, int) {
+	net.mutex.Lock()
+	defer net.mutex.Unlock()
+	return net.Messages, net.Bytes
+}
--- /dev/null
+++ b/sim/scale_test.go
@@ -0,0 +1,85 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/operator"
+)
+
+// What a change and a leader change cost, by the number of daemons and the size
+// of the settings. Virtual time: the machine's speed is not in the figures.
+func TestCostOfDelivery(test *testing.T) {
+	sizes, perDaemon := []int{12, 36, 120}, map[int]float64{}
+	if raced {
+		sizes = sizes[:2]
+	}
+	for _, size := range sizes {
+		synctest.Test(test, func(test *testing.T) {
+			world := NewWorld(5, 3)
+			defer world.Close()
+			world.up(test, size)
+			world.Rest(5 * time.Second)
+			calm, bytes := world.Net.Count()
+			world.Rest(10 * time.Second)
+			later, laterBytes := world.Net.Count()
+			perDaemon[size] = float64(later-calm) / 10 / float64(size)
+			slowest := time.Duration(0)
+			for number := range 5 {
+				outcome, mishap := world.Client(world.Cores[0].Operate).Put(operator.Change{Base: uint64(1 + number), Change: fmt.Sprint("scale-", number), Settings: Settings(2000 + number)})
+				if mishap != nil {
+					test.Fatal(mishap)
+				}
+				slowest = max(slowest, world.everywhere(test, outcome.Serial))
+			}
+			large := map[string]any{}
+			json.Unmarshal(Settings(3000), &large)
+			routes := map[string]any{}
+			for index := range 2000 {
+				routes[fmt.Sprintf("bulk-%d", index)] = map[string]any{"method": "GET", "path": fmt.Sprintf("/bulk/%d", index)}
+			}
+			large["classes"].(map[string]any)["pages"].(map[string]any)["services"].(map[string]any)["bulk"] = map[string]any{"routes": routes}
+			body, _ := json.Marshal(large)
+			outcome, mishap := world.Client(world.Cores[0].Operate).Put(operator.Change{Base: 6, Change: "scale-large", Settings: body})
+			if mishap != nil {
+				test.Fatal(mishap)
+			}
+			slowLarge := world.everywhere(test, outcome.Serial)
+			leader := world.Leader()
+			world.KillCore(leader, true)
+			begin := time.Now()
+			world.Until(5*time.Second, func() bool { return world.Leader() >= 0 })
+			gap := time.Since(begin)
+			test.Logf("%d daemons: %.1f messages and %.0f bytes a second a daemon, small change everywhere in %v, %d bytes in %v, leader killed and followed in %v",
+				size, perDaemon[size], float64(laterBytes-bytes)/10/float64(size), slowest, len(body), slowLarge, gap)
+			if slowest > 2*time.Second || slowLarge > 4*time.Second {
+				test.Errorf("%d daemons: %v and %v to be everywhere", size, slowest, slowLarge)
+			}
+			if gap > time.Second {
+				test.Errorf("%d daemons: %v without a leader", size, gap)
+			}
+		})
+	}
+	if last := sizes[len(sizes)-1]; perDaemon[last] > 1.5*perDaemon[sizes[0]] {
+		test.Errorf("messages a daemon grow from %.1f to %.1f", perDaemon[sizes[0]], perDaemon[last])
+	}
+}
+
+func (world *World) everywhere(test *testing.T, serial uint64) time.Duration {
+	test.Helper()
+	begin := time.Now()
+	if !world.Until(10*time.Second, func() bool {
+		for _, daemon := range world.Daemons {
+			if daemon.Daemon.Version().Serial < serial {
+				return false
+			}
+		}
+		return true
+	}) {
+		test.Errorf("serial %d is not everywhere after 10 s", serial)
+	}
+	return time.Since(begin)
+}
