Partners lend each other front machines, and only the lender sets how much

A proxy takes a second place as a guest in the other partner's system; it gives room back as soon as one of its owner's classes is above its floor.

--- a/cmd/ojdir/main.go
+++ b/cmd/ojdir/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	flags := program.NewFlags("ojdir", "a directory node of orchidjunction: tells callers where to go")
-	program.RunDaemon(flags, "dir", func(daemon *member.Daemon, _ *run.Threads, counts *run.Counts) (program.Plane, func() []wire.Probe) {
+	program.RunDaemon(flags, "dir", nil, func(daemon *member.Daemon, _ *run.Threads, counts *run.Counts) (program.Plane, func() []wire.Probe) {
 		return place.NewDirectory(daemon, counts), nil
 	})
 }
--- a/cmd/ojproxy/main.go
+++ b/cmd/ojproxy/main.go
@@ -15,7 +15,11 @@
 func main() {
 	flags := program.NewFlags("ojproxy", "a front machine of orchidjunction: carries callers' tasks to backends")
 	dialer := &net.Dialer{Timeout: time.Second}
-	program.RunDaemon(flags, "proxy", func(daemon *member.Daemon, threads *run.Threads, counts *run.Counts) (program.Plane, func() []wire.Probe) {
+	guest := &program.Guest{}
+	guest.Join = func(owner, borrower program.Plane) {
+		borrower.(*data.Proxy).Borrow(data.NewLend(owner.(*data.Proxy), guest.PerSecond, guest.InFlight))
+	}
+	program.RunDaemon(flags, "proxy", guest, func(daemon *member.Daemon, threads *run.Threads, counts *run.Counts) (program.Plane, func() []wire.Probe) {
 		proxy := data.NewProxy(daemon, threads, counts, dialer.DialContext)
 		return proxy, proxy.Probes
 	})
--- a/conf/read.go
+++ b/conf/read.go
@@ -261,10 +261,11 @@
 func (reader *reader) settings(decoder *jx.Decoder) *Settings {
 	settings := &Settings{Regions: map[string]Region{}, Tenants: map[string]Tenant{}, Classes: map[string]Class{}}
 	reader.object(decoder, "", fields{
-		"format":  reader.whole(&settings.Format, 1, 1),
-		"partner": reader.text(&settings.Partner, 1, 64),
-		"ack_ms":  reader.whole(&settings.AckMs, 50, 1000),
-		"rule":    reader.rule(&settings.Rule, "limit_ms", "sends", "body_bytes", "receipt_bytes", "hold_ms", "fronts", "pipes"),
+		"format":    reader.whole(&settings.Format, 1, 1),
+		"partner":   reader.text(&settings.Partner, 1, 64),
+		"ack_ms":    reader.whole(&settings.AckMs, 50, 1000),
+		"front_rps": reader.whole(&settings.FrontRps, 1, 1_000_000),
+		"rule":      reader.rule(&settings.Rule, "limit_ms", "sends", "body_bytes", "receipt_bytes", "hold_ms", "fronts", "pipes"),
 		"retry": func(decoder *jx.Decoder, path string) {
 			reader.object(decoder, path, fields{
 				"fraction": reader.part(&settings.Retry.Fraction, 0, 0.2),
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -58,15 +58,16 @@
 
 // Settings is the whole tree of one partner.
 type Settings struct {
-	Format  int               `json:"format"`
-	Partner string            `json:"partner"`
-	AckMs   int               `json:"ack_ms"`
-	Rule    Rule              `json:"rule"`
-	Retry   Retry             `json:"retry"`
-	Regions map[string]Region `json:"regions"`
-	Tenants map[string]Tenant `json:"tenants"`
-	Classes map[string]Class  `json:"classes"`
-	Drained Drained           `json:"drained"`
+	Format   int               `json:"format"`
+	Partner  string            `json:"partner"`
+	AckMs    int               `json:"ack_ms"`
+	FrontRps int               `json:"front_rps,omitempty"`
+	Rule     Rule              `json:"rule"`
+	Retry    Retry             `json:"retry"`
+	Regions  map[string]Region `json:"regions"`
+	Tenants  map[string]Tenant `json:"tenants"`
+	Classes  map[string]Class  `json:"classes"`
+	Drained  Drained           `json:"drained"`
 }
 
 func sortedNames[T any](named map[string]T) []string {
--- a/data/claims.go
+++ b/data/claims.go
@@ -174,7 +174,7 @@
 // grow makes this proxy a keeper once it knows what the others keep, or when
 // no keeper is known to anybody.
 func (claims *Claims) grow() {
-	if claims.Grown() || !claims.proxy.daemon.Ready() {
+	if claims.Grown() || claims.proxy.lend != nil || !claims.proxy.daemon.Ready() {
 		return
 	}
 	version := claims.proxy.daemon.Version()
--- a/data/proxy.go
+++ b/data/proxy.go
@@ -21,6 +21,7 @@
 	usage   *run.Counts
 	room    *Room
 	quick   *Quick
+	lend    *Lend
 	plan    atomic.Pointer[plan]
 	mutex   sync.Mutex
 	targets map[string]*Target
--- a/data/room.go
+++ b/data/room.go
@@ -28,6 +28,7 @@
 	since   time.Time
 	tasks   float64
 	demand  float64
+	pressed time.Time
 }
 
 type classRoom struct {
@@ -97,6 +98,9 @@
 	if held == nil || held.floor.Allow() {
 		return nil
 	}
+	room.mutex.Lock()
+	room.pressed = time.Now()
+	room.mutex.Unlock()
 	if usage > max(fullUsage-rankUsage*float64(held.rank-1), leastUsage) {
 		return &wire.Mishap{Kind: wire.Busy, Cause: "class " + class + " is above its floor and backends have no room to lend", Retry: comeBack, Outcome: wire.NotRun}
 	}
@@ -106,6 +110,13 @@
 	return nil
 }
 
+// Pressed is whether a class was above its floor just now.
+func (room *Room) Pressed() bool {
+	room.mutex.Lock()
+	defer room.mutex.Unlock()
+	return time.Since(room.pressed) < pressedSpan
+}
+
 // Demand is the tasks a second asked of this proxy, in coarse steps, so that
 // the table changes seldom.
 func (room *Room) Demand() float64 {
--- a/data/task.go
+++ b/data/task.go
@@ -202,6 +202,12 @@
 // send draws and sends until a receipt is whole, or what is left is unsafe,
 // out of budget or out of time.
 func (task *task) send() *wire.Mishap {
+	if lend := task.proxy.lend; lend != nil {
+		if mishap := lend.Take(); mishap != nil {
+			return mishap
+		}
+		defer lend.Give()
+	}
 	if mishap := task.proxy.room.Take(task.rule.Class, task.plan.usage(task.rule.Service)); mishap != nil {
 		return mishap
 	}
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -21,6 +21,7 @@
 	Outer   string
 	Operate string
 	Seeds   []string
+	Guest   bool
 }
 
 func (place *Place) Check() *wire.Mishap {
@@ -172,7 +173,7 @@
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	return wire.Member{Name: daemon.place.Name, Kind: daemon.place.Kind, Zone: daemon.place.Zone, Wire: daemon.place.Wire,
-		Outer: daemon.place.Outer, Operate: daemon.place.Operate, Incarnation: daemon.incarnation, Leaving: daemon.leaving, Ready: ready && !daemon.leaving, Keeper: keeper && !daemon.leaving, Demand: demand}
+		Outer: daemon.place.Outer, Operate: daemon.place.Operate, Incarnation: daemon.incarnation, Leaving: daemon.leaving, Ready: ready && !daemon.leaving, Keeper: keeper && !daemon.leaving, Demand: demand, Guest: daemon.place.Guest}
 }
 
 // session tells a core that this daemon lives; a silent core is left for the next.
--- a/place/directory.go
+++ b/place/directory.go
@@ -14,7 +14,10 @@
 	"orchidjunction/wire"
 )
 
-const comeBack = 1000
+const (
+	comeBack = 1000
+	fullPart = 0.8
+)
 
 // Directory answers callers from one immutable map per version.
 type Directory struct {
@@ -27,6 +30,7 @@
 type Chart struct {
 	routes *data.Routes
 	fronts []wire.Member
+	guests []wire.Member
 }
 
 // Front is one machine a caller may use.
@@ -66,13 +70,26 @@
 	directory.chart.Store(NewChart(routes, version.Table.Members))
 }
 
-// NewChart takes the proxies that may be given to callers.
+// NewChart takes the proxies that may be given to callers; those on the other
+// partner's machines only while the own ones are too few or nearly full.
 func NewChart(routes *data.Routes, members []wire.Member) *Chart {
-	next := &Chart{routes: routes}
+	next, demand := &Chart{routes: routes}, 0.0
 	for _, known := range members {
-		if known.Kind == "proxy" && known.Ready && !known.Leaving {
-			next.fronts = append(next.fronts, known)
+		if known.Kind != "proxy" || !known.Ready || known.Leaving {
+			continue
+		}
+		if known.Guest {
+			next.guests = append(next.guests, known)
+			continue
 		}
+		next.fronts = append(next.fronts, known)
+		demand += known.Demand
+	}
+	settings := routes.Settings()
+	short := len(next.fronts) < *settings.Rule.Fronts
+	full := settings.FrontRps > 0 && demand > fullPart*float64(settings.FrontRps*len(next.fronts))
+	if !short && !full {
+		next.guests = nil
 	}
 	return next
 }
@@ -112,22 +129,11 @@
 func (chart *Chart) Place(tenant int, near string) (*Placement, *wire.Mishap) {
 	settings := chart.routes.Settings()
 	name := chart.routes.TenantName(tenant)
-	ranked := []wire.Member{}
-	for _, front := range chart.fronts {
-		if !chart.routes.Drained(front.Zone) && chart.routes.ZoneAllowed(front.Zone, tenant) {
-			ranked = append(ranked, front)
-		}
-	}
-	if len(ranked) == 0 {
+	ranked := chart.rank(chart.fronts, tenant, near)
+	guests := chart.rank(chart.guests, tenant, near)
+	if len(ranked)+len(guests) == 0 {
 		return nil, &wire.Mishap{Kind: wire.NoBackend, Cause: "no front machine may take this tenant now", Retry: comeBack}
 	}
-	sort.Slice(ranked, func(left, right int) bool {
-		leftNear, rightNear := ranked[left].Zone == near, ranked[right].Zone == near
-		if leftNear != rightNear {
-			return leftNear
-		}
-		return data.Rank(name, ranked[left].Name) > data.Rank(name, ranked[right].Name)
-	})
 	most := *settings.Rule.Fronts
 	placement := &Placement{Serial: chart.routes.Serial, Tenant: name, HoldMs: (time.Duration(*settings.Rule.HoldMs) * time.Millisecond).Milliseconds(), Fronts: []Front{}}
 	zones := map[string]int{}
@@ -139,9 +145,37 @@
 			}
 		}
 	}
+	if len(guests) > 0 {
+		if len(placement.Fronts) == most && most > 1 {
+			placement.Fronts = placement.Fronts[:most-1]
+		}
+		for _, guest := range guests {
+			if len(placement.Fronts) < most {
+				placement.Fronts = append(placement.Fronts, Front{Name: guest.Name, Address: guest.Outer, Zone: guest.Zone})
+			}
+		}
+	}
 	return placement, nil
 }
 
+// rank orders the fronts that a tenant may use: near ones first, then its own order.
+func (chart *Chart) rank(fronts []wire.Member, tenant int, near string) []wire.Member {
+	name, ranked := chart.routes.TenantName(tenant), []wire.Member{}
+	for _, front := range fronts {
+		if !chart.routes.Drained(front.Zone) && chart.routes.ZoneAllowed(front.Zone, tenant) {
+			ranked = append(ranked, front)
+		}
+	}
+	sort.Slice(ranked, func(left, right int) bool {
+		leftNear, rightNear := ranked[left].Zone == near, ranked[right].Zone == near
+		if leftNear != rightNear {
+			return leftNear
+		}
+		return data.Rank(name, ranked[left].Name) > data.Rank(name, ranked[right].Name)
+	})
+	return ranked
+}
+
 func (placement *Placement) has(name string) bool {
 	for _, front := range placement.Fronts {
 		if front.Name == name {
--- a/program/daemon.go
+++ b/program/daemon.go
@@ -18,8 +18,80 @@
 	Run()
 }
 
+// Make makes the plane of one daemon.
+type Make func(*member.Daemon, *run.Threads, *run.Counts) (Plane, func() []wire.Probe)
+
+// Station is one daemon with its open sides; a process has one, or two when it
+// is a guest at the other partner as well.
+type Station struct {
+	Daemon    *member.Daemon
+	Plane     Plane
+	line      *wire.Line
+	counts    *run.Counts
+	listeners []*Listener
+}
+
+func newStation(flags *Flags, place member.Place, threads *run.Threads, make Make) *Station {
+	station := &Station{line: wire.NewLine(Transport()), counts: run.NewCounts()}
+	station.Daemon = member.NewDaemon(place, member.NewID(), station.line, threads, station.counts)
+	plane, probes := make(station.Daemon, threads, station.counts)
+	station.Plane = plane
+	station.Daemon.Serve(plane.Apply, probes)
+	door := wire.NewDoor(station.counts)
+	station.Daemon.Register(door)
+	plane.Register(door)
+	operate := member.NewOperate(place.Name, station.Daemon.Hold, station.counts, func() (uint64, []byte) {
+		version := station.Daemon.Version()
+		return version.Serial, version.Body
+	}, station.Daemon.Ready)
+	for _, side := range []struct {
+		address string
+		handler http.Handler
+	}{{place.Outer, plane}, {place.Wire, door}, {place.Operate, operate}} {
+		listener, mishap := Listen(side.address, side.handler, 32<<10)
+		flags.Exit(mishap)
+		station.listeners = append(station.listeners, listener)
+	}
+	return station
+}
+
+func (station *Station) run(threads *run.Threads) {
+	for _, listener := range station.listeners {
+		listener.Serve(threads)
+	}
+	station.Daemon.Run()
+	station.Plane.Run()
+	LogCounts(threads, station.counts, station.Daemon.Name())
+	threads.OnStop(func() {
+		for _, listener := range station.listeners {
+			listener.Close()
+		}
+	})
+}
+
+// Guest is a second place at the other partner, if it is given, and what is lent there.
+type Guest struct {
+	Place     member.Place
+	PerSecond float64
+	InFlight  int
+	Join      func(owner, guest Plane)
+}
+
+func (guest *Guest) add(flags *Flags) {
+	flags.Parser.String(&guest.Place.Name, "", "guest-name", "this machine's name at the other partner, when it lends room there")
+	flags.Parser.String(&guest.Place.Zone, "", "guest-zone", "zone of the other partner's that this machine counts as")
+	flags.Parser.String(&guest.Place.Outer, "", "guest-listen", "IP:port for the other partner's callers")
+	flags.Parser.String(&guest.Place.Wire, "", "guest-wire", "IP:port for the other partner's processes")
+	flags.Parser.String(&guest.Place.Operate, "", "guest-operate", "IP:port for the other partner's operators")
+	flags.Parser.StringSlice(&guest.Place.Seeds, "", "guest-seed", "IP:port of a core of the other partner's; up to three")
+	flags.Parser.Float64(&guest.PerSecond, "", "lend-rps", "tasks a second lent to the other partner at most")
+	flags.Parser.Int(&guest.InFlight, "", "lend-in-flight", "tasks at once lent to the other partner at most")
+}
+
+func (guest *Guest) given() bool { return guest.Place.Name != "" || len(guest.Place.Seeds) > 0 }
+
 // RunDaemon is the life of a directory node or a proxy.
-func RunDaemon(flags *Flags, kind string, make func(*member.Daemon, *run.Threads, *run.Counts) (Plane, func() []wire.Probe)) {
+func RunDaemon(flags *Flags, kind string, guest *Guest, make Make) {
 	place := member.Place{Kind: kind}
 	grace, settle := 6000, 2500
 	flags.Parser.String(&place.Name, "", "name", "this daemon's name, unlike any other's")
@@ -30,53 +102,50 @@
 	flags.Parser.StringSlice(&place.Seeds, "", "seed", "IP:port of a core's wire side; up to three")
 	flags.Parser.Int(&grace, "", "grace-ms", "grace after SIGTERM for what is in flight")
 	flags.Parser.Int(&settle, "", "settle-ms", "part of the grace in which callers learn to go elsewhere")
+	if guest != nil {
+		guest.add(flags)
+	}
 	flags.Parse()
 	flags.Exit(place.Check())
 	if grace < 0 || settle < 0 || settle > grace {
 		flags.Exit(wire.New(wire.BadFlag, "--settle-ms: %d is not in 0 to the grace of %d", settle, grace))
 	}
-	threads, counts := run.NewThreads(), run.NewCounts()
-	line := wire.NewLine(Transport())
-	daemon := member.NewDaemon(place, member.NewID(), line, threads, counts)
-	plane, probes := make(daemon, threads, counts)
-	daemon.Serve(plane.Apply, probes)
-	door := wire.NewDoor(counts)
-	daemon.Register(door)
-	plane.Register(door)
-	operate := member.NewOperate(place.Name, daemon.Hold, counts, func() (uint64, []byte) {
-		version := daemon.Version()
-		return version.Serial, version.Body
-	}, daemon.Ready)
-	listeners := []*Listener{}
-	for _, side := range []struct {
-		address string
-		handler http.Handler
-	}{{place.Outer, plane}, {place.Wire, door}, {place.Operate, operate}} {
-		listener, mishap := Listen(side.address, side.handler, 32<<10)
-		flags.Exit(mishap)
-		listeners = append(listeners, listener)
+	threads := run.NewThreads()
+	stations := []*Station{newStation(flags, place, threads, make)}
+	if guest != nil && guest.given() {
+		guest.Place.Kind, guest.Place.Guest = kind, true
+		if mishap := guest.Place.Check(); mishap != nil {
+			mishap.Cause = "as a guest: " + mishap.Cause
+			flags.Exit(mishap)
+		}
+		if guest.PerSecond <= 0 || guest.InFlight < 1 {
+			flags.Exit(wire.New(wire.BadFlag, "--lend-rps and --lend-in-flight: a guest lends something of both"))
+		}
+		stations = append(stations, newStation(flags, guest.Place, threads, make))
+		guest.Join(stations[0].Plane, stations[1].Plane)
 	}
-	for _, listener := range listeners {
-		listener.Serve(threads)
+	for _, station := range stations {
+		station.run(threads)
 	}
-	daemon.Run()
-	plane.Run()
-	LogCounts(threads, counts, place.Name)
 	OnTerm(threads, func() {
 		begin := time.Now()
-		daemon.Leave()
+		for _, station := range stations {
+			station.Daemon.Leave()
+		}
 		threads.Rest(time.Duration(settle) * time.Millisecond)
-		whole := listeners[0].Drain(time.Duration(grace)*time.Millisecond - time.Since(begin))
-		daemon.Farewell()
+		whole := true
+		for _, station := range stations {
+			whole = station.listeners[0].Drain(time.Duration(grace)*time.Millisecond-time.Since(begin)) && whole
+		}
+		for _, station := range stations {
+			station.Daemon.Farewell()
+		}
 		klog.Infof("%s: stops, all in flight finished: %v", place.Name, whole)
 		threads.Stop()
 	})
-	threads.OnStop(func() {
-		for _, listener := range listeners {
-			listener.Close()
-		}
-	})
 	klog.Infof("%s: started in zone %s", place.Name, place.Zone)
 	threads.Wait()
-	line.Close()
+	for _, station := range stations {
+		station.line.Close()
+	}
 }
--- a/sim/world.go
+++ b/sim/world.go
@@ -26,6 +26,7 @@
 	Daemons  []*Daemon
 	Backends []*Backend
 	Platform *stand.Platform
+	Base     int
 	random   *rand.Rand
 	threads  *run.Threads
 	servers  []*http.Server
@@ -75,6 +76,7 @@
 	servers []*http.Server
 	line    *wire.Line
 	highest uint64
+	Lender  *Daemon
 }
 
 // Backend is one backend of the world.
@@ -85,15 +87,23 @@
 }
 
 const (
-	platformAddress = "10.9.0.1:80"
-	Beat            = 75 * time.Millisecond
-	Suspect         = 300 * time.Millisecond
+	Beat    = 75 * time.Millisecond
+	Suspect = 300 * time.Millisecond
 )
 
-func NewWorld(seed uint64, cores int) *World {
-	world := &World{Net: NewNet(seed), Seed: seed, random: rand.New(rand.NewPCG(seed, 17)), threads: run.NewThreads(), applied: map[uint64]string{}}
+func (world *World) platformAddress() string { return fmt.Sprintf("10.%d.0.1:80", world.Base+9) }
+
+func NewWorld(seed uint64, cores int) *World { return newWorld(NewNet(seed), 0, seed, cores) }
+
+// Neighbour is a second system on the same net, the other partner's.
+func (world *World) Neighbour(cores int) *World {
+	return newWorld(world.Net, world.Base+100, world.Seed+1000, cores)
+}
+
+func newWorld(net *Net, base int, seed uint64, cores int) *World {
+	world := &World{Net: net, Base: base, Seed: seed, random: rand.New(rand.NewPCG(seed, 17)), threads: run.NewThreads(), applied: map[uint64]string{}}
 	for index := range cores {
-		host := fmt.Sprintf("10.0.0.%d", index+1)
+		host := fmt.Sprintf("10.%d.0.%d", base, index+1)
 		world.Cores = append(world.Cores, &Core{ID: index + 1, Host: host, Wire: host + ":41", Operate: host + ":42", Disk: NewDisk(seed + uint64(index))})
 	}
 	return world
@@ -119,7 +129,7 @@
 // StartCore starts a core on whatever its disk holds.
 func (world *World) StartCore(index int) {
 	machine := world.Cores[index]
-	place := control.Place{ID: machine.ID, Zone: "z", Wire: machine.Wire, Operate: machine.Operate, Found: true, Platform: platformAddress, Beat: Beat, Suspect: Suspect, Seed: world.Seed + machine.starts*1000}
+	place := control.Place{ID: machine.ID, Zone: "z", Wire: machine.Wire, Operate: machine.Operate, Found: true, Platform: world.platformAddress(), Beat: Beat, Suspect: Suspect, Seed: world.Seed + machine.starts*1000}
 	machine.starts++
 	for _, other := range world.Cores {
 		if other != machine {
@@ -216,7 +226,7 @@
 // AddDaemon lays out a directory node or a proxy; StartDaemon starts it.
 func (world *World) AddDaemon(kind, zone string) *Daemon {
 	index := len(world.Daemons)
-	host := fmt.Sprintf("10.1.%d.%d", index/200, index%200+1)
+	host := fmt.Sprintf("10.%d.%d.%d", world.Base+1, index/200, index%200+1)
 	daemon := &Daemon{Name: fmt.Sprintf("%s-%03d", kind, index), Kind: kind, Host: host, Zone: zone, Outer: host + ":80", Wire: host + ":41", Operate: host + ":42"}
 	world.Daemons = append(world.Daemons, daemon)
 	return daemon
@@ -227,7 +237,7 @@
 	for _, core := range world.Cores[:min(3, len(world.Cores))] {
 		seeds = append(seeds, core.Wire)
 	}
-	place_ := member.Place{Name: daemon.Name, Kind: daemon.Kind, Zone: daemon.Zone, Wire: daemon.Wire, Outer: daemon.Outer, Operate: daemon.Operate, Seeds: seeds}
+	place_ := member.Place{Name: daemon.Name, Kind: daemon.Kind, Zone: daemon.Zone, Wire: daemon.Wire, Outer: daemon.Outer, Operate: daemon.Operate, Seeds: seeds, Guest: daemon.Lender != nil}
 	daemon.threads, daemon.Counts = run.NewThreads(), run.NewCounts()
 	daemon.line = wire.NewLine(world.Net.Transport(daemon.Host))
 	daemon.Daemon = member.NewDaemon(place_, member.NewID(), daemon.line, daemon.threads, daemon.Counts)
@@ -235,6 +245,9 @@
 	if daemon.Kind == "proxy" {
 		daemon.Proxy = data.NewProxy(daemon.Daemon, daemon.threads, daemon.Counts, world.Net.Dialer(daemon.Host))
 		outer = daemon.Proxy
+		if daemon.Lender != nil {
+			daemon.Proxy.Borrow(data.NewLend(daemon.Lender.Proxy, 50, 32))
+		}
 		daemon.Daemon.Serve(func(version *member.Version) { world.takes(daemon, version); daemon.Proxy.Apply(version) }, daemon.Proxy.Probes)
 	} else {
 		directory := place.NewDirectory(daemon.Daemon, daemon.Counts)
@@ -288,7 +301,7 @@
 // AddBackend starts a backend; List makes the platform list all that were added.
 func (world *World) AddBackend(service, zone string, place stand.BackendPlace) *Backend {
 	index := len(world.Backends)
-	address := fmt.Sprintf("10.2.%d.%d:80", index/200, index%200+1)
+	address := fmt.Sprintf("10.%d.%d.%d:80", world.Base+2, index/200, index%200+1)
 	place.Service, place.Instance = service, fmt.Sprintf("back-%03d", index)
 	if place.Incarnation == "" {
 		place.Incarnation = "1"
@@ -319,7 +332,7 @@
 	}
 	if world.Platform == nil {
 		world.Platform = stand.NewPlatform(10, 200*time.Millisecond, 50, items)
-		world.servers = append(world.servers, world.serve(world.threads, platformAddress, world.Platform))
+		world.servers = append(world.servers, world.serve(world.threads, world.platformAddress(), world.Platform))
 		return
 	}
 	world.Platform.Set(items)
--- a/wire/member.go
+++ b/wire/member.go
@@ -24,6 +24,7 @@
 	Ready       bool    `json:"ready"`
 	Keeper      bool    `json:"keeper,omitempty"`
 	Demand      float64 `json:"demand,omitempty"`
+	Guest       bool    `json:"guest,omitempty"`
 }
 
 // Backend is one backend as the platform lists it and the proxies find it.
