--- /dev/null
+++ b/aims/aims.go
@@ -0,0 +1,146 @@
+// Package aims reads service-level aims and reports against them.
+package aims
+
+import (
+	"bytes"
+	"errors"
+	"io"
+
+	"gopkg.in/yaml.v3"
+	"orchidjunction/wire"
+)
+
+// Document is one aim in the form of OpenSLO v1, as far as it is used here.
+type Document struct {
+	APIVersion string `yaml:"apiVersion"`
+	Kind       string `yaml:"kind"`
+	Metadata   struct {
+		Name        string `yaml:"name"`
+		DisplayName string `yaml:"displayName"`
+	} `yaml:"metadata"`
+	Spec struct {
+		Description     string      `yaml:"description"`
+		Service         string      `yaml:"service"`
+		Indicator       Indicator   `yaml:"indicator"`
+		BudgetingMethod string      `yaml:"budgetingMethod"`
+		Objectives      []Objective `yaml:"objectives"`
+	} `yaml:"spec"`
+}
+
+// Indicator is the part of good events among all.
+type Indicator struct {
+	Metadata struct {
+		Name string `yaml:"name"`
+	} `yaml:"metadata"`
+	Spec struct {
+		RatioMetric struct {
+			Counter bool   `yaml:"counter"`
+			Good    Metric `yaml:"good"`
+			Total   Metric `yaml:"total"`
+		} `yaml:"ratioMetric"`
+	} `yaml:"spec"`
+}
+
+// Metric is a sum of the daemons' counters.
+type Metric struct {
+	MetricSource struct {
+		Type string `yaml:"type"`
+		Spec struct {
+			Counters []string `yaml:"counters"`
+		} `yaml:"spec"`
+	} `yaml:"metricSource"`
+}
+
+type Objective struct {
+	DisplayName string  `yaml:"displayName"`
+	Target      float64 `yaml:"target"`
+}
+
+const source = "orchidjunction"
+
+// Read takes one or more documents; a field nobody knows is refused.
+func Read(body []byte) ([]Document, *wire.Mishap) {
+	decoder := yaml.NewDecoder(bytes.NewReader(body))
+	decoder.KnownFields(true)
+	documents := []Document{}
+	for {
+		document := Document{}
+		fault := decoder.Decode(&document)
+		if errors.Is(fault, io.EOF) {
+			break
+		}
+		if fault != nil {
+			return nil, wire.New(wire.BadRequest, "document %d: %v", len(documents)+1, fault)
+		}
+		if mishap := document.check(); mishap != nil {
+			return nil, mishap
+		}
+		documents = append(documents, document)
+	}
+	if len(documents) == 0 {
+		return nil, wire.New(wire.BadRequest, "no document")
+	}
+	return documents, nil
+}
+
+func (document *Document) check() *wire.Mishap {
+	name, ratio := document.Metadata.Name, &document.Spec.Indicator.Spec.RatioMetric
+	switch {
+	case document.APIVersion != "openslo/v1" || document.Kind != "SLO":
+		return wire.New(wire.BadRequest, "%s: want apiVersion openslo/v1 and kind SLO", name)
+	case name == "":
+		return wire.New(wire.BadRequest, "metadata.name must be given")
+	case document.Spec.BudgetingMethod != "Occurrences":
+		return wire.New(wire.BadRequest, "%s: spec.budgetingMethod: want Occurrences", name)
+	case len(document.Spec.Objectives) == 0:
+		return wire.New(wire.BadRequest, "%s: spec.objectives must be given", name)
+	}
+	for path, metric := range map[string]*Metric{"good": &ratio.Good, "total": &ratio.Total} {
+		if metric.MetricSource.Type != source || len(metric.MetricSource.Spec.Counters) == 0 {
+			return wire.New(wire.BadRequest, "%s: ratioMetric.%s: want a metricSource of type %s with counters", name, path, source)
+		}
+	}
+	for _, objective := range document.Spec.Objectives {
+		if objective.Target <= 0 || objective.Target >= 1 {
+			return wire.New(wire.BadRequest, "%s: target %v is not between 0 and 1", name, objective.Target)
+		}
+	}
+	return nil
+}
+
+// Report is how one aim stands.
+type Report struct {
+	Name   string  `json:"name"`
+	Target float64 `json:"target"`
+	Good   uint64  `json:"good"`
+	Total  uint64  `json:"total"`
+	Ratio  float64 `json:"ratio"`
+	Met    bool    `json:"met"`
+	Left   float64 `json:"budget_left"`
+}
+
+// Against sets the aims against the sums of all daemons' counters.
+func Against(documents []Document, counts map[string]uint64) []Report {
+	sum := func(metric *Metric) uint64 {
+		total := uint64(0)
+		for _, name := range metric.MetricSource.Spec.Counters {
+			total += counts[name]
+		}
+		return total
+	}
+	reports := []Report{}
+	for index := range documents {
+		ratio := &documents[index].Spec.Indicator.Spec.RatioMetric
+		good, total := sum(&ratio.Good), sum(&ratio.Total)
+		for _, objective := range documents[index].Spec.Objectives {
+			report := Report{Name: documents[index].Metadata.Name, Target: objective.Target, Good: good, Total: total, Ratio: 1, Left: 1}
+			if total > 0 {
+				report.Ratio = float64(good) / float64(total)
+				report.Left = 1 - (1-report.Ratio)/(1-objective.Target)
+			}
+			report.Met = report.Ratio >= objective.Target
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
--- /dev/null
+++ b/aims/aims_test.go
@@ -0,0 +1,38 @@
+package aims
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestAims(test *testing.T) {
+	body, fault := os.ReadFile("../examples/aims.yaml")
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	documents, mishap := Read(body)
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	reports := Against(documents, map[string]uint64{"tasks_answered": 980, "tasks_replayed": 10, "tasks_refused": 10, "operator_changes": 5, "operator_refused_not_started": 1})
+	if reports[0].Good != 990 || reports[0].Total != 1000 || reports[0].Met {
+		test.Errorf("%+v", reports[0])
+	}
+	if reports[1].Good != 5 || reports[1].Total != 6 || reports[1].Met {
+		test.Errorf("%+v", reports[1])
+	}
+	if quiet := Against(documents, nil); !quiet[0].Met || quiet[0].Left != 1 {
+		test.Errorf("%+v", quiet[0])
+	}
+	text := string(body)
+	for _, wrong := range [][2]string{{"kind: SLO", "kind: Alert"}, {"target: 0.995", "target: 1"}, {"type: orchidjunction", "type: other"},
+		{"budgetingMethod: Occurrences", "budgetingMethod: Timeslices"}, {"kind: SLO", "kind: SLO\ncolour: red"}, {"name: tasks-answered", "name: \"\""}} {
+		if !strings.Contains(text, wrong[0]) {
+			test.Fatalf("the example lacks %q", wrong[0])
+		}
+		if _, mishap := Read([]byte(strings.Replace(text, wrong[0], wrong[1], 1))); mishap == nil {
+			test.Errorf("%q is taken", wrong[1])
+		}
+	}
+}
--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/integrii/flaggy"
+	"orchidjunction/aims"
 	"orchidjunction/conf"
 	"orchidjunction/control"
 	"orchidjunction/member"
@@ -78,6 +79,9 @@
 	add("drain", "empties a zone or a backend", (*errand).drain, which)
 	add("refill", "takes a zone or a backend back", (*errand).refill, which)
 	add("history", "lists the changes in force so far", (*errand).history, nil)
+	add("aims", "reports against service-level aims, from the counters of all daemons", (*errand).aims, func(subcommand *flaggy.Subcommand) {
+		subcommand.AddPositionalValue(&command.file, "file", 1, true, "aims as OpenSLO documents")
+	})
 	add("status", "shows the leader, the cores and every daemon", (*errand).status, nil)
 	flags.Parse()
 	for subcommand, run := range uses {
@@ -96,7 +100,7 @@
 		end(run(command))
 		return
 	}
-	flags.Exit(wire.New(wire.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history or status"))
+	flags.Exit(wire.New(wire.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history, aims or status"))
 }
 
 // end prints a mishap and turns it into the exit status that scripts read.
@@ -322,6 +326,47 @@
 	return nil
 }
 
+// aims asks every daemon that the leader knows for its counters.
+func (command *errand) aims() *wire.Mishap {
+	body, mishap := command.read()
+	if mishap != nil {
+		return mishap
+	}
+	documents, mishap := aims.Read(body)
+	if mishap != nil {
+		return mishap
+	}
+	status, mishap := command.client.Status()
+	if mishap != nil {
+		return mishap
+	}
+	sums, silent := status.Counts, 0
+	for _, daemon := range status.Members {
+		counts := map[string]uint64{}
+		if mishap := operator.NewClient([]string{daemon.Member.Operate}, program.Transport()).Ask("GET", "/v1/counts", nil, &counts); mishap != nil {
+			silent++
+			continue
+		}
+		for name, count := range counts {
+			sums[name] += count
+		}
+	}
+	if silent > 0 {
+		fmt.Fprintf(os.Stderr, "ojctl: %d daemons did not tell their counters\n", silent)
+	}
+	missed := 0
+	for _, report := range aims.Against(documents, sums) {
+		fmt.Printf("%-24s target %.4f, %d of %d, %.4f, met %s, budget left %.0f%%\n", report.Name, report.Target, report.Good, report.Total, report.Ratio, mark(report.Met), 100*report.Left)
+		if !report.Met {
+			missed++
+		}
+	}
+	if missed > 0 {
+		return wire.New(wire.AimMissed, "%d aims are missed", missed)
+	}
+	return nil
+}
+
 func mark(holds bool) string {
 	if holds {
 		return "yes"
--- a/data/routes.go
+++ b/data/routes.go
@@ -9,6 +9,8 @@
 	"orchidjunction/conf"
 )
 
+const sharePerFront = 4
+
 // Routes is a version's settings with names turned into indices, never changed once made.
 type Routes struct {
 	Serial   uint64
@@ -27,13 +29,14 @@
 type tenantEntry struct {
 	name    string
 	forbids []string
+	share   int
 }
 
 func NewRoutes(serial uint64, settings *conf.Settings) *Routes {
 	routes := &Routes{Serial: serial, settings: settings, byKey: map[string]int{}, exact: map[door]int{}, open: map[string][]int{}, paths: map[door]bool{}, drained: map[string]bool{}, gone: map[string]bool{}, regions: map[string]string{}}
 	for name, tenant := range settings.Tenants {
 		index := len(routes.tenants)
-		routes.tenants = append(routes.tenants, tenantEntry{name: name, forbids: tenant.ForbidRegions})
+		routes.tenants = append(routes.tenants, tenantEntry{name: name, forbids: tenant.ForbidRegions, share: tenant.Share})
 		for _, key := range tenant.Keys {
 			routes.byKey[strings.ToLower(key)] = index
 		}
@@ -74,6 +77,11 @@
 	return index, found
 }
 
+// Fronts is over how many machines a tenant is spread; large ones over more.
+func (routes *Routes) Fronts(tenant int) int {
+	return *routes.settings.Rule.Fronts + (routes.tenants[tenant].share-1)/sharePerFront
+}
+
 // TenantNamed finds a tenant by name.
 func (routes *Routes) TenantNamed(name string) (int, bool) {
 	for index := range routes.tenants {
--- a/place/directory.go
+++ b/place/directory.go
@@ -134,7 +134,7 @@
 	if len(ranked)+len(guests) == 0 {
 		return nil, &wire.Mishap{Kind: wire.NoBackend, Cause: "no front machine may take this tenant now", Retry: comeBack}
 	}
-	most := *settings.Rule.Fronts
+	most := chart.routes.Fronts(tenant)
 	placement := &Placement{Serial: chart.routes.Serial, Tenant: name, HoldMs: (time.Duration(*settings.Rule.HoldMs) * time.Millisecond).Milliseconds(), Fronts: []Front{}}
 	zones := map[string]int{}
 	for round := 0; len(placement.Fronts) < most && round < len(ranked); round++ {
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -52,6 +52,7 @@
 	OldSerial      Kind = "old_serial"
 	PlatformFault  Kind = "platform_fault"
 	NotFound       Kind = "not_found"
+	AimMissed      Kind = "aim_missed"
 )
 
 // Detail is one wrong thing in an operator's settings.
@@ -122,7 +123,7 @@
 		return http.StatusUnprocessableEntity
 	case UnknownKey:
 		return http.StatusUnauthorized
-	case WrongTenant, ForbiddenPlace:
+	case WrongTenant, ForbiddenPlace, AimMissed:
 		return http.StatusForbidden
 	case UnknownRoute, NotFound:
 		return http.StatusNotFound
