Fronts of an emptied zone turn callers away; a process that stood still asks anew

- A caller that kept a front's address was served there for as long as it liked after the zone was emptied.
From 3 s on it is sent to a directory.
- A thawed proxy served what waited in its sockets by settings of before the freeze.
It finds the gap in its own beats and waits for a confirmed serial.
- A listing was read while a new table replaced it: it is swapped whole now.

--- a/data/proxy.go
+++ b/data/proxy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"orchidjunction/member"
 	"orchidjunction/run"
@@ -34,6 +35,7 @@
 	routes   *Routes
 	services map[string][]*Target
 	all      []*Target
+	emptied  time.Time
 }
 
 func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
@@ -75,7 +77,7 @@
 	for _, backend := range version.Table.Backends {
 		listed[backend.Name] = true
 		target := proxy.targets[backend.Name]
-		if target == nil || target.backend.Address != backend.Address || target.backend.Service != backend.Service {
+		if target == nil || target.backend().Address != backend.Address || target.backend().Service != backend.Service {
 			if target != nil {
 				target.close()
 			}
@@ -94,6 +96,12 @@
 		}
 	}
 	proxy.mutex.Unlock()
+	if next.routes.Drained(proxy.daemon.Zone()) {
+		next.emptied = time.Now()
+		if before := proxy.plan.Load(); before != nil && !before.emptied.IsZero() {
+			next.emptied = before.emptied
+		}
+	}
 	proxy.plan.Store(next)
 	proxy.claims.apply(newKeepers(version.Table, next.routes.regions), version.Table.Mark)
 }
@@ -121,7 +129,7 @@
 func (proxy *Proxy) watchTarget(target *Target) {
 	for {
 		proxy.mutex.Lock()
-		listed := proxy.targets[target.backend.Name] == target
+		listed := proxy.targets[target.backend().Name] == target
 		proxy.mutex.Unlock()
 		if !listed {
 			return
@@ -159,8 +167,8 @@
 	}
 	choices := []choice{}
 	for _, target := range plan.services[plan.routes.routes[route].Service] {
-		zone := target.backend.Zone
-		if tried[target] || plan.routes.drained[zone] || plan.routes.gone[target.backend.Name] || !plan.routes.allowed(zone, tenant, route) {
+		zone := target.backend().Zone
+		if tried[target] || plan.routes.drained[zone] || plan.routes.gone[target.backend().Name] || !plan.routes.allowed(zone, tenant, route) {
 			continue
 		}
 		if usable, usage := target.usable(); usable {
--- a/data/target.go
+++ b/data/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -20,7 +21,7 @@
 // Target is one listed backend as this proxy knows it; its pipes belong to the
 // incarnation that opened them.
 type Target struct {
-	backend wire.Backend
+	listing atomic.Pointer[wire.Backend]
 	dial    Dialer
 
 	mutex    sync.Mutex
@@ -36,16 +37,20 @@
 }
 
 func newTarget(backend wire.Backend, dial Dialer) *Target {
-	return &Target{backend: backend, dial: dial}
+	target := &Target{dial: dial}
+	target.listing.Store(&backend)
+	return target
 }
 
+func (target *Target) backend() wire.Backend { return *target.listing.Load() }
+
 // relist keeps what is known of a backend whose listing changed elsewhere than
 // in its address. While it is cold only shares proxies send to it; 0 means that
 // this one does not.
 func (target *Target) relist(backend wire.Backend, shares int) {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	target.backend = backend
+	target.listing.Store(&backend)
 	if target.shares != shares {
 		if target.shares == 0 {
 			target.chosen = time.Now()
@@ -121,7 +126,7 @@
 func (target *Target) usable() (bool, float64) {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	if !target.healthy() || target.identity.Leaving || target.backend.Leaving {
+	if !target.healthy() || target.identity.Leaving || target.backend().Leaving {
 		return false, 0
 	}
 	return true, target.identity.Usage + float64(target.inFlight)*0.05
@@ -165,7 +170,7 @@
 	if limit.Before(until) {
 		until = limit
 	}
-	pipe, identity, mishap := openPipe(target.dial, target.backend, until)
+	pipe, identity, mishap := openPipe(target.dial, target.backend(), until)
 	if mishap != nil {
 		target.failed(mishap)
 		return nil, "", mishap
@@ -173,7 +178,7 @@
 	target.learn(*identity)
 	if identity.Leaving {
 		pipe.close()
-		return nil, "", wire.New(wire.NoBackend, "%s is leaving", target.backend.Name)
+		return nil, "", wire.New(wire.NoBackend, "%s is leaving", target.backend().Name)
 	}
 	return pipe, identity.Incarnation, nil
 }
@@ -194,7 +199,7 @@
 
 // probe opens a fresh pipe, so that who is there now is what counts.
 func (target *Target) probe() (uint64, *wire.Mishap) {
-	pipe, identity, mishap := openPipe(target.dial, target.backend, time.Now().Add(probeLimit))
+	pipe, identity, mishap := openPipe(target.dial, target.backend(), time.Now().Add(probeLimit))
 	if mishap != nil {
 		target.failed(mishap)
 		return 0, mishap
@@ -207,7 +212,7 @@
 func (target *Target) told() wire.Probe {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	return wire.Probe{Backend: target.backend.Name, Incarnation: target.identity.Incarnation, Healthy: target.healthy(), Leaving: target.identity.Leaving,
+	return wire.Probe{Backend: target.backend().Name, Incarnation: target.identity.Incarnation, Healthy: target.healthy(), Leaving: target.identity.Leaving,
 		Cold: target.identity.Cold, Gentle: target.identity.GentleRate, Usage: target.identity.Usage, Serial: target.identity.Serial}
 }
 
--- a/data/task.go
+++ b/data/task.go
@@ -21,6 +21,8 @@
 const (
 	comeBack    = 1000
 	moneyHeader = "Idempotency-Key"
+	// emptiedGrace is the time in which callers' placements end after a zone was emptied.
+	emptiedGrace = 3 * time.Second
 )
 
 // task lives for one request of a caller.
@@ -82,10 +84,11 @@
 func (task *task) serve(writer http.ResponseWriter) *wire.Mishap {
 	task.plan = task.proxy.plan.Load()
 	if task.plan == nil || !task.proxy.daemon.Ready() {
-		if task.request.Header.Get(moneyHeader) != "" {
-			return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: "no confirmed settings in force here, nor what became of this key; send it again", Retry: comeBack, Outcome: wire.MayHaveRun}
-		}
-		return &wire.Mishap{Kind: wire.NotReady, Cause: "no confirmed settings in force here", Retry: comeBack}
+		return task.away(wire.NotReady, "no confirmed settings in force here")
+	}
+	if !task.plan.emptied.IsZero() && time.Since(task.plan.emptied) > emptiedGrace {
+		writer.Header().Set("Connection", "close")
+		return task.away(wire.ZoneEmptied, "this zone is emptied; ask a directory where to go")
 	}
 	for _, step := range []func() *wire.Mishap{task.know, task.find, func() *wire.Mishap { return task.load(writer) }} {
 		if mishap := step(); mishap != nil {
@@ -100,6 +103,15 @@
 	return task.sendOnce()
 }
 
+// away sends a caller elsewhere; of a money key this proxy cannot say whether
+// it ran before.
+func (task *task) away(kind wire.Kind, cause string) *wire.Mishap {
+	if task.request.Header.Get(moneyHeader) != "" {
+		return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: cause + "; send the key again there", Retry: comeBack, Outcome: wire.MayHaveRun}
+	}
+	return &wire.Mishap{Kind: kind, Cause: cause, Retry: comeBack}
+}
+
 func (task *task) know() *wire.Mishap {
 	key, bearer := strings.CutPrefix(task.request.Header.Get("Authorization"), "Bearer ")
 	if !bearer || key == "" {
@@ -289,7 +301,7 @@
 	}
 	// The caller's going away does not cut a send short: what it did must be known.
 	ctx, cancel := context.WithDeadline(context.Background(), task.limit)
-	request, fault := task.outgoing(ctx, target.backend.Address)
+	request, fault := task.outgoing(ctx, target.backend().Address)
 	if fault != nil {
 		cancel()
 		leave()
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -51,6 +51,8 @@
 	behindSpan   = 500 * time.Millisecond
 	aloneSpan    = 3 * time.Second
 	behindServes = 2 * time.Second
+	pulsePace    = 200 * time.Millisecond
+	stillSpan    = 2 * time.Second
 )
 
 // Daemon is a member: it keeps a session, holds a version and relays news.
@@ -78,6 +80,7 @@
 	seen        uint64
 	seenSince   time.Time
 	confirmed   bool
+	pulse       time.Time
 	leaving     bool
 	parent      string
 	failed      map[string]time.Time
@@ -86,7 +89,7 @@
 
 func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
 	daemon := &Daemon{place: place, incarnation: incarnation, line: line, threads: threads, counts: counts,
-		news: run.NewBell(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, usage: func() map[string]uint64 { return nil }, demand: func() float64 { return 0 }}
+		news: run.NewBell(), pulse: time.Now(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, usage: func() map[string]uint64 { return nil }, demand: func() float64 { return 0 }}
 	daemon.Finder = NewFinder(line, threads, place.Seeds)
 	daemon.Hold = NewHold(daemon.Finder, line, counts)
 	daemon.version.Store(&Version{Table: &wire.Table{}})
@@ -119,6 +122,24 @@
 	daemon.threads.Beat(run.Each(sessionPace), daemon.session)
 	daemon.threads.Start(daemon.relay)
 	daemon.threads.Start(daemon.confirm)
+	daemon.threads.Beat(run.Each(pulsePace), daemon.feel)
+}
+
+// feel finds that this process stood still: what it holds may be long out of
+// force, so it serves again only on a newly confirmed serial, as after a start.
+func (daemon *Daemon) feel() {
+	daemon.mutex.Lock()
+	stood := time.Since(daemon.pulse) > stillSpan
+	daemon.pulse = time.Now()
+	if stood {
+		daemon.confirmed = false
+	}
+	daemon.mutex.Unlock()
+	if stood {
+		daemon.counts.Add("stood_still", 1)
+		klog.Infof("%s: stood still, asks for a newly confirmed serial", daemon.place.Name)
+		daemon.threads.Start(daemon.confirm)
+	}
 }
 
 func (daemon *Daemon) Register(door *wire.Door) {
@@ -142,7 +163,8 @@
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	late := daemon.seen > version.Serial && time.Since(daemon.seenSince) > behindServes
-	return daemon.confirmed && !late && version.Serial > 0 && version.Table.Complete
+	still := time.Since(daemon.pulse) > stillSpan
+	return daemon.confirmed && !late && !still && version.Serial > 0 && version.Table.Complete
 }
 
 // Alone is true when no core answered for a while.
--- /dev/null
+++ b/sim/emptied_test.go
@@ -0,0 +1,57 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"orchidjunction/operator"
+	"orchidjunction/stand"
+)
+
+// A zone is emptied: its fronts are named to nobody, and turn away those who
+// come all the same; its backends get nothing more; refilled, both serve again.
+func TestEmptiedZone(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		for _, zone := range []string{"e1", "w1", "s1"} {
+			world.AddBackend("meters", zone, stand.BackendPlace{WorkMs: 5, Room: 32})
+		}
+		world.up(test, 5)
+		_, client := world.Origin(world.plan(1, 1))
+		defer client.CloseIdleConnections()
+		front := world.Daemons[1]
+		call := func(header string) (int, string) {
+			return world.ask(client, "GET", "http://"+front.Outer+"/meters/pages/1", "key-of-alder", header, "k", "")
+		}
+		drain := func(base uint64, zones []string) {
+			body, _ := json.Marshal(map[string]any{"drained": map[string]any{"zones": zones}})
+			if _, mishap := world.Client(world.Cores[1].Operate).Patch(operator.Change{Base: base, Change: fmt.Sprint("drain-", base), Settings: body}); mishap != nil {
+				test.Fatal(mishap)
+			}
+		}
+		if status, code := call(""); status != 200 {
+			world.broke("before: %d %s", status, code)
+		}
+		drain(1, []string{front.Zone})
+		world.Rest(time.Second)
+		if status, code := call(""); status != 200 {
+			world.broke("callers whose placement still holds: %d %s", status, code)
+		}
+		world.Rest(3 * time.Second)
+		if status, code := call(""); status != 503 || code != "zone_emptied" {
+			world.broke("after 4 s: %d %s", status, code)
+		}
+		if status, code := call("Idempotency-Key"); status != 504 {
+			world.broke("a key after 4 s: %d %s", status, code)
+		}
+		drain(2, []string{})
+		world.Rest(time.Second)
+		if status, code := call(""); status != 200 {
+			world.broke("refilled: %d %s", status, code)
+		}
+		world.report(test)
+	})
+}
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -52,6 +52,7 @@
 	OldSerial      Kind = "old_serial"
 	PlatformFault  Kind = "platform_fault"
 	NotFound       Kind = "not_found"
+	ZoneEmptied    Kind = "zone_emptied"
 	AimMissed      Kind = "aim_missed"
 )
 
