--- a/control/usage.go
+++ b/control/usage.go
@@ -51,6 +51,7 @@
 type Usage struct {
 	mutex     sync.Mutex
 	counts    map[string]map[string]uint64
+	begun     time.Time
 	told      map[string]time.Time
 	delivered map[string]bool
 	client    *http.Client
@@ -59,7 +60,7 @@
 }
 
 func newUsage(transport http.RoundTripper) *Usage {
-	return &Usage{counts: map[string]map[string]uint64{}, told: map[string]time.Time{}, delivered: map[string]bool{}, client: &http.Client{Transport: transport}}
+	return &Usage{begun: time.Now(), counts: map[string]map[string]uint64{}, told: map[string]time.Time{}, delivered: map[string]bool{}, client: &http.Client{Transport: transport}}
 }
 
 // take keeps the highest counts told by one process; counts never fall.
@@ -189,7 +190,7 @@
 		next.Open[tenant] = count
 	}
 	for incarnation, mark := range before.Marks {
-		if now-mark.SeenMs < usageForget.Milliseconds() {
+		if now-mark.SeenMs < usageForget.Milliseconds() || time.Since(usage.begun) < usageSilent {
 			next.Marks[incarnation] = mark
 		}
 	}
--- /dev/null
+++ b/control/usage_test.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"testing"
+
+	"orchidjunction/conf"
+	"orchidjunction/wire"
+)
+
+// Clocks jump by hours, leaders change and proxies come and go: every task is
+// reported once, and no period is there twice.
+func TestUsageBookWhileClocksJump(test *testing.T) {
+	body, fault := os.ReadFile("../examples/small.json")
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	tree, mishap := conf.Read(body)
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 59))
+		usage, book, now := newUsage(http.DefaultTransport), usageBook{}, int64(1_700_000_000_000)
+		counts, total, reported, periods := map[string]uint64{}, uint64(0), uint64(0), map[string]bool{}
+		for step := range 400 {
+			incarnation := fmt.Sprint("proxy-", random.IntN(3)+step/150)
+			added := uint64(random.IntN(20))
+			counts[incarnation] += added
+			total += added
+			usage.take(&wire.Session{Member: wire.Member{Incarnation: incarnation}, Usage: map[string]uint64{"alder": counts[incarnation]}})
+			now += int64(random.IntN(900))
+			switch random.IntN(40) {
+			case 0:
+				now -= 3_600_000
+			case 1:
+				now += 1_800_000
+			case 2:
+				usage = newUsage(http.DefaultTransport)
+				for known, count := range counts {
+					usage.take(&wire.Session{Member: wire.Member{Incarnation: known}, Usage: map[string]uint64{"alder": count}})
+				}
+			}
+			before := book.Period
+			book = usage.advance(book, tree, now)
+			if book.Period == before {
+				continue
+			}
+			for _, report := range book.Pending {
+				if report.Period != book.Period {
+					continue
+				}
+				if periods[report.ID] {
+					test.Fatalf("seed %d: %s twice", seed, report.ID)
+				}
+				if report.ToMs < report.FromMs {
+					test.Fatalf("seed %d: %s goes from %d to %d", seed, report.ID, report.FromMs, report.ToMs)
+				}
+				periods[report.ID] = true
+				reported += report.Tasks
+				usage.delivered[report.ID] = true
+			}
+		}
+		for _, open := range book.Open {
+			reported += open
+		}
+		if reported != total || len(periods) < 30 {
+			test.Fatalf("seed %d: %d tasks, %d reported, %d reports", seed, total, reported, len(periods))
+		}
+	}
+}
