--- a/control/usage.go
+++ b/control/usage.go
@@ -17,7 +17,7 @@
 
 const (
 	usagePeriod = 4 * time.Second
-	usagePace   = 250 * time.Millisecond
+	usagePace   = 100 * time.Millisecond
 	usageSilent = time.Minute
 	usageForget = time.Hour
 )
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -45,7 +45,7 @@
 }
 
 const (
-	sessionPace  = 300 * time.Millisecond
+	sessionPace  = 200 * time.Millisecond
 	askLimit     = 400 * time.Millisecond
 	watchSpan    = 800 * time.Millisecond
 	behindSpan   = 500 * time.Millisecond
