--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -37,6 +37,9 @@
 	"saqtau": {Settings: "saqtau", Cores: 3, Directories: 2, Proxies: 10, Backends: 36, Rate: 460, MoneyPart: 25},
 }
 
+// outgoingPorts begin here; a daemon that restarts could find its own taken.
+const outgoingPorts = 32768
+
 func (spec *Spec) ports() int {
 	return 2*spec.Cores + 3*(spec.Directories+spec.Proxies) + spec.Backends + 1
 }
@@ -49,8 +52,8 @@
 	if spec.Rate < 1 || spec.Rate > 5000 || spec.Seconds < 1 || spec.Seconds > 3600 {
 		return nil, nil, wire.New(wire.BadFlag, "impossible load: %d a second for %v seconds", spec.Rate, spec.Seconds)
 	}
-	if spec.BasePort < 1024 || spec.BasePort+spec.ports() > 65535 {
-		return nil, nil, wire.New(wire.BadFlag, "--base-port: %d does not leave room for %d ports", spec.BasePort, spec.ports())
+	if spec.BasePort < 1024 || spec.BasePort+spec.ports() > outgoingPorts {
+		return nil, nil, wire.New(wire.BadFlag, "--base-port: %d and the %d after it are not all between 1024 and %d, below those of outgoing connections", spec.BasePort, spec.ports(), outgoingPorts)
 	}
 	body, fault := os.ReadFile(spec.Settings)
 	if fault != nil {
--- a/member/hold.go
+++ b/member/hold.go
@@ -24,7 +24,7 @@
 
 const (
 	holdDepth   = 64
-	holdSpan    = 750 * time.Millisecond
+	holdSpan    = 880 * time.Millisecond
 	answerLimit = 950 * time.Millisecond
 	sendLimit   = 350 * time.Millisecond
 	comeBack    = 500
--- /dev/null
+++ b/sim/change_test.go
@@ -0,0 +1,66 @@
+package sim
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"orchidjunction/operator"
+)
+
+// What an operator waits who asks a daemon for a change just as the leader is
+// stopped: with the platform's warning, without it, and frozen.
+func TestLeaderChangeAsOperatorsSeeIt(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		world.up(test, 2)
+		waits, serial := map[string][]time.Duration{}, uint64(1)
+		for round := range 12 {
+			kind := []string{"planned", "killed", "frozen"}[round%3]
+			if !world.Until(5*time.Second, func() bool { return world.Leader() >= 0 }) {
+				test.Fatal("no leader")
+			}
+			world.Rest(time.Second)
+			leader := world.Leader()
+			switch kind {
+			case "planned":
+				world.threads.Start(func() { world.TermCore(leader) })
+			case "killed":
+				world.KillCore(leader, true)
+			case "frozen":
+				world.Net.Freeze(world.Cores[leader].Host, true)
+			}
+			world.Rest(time.Duration(seed%10) * time.Millisecond)
+			change := operator.Change{Base: serial, Change: fmt.Sprint("during-", round), Settings: Settings(2000 + round)}
+			begin := time.Now()
+			outcome, mishap := world.Client(world.Daemons[1].Operate).Put(change)
+			wait := time.Since(begin)
+			for try := 0; mishap != nil && try < 5; try++ {
+				world.Rest(100 * time.Millisecond)
+				outcome, mishap = world.Client(world.Daemons[1].Operate).Put(change)
+			}
+			if mishap != nil {
+				test.Fatalf("%s: %v", kind, mishap)
+			}
+			serial = outcome.Serial
+			waits[kind] = append(waits[kind], wait)
+			if kind == "planned" && wait > 100*time.Millisecond || wait > time.Second {
+				world.broke("%s: an operator waited %v", kind, wait)
+			}
+			switch kind {
+			case "frozen":
+				world.Net.Freeze(world.Cores[leader].Host, false)
+			default:
+				world.Until(8*time.Second, func() bool { return !world.Cores[leader].Alive })
+				world.StartCore(leader)
+			}
+		}
+		for _, kind := range []string{"planned", "killed", "frozen"} {
+			sort.Slice(waits[kind], func(left, right int) bool { return waits[kind][left] < waits[kind][right] })
+			test.Logf("%s: %v", kind, waits[kind])
+		}
+		world.report(test)
+	})
+}
