--- a/fleet/verdict.go
+++ b/fleet/verdict.go
@@ -193,44 +193,9 @@
 	return verdict("no acknowledged change lost", bad, "%d acknowledged, %d unknown", len(evidence.Ledger.Acked), len(evidence.Ledger.Unknown))
 }
 
-// resendsBounded looks at every ten seconds of sends that the backends saw.
 func (evidence *Evidence) resendsBounded() Verdict {
-	type send struct {
-		at    int64
-		again bool
-	}
-	arrivals := []stand.Arrival{}
-	for _, seen := range evidence.Backends {
-		arrivals = append(arrivals, seen.Arrivals...)
-	}
-	sort.Slice(arrivals, func(left, right int) bool { return arrivals[left].AtMs < arrivals[right].AtMs })
-	known, sends := map[string]bool{}, []send{}
-	for _, arrival := range arrivals {
-		sends = append(sends, send{arrival.AtMs, known[arrival.Task]})
-		known[arrival.Task] = true
-	}
-	bad, most := []string{}, 0
-	first, again, tail := 0, 0, 0
-	for _, one := range sends {
-		if one.again {
-			again++
-		} else {
-			first++
-		}
-		for sends[tail].at <= one.at-10_000 {
-			if sends[tail].again {
-				again--
-			} else {
-				first--
-			}
-			tail++
-		}
-		most = max(most, again)
-		if float64(again) > 0.2*float64(first)+60 {
-			bad = append(bad, fmt.Sprintf("%d resends beside %d first sends", again, first))
-		}
-	}
-	return verdict("resends within a fifth and sixty in ten seconds", bad, "at most %d resends", most)
+	resends := stand.CountResends(evidence.Backends, 0.2, 60)
+	return verdict("resends within a fifth and sixty in ten seconds", resends.Outside, "at most %d resends", resends.Most)
 }
 
 func (evidence *Evidence) coldGentle() Verdict {
--- a/sim/budget_test.go
+++ b/sim/budget_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"sort"
 	"testing"
 	"time"
 
@@ -36,44 +35,14 @@
 		origin, client := world.Origin(plan)
 		report := origin.Run(world.threads.Rest)
 		client.CloseIdleConnections()
-		arrivals := []stand.Arrival{}
-		for _, backend := range world.seen() {
-			arrivals = append(arrivals, backend.Arrivals...)
+		resends := stand.CountResends(world.seen(), 0.2, 60)
+		if len(resends.Outside) > 0 {
+			world.broke("in ten seconds %s", resends.Outside[0])
 		}
-		sort.Slice(arrivals, func(left, right int) bool { return arrivals[left].AtMs < arrivals[right].AtMs })
-		known, again, all := map[string]bool{}, make([]bool, len(arrivals)), 0
-		for index, arrival := range arrivals {
-			again[index] = known[arrival.Task]
-			known[arrival.Task] = true
-			if again[index] {
-				all++
-			}
-		}
-		tail, first, resent, most := 0, 0, 0, 0
-		for index, arrival := range arrivals {
-			if again[index] {
-				resent++
-			} else {
-				first++
-			}
-			for arrivals[tail].AtMs <= arrival.AtMs-10_000 {
-				if again[tail] {
-					resent--
-				} else {
-					first--
-				}
-				tail++
-			}
-			most = max(most, resent)
-			if float64(resent) > 0.2*float64(first)+60 {
-				world.broke("%d resends beside %d first sends in ten seconds", resent, first)
-				break
-			}
-		}
-		if all < 30 {
-			world.broke("only %d resends", all)
+		if resends.All < 30 {
+			world.broke("only %d resends", resends.All)
 		}
-		test.Logf("%d resends, %d at most in ten seconds, %v", all, most, report.Statuses)
+		test.Logf("%d resends, %d at most in ten seconds, %v", resends.All, resends.Most, report.Statuses)
 		world.report(test)
 	})
 }
--- a/sim/net.go
+++ b/sim/net.go
@@ -191,7 +191,7 @@
 	net.mutex.Lock()
 	life := net.lives[from]
 	net.mutex.Unlock()
-	return func(ctx context.Context, _, to string) (conn_ netConn, fault error) {
+	return func(ctx context.Context, _, to string) (netConn, error) {
 		return net.dial(ctx, from, to, func() bool { return net.lives[from] != life })
 	}
 }
--- a/sim/world.go
+++ b/sim/world.go
@@ -237,10 +237,10 @@
 	for _, core := range world.Cores[:min(3, len(world.Cores))] {
 		seeds = append(seeds, core.Wire)
 	}
-	place_ := member.Place{Name: daemon.Name, Kind: daemon.Kind, Zone: daemon.Zone, Wire: daemon.Wire, Outer: daemon.Outer, Operate: daemon.Operate, Seeds: seeds, Guest: daemon.Lender != nil}
+	spot := member.Place{Name: daemon.Name, Kind: daemon.Kind, Zone: daemon.Zone, Wire: daemon.Wire, Outer: daemon.Outer, Operate: daemon.Operate, Seeds: seeds, Guest: daemon.Lender != nil}
 	daemon.threads, daemon.Counts = run.NewThreads(), run.NewCounts()
 	daemon.line = wire.NewLine(world.Net.Transport(daemon.Host))
-	daemon.Daemon = member.NewDaemon(place_, member.NewID(), daemon.line, daemon.threads, daemon.Counts)
+	daemon.Daemon = member.NewDaemon(spot, member.NewID(), daemon.line, daemon.threads, daemon.Counts)
 	var outer http.Handler
 	if daemon.Kind == "proxy" {
 		daemon.Proxy = data.NewProxy(daemon.Daemon, daemon.threads, daemon.Counts, world.Net.Dialer(daemon.Host))
