--- a/control/leadership.go
+++ b/control/leadership.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"sort"
 	"sync"
 	"time"
 
@@ -14,6 +16,8 @@
 	ballot     wire.Ballot
 	revocation *Revocation
 	since      time.Time
+	rewritten  [wire.Registers]uint64
+	promised   []int
 
 	writes *run.Turn
 
@@ -34,7 +38,12 @@
 		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn()}
 	for register := range establishment.newest {
 		leadership.values[register] = establishment.newest[register].Value
+		leadership.rewritten[register] = establishment.newest[register].Value.Serial
 	}
+	for id := range establishment.promises {
+		leadership.promised = append(leadership.promised, id)
+	}
+	sort.Ints(leadership.promised)
 	return leadership
 }
 
@@ -73,8 +82,8 @@
 	since := time.Since(leadership.majority)
 	return []wire.Condition{
 		{Name: RevokedCondition, Holds: leadership.revocation.Complete, Detail: string(leadership.revocation.Method) + ", ballot " + leadership.revocation.Revoked.String()},
-		{Name: PromisedCondition, Holds: !leadership.ended, Detail: "ballot " + leadership.ballot.String()},
-		{Name: RewrittenCondition, Holds: !leadership.ended, Detail: "settings serial at establishment or later"},
+		{Name: PromisedCondition, Holds: !leadership.ended, Detail: fmt.Sprintf("ballot %s at cores %v", leadership.ballot, leadership.promised)},
+		{Name: RewrittenCondition, Holds: !leadership.ended, Detail: fmt.Sprintf("settings from serial %d, reports from %d", leadership.rewritten[wire.SettingsRegister], leadership.rewritten[wire.ReportsRegister])},
 		{Name: BeatingCondition, Holds: since <= leadership.core.place.Suspect, Detail: since.Round(time.Millisecond).String() + " ago"},
 	}
 }
