Timers of no span are not made; a proxy's first look wants a complete table

The race detector's run died in the runtime's timers when one was set into the past inside a bubble; and a harness read a core while another thread stopped it. A table without backends counted as looked at: no_backend after readiness.

--- a/data/proxy.go
+++ b/data/proxy.go
@@ -37,6 +37,7 @@
 	services map[string][]*Target
 	all      []*Target
 	emptied  time.Time
+	complete bool
 }
 
 func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
@@ -68,7 +69,7 @@
 	proxy.budget.Share(shares)
 	proxy.budget.Rule(version.Settings.Retry.Fraction, version.Settings.Retry.Floor)
 	proxy.room.Apply(version.Settings, version.Table, proxy.daemon.Name())
-	next := &plan{services: map[string][]*Target{}}
+	next := &plan{services: map[string][]*Target{}, complete: version.Table.Complete}
 	if before := proxy.plan.Load(); before != nil && before.routes.Serial == version.Serial {
 		next.routes = before.routes
 	} else {
@@ -133,7 +134,7 @@
 		return true
 	}
 	plan := proxy.plan.Load()
-	if plan == nil {
+	if plan == nil || !plan.complete {
 		return false
 	}
 	for _, target := range plan.all {
--- a/run/bell.go
+++ b/run/bell.go
@@ -33,6 +33,9 @@
 
 // Wait returns when the count passed seen (true) or the span is over (false).
 func (bell *Bell) Wait(seen uint64, span time.Duration) bool {
+	if span <= 0 {
+		return bell.Count() > seen
+	}
 	limit := time.Now().Add(span)
 	beat := time.AfterFunc(span, func() {
 		bell.mutex.Lock()
--- a/run/threads.go
+++ b/run/threads.go
@@ -82,6 +82,9 @@
 
 // Rest waits for the span; false once stopping.
 func (threads *Threads) Rest(span time.Duration) bool {
+	if span <= 0 {
+		return !threads.Stopping()
+	}
 	limit := time.Now().Add(span)
 	beat := time.AfterFunc(span, func() {
 		threads.mutex.Lock()
--- a/sim/change_test.go
+++ b/sim/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,8 @@
 		world := NewWorld(seed, 3)
 		defer world.Close()
 		world.up(test, 2)
+		ended := atomic.Bool{}
+		ended.Store(true)
 		waits, serial := map[string][]time.Duration{}, uint64(1)
 		for round := range 12 {
 			kind := []string{"planned", "killed", "frozen"}[round%3]
@@ -26,7 +29,11 @@
 			leader := world.Leader()
 			switch kind {
 			case "planned":
-				world.threads.Start(func() { world.TermCore(leader) })
+				ended.Store(false)
+				world.threads.Start(func() {
+					world.TermCore(leader)
+					ended.Store(true)
+				})
 			case "killed":
 				world.KillCore(leader, true)
 			case "frozen":
@@ -53,7 +60,7 @@
 			case "frozen":
 				world.Net.Freeze(world.Cores[leader].Host, false)
 			default:
-				world.Until(8*time.Second, func() bool { return !world.Cores[leader].Alive })
+				world.Until(8*time.Second, ended.Load)
 				world.StartCore(leader)
 			}
 		}
--- a/sim/conn.go
+++ b/sim/conn.go
@@ -84,8 +84,8 @@
 	half.limit = limit
 	half.wake.Broadcast()
 	half.mutex.Unlock()
-	if !limit.IsZero() {
-		time.AfterFunc(time.Until(limit), half.stir)
+	if span := time.Until(limit); !limit.IsZero() && span > 0 {
+		time.AfterFunc(span, half.stir)
 	}
 }
 
