--- a/conf/settings.go
+++ b/conf/settings.go
@@ -1,7 +1,10 @@
 // Package conf reads, checks and resolves the operators' tree of settings.
 package conf
 
-import "sort"
+import (
+	"maps"
+	"slices"
+)
 
 // Rule is what every branch may override; nil fields are inherited.
 type Rule struct {
@@ -70,25 +73,7 @@
 	Drained  Drained           `json:"drained"`
 }
 
-func sortedNames[T any](named map[string]T) []string {
-	names := make([]string, 0, len(named))
-	for name := range named {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-func (settings *Settings) RegionOf(zone string) string {
-	for _, name := range sortedNames(settings.Regions) {
-		for _, known := range settings.Regions[name].Zones {
-			if known == zone {
-				return name
-			}
-		}
-	}
-	return ""
-}
+func sortedNames[T any](named map[string]T) []string { return slices.Sorted(maps.Keys(named)) }
 
 // Open is whether neither the zone nor the backend is drained.
 func (settings *Settings) Open(zone, backend string) bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,11 +54,7 @@
 	}
 	fleet := &Fleet{Spec: spec, settings: settings, body: body, threads: threads, port: spec.BasePort,
 		client: &http.Client{Timeout: 2 * time.Second}}
-	names := []string{}
-	for name := range settings.Regions {
-		names = append(names, name)
-	}
-	sort.Strings(names)
+	names := sortedKeys(settings.Regions)
 	for depth := 0; len(fleet.zones) < len(names)*8 && depth < 8; depth++ {
 		for _, name := range names {
 			if zones := settings.Regions[name].Zones; depth < len(zones) {
--- a/fleet/harms.go
+++ b/fleet/harms.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"syscall"
@@ -297,20 +299,7 @@
 	fmt.Printf("all down: ready again after %v\n", time.Since(begin).Round(time.Millisecond))
 }
 
-func sortedKeys[T any](named map[string]T) []string {
-	names := []string{}
-	for name := range named {
-		names = append(names, name)
-	}
-	for left := range names {
-		for right := left + 1; right < len(names); right++ {
-			if names[right] < names[left] {
-				names[left], names[right] = names[right], names[left]
-			}
-		}
-	}
-	return names
-}
+func sortedKeys[T any](named map[string]T) []string { return slices.Sorted(maps.Keys(named)) }
 
 // compare asks a backend directly and through a proxy, in turns.
 func compare(fleet *Fleet) {
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -73,19 +73,18 @@
 	usage       func() map[string]uint64
 	demand      func() float64
 
-	mutex       sync.Mutex
-	core        int
-	told        wire.SessionTold
-	heard       time.Time
-	behind      time.Time
-	seen        uint64
-	seenSince   time.Time
-	confirmed   bool
-	pulse       time.Time
-	leaving     bool
-	parent      string
-	failed      map[string]time.Time
-	latestTable wire.TableMark
+	mutex     sync.Mutex
+	core      int
+	told      wire.SessionTold
+	heard     time.Time
+	behind    time.Time
+	seen      uint64
+	seenSince time.Time
+	confirmed bool
+	pulse     time.Time
+	leaving   bool
+	parent    string
+	failed    map[string]time.Time
 }
 
 func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
@@ -171,13 +170,6 @@
 	return daemon.confirmed && warm && !late && !still && version.Serial > 0 && version.Table.Complete
 }
 
-// Alone is true when no core answered for a while.
-func (daemon *Daemon) Alone() bool {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	return time.Since(daemon.heard) > aloneSpan
-}
-
 // Seen takes a serial that a backend has seen; being behind it starts a catching up.
 func (daemon *Daemon) Seen(serial uint64) {
 	if serial <= daemon.Version().Serial {
--- a/run/threads.go
+++ b/run/threads.go
@@ -1,4 +1,4 @@
-// Package run starts threads, joins them by bounded rings and wakes them by beats.
+// Package run starts threads and wakes them by beats.
 package run
 
 import (
--- a/sim/conn.go
+++ b/sim/conn.go
@@ -11,13 +11,12 @@
 // half is one direction of a connection: bytes arrive after the net's delay,
 // and not while the way is shut.
 type half struct {
-	mutex    sync.Mutex
-	wake     *sync.Cond
-	parts    []part
-	closed   bool
-	limit    time.Time
-	shut     func() bool
-	attached *Net
+	mutex  sync.Mutex
+	wake   *sync.Cond
+	parts  []part
+	closed bool
+	limit  time.Time
+	shut   func() bool
 }
 
 type part struct {
@@ -25,8 +24,8 @@
 	at   time.Time
 }
 
-func newHalf(net *Net, shut func() bool) *half {
-	half := &half{shut: shut, attached: net}
+func newHalf(shut func() bool) *half {
+	half := &half{shut: shut}
 	half.wake = sync.NewCond(&half.mutex)
 	return half
 }
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -19,7 +19,6 @@
 	lasting map[string]*blob
 	stalled bool
 	failing bool
-	writes  int
 }
 
 type blob struct {
@@ -214,7 +213,6 @@
 		return 0, errFaulty
 	}
 	file.blob.body = append(file.blob.body, body...)
-	file.disk.writes++
 	return len(body), nil
 }
 
--- a/sim/net.go
+++ b/sim/net.go
@@ -219,8 +219,8 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
 	}
 	target := host(to)
-	there := newHalf(network, func() bool { return network.shut(from, target) })
-	back := newHalf(network, func() bool { return network.shut(target, from) })
+	there := newHalf(func() bool { return network.shut(from, target) })
+	back := newHalf(func() bool { return network.shut(target, from) })
 	near := &conn{in: back, out: there, local: address(from + ":1"), remote: address(to), net: network}
 	far := &conn{in: there, out: back, local: address(to), remote: address(from + ":1"), net: network}
 	network.conns = append(network.conns, near, far)
--- a/stand/origin.go
+++ b/stand/origin.go
@@ -56,21 +56,20 @@
 
 // OriginReport is what the callers saw.
 type OriginReport struct {
-	Asked      int                     `json:"asked"`
-	Served     int                     `json:"served"`
-	Unserved   int                     `json:"unserved"`
-	Unknown    int                     `json:"unknown"`
-	Tries      int                     `json:"tries"`
-	Statuses   map[string]int          `json:"statuses"`
-	Mangled    int                     `json:"mangled"`
-	Foreign    int                     `json:"foreign"`
-	Broken     int                     `json:"broken"`
-	LatencyMs  map[string]float64      `json:"latency_ms"`
-	GapMs      int64                   `json:"longest_gap_ms"`
-	Money      map[string]MoneyOutcome `json:"money"`
-	SentBy     map[string]int          `json:"sent_by_tenant"`
-	Samples    []string                `json:"samples"`
-	placements int
+	Asked     int                     `json:"asked"`
+	Served    int                     `json:"served"`
+	Unserved  int                     `json:"unserved"`
+	Unknown   int                     `json:"unknown"`
+	Tries     int                     `json:"tries"`
+	Statuses  map[string]int          `json:"statuses"`
+	Mangled   int                     `json:"mangled"`
+	Foreign   int                     `json:"foreign"`
+	Broken    int                     `json:"broken"`
+	LatencyMs map[string]float64      `json:"latency_ms"`
+	GapMs     int64                   `json:"longest_gap_ms"`
+	Money     map[string]MoneyOutcome `json:"money"`
+	SentBy    map[string]int          `json:"sent_by_tenant"`
+	Samples   []string                `json:"samples"`
 }
 
 // Origin plays the callers.
