--- /dev/null
+++ b/route/config.go
@@ -0,0 +1,135 @@
+// Package route is what an operator says about where requests go: services, the
+// routes to them, the tenants that may use them, and the zones to keep clear.
+package route
+
+import "orchidjunction/wire"
+
+// Kind says how often a request of a route may run.
+type Kind uint8
+
+const (
+	Once Kind = iota
+	Repeatable
+	Download
+)
+
+// Repeats is whether a request may run more than once.
+func (kind Kind) Repeats() bool { return kind != Once }
+
+// Extra is a field that the product does not know and hands back as it came.
+type Extra struct {
+	Name string
+	Text string
+}
+
+// Share is one service's part of a split route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route sends the requests of a host below a path to a service.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Kind      Kind
+	TimeoutMs int
+	TargetMs  int
+	Priority  int
+	Service   string
+	Split     []Share
+	Attempts  int
+	Public    bool
+	Homes     []string
+	Extras    []Extra
+}
+
+// Service is a set of backends that serve the same requests.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	Protocol       string
+	TLS            bool
+	WarmupMs       int
+	WarmupRate     float64
+	Extras         []Extra
+}
+
+// Tenant is whose key a request carries.
+type Tenant struct {
+	Name     string
+	Keys     []string
+	Ranked   bool
+	Priority int
+	Homes    []string
+	Extras   []Extra
+}
+
+// Limits bound what a client may send, and how long it may take.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderMs    int
+	IdleMs      int
+	Extras      []Extra
+}
+
+// Config is one whole version of an operator's routing. Keyed is whether it
+// names tenants at all, and so wants a key from requests of routes not public.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Tenants  []Tenant
+	Keyed    bool
+	Limits   Limits
+	Extras   []Extra
+}
+
+// Patch changes named items of a config.
+type Patch struct {
+	Routes         []Route
+	Services       []Service
+	Tenants        []Tenant
+	Limits         *Limits
+	RemoveRoutes   []string
+	RemoveServices []string
+	RemoveTenants  []string
+}
+
+// Change is an operator's order: a whole config or a patch on top of a version.
+// Digest names the order's exact text, so that a repeat is known.
+type Change struct {
+	Version uint64
+	Base    uint64
+	Digest  string
+	Whole   *Config
+	Patch   *Patch
+}
+
+// Applied is a change that was taken.
+type Applied struct {
+	Version uint64
+	Digest  string
+}
+
+// Book is the content of the routing register.
+type Book struct {
+	Config    Config
+	Evacuated []string
+	Trail     []Applied
+}
+
+// BookOf reads the register's body; none is an empty book.
+func BookOf(body []byte) (*Book, *wire.Mishap) {
+	book := &Book{}
+	if len(body) == 0 {
+		return book, nil
+	}
+	if fault := wire.Unpack(body, book); fault != nil {
+		return nil, wire.AsMishap(fault)
+	}
+	return book, nil
+}
--- a/wire/member.go
+++ b/wire/member.go
@@ -35,6 +35,8 @@
 	Zone    string `json:"zone"`
 	Leaving bool   `json:"leaving"`
 	Stir    uint64 `json:"stir,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
+	WarmAt  int64  `json:"warm_at_ms,omitempty"`
 }
 
 // Probe is what one proxy last found at a backend.
@@ -58,6 +60,9 @@
 	Probes []Probe
 	Usage  map[string]uint64
 	AgeMs  int64
+
+	Routing uint64
+	Windows []WindowCount
 }
 
 func (session *Session) Check() *Mishap {
@@ -78,6 +83,9 @@
 	Serial uint64
 	Table  TableMark
 	Cores  []string
+
+	Routing uint64
+	NowMs   int64
 }
 
 // Count tells the leader at once how many tasks a process sent so far, by tenant.
@@ -122,23 +130,33 @@
 	Serial uint64
 	Table  TableMark
 	SpanMs int
+
+	Routing uint64
 }
 
 type WatchTold struct {
 	Serial uint64
 	Table  TableMark
+
+	Routing uint64
 }
 
 // Fetch takes the table, and the names of the branches, that are newer than what the asker holds.
 type Fetch struct {
 	Serial uint64
 	Table  TableMark
+
+	Routing uint64
 }
 
+// FetchTold brings the routing without its trail.
 type FetchTold struct {
 	Serial uint64
 	Parts  []Part
 	Table  *Table
+
+	Routing     uint64
+	RoutingBody []byte
 }
 
 // Who asks any daemon for the leader.
@@ -157,4 +175,6 @@
 type ConfirmTold struct {
 	Serial uint64
 	Table  TableMark
+
+	Routing uint64
 }
--- a/wire/register.go
+++ b/wire/register.go
@@ -1,11 +1,12 @@
 package wire
 
-// Register names one of the two whole values that the cores agree on.
+// Register names one of the whole values that the cores agree on.
 type Register int
 
 const (
 	SettingsRegister Register = iota
 	ReportsRegister
+	RoutingRegister
 	Registers
 )
 
--- /dev/null
+++ b/wire/routing.go
@@ -0,0 +1,44 @@
+package wire
+
+// RouteChange brings an operator's routing order, packed, to the leader.
+type RouteChange struct {
+	Body []byte
+}
+
+// RouteChangeTold is the register's serial that holds the change.
+type RouteChangeTold struct {
+	Serial uint64
+	Again  bool
+}
+
+// RouteRead asks the leader for the confirmed routing.
+type RouteRead struct{}
+
+type RouteReadTold struct {
+	Serial uint64
+	Body   []byte
+}
+
+// Evacuate asks that nothing be sent to the backends of a zone, or takes it back.
+type Evacuate struct {
+	Zone  string
+	Begin bool
+}
+
+type EvacuateTold struct {
+	Serial uint64
+}
+
+func (message *Evacuate) Check() *Mishap {
+	if message.Zone == "" || len(message.Zone) > 200 {
+		return New(BadMessage, "evacuate: zone of %d letters", len(message.Zone))
+	}
+	return nil
+}
+
+// WindowCount is how many requests of each tenant began at backends within one
+// window of usage, as far as one process sent them; it only rises.
+type WindowCount struct {
+	Window  int64
+	Tenants map[string]uint64
+}
