--- /dev/null
+++ b/proxy/choose.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	connectionsMost = 64
+	queueDepth      = 2.0
+	nearPenalty     = 15.0
+	farPenalty      = 60.0
+	kilobytePenalty = 1.5
+)
+
+// choice is what choosing ended with.
+type choice uint8
+
+const (
+	chosen choice = iota
+	allFull
+	noneLeft
+)
+
+// choose takes a place at the target that costs least: own waiting, distance and
+// what it does to links weighed together. A cold one is taken only where no warm
+// one has room.
+func (proxy *Proxy) choose(request *request, view *View, tried []*target) (*candidate, choice) {
+	now := proxy.clock()
+	trueNow := proxy.now()
+	mean, kilobytes := request.stat.expect(request.route)
+	var best *candidate
+	bestCost, full := 0.0, false
+	var fallback, coldest *candidate
+	coldCost := 0.0
+	candidates := view.services[request.service]
+	offset := 0
+	if len(candidates) > 0 {
+		offset = rand.IntN(len(candidates))
+	}
+	for step := range candidates {
+		held := &candidates[(step+offset)%len(candidates)]
+		if !allowed(request.route.Homes, held.region) || request.tenant != nil && !allowed(request.tenant.Homes, held.region) || slices.Contains(tried, held.target) {
+			continue
+		}
+		far := 0.0
+		switch held.far {
+		case sameRegion:
+			far = nearPenalty + kilobytes*kilobytePenalty
+		case otherRegion:
+			far = farPenalty + kilobytes*kilobytePenalty
+		}
+		cost, isFull, ejected := held.target.weigh(now, mean, far)
+		if held.cold(now, trueNow) {
+			if !held.owned || isFull || ejected {
+				continue
+			}
+			if coldest == nil || cost < coldCost {
+				coldest, coldCost = held, cost
+			}
+			continue
+		}
+		if ejected {
+			fallback = held
+			continue
+		}
+		if isFull {
+			full = true
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = held, cost
+		}
+	}
+	if best == nil && coldest != nil && coldest.target.warm(now, coldest.warming) {
+		best = coldest
+	}
+	if best == nil && !full && fallback != nil && len(tried) == 0 {
+		best = fallback
+	}
+	switch {
+	case best != nil:
+		best.target.enter()
+		return best, chosen
+	case full || coldest != nil:
+		return nil, allFull
+	}
+	return nil, noneLeft
+}
+
+// cold is whether a backend may bear only its warm-up rate.
+func (held *candidate) cold(now time.Time, trueNow int64) bool {
+	return held.warmAt > trueNow || held.target.doubted(now)
+}
--- /dev/null
+++ b/proxy/place.go
@@ -0,0 +1,38 @@
+package proxy
+
+import "time"
+
+// Place is what a proxy is told of itself and of its bounds.
+type Place struct {
+	Name         string
+	Zone         string
+	Regions      map[string]string
+	Headers      Headers
+	RetryRatio   float64
+	RetryExtra   float64
+	WarmupExcess float64
+	WarmupExtra  float64
+	UsageWindow  time.Duration
+	ListLag      time.Duration
+}
+
+func (place *Place) region() string { return place.Regions[place.Zone] }
+
+// distance is how far a zone lies: its own, its region's or beyond.
+type distance uint8
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+)
+
+func (place *Place) distance(zone string) distance {
+	switch {
+	case zone == place.Zone:
+		return sameZone
+	case place.Regions[zone] == place.region():
+		return sameRegion
+	}
+	return otherRegion
+}
--- /dev/null
+++ b/proxy/stat.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"orchidjunction/route"
+)
+
+const statShare = 0.05
+
+// Stat is what the answers of routes took and weighed of late.
+type Stat struct {
+	mutex  sync.Mutex
+	routes map[string]*routeStat
+}
+
+type routeStat struct {
+	milliseconds float64
+	kilobytes    float64
+}
+
+func newStat() *Stat { return &Stat{routes: map[string]*routeStat{}} }
+
+func (stat *Stat) of(of *route.Compiled) *routeStat {
+	held := stat.routes[of.Name]
+	if held == nil {
+		held = &routeStat{milliseconds: float64(max(of.TargetMs, 20)) / 5}
+		if of.Kind == route.Download {
+			held.kilobytes = 64
+		}
+		stat.routes[of.Name] = held
+	}
+	return held
+}
+
+// expect is how many milliseconds an answer should take and how many kilobytes it has.
+func (stat *Stat) expect(of *route.Compiled) (float64, float64) {
+	stat.mutex.Lock()
+	defer stat.mutex.Unlock()
+	held := stat.of(of)
+	return held.milliseconds, held.kilobytes
+}
+
+func (stat *Stat) mean(of *route.Compiled) float64 {
+	milliseconds, _ := stat.expect(of)
+	return milliseconds
+}
+
+func (stat *Stat) served(of *route.Compiled, took time.Duration, size int) {
+	stat.mutex.Lock()
+	defer stat.mutex.Unlock()
+	held := stat.of(of)
+	held.milliseconds += statShare * (float64(took.Milliseconds()) - held.milliseconds)
+	held.kilobytes += statShare * (float64(size)/1024 - held.kilobytes)
+}
+
+// keep forgets the routes that are not in force.
+func (stat *Stat) keep(routes []route.Route) {
+	stat.mutex.Lock()
+	defer stat.mutex.Unlock()
+	if len(stat.routes) <= 2*len(routes)+16 {
+		return
+	}
+	kept := map[string]*routeStat{}
+	for index := range routes {
+		if held := stat.routes[routes[index].Name]; held != nil {
+			kept[routes[index].Name] = held
+		}
+	}
+	stat.routes = kept
+}
--- /dev/null
+++ b/proxy/view.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"slices"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// candidate is a backend in a view: its target, and what the view says of it.
+type candidate struct {
+	target  *target
+	region  string
+	far     distance
+	warmAt  int64
+	owned   bool
+	warming float64
+}
+
+// View is what a proxy has in force: routing and backends; it is swapped whole.
+type View struct {
+	index    *route.Index
+	services [][]candidate
+	budgets  []*Budget
+	most     []int
+}
+
+// allowed is whether a region is among the homes; no homes allow all.
+func allowed(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
+}
+
+// Lay puts a routing book and a table in force.
+func (proxy *Proxy) Lay(book *route.Book, table *wire.Table) {
+	proxy.laying.Lock()
+	defer proxy.laying.Unlock()
+	before := proxy.view.Load()
+	view := &View{}
+	if before != nil && before.index.Book == book {
+		view.index = before.index
+	} else {
+		view.index = route.NewIndex(book)
+	}
+	proxies := []wire.Member{}
+	for _, member := range table.Members {
+		if member.Kind == "proxy" && !member.Leaving {
+			proxies = append(proxies, member)
+		}
+	}
+	proxy.most = max(proxy.most, len(proxies))
+	view.services = make([][]candidate, len(view.index.Services))
+	view.budgets = make([]*Budget, len(view.index.Services))
+	view.most = make([]int, len(view.index.Services))
+	for number, service := range view.index.Services {
+		budget := proxy.budgets[service.Name]
+		if budget == nil {
+			budget = &Budget{}
+			proxy.budgets[service.Name] = budget
+		}
+		budget.share(proxy.place.RetryRatio, proxy.place.RetryExtra, proxy.most)
+		view.budgets[number] = budget
+		view.most[number] = connectionsMost
+		if service.MaxConnections > 0 {
+			view.most[number] = max(2, service.MaxConnections*4/5/max(1, proxy.most))
+		}
+	}
+	evacuated := map[string]bool{}
+	for _, zone := range book.Evacuated {
+		evacuated[zone] = true
+	}
+	now, listed := proxy.clock(), map[string]bool{}
+	for _, backend := range table.Backends {
+		held := proxy.targets[backend.Name]
+		if held == nil {
+			held = newTarget(backend)
+			proxy.targets[backend.Name] = held
+		}
+		listed[backend.Name] = true
+		if proxy.evacuated[backend.Zone] && !evacuated[backend.Zone] {
+			held.doubt(now.Add(proxy.place.doubtSpan()))
+		}
+		number, found := view.index.ServiceIndex(backend.Service)
+		if !found || backend.Leaving || evacuated[backend.Zone] {
+			continue
+		}
+		service := view.index.Services[number]
+		view.services[number] = append(view.services[number], candidate{target: held, region: proxy.place.Regions[backend.Zone], far: proxy.place.distance(backend.Zone),
+			warmAt: backend.WarmAt, owned: owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
+			warming: warmupRate(service.WarmupRate, proxy.place.WarmupExcess, proxy.place.WarmupExtra)})
+	}
+	proxy.evacuated = evacuated
+	for name, held := range proxy.targets {
+		if !listed[name] {
+			held.retire()
+			delete(proxy.targets, name)
+		}
+	}
+	proxy.view.Store(view)
+	proxy.freed.Ring()
+}
--- /dev/null
+++ b/proxy/warmup.go
@@ -0,0 +1,60 @@
+package proxy
+
+import (
+	"hash/fnv"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// Warmup paces the requests to one cold backend. Only its owner sends any, so that
+// the proxies' rates do not add up; the rate leaves room for a second owner while
+// views differ.
+type Warmup struct {
+	tokens float64
+	filled time.Time
+}
+
+func warmupRate(rate, excess, extra float64) float64 {
+	return max(0, min(0.9*rate, (rate*excess+extra)/2-1))
+}
+
+func (warmup *Warmup) take(now time.Time, rate float64) bool {
+	if warmup.filled.IsZero() {
+		warmup.filled = now
+	}
+	warmup.tokens = min(1, warmup.tokens+now.Sub(warmup.filled).Seconds()*rate)
+	warmup.filled = now
+	if warmup.tokens < 1 {
+		return false
+	}
+	warmup.tokens--
+	return true
+}
+
+// owner is the one proxy that may send to a cold backend: by hash among those of
+// its zone, else of its region, else all.
+func owner(backend wire.Backend, proxies []wire.Member, regions map[string]string) string {
+	best, bestRank, bestScore := "", 3, uint32(0)
+	for index := range proxies {
+		rank := 2
+		switch {
+		case proxies[index].Zone == backend.Zone:
+			rank = 0
+		case regions[proxies[index].Zone] == regions[backend.Zone]:
+			rank = 1
+		}
+		if rank > bestRank {
+			continue
+		}
+		hash := fnv.New32a()
+		hash.Write([]byte(proxies[index].Name))
+		hash.Write([]byte{0})
+		hash.Write([]byte(backend.Name))
+		score := hash.Sum32()
+		if rank < bestRank || score > bestScore || score == bestScore && proxies[index].Name > best {
+			best, bestRank, bestScore = proxies[index].Name, rank, score
+		}
+	}
+	return best
+}
