--- a/control/change.go
+++ b/control/change.go
@@ -99,12 +99,12 @@
 	if mishap := leadership.confirm(core.roundLimit()); mishap != nil {
 		return nil, mishap
 	}
-	return &wire.ConfirmTold{Serial: leadership.value(wire.SettingsRegister).Serial, Table: core.Table().Mark}, nil
+	return &wire.ConfirmTold{Serial: leadership.value(wire.SettingsRegister).Serial, Table: core.Table().Mark, Routing: leadership.value(wire.RoutingRegister).Serial}, nil
 }
 
 func (core *Core) onWho(*wire.Who) (*wire.WhoTold, *wire.Mishap) {
 	core.mutex.Lock()
-	told := &wire.WhoTold{Duck: core.duck, Cores: core.place.addresses()}
+	told := &wire.WhoTold{Duck: core.duck, Cores: core.roster().addresses()}
 	leadership := core.leadership
 	if leadership != nil || time.Since(core.heard) < core.place.Suspect {
 		told.Leader = core.leader
--- a/control/claims.go
+++ b/control/claims.go
@@ -236,11 +236,11 @@
 		return nil, mishap
 	}
 	core.counts.Add("claims_kept", uint64(len(message.Claims)))
-	return &wire.KeepTold{Cores: len(core.place.Peers) + 1, Whole: whole, Told: wait.told}, nil
+	return &wire.KeepTold{Cores: len(core.roster().Peers) + 1, Whole: whole, Told: wait.told}, nil
 }
 
 func (core *Core) onPull(pull *wire.Pull) (*wire.PullTold, *wire.Mishap) {
-	told := &wire.PullTold{Cores: len(core.place.Peers) + 1, Whole: core.claims.Whole()}
+	told := &wire.PullTold{Cores: len(core.roster().Peers) + 1, Whole: core.claims.Whole()}
 	told.Claims, told.Last, told.Done = core.claims.book.Page(pull.After, claimsPage)
 	return told, nil
 }
@@ -254,8 +254,8 @@
 	if core.claims.Whole() || core.voter.Blank() {
 		return
 	}
-	got, _ := run.Gather(core.threads, len(core.place.Peers), func(index int) (bool, error) {
-		return core.pullClaims(core.place.Peers[index])
+	got, _ := run.Gather(core.threads, len(core.roster().Peers), func(index int) (bool, error) {
+		return core.pullClaims(core.roster().Peers[index])
 	}, func(map[int]bool, map[int]error) bool { return false })
 	wholes := 0
 	for _, whole := range got {
@@ -263,13 +263,13 @@
 			wholes++
 		}
 	}
-	if wholes < core.place.restorers() {
+	if wholes < core.roster().restorers() {
 		core.counts.Add("claims_not_mended", 1)
 		return
 	}
 	if core.claims.put(&keepWait{message: &wire.Keep{}, whole: true}) == nil {
 		core.counts.Add("claims_mended", 1)
-		klog.Infof("core %d: claims are whole again, told by %d cores", core.place.ID, wholes)
+		klog.Infof("core %d: claims are whole again, told by %d cores", core.roster().ID, wholes)
 	}
 }
 
--- /dev/null
+++ b/control/clock.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Clocks are what the leader knows of the other cores' clocks: how far each is
+// ahead of this one's.
+type Clocks struct {
+	mutex sync.Mutex
+	held  map[int]*run.Samples
+}
+
+func newClocks() *Clocks { return &Clocks{held: map[int]*run.Samples{}} }
+
+func (clocks *Clocks) take(core int, ahead int64, trip time.Duration) {
+	clocks.mutex.Lock()
+	defer clocks.mutex.Unlock()
+	if clocks.held[core] == nil {
+		clocks.held[core] = &run.Samples{}
+	}
+	clocks.held[core].Take(ahead, trip)
+}
+
+// trip is how long a message to a core and back takes.
+func (clocks *Clocks) trip(core int) time.Duration {
+	clocks.mutex.Lock()
+	defer clocks.mutex.Unlock()
+	if clocks.held[core] == nil {
+		return 0
+	}
+	return clocks.held[core].Trip()
+}
+
+// median is how far the middle one of all clocks is ahead, and how many there are.
+func (clocks *Clocks) median(before int64) (int64, int) {
+	clocks.mutex.Lock()
+	defer clocks.mutex.Unlock()
+	all := []int64{0}
+	for _, samples := range clocks.held {
+		all = append(all, samples.Best())
+	}
+	return run.Median(all, before), len(all)
+}
+
+// Now is the time of day as the cores agree on it.
+func (core *Core) Now() int64 { return core.clock.Now() }
+
+// sawClock takes another core's clock from the answer to a beat; the middle one
+// of a majority's clocks is the time.
+func (core *Core) sawClock(peer Peer, told *wire.BeatTold, trip time.Duration) {
+	if told.AnchorMs == 0 || trip > core.roundLimit() {
+		return
+	}
+	half, anchored := trip.Milliseconds()/2, core.clock.Anchored()
+	if told.NowMs > 0 && !core.clock.Laid() {
+		core.clock.Lay(told.NowMs + half - anchored)
+	}
+	core.clocks.take(peer.ID, told.AnchorMs+half-anchored, trip)
+	if ahead, count := core.clocks.median(core.clock.Offset()); count >= core.roster().majority() {
+		core.clock.Lay(ahead)
+	}
+}
+
+// told is this core's clock, and the time of day if it knows it from others.
+func (core *Core) toldClock() (anchored, now int64) {
+	if core.clock.Laid() {
+		now = core.clock.Now()
+	}
+	return core.clock.Anchored(), now
+}
+
+// beatFor is a beat with the time at which it will arrive.
+func (core *Core) beatFor(peer Peer, message *wire.Beat) *wire.Beat {
+	timed := *message
+	if _, now := core.toldClock(); now > 0 {
+		timed.NowMs = now + core.clocks.trip(peer.ID).Milliseconds()/2
+	}
+	return &timed
+}
--- a/control/core.go
+++ b/control/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,8 +11,6 @@
 	"orchidjunction/wire"
 )
 
-const writeLimit = 600 * time.Millisecond
-
 // Core is one core machine's part in the control plane.
 type Core struct {
 	place   Place
@@ -23,6 +22,9 @@
 	news    *run.Bell
 	prompt  *run.Bell
 	random  *draws
+	clock   *run.Clock
+	clocks  *Clocks
+	known   atomic.Pointer[Roster]
 
 	sessions *Sessions
 	stirs    *Stirs
@@ -30,6 +32,9 @@
 	usage    *Usage
 	claims   *ClaimLog
 	reading  *run.Turn
+	enlisted *Enlisted
+	routed   routedBody
+	meter    *Meter
 
 	mutex      sync.Mutex
 	leader     wire.Leader
@@ -46,6 +51,8 @@
 	wanted     wire.TableMark
 	broken     *wire.Mishap
 	patience   time.Duration
+	asked      int
+	toldLeader time.Time
 }
 
 func NewCore(place Place, disk Disk, line *wire.Line, threads *run.Threads, counts *run.Counts) (*Core, *wire.Mishap) {
@@ -53,8 +60,12 @@
 	if mishap != nil {
 		return nil, mishap
 	}
+	place = place.filled()
 	core := &Core{place: place, line: line, threads: threads, counts: counts, news: run.NewBell(), prompt: run.NewBell(), reading: run.NewTurn(),
 		random: newDraws(place.Seed + uint64(place.ID)), table: &wire.Table{}, heard: time.Now()}
+	core.clock, core.clocks = run.NewClock(place.Wall), newClocks()
+	core.enlisted, core.meter = newEnlisted(place.Wire), newMeter()
+	core.known.Store(place.roster(store.State().Roster))
 	core.voter = NewVoter(store, core.diskFault, core.raised)
 	if core.claims, mishap = openClaimLog(disk, counts, core.diskFault); mishap != nil {
 		return nil, mishap
@@ -65,32 +76,35 @@
 	}
 	core.round = core.voter.State().Promised.Round
 	core.patience = core.nextPatience()
-	core.sessions = newSessions()
+	core.sessions = newSessions(place.SessionSpan)
 	core.stirs = newStirs()
 	core.usage = newUsage(line.Transport())
-	core.platform = newPlatformReader(place.Platform, line.Transport(), counts)
-	if core.place.Wall == nil {
-		core.place.Wall = func() int64 { return time.Now().UnixMilli() }
-	}
-	if core.place.Observe == nil {
-		core.place.Observe = func(Standing, wire.Ballot) {}
-	}
+	core.platform = newPlatformReader(&core.place, line.Transport(), core.Now, counts)
 	return core, nil
 }
 
 // Run starts the core's duties.
 func (core *Core) Run() {
+	core.threads.OnStop(core.news.Ring)
+	core.threads.OnStop(core.prompt.Ring)
 	core.threads.Start(core.elect)
 	core.threads.Start(core.claims.write)
 	core.threads.OnStop(core.claims.ring.Close)
 	core.threads.Beat(run.Each(mendPace), core.mendClaims)
 	core.threads.Beat(run.Each(core.place.Beat), core.lead)
 	core.threads.Beat(run.Each(2*core.place.Beat), core.tellSessions)
-	core.threads.Beat(run.Each(core.place.Beat), core.buildTable)
-	core.threads.Beat(run.Each(core.place.Beat), core.copyTable)
-	core.threads.Beat(core.platform.pace, core.readPlatform)
-	core.threads.Beat(run.Each(usagePace), core.sealUsage)
-	core.threads.Beat(run.Each(usagePace), core.deliverUsage)
+	core.threads.Beat(run.Each(core.place.Table), core.buildTable)
+	core.threads.Beat(run.Each(core.place.Table), core.copyTable)
+	if core.platform.lister != nil {
+		core.threads.Beat(core.platform.pace, core.readPlatform)
+	}
+	if core.place.Metering.Report != nil {
+		core.threads.Beat(run.Each(meterPace), core.sealWindows)
+		core.threads.Beat(run.Each(meterPace), core.reportWindows)
+	} else if core.place.Platform != "" {
+		core.threads.Beat(run.Each(usagePace), core.sealUsage)
+		core.threads.Beat(run.Each(usagePace), core.deliverUsage)
+	}
 }
 
 // Register opens the core's side of the wire.
@@ -108,6 +122,10 @@
 	wire.Take(door, "who", answer(core.onWho))
 	wire.Take(door, "confirm", answer(core.onConfirm))
 	wire.Take(door, "change", answer(core.onChange))
+	wire.Take(door, "routechange", answer(core.onRouteChange))
+	wire.Take(door, "routeread", answer(core.onRouteRead))
+	wire.Take(door, "evacuate", answer(core.onEvacuate))
+	wire.Take(door, "enlist", answer(core.onEnlist))
 	wire.Take(door, "read", answer(core.onRead))
 	wire.Take(door, "status", answer(core.onStatus))
 	wire.Take(door, "count", answer(core.onCount))
@@ -128,7 +146,8 @@
 
 // askPeers asks every other core at once until need of them agreed.
 func askPeers[Told any](core *Core, ask func(peer Peer) (*Told, error), agrees func(*Told) bool, need int) map[int]*Told {
-	got, _ := run.Gather(core.threads, len(core.place.Peers), func(index int) (*Told, error) { return ask(core.place.Peers[index]) },
+	peers := core.roster().Peers
+	got, _ := run.Gather(core.threads, len(peers), func(index int) (*Told, error) { return ask(peers[index]) },
 		func(got map[int]*Told, _ map[int]error) bool {
 			count := 0
 			for _, told := range got {
@@ -140,7 +159,7 @@
 		})
 	byID := map[int]*Told{}
 	for index, told := range got {
-		byID[core.place.Peers[index].ID] = told
+		byID[peers[index].ID] = told
 	}
 	return byID
 }
@@ -148,8 +167,9 @@
 // pushValue sends the value to every core, this one too, until a majority took
 // it; a core gets the branches that it says it lacks.
 func (core *Core) pushValue(message *wire.Accept, texts wire.Texts) *wire.Mishap {
-	until := time.Now().Add(writeLimit)
-	count, need := len(core.place.Peers)+1, core.place.majority()
+	until := time.Now().Add(core.place.writeLimit())
+	peers, need := core.roster().Peers, core.roster().majority()
+	count := len(peers) + 1
 	push := func(index int) (*wire.AcceptTold, error) {
 		if index == count-1 {
 			return offer(message, texts, func(message *wire.Accept) (*wire.AcceptTold, error) {
@@ -161,7 +181,7 @@
 			})
 		}
 		for {
-			told, fault := core.offerTo(core.place.Peers[index], message, texts, time.Until(until))
+			told, fault := core.offerTo(peers[index], message, texts, time.Until(until))
 			if fault == nil || wire.KindOf(fault) != wire.Unreachable && wire.KindOf(fault) != wire.Unreached || time.Until(until) < core.place.Beat {
 				return told, fault
 			}
@@ -226,7 +246,7 @@
 	core.broken = mishap
 	core.mutex.Unlock()
 	if first {
-		klog.Errorf("core %d: store: %v", core.place.ID, mishap)
+		klog.Errorf("core %d: store: %v", core.roster().ID, mishap)
 		core.threads.Stop()
 	}
 }
@@ -325,7 +345,7 @@
 	defer core.mutex.Unlock()
 	if core.leadership == nil {
 		mishap := &wire.Mishap{Kind: wire.NotLeader, Cause: "another core leads or none"}
-		if core.leader.Known() && core.leader.Core != core.place.ID {
+		if core.leader.Known() && core.leader.Core != core.roster().ID {
 			mishap.Leader = core.leader.Address
 		}
 		return nil, mishap
--- a/control/election.go
+++ b/control/election.go
@@ -25,6 +25,12 @@
 		core.mutex.Unlock()
 		switch standing := core.chart.Now(); {
 		case standing == Retired || standing == Lameduck || leads:
+		case standing == Blank && !core.roster().known():
+			core.enlist()
+			continue
+		case standing == Blank && core.roster().ID == 0:
+			core.spectate()
+			continue
 		case standing == Blank:
 			core.restore()
 		case passed != nil:
@@ -36,8 +42,19 @@
 			core.mutex.Unlock()
 			continue
 		}
-		core.prompt.Wait(seen, core.place.Beat/4)
+		core.prompt.Wait(seen, core.idle(silent, patience))
+	}
+}
+
+// idle is how long nothing is due to the election thread, unless it is prompted.
+func (core *Core) idle(silent, patience time.Duration) time.Duration {
+	switch core.chart.Now() {
+	case Retired, Lameduck, Leading:
+		return core.place.Suspect
+	case Following:
+		return max(patience-silent, time.Millisecond)
 	}
+	return core.place.Beat / 4
 }
 
 // stand runs one candidacy by fence; true when it gave way to a fitter core.
@@ -49,8 +66,8 @@
 	core.counts.Add("prechecks", 1)
 	marks := core.voter.State().Marks()
 	told := askPeers(core, func(peer Peer) (*wire.PrecheckTold, error) {
-		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: core.place.ID, Marks: marks})
-	}, func(told *wire.PrecheckTold) bool { return false }, len(core.place.Peers))
+		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: core.roster().ID, Marks: marks})
+	}, func(told *wire.PrecheckTold) bool { return false }, len(core.roster().Peers))
 	willing, reach := 1, 1+len(told)
 	for _, answer := range told {
 		core.sawRound(answer.Round)
@@ -62,12 +79,12 @@
 			willing++
 		}
 	}
-	if willing < core.place.majority() {
+	if willing < core.roster().majority() {
 		core.counts.Add("prechecks_short", 1)
 		return false
 	}
 	for id, answer := range told {
-		if !yielded && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, core.place.ID) {
+		if !yielded && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, core.roster().ID) {
 			core.counts.Add("prechecks_yielded", 1)
 			return true
 		}
@@ -99,7 +116,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	core.round++
-	return wire.Ballot{Round: core.round, Core: core.place.ID}, core.leader.Ballot
+	return wire.Ballot{Round: core.round, Core: core.roster().ID}, core.leader.Ballot
 }
 
 // found establishes under the ballot and takes the lead.
@@ -114,7 +131,7 @@
 	}
 	core.mutex.Lock()
 	core.leadership = leadership
-	core.leader = core.place.leader(ballot)
+	core.leader = core.roster().leader(ballot)
 	core.duck, core.successor = false, wire.Leader{}
 	core.mutex.Unlock()
 	if core.voter.State().Promised != ballot || !core.chart.move(Leading) {
@@ -122,7 +139,7 @@
 		return
 	}
 	core.place.Observe(Leading, ballot)
-	klog.Infof("core %d: leads under %s, revoked %s by %s", core.place.ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
+	klog.Infof("core %d: leads under %s, revoked %s by %s", core.roster().ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
 	for register := range wire.Registers {
 		core.commit(register, wire.Accepted{Ballot: ballot, Value: leadership.value(register)}, leadership.settings().texts)
 	}
@@ -198,8 +215,11 @@
 	core.wanted = message.Table
 	core.patience = core.nextPatience()
 	core.mutex.Unlock()
+	if message.NowMs > 0 {
+		core.clock.Heard(message.NowMs)
+	}
 	if moved {
-		klog.Infof("core %d: follows core %d under %s", core.place.ID, message.Leader.Core, message.Ballot)
+		klog.Infof("core %d: follows core %d under %s", core.roster().ID, message.Leader.Core, message.Ballot)
 		core.news.Ring()
 	}
 	for register := range message.Committed {
@@ -207,7 +227,9 @@
 			core.commit(wire.Register(register), accepted, state.Texts)
 		}
 	}
-	return &wire.BeatTold{Taken: true, Voter: state.Founded, Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}, nil
+	told := &wire.BeatTold{Taken: true, Voter: state.Founded, Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}
+	told.AnchorMs, told.NowMs = core.toldClock()
+	return told, nil
 }
 
 func (core *Core) onStepDown(message *wire.StepDown) (*wire.StepDownTold, *wire.Mishap) {
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"orchidjunction/route"
+	"orchidjunction/run"
 	"orchidjunction/wire"
 )
 
@@ -20,6 +22,7 @@
 	newest     [wire.Registers]wire.Accepted
 	from       [wire.Registers]int
 	content    *content
+	routing    *route.Book
 }
 
 func (core *Core) establish(ballot wire.Ballot, revocation *Revocation) (*Leadership, *wire.Mishap) {
@@ -44,10 +47,10 @@
 	if establishment.revocation.Method == BallotFence && establishment.revocation.Ballot == establishment.ballot {
 		establishment.promises = establishment.revocation.Promises
 	}
-	if len(establishment.promises) >= establishment.core.place.majority() {
+	if len(establishment.promises) >= establishment.core.roster().majority() {
 		return nil
 	}
-	promises, mishap := establishment.core.pushBallot(establishment.ballot, establishment.core.place.majority())
+	promises, mishap := establishment.core.pushBallot(establishment.ballot, establishment.core.roster().majority())
 	establishment.promises = promises
 	return mishap
 }
@@ -74,16 +77,25 @@
 		}
 	}
 	settings := establishment.newest[wire.SettingsRegister].Value
-	texts, mishap := core.gatherTexts(core.place.address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
+	texts, mishap := core.gatherTexts(core.roster().address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
 	if mishap != nil {
 		return mishap
 	}
+	if establishment.routing, mishap = route.BookOf(establishment.newest[wire.RoutingRegister].Value.Body); mishap != nil {
+		return mishap
+	}
 	for register := range establishment.newest {
 		establishment.newest[register].Ballot = establishment.ballot
+	}
+	_, failed := run.Gather(core.threads, len(establishment.newest), func(register int) (bool, error) {
 		message := &wire.Accept{Ballot: establishment.ballot, Register: wire.Register(register), Value: establishment.newest[register].Value}
 		if mishap := core.pushValue(message, texts); mishap != nil {
-			return mishap
+			return false, mishap
 		}
+		return true, nil
+	}, func(_ map[int]bool, failed map[int]error) bool { return len(failed) > 0 })
+	for _, fault := range failed {
+		return wire.AsMishap(fault)
 	}
 	core.mutex.Lock()
 	held := core.held
--- a/control/lameduck.go
+++ b/control/lameduck.go
@@ -43,9 +43,9 @@
 	leadership.beat()
 	leadership.writes.Take()
 	defer leadership.writes.Give()
-	klog.Infof("core %d: lameduck, hands over to core %d", core.place.ID, heir.ID)
+	klog.Infof("core %d: lameduck, hands over to core %d", core.roster().ID, heir.ID)
 	told, fault := wire.Ask[wire.StepDown, wire.StepDownTold](core.line, heir.Address, "stepdown", core.roundLimit(),
-		&wire.StepDown{Ballot: leadership.ballot, From: core.place.ID, Marks: core.voter.State().Marks()})
+		&wire.StepDown{Ballot: leadership.ballot, From: core.roster().ID, Marks: core.voter.State().Marks()})
 	if fault != nil || !told.Taken {
 		core.counts.Add("handovers_refused", 1)
 		return false
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"orchidjunction/route"
 	"orchidjunction/run"
 	"orchidjunction/wire"
 )
@@ -28,6 +29,7 @@
 	majority  time.Time
 	values    [wire.Registers]wire.Value
 	content   *content
+	routing   *route.Book
 	reports   map[int]*wire.BeatTold
 	confirmed *run.Bell
 	started   uint64
@@ -35,7 +37,7 @@
 }
 
 func newLeadership(core *Core, ballot wire.Ballot, establishment *Establishment) *Leadership {
-	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(), content: establishment.content,
+	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(), content: establishment.content, routing: establishment.routing,
 		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn()}
 	for register := range establishment.newest {
 		leadership.values[register] = establishment.newest[register].Value
@@ -154,7 +156,7 @@
 	leadership.mutex.Lock()
 	leadership.started++
 	number := leadership.started
-	message := &wire.Beat{Ballot: leadership.ballot, Leader: leadership.core.place.leader(leadership.ballot), Duck: leadership.duck, Successor: leadership.successor,
+	message := &wire.Beat{Ballot: leadership.ballot, Leader: leadership.core.roster().leader(leadership.ballot), Duck: leadership.duck, Successor: leadership.successor,
 		Table: table}
 	for register := range leadership.values {
 		message.Committed[register] = wire.Mark{Ballot: leadership.ballot, Serial: leadership.values[register].Serial}
@@ -162,12 +164,14 @@
 	leadership.mutex.Unlock()
 	core := leadership.core
 	told := askPeers(core, func(peer Peer) (*wire.BeatTold, error) {
-		told, fault := wire.Ask[wire.Beat, wire.BeatTold](core.line, peer.Address, "beat", core.roundLimit(), message)
+		asked := time.Now()
+		told, fault := wire.Ask[wire.Beat, wire.BeatTold](core.line, peer.Address, "beat", core.roundLimit(), core.beatFor(peer, message))
 		if fault == nil {
+			core.sawClock(peer, told, time.Since(asked))
 			leadership.note(peer, told, message.Committed)
 		}
 		return told, fault
-	}, func(told *wire.BeatTold) bool { return told.Taken && told.Voter }, core.place.majority()-1)
+	}, func(told *wire.BeatTold) bool { return told.Taken && told.Voter }, core.roster().majority()-1)
 	taken := 1
 	for _, answer := range told {
 		if answer.Taken && answer.Voter {
@@ -179,12 +183,14 @@
 			return false
 		}
 	}
-	if taken < core.place.majority() || core.voter.State().Promised != leadership.ballot {
+	if taken < core.roster().majority() || core.voter.State().Promised != leadership.ballot {
 		return false
 	}
 	leadership.mutex.Lock()
-	leadership.majority = begin
-	leadership.finished = number
+	if leadership.majority.Before(begin) {
+		leadership.majority = begin
+	}
+	leadership.finished = max(leadership.finished, number)
 	leadership.mutex.Unlock()
 	leadership.confirmed.Ring()
 	return true
@@ -235,7 +241,7 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	best, found := Peer{}, false
-	for _, peer := range leadership.core.place.Peers {
+	for _, peer := range leadership.core.roster().Peers {
 		told := leadership.reports[peer.ID]
 		if told == nil || !told.Voter || !told.Taken || passed[peer.ID] {
 			continue
--- /dev/null
+++ b/control/metering.go
@@ -0,0 +1,275 @@
+package control
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+const (
+	meterPace   = 250 * time.Millisecond
+	meterStays  = 30 * time.Second
+	meterBooked = 10
+	meterSilent = 2 * time.Second
+	meterSlip   = 150 * time.Millisecond
+	meterAgain  = time.Second
+)
+
+// Metering is how requests are counted by windows of true time, window k from
+// k times Window after the start of 1970, and to whom the counts are reported.
+// A Report must end well before Quiet is over.
+type Metering struct {
+	Window time.Duration
+	Settle time.Duration
+	Quiet  time.Duration
+	Report func(WindowReport) ReportResult
+}
+
+// WindowReport is one sealed window as its holder reports it; the fence rises
+// with each leadership.
+type WindowReport struct {
+	Window  int64
+	Tenants map[string]uint64
+	Holder  string
+	Fence   uint64
+}
+
+// ReportResult is what became of a report.
+type ReportResult int
+
+const (
+	ReportAgain ReportResult = iota
+	ReportAccepted
+	ReportFenced
+)
+
+// sealedWindow is a window's counts, which never change again.
+type sealedWindow struct {
+	Window   int64
+	Tenants  map[string]uint64
+	Reported bool
+}
+
+// meterBook is the content of the reports register where windows are metered:
+// the next window to seal, and the last ones sealed.
+type meterBook struct {
+	Next   int64
+	Sealed []sealedWindow
+}
+
+func meterBookOf(value wire.Value) (*meterBook, *wire.Mishap) {
+	book := &meterBook{}
+	if len(value.Body) > 0 {
+		if fault := wire.Unpack(value.Body, book); fault != nil {
+			return nil, wire.AsMishap(fault)
+		}
+	}
+	return book, nil
+}
+
+// Meter gathers what daemons counted; of one process only the highest counts.
+type Meter struct {
+	mutex    sync.Mutex
+	open     map[int64]map[string]map[string]uint64
+	spoke    map[string]time.Time
+	ended    map[string]bool
+	reported map[int64]bool
+	fenced   wire.Ballot
+}
+
+func newMeter() *Meter {
+	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]time.Time{}, ended: map[string]bool{}, reported: map[int64]bool{}}
+}
+
+func (meter *Meter) take(session *wire.Session) {
+	if len(session.Windows) == 0 {
+		return
+	}
+	incarnation, told := session.Member.Incarnation, time.Now().Add(-time.Duration(session.AgeMs)*time.Millisecond)
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	if meter.spoke[incarnation].Before(told) {
+		meter.spoke[incarnation] = told
+	}
+	meter.ended[incarnation] = meter.ended[incarnation] || session.Gone
+	for _, count := range session.Windows {
+		processes := meter.open[count.Window]
+		if processes == nil {
+			processes = map[string]map[string]uint64{}
+			meter.open[count.Window] = processes
+		}
+		tenants := processes[incarnation]
+		if tenants == nil {
+			tenants = map[string]uint64{}
+			processes[incarnation] = tenants
+		}
+		for tenant, requests := range count.Tenants {
+			tenants[tenant] = max(tenants[tenant], requests)
+		}
+	}
+}
+
+// sum is a window's requests by tenant; tenants without any are left out.
+func (meter *Meter) sum(window int64) map[string]uint64 {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	all := map[string]uint64{}
+	for _, tenants := range meter.open[window] {
+		for tenant, requests := range tenants {
+			if requests > 0 {
+				all[tenant] += requests
+			}
+		}
+	}
+	return all
+}
+
+// waits is whether a process that counted in a window, or in the one before,
+// goes on and has not spoken since the window ended.
+func (meter *Meter) waits(window int64, ended time.Duration) bool {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	for _, counted := range []int64{window - 1, window} {
+		for incarnation := range meter.open[counted] {
+			if !meter.ended[incarnation] && time.Since(meter.spoke[incarnation]) > ended-meterSlip {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forget drops what is older than a window.
+func (meter *Meter) forget(before int64) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	maps.DeleteFunc(meter.open, func(window int64, _ map[string]map[string]uint64) bool { return window < before })
+	maps.DeleteFunc(meter.spoke, func(incarnation string, at time.Time) bool { return time.Since(at) > 2*meterStays })
+	maps.DeleteFunc(meter.ended, func(incarnation string, _ bool) bool { return meter.spoke[incarnation].IsZero() })
+	maps.DeleteFunc(meter.reported, func(window int64, _ bool) bool { return window < before })
+}
+
+func (meter *Meter) sent(window int64) bool {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	return meter.reported[window]
+}
+
+// metered is the leader's book, nil where there is none to work on.
+func (core *Core) metered() (*Leadership, *meterBook) {
+	leadership, mishap := core.leading()
+	if mishap != nil || leadership.holds() != nil || time.Since(leadership.since) < core.place.Metering.Quiet {
+		return nil, nil
+	}
+	core.meter.mutex.Lock()
+	fenced := core.meter.fenced == leadership.ballot
+	core.meter.mutex.Unlock()
+	if fenced || leadership.value(wire.RoutingRegister).Serial == 0 {
+		return nil, nil
+	}
+	book, mishap := meterBookOf(leadership.value(wire.ReportsRegister))
+	if mishap != nil {
+		core.counts.Add("meter_book_unreadable", 1)
+		return nil, nil
+	}
+	return leadership, book
+}
+
+// sealWindows is the leader's duty: counts of an ended window go to a majority
+// of disks before anybody hears of them.
+func (core *Core) sealWindows() {
+	now, span := core.Now(), core.place.Metering.Window.Milliseconds()
+	core.meter.forget((now - 2*meterStays.Milliseconds()) / span)
+	leadership, book := core.metered()
+	if book == nil {
+		return
+	}
+	oldest := (now - meterStays.Milliseconds()) / span
+	next := max(book.Next, oldest)
+	if book.Next == 0 {
+		next = now / span
+	}
+	sealed := []sealedWindow{}
+	for core.settled(next, now) {
+		sealed = append(sealed, sealedWindow{Window: next, Tenants: core.meter.sum(next)})
+		next++
+	}
+	if len(sealed) == 0 && book.Next > 0 {
+		return
+	}
+	_, mishap := leadership.write(wire.ReportsRegister, func(current wire.Value) (*wire.Value, wire.Texts, *wire.Mishap) {
+		held, mishap := meterBookOf(current)
+		if mishap != nil || held.Next != book.Next {
+			return nil, nil, mishap
+		}
+		held.Next, held.Sealed = next, append(held.Sealed, sealed...)
+		held.Sealed = held.Sealed[max(len(held.Sealed)-meterBooked, 0):]
+		for index := range held.Sealed {
+			held.Sealed[index].Reported = held.Sealed[index].Reported || core.meter.sent(held.Sealed[index].Window)
+		}
+		body, fault := wire.Pack(held)
+		if fault != nil {
+			return nil, nil, wire.AsMishap(fault)
+		}
+		return &wire.Value{Serial: current.Serial + 1, Body: body}, nil, nil
+	}, func() {})
+	if mishap != nil {
+		core.counts.Add("windows_not_sealed", 1)
+		return
+	}
+	core.counts.Add("windows_sealed", uint64(len(sealed)))
+}
+
+// settled is whether a window's counts are in: it ended a while ago, and who
+// counted has spoken since or had the time to.
+func (core *Core) settled(window, now int64) bool {
+	metering := core.place.Metering
+	ended := time.Duration(now-(window+1)*metering.Window.Milliseconds()) * time.Millisecond
+	if ended < metering.Settle {
+		return false
+	}
+	if ended >= metering.Settle+meterSilent {
+		return true
+	}
+	return !core.meter.waits(window, ended)
+}
+
+// reportWindows is the leader's duty to report what is sealed, oldest first.
+func (core *Core) reportWindows() {
+	leadership, book := core.metered()
+	if book == nil {
+		return
+	}
+	oldest := (core.Now() - meterStays.Milliseconds()) / core.place.Metering.Window.Milliseconds()
+	for _, sealed := range book.Sealed {
+		if sealed.Reported || sealed.Window < oldest || core.meter.sent(sealed.Window) {
+			continue
+		}
+		if leadership.holds() != nil {
+			return
+		}
+		result := core.place.Metering.Report(WindowReport{Window: sealed.Window, Tenants: maps.Clone(sealed.Tenants), Holder: core.place.Name, Fence: fence(leadership.ballot)})
+		switch result {
+		case ReportAccepted:
+			core.meter.mutex.Lock()
+			core.meter.reported[sealed.Window] = true
+			core.meter.mutex.Unlock()
+			core.counts.Add("windows_reported", 1)
+		case ReportFenced:
+			core.meter.mutex.Lock()
+			core.meter.fenced = leadership.ballot
+			core.meter.mutex.Unlock()
+			core.counts.Add("windows_fenced", 1)
+			return
+		default:
+			core.counts.Add("windows_put_off", 1)
+			core.threads.Rest(meterAgain)
+			return
+		}
+	}
+}
+
+// fence is a number that rises with each leadership and that no two share.
+func fence(ballot wire.Ballot) uint64 { return ballot.Round*128 + uint64(ballot.Core) }
--- a/control/place.go
+++ b/control/place.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"fmt"
+	"context"
 	"net/netip"
 	"time"
 
@@ -9,28 +9,92 @@
 )
 
 // Peer is another core machine.
-type Peer struct {
-	ID      int
-	Address string
-}
+type Peer = wire.Peer
 
-// Place is what a core learns of itself from flags or its file.
+// Place is what a core learns of itself from flags or its file. A core without
+// an ID finds the others through its seeds and keeps who they are on its disk.
 type Place struct {
 	ID       int
+	Name     string
 	Zone     string
 	Wire     string
 	Operate  string
 	Peers    []Peer
+	Seeds    []string
 	Found    bool
+	Least    int
+	Quiet    time.Duration
 	Platform string
 	Beat     time.Duration
 	Suspect  time.Duration
 	Seed     uint64
 	Observe  func(standing Standing, ballot wire.Ballot)
 	Wall     func() int64
+
+	Direct      bool
+	Table       time.Duration
+	SessionSpan time.Duration
+	Lister      func(ctx context.Context, page string) Listing
+	ListPace    time.Duration
+	GoneAfter   int
+	Metering    Metering
+}
+
+const (
+	foundingQuiet = 700 * time.Millisecond
+	sessionSpan   = 1500 * time.Millisecond
+	writeLimit    = 600 * time.Millisecond
+)
+
+// filled has the defaults of what was left open.
+func (place Place) filled() Place {
+	if place.Wall == nil {
+		place.Wall = func() int64 { return time.Now().UnixMilli() }
+	}
+	if place.Observe == nil {
+		place.Observe = func(Standing, wire.Ballot) {}
+	}
+	if place.Quiet == 0 {
+		place.Quiet = foundingQuiet
+	}
+	if place.Table == 0 {
+		place.Table = place.Beat
+	}
+	if place.SessionSpan == 0 {
+		place.SessionSpan = sessionSpan
+	}
+	if place.ListPace == 0 {
+		place.ListPace = platformPace
+	}
+	if place.GoneAfter == 0 {
+		place.GoneAfter = goneAfter
+	}
+	return place
+}
+
+// roster is the one that was given, or else the one that was kept.
+func (place *Place) roster(kept []Peer) *Roster {
+	if place.enlists() {
+		return newRoster(place.Wire, kept)
+	}
+	return &Roster{ID: place.ID, Wire: place.Wire, Peers: place.Peers}
 }
 
+// enlists is whether this core learns who the others are from a roster.
+func (place *Place) enlists() bool { return place.ID == 0 }
+
+func (place *Place) writeLimit() time.Duration { return max(writeLimit, 2*place.Suspect) }
+
 func (place *Place) Check() *wire.Mishap {
+	if place.Beat < 10*time.Millisecond || place.Suspect < 3*place.Beat {
+		return wire.New(wire.BadFlag, "--suspect-ms: %v must be at least three beats of %v, and a beat 10ms", place.Suspect, place.Beat)
+	}
+	if mishap := CheckAddress("--wire", place.Wire); mishap != nil {
+		return mishap
+	}
+	if place.enlists() && len(place.Seeds) > 0 {
+		return place.checkSeeds()
+	}
 	if place.ID < 1 || place.ID > 99 {
 		return wire.New(wire.BadFlag, "--id: %d is not in 1 to 99", place.ID)
 	}
@@ -47,10 +111,22 @@
 	if len(place.Peers)%2 != 0 {
 		return wire.New(wire.BadFlag, "--peer: %d cores in all; want an odd count", len(place.Peers)+1)
 	}
-	if place.Beat < 10*time.Millisecond || place.Suspect < 3*place.Beat {
-		return wire.New(wire.BadFlag, "--suspect-ms: %v must be at least three beats of %v, and a beat 10ms", place.Suspect, place.Beat)
+	return nil
+}
+
+func (place *Place) checkSeeds() *wire.Mishap {
+	if len(place.Peers) > 0 {
+		return wire.New(wire.BadFlag, "--peer: goes with an id, not with seeds")
+	}
+	if place.Least < 1 || place.Least > rosterMost {
+		return wire.New(wire.BadFlag, "--least: %d is not in 1 to %d", place.Least, rosterMost)
+	}
+	for _, seed := range place.Seeds {
+		if mishap := CheckAddress("--seed", seed); mishap != nil {
+			return mishap
+		}
 	}
-	return CheckAddress("--wire", place.Wire)
+	return nil
 }
 
 func CheckAddress(flag, address string) *wire.Mishap {
@@ -60,34 +136,3 @@
 	}
 	return nil
 }
-
-func (place *Place) majority() int { return (len(place.Peers)+1)/2 + 1 }
-
-// restorers is how many others must be fenced so that they meet every
-// majority that a lost disk once helped to make.
-func (place *Place) restorers() int { return len(place.Peers) + 1 - place.majority() + 1 }
-
-func (place *Place) leader(ballot wire.Ballot) wire.Leader {
-	return wire.Leader{Ballot: ballot, Core: place.ID, Address: place.Wire}
-}
-
-// address is another core's, or this one's.
-func (place *Place) address(id int) string {
-	for _, peer := range place.Peers {
-		if peer.ID == id {
-			return peer.Address
-		}
-	}
-	return place.Wire
-}
-
-// addresses are those of all cores, this one first.
-func (place *Place) addresses() []string {
-	all := []string{place.Wire}
-	for _, peer := range place.Peers {
-		all = append(all, peer.Address)
-	}
-	return all
-}
-
-func (peer Peer) String() string { return fmt.Sprintf("%d=%s", peer.ID, peer.Address) }
--- a/control/platform.go
+++ b/control/platform.go
@@ -24,8 +24,18 @@
 	pagesLimit    = 1000
 	putOffLimit   = 60
 	goneAfter     = 3
+	warmSlip      = 400
 )
 
+// Listing is one page of the list of backends and the name of the next, or why
+// there is none; with a wait, the page may be asked for again after it.
+type Listing struct {
+	Backends []wire.Backend
+	Next     string
+	Wait     time.Duration
+	Mishap   *wire.Mishap
+}
+
 type platformPage struct {
 	Items []wire.Backend `json:"items"`
 	Next  string         `json:"next"`
@@ -35,9 +45,11 @@
 // a backend is gone only when several whole lists in a row lack it. A list that
 // names one twice shifted while it was read, and what it lacks says nothing.
 type PlatformReader struct {
-	address string
-	client  *http.Client
-	counts  *run.Counts
+	lister    func(ctx context.Context, page string) Listing
+	listPace  time.Duration
+	goneAfter int
+	now       func() int64
+	counts    *run.Counts
 
 	mutex    sync.Mutex
 	backends map[string]wire.Backend
@@ -46,8 +58,14 @@
 	wait     time.Duration
 }
 
-func newPlatformReader(address string, transport http.RoundTripper, counts *run.Counts) *PlatformReader {
-	return &PlatformReader{address: address, counts: counts, client: &http.Client{Transport: transport}, backends: map[string]wire.Backend{}, missed: map[string]int{}}
+func newPlatformReader(place *Place, transport http.RoundTripper, now func() int64, counts *run.Counts) *PlatformReader {
+	reader := &PlatformReader{lister: place.Lister, listPace: place.ListPace, goneAfter: place.GoneAfter, now: now, counts: counts,
+		backends: map[string]wire.Backend{}, missed: map[string]int{}}
+	if reader.lister == nil && place.Platform != "" {
+		pages := &platformPages{address: place.Platform, client: &http.Client{Transport: transport}, counts: counts}
+		reader.lister = pages.list
+	}
+	return reader
 }
 
 // begin starts a leadership's reading from the table it holds, so that a first
@@ -70,9 +88,9 @@
 		return reader.wait
 	}
 	if !reader.whole {
-		return platformPace / 10
+		return reader.listPace / 10
 	}
-	return platformPace
+	return reader.listPace
 }
 
 func (reader *PlatformReader) list() ([]wire.Backend, bool) {
@@ -88,7 +106,7 @@
 
 func (core *Core) readPlatform() {
 	leadership, mishap := core.leading()
-	if mishap != nil || leadership.holds() != nil || core.platform.address == "" {
+	if mishap != nil || leadership.holds() != nil {
 		return
 	}
 	core.platform.read(core.threads.Rest, func() bool { return leadership.holds() == nil })
@@ -100,20 +118,20 @@
 	listed, twice := map[string]wire.Backend{}, false
 	next := ""
 	for pages, putOff := 0, 0; ; pages++ {
-		page, wait, mishap := reader.page(next)
-		if mishap != nil && wait > 0 && putOff < putOffLimit && rest(wait) && going() {
+		page := reader.page(next)
+		if page.Mishap != nil && page.Wait > 0 && putOff < putOffLimit && rest(page.Wait) && going() {
 			putOff++
 			pages--
 			continue
 		}
-		if mishap != nil || pages >= pagesLimit {
+		if page.Mishap != nil || pages >= pagesLimit {
 			reader.counts.Add("platform_reads_broken", 1)
 			reader.mutex.Lock()
-			reader.wait = wait
+			reader.wait = page.Wait
 			reader.mutex.Unlock()
 			return
 		}
-		for _, backend := range page.Items {
+		for _, backend := range page.Backends {
 			if _, fault := netip.ParseAddrPort(backend.Address); fault != nil || backend.Name == "" || backend.Service == "" {
 				reader.counts.Add("platform_items_refused", 1)
 				continue
@@ -132,7 +150,7 @@
 	reader.wait = 0
 	reader.whole = true
 	for name, backend := range listed {
-		reader.backends[name] = backend
+		reader.backends[name] = reader.laid(backend)
 		delete(reader.missed, name)
 	}
 	if twice {
@@ -143,43 +161,70 @@
 		if _, found := listed[name]; found {
 			continue
 		}
-		if reader.missed[name]++; reader.missed[name] >= goneAfter {
+		if reader.missed[name]++; reader.missed[name] >= reader.goneAfter {
 			delete(reader.backends, name)
 			delete(reader.missed, name)
 		}
 	}
 }
 
-func (reader *PlatformReader) page(next string) (*platformPage, time.Duration, *wire.Mishap) {
+// laid is a listed backend over what is known of it: who leaves never stays
+// again, and the time of being warm doesn't change by jitter, nor by a page
+// from before the cold began.
+func (reader *PlatformReader) laid(backend wire.Backend) wire.Backend {
+	before, found := reader.backends[backend.Name]
+	if !found {
+		return backend
+	}
+	backend.Leaving = backend.Leaving || before.Leaving
+	near := backend.WarmAt > before.WarmAt-warmSlip && backend.WarmAt < before.WarmAt+warmSlip
+	if before.WarmAt > 0 && near || backend.WarmAt == 0 && before.WarmAt > reader.now() {
+		backend.WarmAt = before.WarmAt
+	}
+	return backend
+}
+
+func (reader *PlatformReader) page(next string) Listing {
 	ctx, cancel := context.WithTimeout(context.Background(), platformLimit)
 	defer cancel()
-	request, fault := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reader.address+"/v1/backends?page="+url.QueryEscape(next), nil)
+	return reader.lister(ctx, next)
+}
+
+// platformPages is the list as the product's own platform serves it.
+type platformPages struct {
+	address string
+	client  *http.Client
+	counts  *run.Counts
+}
+
+func (pages *platformPages) list(ctx context.Context, next string) Listing {
+	request, fault := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+pages.address+"/v1/backends?page="+url.QueryEscape(next), nil)
 	if fault != nil {
-		return nil, 0, wire.New(wire.PlatformFault, "%v", fault)
+		return Listing{Mishap: wire.New(wire.PlatformFault, "%v", fault)}
 	}
-	response, fault := reader.client.Do(request)
+	response, fault := pages.client.Do(request)
 	if fault != nil {
-		return nil, 0, wire.New(wire.PlatformFault, "%v", fault)
+		return Listing{Mishap: wire.New(wire.PlatformFault, "%v", fault)}
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusTooManyRequests {
-		reader.counts.Add("platform_rate_limited", 1)
+		pages.counts.Add("platform_rate_limited", 1)
 		seconds, fault := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		if fault != nil || seconds < 0 || seconds > 60 {
 			seconds = 1
 		}
-		return nil, time.Duration(seconds*float64(time.Second)) + 10*time.Millisecond, wire.New(wire.PlatformFault, "rate limited")
+		return Listing{Wait: time.Duration(seconds*float64(time.Second)) + 10*time.Millisecond, Mishap: wire.New(wire.PlatformFault, "rate limited")}
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, 0, wire.New(wire.PlatformFault, "%s", fmt.Sprint(response.Status))
+		return Listing{Mishap: wire.New(wire.PlatformFault, "%s", fmt.Sprint(response.Status))}
 	}
 	body, fault := io.ReadAll(io.LimitReader(response.Body, pageBytes+1))
 	if fault != nil || len(body) > pageBytes {
-		return nil, 0, wire.New(wire.PlatformFault, "page of %d bytes: %v", len(body), fault)
+		return Listing{Mishap: wire.New(wire.PlatformFault, "page of %d bytes: %v", len(body), fault)}
 	}
 	page := &platformPage{}
 	if fault := json.Unmarshal(body, page); fault != nil {
-		return nil, 0, wire.New(wire.PlatformFault, "page: %v", fault)
+		return Listing{Mishap: wire.New(wire.PlatformFault, "page: %v", fault)}
 	}
-	return page, 0, nil
+	return Listing{Backends: page.Items, Next: page.Next}
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -12,9 +12,9 @@
 func (core *Core) restore() {
 	core.threads.Rest(core.random.span(core.place.Beat, 2*core.place.Beat))
 	told := askPeers(core, func(peer Peer) (*wire.RestoreTold, error) {
-		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: core.place.ID})
-	}, func(*wire.RestoreTold) bool { return false }, len(core.place.Peers))
-	voters, untouched := 0, len(told) == len(core.place.Peers)
+		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: core.roster().ID})
+	}, func(*wire.RestoreTold) bool { return false }, len(core.roster().Peers))
+	voters, untouched := 0, len(told) == len(core.roster().Peers) && !core.place.enlists()
 	for _, answer := range told {
 		core.sawRound(answer.Promised.Round)
 		if answer.Founded {
@@ -26,20 +26,20 @@
 	}
 	if untouched && core.place.Found {
 		if mishap := core.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap == nil {
-			klog.Infof("core %d: founded", core.place.ID)
+			klog.Infof("core %d: founded", core.roster().ID)
 			core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
 			core.begin()
 		}
 		return
 	}
-	if voters < core.place.restorers() {
+	if voters < core.roster().restorers() {
 		core.counts.Add("restores_short", 1)
 		return
 	}
 	ballot, revoked := core.nextBallot()
 	promises := askPeers(core, func(peer Peer) (*wire.PromiseTold, error) {
 		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot})
-	}, func(*wire.PromiseTold) bool { return false }, len(core.place.Peers))
+	}, func(*wire.PromiseTold) bool { return false }, len(core.roster().Peers))
 	granted := map[int]*wire.PromiseTold{}
 	accepted, from := [wire.Registers]wire.Accepted{}, 0
 	for id, promise := range promises {
@@ -57,11 +57,11 @@
 			}
 		}
 	}
-	if len(granted) < core.place.restorers() {
+	if len(granted) < core.roster().restorers() {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	texts, mishap := core.gatherTexts(core.place.address(from), accepted[wire.SettingsRegister].Value, nil)
+	texts, mishap := core.gatherTexts(core.roster().address(from), accepted[wire.SettingsRegister].Value, nil)
 	if mishap != nil {
 		core.counts.Add("restores_short", 1)
 		return
@@ -70,8 +70,8 @@
 		return
 	}
 	core.counts.Add("restores", 1)
-	klog.Infof("core %d: restored from %d cores under %s", core.place.ID, len(granted), ballot)
-	granted[core.place.ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: accepted}
+	klog.Infof("core %d: restored from %d cores under %s", core.roster().ID, len(granted), ballot)
+	granted[core.roster().ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: accepted}
 	if core.chart.move(Revoking) {
 		core.found(ballot, &Revocation{Method: BallotFence, Ballot: ballot, Revoked: revoked, Promises: granted, Complete: true})
 		core.chart.moveBack()
--- a/control/revocation.go
+++ b/control/revocation.go
@@ -25,7 +25,7 @@
 
 // fence pushes the ballot until a majority holds no older one valid.
 func (core *Core) fence(ballot wire.Ballot, revoked wire.Ballot) (*Revocation, *wire.Mishap) {
-	promises, mishap := core.pushBallot(ballot, core.place.majority())
+	promises, mishap := core.pushBallot(ballot, core.roster().majority())
 	if mishap != nil {
 		return nil, mishap
 	}
@@ -65,7 +65,7 @@
 		core.sawRound(own.Promised.Round)
 		return nil, &wire.Mishap{Kind: wire.StaleBallot, Cause: "own promise " + own.Promised.String()}
 	}
-	promises := map[int]*wire.PromiseTold{core.place.ID: own}
+	promises := map[int]*wire.PromiseTold{core.roster().ID: own}
 	told := askPeers(core, func(peer Peer) (*wire.PromiseTold, error) {
 		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot})
 	}, func(told *wire.PromiseTold) bool { return told.Granted }, need-1)
--- /dev/null
+++ b/control/routing.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"slices"
+	"sync"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+const routingTrail = 256
+
+// routedBody is a committed routing as daemons get it, packed once.
+type routedBody struct {
+	mutex  sync.Mutex
+	serial uint64
+	body   []byte
+}
+
+// of packs a book without its trail.
+func (routed *routedBody) of(value wire.Value) ([]byte, *wire.Mishap) {
+	routed.mutex.Lock()
+	defer routed.mutex.Unlock()
+	if routed.serial == value.Serial {
+		return routed.body, nil
+	}
+	book, mishap := route.BookOf(value.Body)
+	if mishap != nil {
+		return nil, mishap
+	}
+	book.Trail = nil
+	body, fault := wire.Pack(book)
+	if fault != nil {
+		return nil, wire.AsMishap(fault)
+	}
+	routed.serial, routed.body = value.Serial, body
+	return body, nil
+}
+
+// Routing is the committed routing as this core holds it.
+func (core *Core) Routing() (uint64, *route.Book) {
+	core.mutex.Lock()
+	value := core.committed[wire.RoutingRegister].Value
+	core.mutex.Unlock()
+	book, mishap := route.BookOf(value.Body)
+	if mishap != nil {
+		return 0, &route.Book{}
+	}
+	return value.Serial, book
+}
+
+// decide is the book after a change, or the change's serial when it was taken before.
+func decide(book *route.Book, change *route.Change) (next *route.Book, again bool, mishap *wire.Mishap) {
+	for _, applied := range book.Trail {
+		if applied.Version == change.Version && applied.Digest == change.Digest {
+			return nil, true, nil
+		}
+	}
+	switch {
+	case change.Version <= book.Config.Version:
+		return nil, false, &wire.Mishap{Kind: wire.StaleVersion, Cause: "a version as high is in place", Serial: book.Config.Version}
+	case change.Base != book.Config.Version:
+		return nil, false, &wire.Mishap{Kind: wire.StaleBase, Cause: "another version is in place", Serial: book.Config.Version}
+	}
+	config := book.Config
+	switch {
+	case change.Whole != nil:
+		config = *change.Whole
+	case change.Patch != nil:
+		if config, mishap = config.Apply(change.Patch); mishap != nil {
+			return nil, false, mishap
+		}
+	default:
+		return nil, false, wire.New(wire.BadRequest, "neither a whole routing nor a patch")
+	}
+	config.Version = change.Version
+	if mishap := config.Check(); mishap != nil {
+		return nil, false, mishap
+	}
+	trail := append(slices.Clone(book.Trail), route.Applied{Version: change.Version, Digest: change.Digest})
+	if len(trail) > routingTrail {
+		trail = trail[len(trail)-routingTrail:]
+	}
+	return &route.Book{Config: config, Evacuated: book.Evacuated, Trail: trail}, false, nil
+}
+
+// evacuate is the book after an order on a zone, nil when the order changes nothing.
+func evacuate(book *route.Book, order *wire.Evacuate) *route.Book {
+	index, found := slices.BinarySearch(book.Evacuated, order.Zone)
+	if found == order.Begin {
+		return nil
+	}
+	next := *book
+	if order.Begin {
+		next.Evacuated = slices.Insert(slices.Clone(book.Evacuated), index, order.Zone)
+	} else {
+		next.Evacuated = slices.Delete(slices.Clone(book.Evacuated), index, index+1)
+	}
+	return &next
+}
+
+// writeRouting writes the book that build makes of the current one, and gives
+// the serial that holds it; none made leaves the current serial.
+func (leadership *Leadership) writeRouting(build func(book *route.Book) (*route.Book, *wire.Mishap)) (uint64, *wire.Mishap) {
+	var next *route.Book
+	held := uint64(0)
+	serial, mishap := leadership.write(wire.RoutingRegister, func(current wire.Value) (*wire.Value, wire.Texts, *wire.Mishap) {
+		held = current.Serial
+		book, mishap := build(leadership.book())
+		if mishap != nil || book == nil {
+			return nil, nil, mishap
+		}
+		body, fault := wire.Pack(book)
+		if fault != nil {
+			return nil, nil, wire.AsMishap(fault)
+		}
+		next = book
+		return &wire.Value{Serial: current.Serial + 1, Body: body}, nil, nil
+	}, func() { leadership.routing = next })
+	if mishap == nil && serial == 0 {
+		serial = held
+	}
+	return serial, mishap
+}
+
+// book is the routing that the leadership wrote or took over.
+func (leadership *Leadership) book() *route.Book {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	return leadership.routing
+}
+
+// onRouteChange puts an operator's routing in force at the leader, or says why not.
+func (core *Core) onRouteChange(message *wire.RouteChange) (*wire.RouteChangeTold, *wire.Mishap) {
+	leadership, mishap := core.leading()
+	if mishap != nil {
+		return nil, mishap
+	}
+	change := &route.Change{}
+	if fault := wire.Unpack(message.Body, change); fault != nil {
+		return nil, wire.AsMishap(fault)
+	}
+	told := &wire.RouteChangeTold{}
+	told.Serial, mishap = leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
+		next, again, mishap := decide(book, change)
+		told.Again = again
+		return next, mishap
+	})
+	if mishap != nil {
+		core.counts.Add("routings_"+string(mishap.Kind), 1)
+		return nil, mishap
+	}
+	core.counts.Add("routings_taken", 1)
+	return told, nil
+}
+
+// onEvacuate takes a zone's backends out of use, or back into it.
+func (core *Core) onEvacuate(order *wire.Evacuate) (*wire.EvacuateTold, *wire.Mishap) {
+	leadership, mishap := core.leading()
+	if mishap != nil {
+		return nil, mishap
+	}
+	changed := false
+	serial, mishap := leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
+		next := evacuate(book, order)
+		changed = next != nil
+		return next, nil
+	})
+	if mishap == nil && !changed {
+		mishap = leadership.confirm(core.roundLimit())
+	}
+	if mishap != nil {
+		core.counts.Add("evacuations_"+string(mishap.Kind), 1)
+		return nil, mishap
+	}
+	return &wire.EvacuateTold{Serial: serial}, nil
+}
+
+func (core *Core) onRouteRead(*wire.RouteRead) (*wire.RouteReadTold, *wire.Mishap) {
+	leadership, mishap := core.leading()
+	if mishap != nil {
+		return nil, mishap
+	}
+	if mishap := leadership.confirm(core.roundLimit()); mishap != nil {
+		return nil, mishap
+	}
+	value := leadership.value(wire.RoutingRegister)
+	return &wire.RouteReadTold{Serial: value.Serial, Body: value.Body}, nil
+}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	sessionSpan = 1500 * time.Millisecond
-	watchSpan   = time.Second
+	watchSpan = 10 * time.Second
 )
 
 type heldSession struct {
@@ -26,10 +25,11 @@
 	held  map[string]heldSession
 	cores map[int]time.Time
 	lapse time.Time
+	span  time.Duration
 }
 
-func newSessions() *Sessions {
-	return &Sessions{held: map[string]heldSession{}, cores: map[int]time.Time{}}
+func newSessions(span time.Duration) *Sessions {
+	return &Sessions{span: span, held: map[string]heldSession{}, cores: map[int]time.Time{}}
 }
 
 // take keeps the newer word on a daemon.
@@ -41,7 +41,7 @@
 	if found && told.Before(before.told) {
 		return
 	}
-	sessions.held[session.Member.Name] = heldSession{session: session, core: core, told: told, until: told.Add(sessionSpan)}
+	sessions.held[session.Member.Name] = heldSession{session: session, core: core, told: told, until: told.Add(sessions.span)}
 }
 
 func (sessions *Sessions) heardCore(core int) {
@@ -62,6 +62,19 @@
 	return count
 }
 
+// own lists what daemons told this core itself, also that they end.
+func (sessions *Sessions) own(core int) []heldSession {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	all := []heldSession{}
+	for _, held := range sessions.held {
+		if held.core == core && time.Now().Before(held.until) {
+			all = append(all, held)
+		}
+	}
+	return all
+}
+
 // standing lists the sessions that stand, by name; a core of 0 means from any.
 func (sessions *Sessions) standing(core int) []heldSession {
 	sessions.mutex.Lock()
@@ -73,7 +86,7 @@
 			delete(sessions.held, name)
 			continue
 		}
-		if core == 0 || held.core == core {
+		if !held.session.Gone && (core == 0 || held.core == core) {
 			all = append(all, held)
 		}
 	}
@@ -81,13 +94,20 @@
 	return all
 }
 
+// gone is whether a daemon said that it ends.
+func (sessions *Sessions) gone(name string) bool {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	return sessions.held[name].session.Gone
+}
+
 // lapsed is whether more than half of the members fell silent just now. Then it
 // may be this side that was cut off: nobody is dropped until all had the time
 // to speak again, which begins anew while nobody speaks at all.
 func (sessions *Sessions) lapsed(members []wire.Member, known map[string]bool) bool {
 	silent := 0
 	for _, member := range members {
-		if !known[member.Name] {
+		if !known[member.Name] && !sessions.gone(member.Name) {
 			silent++
 		}
 	}
@@ -100,19 +120,21 @@
 	if sessions.lapse.IsZero() || silent == len(members) {
 		sessions.lapse = time.Now()
 	}
-	return time.Since(sessions.lapse) < sessionSpan
+	return time.Since(sessions.lapse) < sessions.span
 }
 
 func (core *Core) onSession(session *wire.Session) (*wire.SessionTold, *wire.Mishap) {
 	session.AgeMs = 0
-	core.sessions.take(*session, core.place.ID)
+	core.sessions.take(*session, core.roster().ID)
 	core.usage.take(session.Member.Incarnation, session.Usage)
 	core.stirs.take(session)
+	core.meter.take(session)
+	_, now := core.toldClock()
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.place.addresses()}
+	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
 	if !core.duck && (core.leadership != nil || time.Since(core.heard) < core.place.Suspect) {
-		told.Leader = core.leader
+		told.Leader, told.NowMs = core.leader, now
 	}
 	return told, nil
 }
@@ -123,20 +145,52 @@
 		core.sessions.take(session, tell.Core)
 		core.usage.take(session.Member.Incarnation, session.Usage)
 		core.stirs.take(&session)
+		core.meter.take(&session)
 	}
 	return &wire.TellTold{}, nil
 }
 
-// tellSessions sends what daemons told this core to the other cores.
+// tellSessions sends what daemons told this core to the other cores or, where
+// daemons speak to the leader itself, to the leader what came here instead.
 func (core *Core) tellSessions() {
-	tell := &wire.Tell{Core: core.place.ID}
-	for _, held := range core.sessions.standing(core.place.ID) {
+	if core.place.Direct {
+		core.tellLeader()
+		return
+	}
+	tell := &wire.Tell{Core: core.roster().ID}
+	for _, held := range core.sessions.standing(core.roster().ID) {
 		held.session.AgeMs = time.Since(held.told).Milliseconds()
 		tell.Sessions = append(tell.Sessions, held.session)
 	}
 	askPeers(core, func(peer Peer) (*wire.TellTold, error) {
 		return wire.Ask[wire.Tell, wire.TellTold](core.line, peer.Address, "tell", core.roundLimit(), tell)
-	}, func(*wire.TellTold) bool { return false }, len(core.place.Peers))
+	}, func(*wire.TellTold) bool { return false }, len(core.roster().Peers))
+}
+
+// tellLeader brings the leader what is new since the last time.
+func (core *Core) tellLeader() {
+	core.mutex.Lock()
+	leader, leads, since := core.leader, core.leadership != nil, core.toldLeader
+	core.mutex.Unlock()
+	if leads || !leader.Known() || core.roster().ID == 0 || leader.Core == core.roster().ID {
+		return
+	}
+	begin := time.Now()
+	tell := &wire.Tell{Core: core.roster().ID}
+	for _, held := range core.sessions.own(core.roster().ID) {
+		if held.told.After(since) {
+			held.session.AgeMs = time.Since(held.told).Milliseconds()
+			tell.Sessions = append(tell.Sessions, held.session)
+		}
+	}
+	if len(tell.Sessions) == 0 {
+		return
+	}
+	if _, fault := wire.Ask[wire.Tell, wire.TellTold](core.line, leader.Address, "tell", core.roundLimit(), tell); fault == nil {
+		core.mutex.Lock()
+		core.toldLeader = begin
+		core.mutex.Unlock()
+	}
 }
 
 func (core *Core) onWatch(watch *wire.Watch) (*wire.WatchTold, *wire.Mishap) {
@@ -145,9 +199,9 @@
 	for {
 		seen := core.news.Count()
 		core.mutex.Lock()
-		told := &wire.WatchTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark}
+		told := &wire.WatchTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Routing: core.committed[wire.RoutingRegister].Value.Serial}
 		core.mutex.Unlock()
-		if told.Serial > watch.Serial || watch.Table.Less(told.Table) || core.threads.Stopping() {
+		if told.Serial > watch.Serial || told.Routing > watch.Routing || watch.Table.Less(told.Table) || core.threads.Stopping() {
 			return told, nil
 		}
 		if !core.news.Wait(seen, time.Until(until)) {
@@ -157,9 +211,19 @@
 }
 
 func (core *Core) onFetch(fetch *wire.Fetch) (*wire.FetchTold, *wire.Mishap) {
+	told := &wire.FetchTold{}
+	core.mutex.Lock()
+	routing := core.committed[wire.RoutingRegister].Value
+	core.mutex.Unlock()
+	if routing.Serial > fetch.Routing {
+		body, mishap := core.routed.of(routing)
+		if mishap != nil {
+			return nil, mishap
+		}
+		told.Routing, told.RoutingBody = routing.Serial, body
+	}
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	told := &wire.FetchTold{}
 	if value := core.committed[wire.SettingsRegister].Value; value.Serial > fetch.Serial {
 		told.Serial, told.Parts = value.Serial, treeParts(value.Parts)
 	}
--- a/control/standing.go
+++ b/control/standing.go
@@ -46,6 +46,13 @@
 	return chart.now
 }
 
+// name sets the core's number, once it is known.
+func (chart *Chart) name(core int) {
+	chart.mutex.Lock()
+	chart.core = core
+	chart.mutex.Unlock()
+}
+
 func (chart *Chart) move(to Standing) bool {
 	chart.mutex.Lock()
 	defer chart.mutex.Unlock()
--- a/control/store.go
+++ b/control/store.go
@@ -11,6 +11,8 @@
 
 // State is all that a core must never forget.
 type State struct {
+	Opening  bool
+	Roster   []Peer
 	Founded  bool
 	Promised wire.Ballot
 	Accepted [wire.Registers]wire.Accepted
@@ -27,6 +29,8 @@
 
 // record is one synced step; only what changed is set.
 type record struct {
+	Opening  bool
+	Roster   []Peer
 	Founded  bool
 	Promised *wire.Ballot
 	Register wire.Register
@@ -35,6 +39,10 @@
 }
 
 func (state *State) lay(step record) {
+	state.Opening = state.Opening || step.Opening
+	if len(step.Roster) > 0 {
+		state.Roster = step.Roster
+	}
 	state.Founded = state.Founded || step.Founded
 	if step.Promised != nil {
 		state.Promised = *step.Promised
--- a/control/table.go
+++ b/control/table.go
@@ -18,7 +18,7 @@
 	if before.Mark == (wire.TableMark{}) || !before.Complete {
 		before = core.askHeld(before, sessions)
 	}
-	if before.Mark == (wire.TableMark{}) && time.Since(leadership.since) < sessionSpan {
+	if before.Mark == (wire.TableMark{}) && time.Since(leadership.since) < core.place.SessionSpan {
 		return
 	}
 	next := &wire.Table{Mark: wire.TableMark{Ballot: leadership.ballot, Number: 1}, Members: []wire.Member{}, Backends: before.Backends, Complete: before.Complete}
@@ -30,9 +30,9 @@
 		next.Members = append(next.Members, held.session.Member)
 		known[held.session.Member.Name] = true
 	}
-	if time.Since(leadership.since) < sessionSpan || core.sessions.lapsed(before.Members, known) {
+	if time.Since(leadership.since) < core.place.SessionSpan || core.sessions.lapsed(before.Members, known) {
 		for _, member := range before.Members {
-			if !known[member.Name] {
+			if !known[member.Name] && !core.sessions.gone(member.Name) {
 				next.Members = append(next.Members, member)
 			}
 		}
@@ -60,7 +60,7 @@
 	if from == "" {
 		return table
 	}
-	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Table: table.Mark})
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: table.Mark})
 	if fault != nil || told.Table == nil {
 		core.counts.Add("tables_not_rebuilt", 1)
 		return table
@@ -77,7 +77,7 @@
 	if leads || !leader.Known() || !held.Less(wanted) {
 		return
 	}
-	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Table: held})
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: held})
 	if fault == nil && told.Table != nil {
 		core.holdTable(told.Table)
 	}
--- a/control/voter.go
+++ b/control/voter.go
@@ -120,6 +120,23 @@
 	return voter.keep(append(steps, step)...)
 }
 
+// Open marks a blank disk as one of the system's first start.
+func (voter *Voter) Open() *wire.Mishap {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	return voter.keep(record{Opening: true})
+}
+
+// Enrol keeps who votes; the first roster stays for good.
+func (voter *Voter) Enrol(roster []Peer, founds bool) *wire.Mishap {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	if len(voter.store.state.Roster) > 0 {
+		return wire.New(wire.BadMessage, "a roster is there")
+	}
+	return voter.keep(record{Roster: roster, Founded: founds})
+}
+
 func (voter *Voter) Close() {
 	voter.turn.Take()
 	defer voter.turn.Give()
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -23,6 +23,13 @@
 	Operate string
 	Seeds   []string
 	Guest   bool
+
+	Paces       Paces
+	Hold        HoldLimits
+	Direct      bool
+	ServesAlone bool
+	Routed      bool
+	Wall        func() int64
 }
 
 func (place *Place) Check() *wire.Mishap {
@@ -46,15 +53,11 @@
 }
 
 const (
-	sessionPace  = 200 * time.Millisecond
-	askLimit     = 400 * time.Millisecond
-	watchSpan    = 800 * time.Millisecond
+	watchMost    = 10 * time.Second
 	behindSpan   = 500 * time.Millisecond
 	aloneSpan    = 3 * time.Second
 	behindServes = 2 * time.Second
 	fetchTries   = 3
-	countPace    = 50 * time.Millisecond
-	pulsePace    = 200 * time.Millisecond
 	stillSpan    = 2 * time.Second
 )
 
@@ -74,10 +77,14 @@
 	keeper      func() bool
 	warm        func() bool
 	usage       func() map[string]uint64
+	windows     func() []wire.WindowCount
 	demand      func() float64
 	finish      func(rest time.Duration)
 	counted     map[string]uint64
 	reach       Reach
+	paces       Paces
+	clock       *run.Clock
+	watched     Watched
 
 	mutex     sync.Mutex
 	core      int
@@ -89,7 +96,9 @@
 	confirmed bool
 	once      bool
 	pulse     time.Time
+	doubted   time.Time
 	leaving   bool
+	gone      bool
 	ends      time.Time
 	parent    string
 	failed    map[string]time.Time
@@ -98,9 +107,14 @@
 func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
 	daemon := &Daemon{place: place, incarnation: incarnation, line: line, threads: threads, counts: counts,
 		news: run.NewBell(), pulse: time.Now(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, warm: func() bool { return true }, usage: func() map[string]uint64 { return nil }, demand: func() float64 { return 0 }, finish: func(time.Duration) {}}
-	daemon.reach.core = time.Now()
-	daemon.Finder = NewFinder(line, threads, place.Seeds)
-	daemon.Hold = NewHold(daemon.Finder, line, counts)
+	if place.Wall == nil {
+		place.Wall = func() int64 { return time.Now().UnixMilli() }
+	}
+	daemon.paces, daemon.clock = place.Paces.filled(), run.NewClock(place.Wall)
+	daemon.windows = func() []wire.WindowCount { return nil }
+	daemon.reach.core, daemon.doubted = time.Now(), time.Now()
+	daemon.Finder = NewFinder(line, threads, place.Seeds).Paced(daemon.paces)
+	daemon.Hold = NewHold(daemon.Finder, line, counts).Within(place.Hold)
 	daemon.version.Store(&Version{Table: &wire.Table{}})
 	return daemon
 }
@@ -122,6 +136,13 @@
 // Count names what gives the tasks served so far, by tenant.
 func (daemon *Daemon) Count(usage func() map[string]uint64) { daemon.usage = usage }
 
+// Meter names what gives the requests begun so far, by window and tenant, of the
+// last few windows.
+func (daemon *Daemon) Meter(windows func() []wire.WindowCount) { daemon.windows = windows }
+
+// Now is the time of day as the cores agree on it, in milliseconds.
+func (daemon *Daemon) Now() int64 { return daemon.clock.Now() }
+
 // Finish names what must be told to others before a planned end.
 func (daemon *Daemon) Finish(finish func(rest time.Duration)) { daemon.finish = finish }
 
@@ -131,19 +152,29 @@
 
 func (daemon *Daemon) Run() {
 	daemon.Finder.Run()
-	daemon.threads.Beat(run.Each(sessionPace), daemon.session)
-	daemon.threads.Start(daemon.relay)
+	daemon.threads.OnStop(daemon.news.Ring)
+	daemon.threads.Beat(run.Each(daemon.paces.Session), daemon.session)
+	if daemon.place.Direct {
+		daemon.threads.OnStop(func() { daemon.watched.leave(daemon.watched.now()) })
+		daemon.threads.Start(daemon.follow)
+	} else {
+		daemon.threads.Start(daemon.relay)
+	}
 	daemon.threads.Start(daemon.confirm)
-	daemon.threads.Beat(run.Each(pulsePace), daemon.feel)
-	daemon.threads.Beat(run.Each(reachPace), daemon.look)
-	daemon.threads.Beat(run.Each(countPace), daemon.count)
+	daemon.threads.Beat(run.Each(daemon.paces.Feel), daemon.feel)
+	if !daemon.place.ServesAlone {
+		daemon.threads.Beat(run.Each(daemon.paces.Look), daemon.look)
+	}
+	if daemon.paces.Count > 0 {
+		daemon.threads.Beat(run.Each(daemon.paces.Count), daemon.count)
+	}
 }
 
 // feel finds that this process stood still: what it holds may be long out of
 // force, so it serves again only on a newly confirmed serial, as after a start.
 func (daemon *Daemon) feel() {
 	daemon.mutex.Lock()
-	stood := time.Since(daemon.pulse) > stillSpan
+	stood := time.Since(daemon.pulse) > daemon.paces.still()
 	daemon.pulse = time.Now()
 	daemon.mutex.Unlock()
 	if stood {
@@ -178,7 +209,12 @@
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	late := daemon.seen > version.Serial && time.Since(daemon.seenSince) > behindServes
-	still := time.Since(daemon.pulse) > stillSpan
+	still := time.Since(daemon.pulse) > daemon.paces.still()
+	if daemon.place.Routed {
+		alone := daemon.place.ServesAlone && time.Since(daemon.doubted) > aloneSpan
+		cut = cut && !daemon.place.ServesAlone
+		return (daemon.confirmed || alone) && warm && !cut && !still && version.Routing > 0 && version.Table.Complete
+	}
 	return daemon.confirmed && warm && !cut && !late && !still && version.Serial > 0 && version.Table.Complete
 }
 
@@ -219,24 +255,36 @@
 	version := daemon.Version()
 	asked := time.Now()
 	daemon.mutex.Lock()
-	parent, index := daemon.parent, daemon.core
+	parent, index, gone := daemon.parent, daemon.core, daemon.gone && daemon.place.Direct
 	daemon.mutex.Unlock()
-	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes(), Usage: daemon.usage()}
-	told, fault := wire.Ask[wire.Session, wire.SessionTold](daemon.line, cores[index%len(cores)], "session", askLimit, session)
+	core := cores[index%len(cores)]
+	if daemon.place.Direct {
+		core = daemon.chooseCore()
+	}
+	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes(), Usage: daemon.usage(),
+		Routing: version.Routing, Windows: daemon.windows(), Gone: gone}
+	told, fault := wire.Ask[wire.Session, wire.SessionTold](daemon.line, core, "session", daemon.paces.ask(), session)
+	trip := time.Since(asked)
 	daemon.mutex.Lock()
 	if fault != nil {
 		daemon.core++
+		if daemon.place.Direct {
+			daemon.failed[core] = time.Now()
+		}
 		daemon.mutex.Unlock()
 		daemon.counts.Add("sessions_failed", 1)
+		if daemon.place.Direct {
+			daemon.silent(core)
+		}
 		return
 	}
 	daemon.told, daemon.heard = *told, time.Now()
 	if told.Leader.Known() {
 		daemon.reach.heardCore(asked)
-	} else if daemon.reach.quiet() {
+	} else if daemon.place.Direct || daemon.reach.quiet() {
 		daemon.core++
 	}
-	if told.Serial <= version.Serial && !version.Table.Mark.Less(told.Table) {
+	if !version.behind(told.Serial, told.Routing, told.Table) {
 		daemon.behind = time.Time{}
 	} else if daemon.behind.IsZero() {
 		daemon.behind = time.Now()
@@ -245,6 +293,13 @@
 	daemon.note(told.Serial)
 	daemon.Finder.learn(told.Cores)
 	daemon.Finder.Heard(told.Leader)
+	if told.NowMs > 0 {
+		daemon.clock.Told(told.NowMs, trip)
+	}
+	if daemon.place.Direct {
+		daemon.turn()
+		daemon.catchUp(core)
+	}
 }
 
 // count tells the leader what was sent since it was told last: what only this
@@ -254,7 +309,7 @@
 	if !leader.Known() || maps.Equal(usage, daemon.counted) {
 		return
 	}
-	if _, fault := wire.Ask[wire.Count, wire.CountTold](daemon.line, leader.Address, "count", askLimit, &wire.Count{Incarnation: daemon.incarnation, Usage: usage}); fault == nil {
+	if _, fault := wire.Ask[wire.Count, wire.CountTold](daemon.line, leader.Address, "count", daemon.paces.ask(), &wire.Count{Incarnation: daemon.incarnation, Usage: usage}); fault == nil {
 		daemon.counted = usage
 	}
 }
@@ -291,6 +346,9 @@
 
 // Farewell tells the last counts, to another core if the first is silent.
 func (daemon *Daemon) Farewell() {
+	daemon.mutex.Lock()
+	daemon.gone = true
+	daemon.mutex.Unlock()
 	for range daemon.Finder.Cores() {
 		daemon.mutex.Lock()
 		before := daemon.heard
@@ -310,24 +368,29 @@
 	for !daemon.threads.Stopping() {
 		leader := daemon.Finder.Wait(time.Second)
 		if leader.Known() {
-			told, fault := wire.Ask[wire.Confirm, wire.ConfirmTold](daemon.line, leader.Address, "confirm", askLimit, &wire.Confirm{})
-			if fault == nil && told.Serial > 0 && daemon.upTo(leader, told.Serial) {
+			told, fault := wire.Ask[wire.Confirm, wire.ConfirmTold](daemon.line, leader.Address, "confirm", daemon.paces.ask(), &wire.Confirm{})
+			if fault == nil && daemon.upTo(leader, told) {
 				daemon.mutex.Lock()
 				daemon.confirmed, daemon.once = true, true
 				daemon.mutex.Unlock()
-				klog.Infof("%s: serial %d confirmed", daemon.place.Name, told.Serial)
+				klog.Infof("%s: serial %d, routing %d confirmed", daemon.place.Name, told.Serial, told.Routing)
 				return
 			}
 			if fault != nil {
 				daemon.Finder.Drop(leader, false)
 			}
 		}
-		daemon.threads.Rest(sessionPace / 3)
+		daemon.threads.Rest(daemon.paces.Session / 3)
 	}
 }
 
-func (daemon *Daemon) upTo(leader wire.Leader, serial uint64) bool {
-	return daemon.Version().Serial >= serial || daemon.fetch(leader.Address) && daemon.Version().Serial >= serial
+// upTo is whether what the leader proved is in force here, after a fetch if need be.
+func (daemon *Daemon) upTo(leader wire.Leader, told *wire.ConfirmTold) bool {
+	if told.Serial == 0 && !daemon.place.Routed || told.Routing == 0 && daemon.place.Routed {
+		return false
+	}
+	holds := func() bool { return !daemon.Version().behind(told.Serial, told.Routing, wire.TableMark{}) }
+	return holds() || daemon.fetch(context.Background(), leader.Address) && holds()
 }
 
 func (daemon *Daemon) Zone() string { return daemon.place.Zone }
--- /dev/null
+++ b/member/direct.go
@@ -0,0 +1,106 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// Watched is the core whose news is waited for, and how to wait no longer.
+type Watched struct {
+	mutex  sync.Mutex
+	core   string
+	cancel context.CancelFunc
+}
+
+func (watched *Watched) begin(core string) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	watched.core, watched.cancel = core, cancel
+	return ctx
+}
+
+// leave ends the wait at a core, where that is still the one.
+func (watched *Watched) leave(core string) {
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	if watched.core == core && watched.cancel != nil {
+		watched.cancel()
+	}
+}
+
+func (watched *Watched) now() string {
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	return watched.core
+}
+
+// follow waits for news at the leader or, while that is silent, at another core.
+func (daemon *Daemon) follow() {
+	for !daemon.threads.Stopping() {
+		core := daemon.chooseCore()
+		ctx := daemon.watched.begin(core)
+		if !daemon.hear(ctx, core) {
+			daemon.lost(core)
+		}
+		daemon.watched.leave(core)
+	}
+}
+
+// hear is one wait for news and what it brings; false when the core is of no use.
+func (daemon *Daemon) hear(ctx context.Context, core string) bool {
+	version := daemon.Version()
+	told, fault := wire.AskIn[wire.Watch, wire.WatchTold](ctx, daemon.line, core, "watch", daemon.paces.Watch+daemon.paces.ask(),
+		&wire.Watch{Name: daemon.place.Name, Serial: version.Serial, Table: version.Table.Mark, Routing: version.Routing, SpanMs: int(daemon.paces.Watch.Milliseconds())})
+	if fault != nil {
+		return ctx.Err() != nil
+	}
+	return !version.behind(told.Serial, told.Routing, told.Table) || daemon.fetch(ctx, core) || ctx.Err() != nil
+}
+
+// chooseCore is the leader, unless it is unknown or just fell silent; then it is
+// another core, one after the other.
+func (daemon *Daemon) chooseCore() string {
+	leader, cores := daemon.Finder.Leader(), daemon.Finder.Cores()
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	if leader.Known() && time.Since(daemon.failed[leader.Address]) > aloneSpan {
+		return leader.Address
+	}
+	for offset := range cores {
+		if core := cores[(daemon.core+offset)%len(cores)]; time.Since(daemon.failed[core]) > aloneSpan {
+			return core
+		}
+	}
+	return cores[daemon.core%len(cores)]
+}
+
+// silent forgets a leader that did not answer, and waits for no news of it.
+func (daemon *Daemon) silent(core string) {
+	if leader := daemon.Finder.Leader(); leader.Address == core {
+		daemon.Finder.Drop(leader, false)
+	}
+	daemon.watched.leave(core)
+}
+
+// turn ends a wait for news at a core that is silent, or that does not lead
+// while another one does.
+func (daemon *Daemon) turn() {
+	if watched := daemon.watched.now(); watched != daemon.chooseCore() && daemon.Finder.Leader().Known() {
+		daemon.watched.leave(watched)
+	}
+}
+
+// catchUp takes news from the core that told of it, where the wait for news did not.
+func (daemon *Daemon) catchUp(core string) {
+	daemon.mutex.Lock()
+	late := !daemon.behind.IsZero() && time.Since(daemon.behind) > daemon.paces.Session/2
+	daemon.mutex.Unlock()
+	if late {
+		daemon.counts.Add("caught_up", 1)
+		daemon.fetch(context.Background(), core)
+	}
+}
--- a/member/finder.go
+++ b/member/finder.go
@@ -15,6 +15,8 @@
 	line    *wire.Line
 	threads *run.Threads
 	bell    *run.Bell
+	wanted  *run.Bell
+	paces   Paces
 
 	mutex   sync.Mutex
 	cores   []string
@@ -23,16 +25,38 @@
 	waiting int
 }
 
-const (
-	seekPace  = 20 * time.Millisecond
-	seekLimit = 150 * time.Millisecond
-)
+const finderIdle = time.Minute
 
 func NewFinder(line *wire.Line, threads *run.Threads, cores []string) *Finder {
-	return &Finder{line: line, threads: threads, bell: run.NewBell(), cores: append([]string{}, cores...)}
+	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), cores: append([]string{}, cores...)}
+}
+
+// Paced sets how often a leader is looked for.
+func (finder *Finder) Paced(paces Paces) *Finder {
+	finder.paces = paces.filled()
+	return finder
+}
+
+func (finder *Finder) Run() {
+	finder.threads.OnStop(finder.wanted.Ring)
+	finder.threads.OnStop(finder.bell.Ring)
+	finder.threads.Start(func() {
+		for finder.threads.Rest(finder.paces.Seek) {
+			if seen := finder.wanted.Count(); finder.idle() {
+				finder.wanted.Wait(seen, finderIdle)
+			} else {
+				finder.seek()
+			}
+		}
+	})
 }
 
-func (finder *Finder) Run() { finder.threads.Beat(run.Each(seekPace), finder.seek) }
+// idle is whether nobody waits for a leader.
+func (finder *Finder) idle() bool {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return finder.waiting == 0 || finder.leader.Known()
+}
 
 func (finder *Finder) Leader() wire.Leader {
 	finder.mutex.Lock()
@@ -69,6 +93,7 @@
 		finder.dropped = leader.Ballot
 	}
 	finder.mutex.Unlock()
+	finder.wanted.Ring()
 }
 
 // Wait holds until a leader is known or the span is over.
@@ -77,6 +102,7 @@
 	finder.mutex.Lock()
 	finder.waiting++
 	finder.mutex.Unlock()
+	finder.wanted.Ring()
 	defer func() {
 		finder.mutex.Lock()
 		finder.waiting--
@@ -94,15 +120,9 @@
 }
 
 func (finder *Finder) seek() {
-	finder.mutex.Lock()
-	idle := finder.waiting == 0 || finder.leader.Known()
-	cores := finder.cores
-	finder.mutex.Unlock()
-	if idle {
-		return
-	}
+	cores := finder.Cores()
 	run.Gather(finder.threads, len(cores), func(index int) (bool, error) {
-		told, fault := wire.Ask[wire.Who, wire.WhoTold](finder.line, cores[index], "who", seekLimit, &wire.Who{})
+		told, fault := wire.Ask[wire.Who, wire.WhoTold](finder.line, cores[index], "who", finder.paces.seek(), &wire.Who{})
 		if fault != nil {
 			return false, fault
 		}
--- a/member/hold.go
+++ b/member/hold.go
@@ -17,21 +17,40 @@
 	depth  int
 	span   time.Duration
 	limit  time.Duration
+	send   time.Duration
 
 	mutex sync.Mutex
 	held  int
 }
 
+// HoldLimits bound how long a message to the leader may take in all, and each
+// attempt of it; none is as the defaults say.
+type HoldLimits struct {
+	Answer time.Duration
+	Send   time.Duration
+}
+
 const (
 	holdDepth   = 64
-	holdSpan    = 880 * time.Millisecond
+	holdRest    = 70 * time.Millisecond
 	answerLimit = 950 * time.Millisecond
 	sendLimit   = 350 * time.Millisecond
 	comeBack    = 500
 )
 
 func NewHold(finder *Finder, line *wire.Line, counts *run.Counts) *Hold {
-	return &Hold{finder: finder, line: line, counts: counts, depth: holdDepth, span: holdSpan, limit: answerLimit}
+	return &Hold{finder: finder, line: line, counts: counts, depth: holdDepth, span: answerLimit - holdRest, limit: answerLimit, send: sendLimit}
+}
+
+// Within sets other limits than the defaults.
+func (hold *Hold) Within(limits HoldLimits) *Hold {
+	if limits.Answer > 0 {
+		hold.span, hold.limit = limits.Answer-holdRest, limits.Answer
+	}
+	if limits.Send > 0 {
+		hold.send = limits.Send
+	}
+	return hold
 }
 
 func (hold *Hold) enter() bool {
@@ -89,7 +108,7 @@
 		if rest <= 0 {
 			return nil, final()
 		}
-		told, fault := wire.Ask[Asked, Told](hold.line, leader.Address, name, min(rest, sendLimit), asked)
+		told, fault := wire.Ask[Asked, Told](hold.line, leader.Address, name, min(rest, hold.send), asked)
 		if fault == nil {
 			if holding {
 				hold.counts.Add("held_flushed", 1)
@@ -108,7 +127,7 @@
 			return nil, mishap
 		}
 		if time.Since(begin) < hold.limit {
-			hold.finder.threads.Rest(seekPace / 4)
+			hold.finder.threads.Rest(hold.finder.paces.Seek / 4)
 		}
 	}
 }
--- a/member/reach.go
+++ b/member/reach.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,7 +12,6 @@
 )
 
 const (
-	reachPace  = 250 * time.Millisecond
 	reachLimit = 250 * time.Millisecond
 	quietSpan  = 600 * time.Millisecond
 	cutSpan    = 2 * time.Second
@@ -110,7 +110,7 @@
 	}
 	daemon.reach.heardPeers(asked)
 	daemon.Seen(newest)
-	if from == "" || daemon.fetch(from) && daemon.Version().Serial >= newest {
+	if from == "" || daemon.fetch(context.Background(), from) && daemon.Version().Serial >= newest {
 		daemon.mutex.Lock()
 		daemon.confirmed = daemon.once
 		daemon.mutex.Unlock()
@@ -120,7 +120,7 @@
 // doubt makes this daemon serve again only on a newly confirmed serial.
 func (daemon *Daemon) doubt() {
 	daemon.mutex.Lock()
-	daemon.confirmed = false
+	daemon.confirmed, daemon.doubted = false, time.Now()
 	daemon.mutex.Unlock()
 	daemon.threads.Start(daemon.confirm)
 }
--- a/member/relay.go
+++ b/member/relay.go
@@ -19,16 +19,16 @@
 			continue
 		}
 		version := daemon.Version()
-		told, fault := wire.Ask[wire.Watch, wire.WatchTold](daemon.line, parent, "watch", watchSpan+askLimit,
-			&wire.Watch{Name: daemon.place.Name, Serial: version.Serial, Table: version.Table.Mark, SpanMs: int(watchSpan.Milliseconds())})
+		told, fault := wire.Ask[wire.Watch, wire.WatchTold](daemon.line, parent, "watch", daemon.paces.Watch+daemon.paces.ask(),
+			&wire.Watch{Name: daemon.place.Name, Serial: version.Serial, Table: version.Table.Mark, Routing: version.Routing, SpanMs: int(daemon.paces.Watch.Milliseconds())})
 		if fault != nil {
 			daemon.lost(parent)
 			continue
 		}
-		if told.Serial <= version.Serial && !version.Table.Mark.Less(told.Table) {
+		if !version.behind(told.Serial, told.Routing, told.Table) {
 			continue
 		}
-		if !daemon.fetch(parent) {
+		if !daemon.fetch(context.Background(), parent) {
 			daemon.lost(parent)
 		}
 	}
@@ -42,7 +42,7 @@
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	chosen := leader.Address
-	late := !daemon.behind.IsZero() && time.Since(daemon.behind) > behindSpan || daemon.seen > daemon.Version().Serial && time.Since(daemon.seenSince) > seekPace
+	late := !daemon.behind.IsZero() && time.Since(daemon.behind) > behindSpan || daemon.seen > daemon.Version().Serial && time.Since(daemon.seenSince) > daemon.paces.Seek
 	if !late || chosen == "" {
 		for _, parent := range parents {
 			if time.Since(daemon.failed[parent.Wire]) > aloneSpan {
@@ -66,20 +66,20 @@
 	daemon.mutex.Lock()
 	daemon.failed[parent] = time.Now()
 	daemon.mutex.Unlock()
-	daemon.threads.Rest(seekPace)
+	daemon.threads.Rest(daemon.paces.Seek)
 }
 
 // fetch takes news from a parent: names of branches first, then those that are
 // lacking here. A parent that moved on meanwhile is asked again.
-func (daemon *Daemon) fetch(parent string) bool {
+func (daemon *Daemon) fetch(within context.Context, parent string) bool {
 	for range fetchTries {
 		version := daemon.Version()
-		told, fault := wire.Ask[wire.Fetch, wire.FetchTold](daemon.line, parent, "fetch", 5*askLimit, &wire.Fetch{Serial: version.Serial, Table: version.Table.Mark})
+		told, fault := wire.AskIn[wire.Fetch, wire.FetchTold](within, daemon.line, parent, "fetch", daemon.paces.fetch(), &wire.Fetch{Serial: version.Serial, Table: version.Table.Mark, Routing: version.Routing})
 		if fault != nil {
 			return false
 		}
 		texts, lacks := wire.Texts{}, version.Tree.Lacks(told.Parts)
-		mishap := texts.AskParts(daemon.line, parent, 5*askLimit, lacks)
+		mishap := texts.AskParts(daemon.line, parent, daemon.paces.fetch(), lacks)
 		if mishap == nil {
 			daemon.counts.Add("branches_fetched", uint64(len(lacks)))
 			return daemon.take(told, texts)
@@ -102,7 +102,7 @@
 		daemon.counts.Add("versions_refused", 1)
 		return false
 	}
-	if next.Serial == before.Serial && next.Table == before.Table {
+	if next.Serial == before.Serial && next.Routing == before.Routing && next.Table == before.Table {
 		daemon.mutex.Unlock()
 		return true
 	}
@@ -113,17 +113,21 @@
 		klog.Infof("%s: serial %d in force", daemon.place.Name, next.Serial)
 		daemon.counts.Add("serials_in_force", 1)
 	}
+	if next.Routing != before.Routing {
+		klog.Infof("%s: routing %d in force, version %d", daemon.place.Name, next.Routing, next.Book.Config.Version)
+		daemon.counts.Add("routings_in_force", 1)
+	}
 	daemon.news.Ring()
 	return true
 }
 
 func (daemon *Daemon) onWatch(_ context.Context, watch *wire.Watch) (*wire.WatchTold, error) {
-	until := time.Now().Add(min(time.Duration(watch.SpanMs)*time.Millisecond, watchSpan))
+	until := time.Now().Add(min(time.Duration(watch.SpanMs)*time.Millisecond, watchMost))
 	for {
 		seen := daemon.news.Count()
 		version := daemon.Version()
-		told := &wire.WatchTold{Serial: version.Serial, Table: version.Table.Mark}
-		if told.Serial > watch.Serial || watch.Table.Less(told.Table) || daemon.threads.Stopping() || !daemon.news.Wait(seen, time.Until(until)) {
+		told := &wire.WatchTold{Serial: version.Serial, Table: version.Table.Mark, Routing: version.Routing}
+		if told.Serial > watch.Serial || told.Routing > watch.Routing || watch.Table.Less(told.Table) || daemon.threads.Stopping() || !daemon.news.Wait(seen, time.Until(until)) {
 			return told, nil
 		}
 	}
@@ -135,6 +139,13 @@
 	if version.Serial > fetch.Serial {
 		told.Serial, told.Parts = version.Serial, version.Tree.Parts
 	}
+	if version.Routing > fetch.Routing {
+		body, fault := wire.Pack(version.Book)
+		if fault != nil {
+			return nil, fault
+		}
+		told.Routing, told.RoutingBody = version.Routing, body
+	}
 	if fetch.Table.Less(version.Table.Mark) {
 		told.Table = version.Table
 	}
--- a/member/version.go
+++ b/member/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"orchidjunction/conf"
+	"orchidjunction/route"
 	"orchidjunction/wire"
 )
 
@@ -11,11 +12,18 @@
 	Tree     *conf.Tree
 	Settings *conf.Settings
 	Table    *wire.Table
+	Routing  uint64
+	Book     *route.Book
 }
 
 // Body is the settings' whole text.
 func (version *Version) Body() []byte { return version.Tree.Body() }
 
+// behind is whether any of these is newer.
+func (version *Version) behind(serial, routing uint64, table wire.TableMark) bool {
+	return serial > version.Serial || routing > version.Routing || version.Table.Mark.Less(table)
+}
+
 // after is the version with newer parts laid in; serials and tables only rise.
 func (version *Version) after(told *wire.FetchTold, texts wire.Texts) (*Version, *wire.Mishap) {
 	next := *version
@@ -26,6 +34,13 @@
 		}
 		next.Serial, next.Tree, next.Settings = told.Serial, tree, tree.Settings
 	}
+	if told.Routing > version.Routing {
+		book, mishap := route.BookOf(told.RoutingBody)
+		if mishap != nil {
+			return nil, mishap
+		}
+		next.Routing, next.Book = told.Routing, book
+	}
 	if told.Table != nil && version.Table.Mark.Less(told.Table.Mark) {
 		next.Table = told.Table
 	}
--- a/wire/core.go
+++ b/wire/core.go
@@ -48,6 +48,7 @@
 	Duck      bool
 	Successor Leader
 	Table     TableMark
+	NowMs     int64
 }
 
 type BeatTold struct {
@@ -56,6 +57,8 @@
 	Promised Ballot
 	Marks    Marks
 	Reach    int
+	AnchorMs int64
+	NowMs    int64
 }
 
 type StepDown struct {
--- a/wire/line.go
+++ b/wire/line.go
@@ -27,6 +27,11 @@
 
 // Ask sends one message and waits for its answer at most the limit.
 func Ask[Asked, Told any](line *Line, address, name string, limit time.Duration, asked *Asked) (*Told, error) {
+	return AskIn[Asked, Told](context.Background(), line, address, name, limit, asked)
+}
+
+// AskIn is an Ask that ends with its context, too.
+func AskIn[Asked, Told any](within context.Context, line *Line, address, name string, limit time.Duration, asked *Asked) (*Told, error) {
 	if address == "" {
 		return nil, New(Unreachable, "no address for %s", name)
 	}
@@ -38,7 +43,7 @@
 		line.made[url] = client
 	}
 	line.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := context.WithTimeout(within, limit)
 	defer cancel()
 	response, fault := client.CallUnary(ctx, connect.NewRequest(asked))
 	if fault != nil {
--- a/wire/member.go
+++ b/wire/member.go
@@ -63,6 +63,7 @@
 
 	Routing uint64
 	Windows []WindowCount
+	Gone    bool
 }
 
 func (session *Session) Check() *Mishap {
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -18,6 +18,7 @@
 	NoLeader       Kind = "no_leader"
 	StaleBallot    Kind = "stale_ballot"
 	StaleBase      Kind = "stale_base"
+	StaleVersion   Kind = "stale_version"
 	Invalid        Kind = "invalid_settings"
 	ChangeReused   Kind = "change_id_reused"
 	OutcomeUnknown Kind = "outcome_unknown"
@@ -117,7 +118,7 @@
 // Status is the HTTP status an outer side gives for a kind.
 func (kind Kind) Status() int {
 	switch kind {
-	case StaleBase, KeyBusy:
+	case StaleBase, StaleVersion, KeyBusy:
 		return http.StatusConflict
 	case Invalid, BadRequest, BadMessage, KeyRequired:
 		return http.StatusBadRequest
