--- a/control/change.go
+++ b/control/change.go
@@ -103,10 +103,11 @@
 }
 
 func (core *Core) onWho(*wire.Who) (*wire.WhoTold, *wire.Mishap) {
+	leads := core.leads()
 	core.mutex.Lock()
 	told := &wire.WhoTold{Duck: core.duck, Cores: core.roster().addresses()}
 	leadership := core.leadership
-	if leadership != nil || time.Since(core.heard) < core.place.Suspect {
+	if leads || time.Since(core.heard) < core.place.Suspect {
 		told.Leader = core.leader
 	}
 	core.mutex.Unlock()
--- a/control/core.go
+++ b/control/core.go
@@ -363,6 +363,13 @@
 	core.line.Close()
 }
 
+// leads is whether this core leads as far as its daemons need to know: in a
+// system whose daemons speak to the leader itself, one that is cut off says no.
+func (core *Core) leads() bool {
+	leadership, mishap := core.leading()
+	return mishap == nil && (!core.place.Direct || leadership.holds() == nil)
+}
+
 // Leads is true while this core leads and every condition stands.
 func (core *Core) Leads() bool {
 	leadership, mishap := core.leading()
--- a/control/roster.go
+++ b/control/roster.go
@@ -247,8 +247,9 @@
 		return &wire.EnlistTold{}, nil
 	}
 	told := &wire.EnlistTold{Roster: core.roster().all()}
+	leads := core.leads()
 	core.mutex.Lock()
-	if core.leadership != nil || time.Since(core.heard) < core.place.Suspect {
+	if leads || time.Since(core.heard) < core.place.Suspect {
 		told.Leader = core.leader
 	}
 	core.mutex.Unlock()
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -130,10 +130,11 @@
 	core.stirs.take(session)
 	core.meter.take(session)
 	_, now := core.toldClock()
+	leads := core.leads()
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
-	if !core.duck && (core.leadership != nil || time.Since(core.heard) < core.place.Suspect) {
+	if !core.duck && (leads || time.Since(core.heard) < core.place.Suspect) {
 		told.Leader, told.NowMs = core.leader, now
 	}
 	return told, nil
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -292,12 +292,13 @@
 	daemon.mutex.Unlock()
 	daemon.note(told.Serial)
 	daemon.Finder.learn(told.Cores)
+	before := daemon.Finder.Leader().Ballot
 	daemon.Finder.Heard(told.Leader)
 	if told.NowMs > 0 {
 		daemon.clock.Told(told.NowMs, trip)
 	}
 	if daemon.place.Direct {
-		daemon.turn()
+		daemon.turn(core, told.Leader, before)
 		daemon.catchUp(core)
 	}
 }
--- a/member/direct.go
+++ b/member/direct.go
@@ -86,9 +86,19 @@
 	daemon.watched.leave(core)
 }
 
-// turn ends a wait for news at a core that is silent, or that does not lead
-// while another one does.
-func (daemon *Daemon) turn() {
+// turn leaves a core that knows no leader, and ends a wait for news at one that
+// does not lead while another one does.
+func (daemon *Daemon) turn(core string, leader wire.Leader, before wire.Ballot) {
+	daemon.mutex.Lock()
+	if !leader.Known() {
+		daemon.failed[core] = time.Now()
+	} else if before.Less(leader.Ballot) {
+		delete(daemon.failed, leader.Address)
+	}
+	daemon.mutex.Unlock()
+	if !leader.Known() {
+		daemon.silent(core)
+	}
 	if watched := daemon.watched.now(); watched != daemon.chooseCore() && daemon.Finder.Leader().Known() {
 		daemon.watched.leave(watched)
 	}
--- /dev/null
+++ b/sim/far.go
@@ -0,0 +1,185 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/route"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+const (
+	farBeat    = 150 * time.Millisecond
+	farSuspect = 750 * time.Millisecond
+	farWay     = 55 * time.Millisecond
+	farSession = 500 * time.Millisecond
+)
+
+// Member is a daemon without a data plane.
+type Member struct {
+	Name    string
+	Host    string
+	Region  int
+	Daemon  *member.Daemon
+	Counts  *run.Counts
+	Alive   bool
+	Jump    int64
+	threads *run.Threads
+	server  *http.Server
+	line    *wire.Line
+}
+
+// NewFarWorld is a system in three regions far from each other, whose cores
+// find each other by seeds and whose daemons hear news from the cores themselves.
+func NewFarWorld(seed uint64, cores int) *World {
+	world := NewWorld(seed, cores)
+	world.Paces = member.Paces{Session: farSession, Watch: 2500 * time.Millisecond, Seek: 100 * time.Millisecond, Feel: 500 * time.Millisecond, Count: -1}
+	world.Limits = member.HoldLimits{Send: 700 * time.Millisecond}
+	for index, machine := range world.Cores {
+		machine.Host = fmt.Sprintf("10.%d.0.%d", 10*(index%3), index+1)
+		machine.Wire, machine.Operate = machine.Host+":41", machine.Host+":42"
+	}
+	region := func(host string) string {
+		first, _, _ := strings.Cut(strings.TrimPrefix(host, "10."), ".")
+		return first
+	}
+	world.Net.Lag(func(from, to string) time.Duration {
+		if region(from) == region(to) {
+			return 0
+		}
+		return farWay
+	})
+	world.Shape = world.farPlace
+	return world
+}
+
+func (world *World) farPlace(machine *Core, place *control.Place) {
+	place.ID, place.Peers, place.Platform = 0, nil, ""
+	place.Name, place.Found, place.Least = machine.Host, !machine.wiped, 3
+	for _, core := range world.Cores[:3] {
+		place.Seeds = append(place.Seeds, core.Wire)
+	}
+	place.Beat, place.Suspect, place.Table = farBeat, farSuspect, 250*time.Millisecond
+	place.Direct, place.SessionSpan = true, 2500*time.Millisecond
+	place.Lister, place.GoneAfter = world.lists, 2
+	place.Metering = world.Metering
+}
+
+// lists is an empty list of backends unless the world has its own.
+func (world *World) lists(_ context.Context, page string) control.Listing {
+	if world.Listed == nil {
+		return control.Listing{}
+	}
+	return world.Listed(page)
+}
+
+// AddMember lays out a daemon of a region; StartMember starts it.
+func (world *World) AddMember(region int) *Member {
+	index := len(world.Members)
+	one := &Member{Name: fmt.Sprintf("member-%d", index), Host: fmt.Sprintf("10.%d.1.%d", 10*region, index+1), Region: region}
+	world.Members = append(world.Members, one)
+	return one
+}
+
+func (world *World) StartMember(one *Member) {
+	spot := member.Place{Name: one.Name, Kind: "proxy", Zone: fmt.Sprint("z", one.Region), Wire: one.Host + ":41", Outer: one.Host + ":80", Operate: one.Host + ":42",
+		Paces: world.Paces, Hold: world.Limits, Direct: true, ServesAlone: true, Routed: true, Wall: func() int64 { return time.Now().UnixMilli() + one.Jump }}
+	for _, core := range world.Cores[:3] {
+		spot.Seeds = append(spot.Seeds, core.Wire)
+	}
+	one.threads, one.Counts = run.NewThreads(), run.NewCounts()
+	one.line = wire.NewLine(world.Net.Transport(one.Host))
+	one.Daemon = member.NewDaemon(spot, member.NewID(), one.line, one.threads, one.Counts)
+	last := uint64(0)
+	one.Daemon.Serve(func(version *member.Version) {
+		if version.Routing < last {
+			world.broke("%s slid from routing %d to %d", one.Name, last, version.Routing)
+		}
+		last = version.Routing
+	}, nil)
+	if world.Requests != nil {
+		one.Daemon.Meter(func() []wire.WindowCount { return world.Requests(one) })
+	}
+	door := wire.NewDoor(one.Counts)
+	one.Daemon.Register(door)
+	one.server = world.serve(one.threads, spot.Wire, door)
+	one.Alive = true
+	one.Daemon.Run()
+}
+
+func (world *World) KillMember(one *Member) {
+	if !world.ends(&one.Alive) {
+		return
+	}
+	world.Net.Kill(one.Host)
+	one.threads.Stop()
+	one.server.Close()
+	one.line.Close()
+}
+
+// CloseFar ends the members, then all else.
+func (world *World) CloseFar() {
+	for _, one := range world.Members {
+		world.KillMember(one)
+	}
+	world.Close()
+}
+
+// Routing is a small one for worlds.
+func Routing(version uint64) *route.Config {
+	return &route.Config{Version: version, Services: []route.Service{{Name: "desk"}},
+		Routes: []route.Route{{Name: fmt.Sprint("route-", version), Host: "a.example", Prefix: "/a/", Service: "desk", Attempts: 1, TimeoutMs: 2000, TargetMs: 500, Kind: route.Repeatable}}}
+}
+
+// Whole is an operator's order of a whole routing on top of a version.
+func Whole(version, base uint64) *wire.RouteChange {
+	body, _ := wire.Pack(&route.Change{Version: version, Base: base, Digest: fmt.Sprintf("%d on %d", version, base), Whole: Routing(version)})
+	return &wire.RouteChange{Body: body}
+}
+
+// order sends an order by some holds in turn until it has an answer that ends it.
+func order[Asked, Told any](world *World, holds []*member.Hold, name string, asked *Asked) (*Told, *wire.Mishap) {
+	for try := 0; ; try++ {
+		told, mishap := member.Send[Asked, Told](holds[try%len(holds)], name, asked)
+		if mishap == nil || mishap.Retry == 0 || try > 20 {
+			return told, mishap
+		}
+		world.Rest(200 * time.Millisecond)
+	}
+}
+
+func (world *World) holds() []*member.Hold {
+	holds := []*member.Hold{}
+	for _, machine := range world.Cores {
+		if machine.life(world) != nil {
+			holds = append(holds, machine.Hold)
+		}
+	}
+	return holds
+}
+
+// Put sends a routing until it is taken or refused.
+func (world *World) Put(version, base uint64) *wire.Mishap {
+	_, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, world.holds(), "routechange", Whole(version, base))
+	return mishap
+}
+
+func (world *World) Evacuate(zone string, begin bool) *wire.Mishap {
+	_, mishap := order[wire.Evacuate, wire.EvacuateTold](world, world.holds(), "evacuate", &wire.Evacuate{Zone: zone, Begin: begin})
+	return mishap
+}
+
+// Book reads the confirmed routing back.
+func (world *World) Book() (*route.Book, *wire.Mishap) {
+	told, mishap := order[wire.RouteRead, wire.RouteReadTold](world, world.holds(), "routeread", &wire.RouteRead{})
+	if mishap != nil {
+		return nil, mishap
+	}
+	return route.BookOf(told.Body)
+}
--- a/sim/net.go
+++ b/sim/net.go
@@ -33,6 +33,7 @@
 	lives     map[string]int
 	faults    Faults
 	slow      map[string]time.Duration
+	lag       func(from, to string) time.Duration
 	threads   *run.Threads
 	Messages  int
 	Bytes     int
@@ -49,10 +50,21 @@
 
 func (net *Net) odds(of int) bool { return of > 0 && net.random.IntN(1000) < of }
 
-func (net *Net) delay() time.Duration {
+func (net *Net) delay(from, to string) time.Duration {
 	net.mutex.Lock()
 	defer net.mutex.Unlock()
-	return time.Duration(200+net.random.IntN(800)) * time.Microsecond
+	span := time.Duration(200+net.random.IntN(800)) * time.Microsecond
+	if net.lag != nil {
+		span += net.lag(from, to)
+	}
+	return span
+}
+
+// Lag makes the way from one host to another longer.
+func (net *Net) Lag(lag func(from, to string) time.Duration) {
+	net.mutex.Lock()
+	net.lag = lag
+	net.mutex.Unlock()
 }
 
 func host(address string) string {
--- /dev/null
+++ b/sim/routing_test.go
@@ -0,0 +1,372 @@
+package sim
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// farUp starts the cores and members of a far world and puts routing 1 in force.
+func (world *World) farUp(test *testing.T, members int) {
+	test.Helper()
+	for index := range world.Cores {
+		world.StartCore(index)
+	}
+	for index := range members {
+		world.StartMember(world.AddMember(index % 3))
+	}
+	if !world.Until(10*time.Second, func() bool { return world.Leader() >= 0 }) {
+		test.Fatal("no leader")
+	}
+	if mishap := world.Put(1, 0); mishap != nil {
+		test.Fatal(mishap)
+	}
+	if !world.Until(5*time.Second, world.membersReady) {
+		test.Fatal("members not ready")
+	}
+}
+
+func (world *World) membersReady() bool {
+	for _, one := range world.Members {
+		if !one.Daemon.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// reached is how long after now all living members have a routing in force.
+func (world *World) reached(version uint64, limit time.Duration) (time.Duration, bool) {
+	begin := time.Now()
+	whole := world.Until(limit, func() bool {
+		for _, one := range world.Members {
+			if one.Alive && (one.Daemon.Version().Book == nil || one.Daemon.Version().Book.Config.Version < version) {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(begin), whole
+}
+
+// A routing is taken once, a repeat is told so, and neither an old version nor
+// another base nor an invalid one gets in; of two at once one does.
+func TestRoutingTakenRepeatedStaleRaced(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 3)
+		for _, step := range []struct {
+			version, base uint64
+			want          wire.Kind
+		}{{5, 1, ""}, {5, 1, ""}, {1, 0, ""}, {4, 5, wire.StaleVersion}, {5, 5, wire.StaleVersion}, {9, 1, wire.StaleBase}, {9, 5, ""}} {
+			got := wire.Kind("")
+			if mishap := world.Put(step.version, step.base); mishap != nil {
+				got = mishap.Kind
+			}
+			if got != step.want {
+				world.broke("%d on %d: %q, want %q", step.version, step.base, got, step.want)
+			}
+		}
+		invalid := Routing(10)
+		invalid.Routes[0].Service = "nobody"
+		body, _ := wire.Pack(&route.Change{Version: 10, Base: 9, Digest: "wrong", Whole: invalid})
+		if _, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, world.holds(), "routechange", &wire.RouteChange{Body: body}); mishap == nil {
+			world.broke("an invalid routing was taken")
+		}
+		last := uint64(9)
+		for round := range 10 {
+			taken, refused := []uint64{}, 0
+			mutex, done := sync.Mutex{}, 0
+			for racer := range uint64(2) {
+				version := last + 1 + racer
+				world.threads.Start(func() {
+					_, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, world.holds()[racer:], "routechange", Whole(version, last))
+					mutex.Lock()
+					defer mutex.Unlock()
+					if done++; mishap == nil {
+						taken = append(taken, version)
+					} else {
+						refused++
+					}
+				})
+			}
+			if round == 5 {
+				world.Rest(time.Duration(seed*37%200) * time.Millisecond)
+				leader := world.Leader()
+				world.KillCore(leader, true)
+				world.Rest(300 * time.Millisecond)
+				world.StartCore(leader)
+			}
+			if !world.Until(20*time.Second, func() bool { mutex.Lock(); defer mutex.Unlock(); return done == 2 }) {
+				test.Fatal("no answer")
+			}
+			if len(taken) != 1 || refused != 1 {
+				world.broke("round %d on %d: %v taken, %d refused", round, last, taken, refused)
+			}
+			book, mishap := world.Book()
+			if mishap != nil || len(taken) > 0 && book.Config.Version != taken[0] {
+				world.broke("round %d: %v taken, read back %+v %v", round, taken, book, mishap)
+				break
+			}
+			last = book.Config.Version
+		}
+		took, whole := world.reached(last, 2*time.Second)
+		if !whole {
+			world.broke("routing %d is not everywhere after %v", last, took)
+		}
+		world.report(test)
+	})
+}
+
+// A patch changes what it names and keeps the rest, also which zones are emptied.
+func TestRoutingPatchKeepsTheRest(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 1)
+		if mishap := world.Evacuate("z1", true); mishap != nil {
+			test.Fatal(mishap)
+		}
+		more := Routing(2).Routes
+		body, _ := wire.Pack(&route.Change{Version: 2, Base: 1, Digest: "patch", Patch: &route.Patch{Routes: more}})
+		if _, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, world.holds(), "routechange", &wire.RouteChange{Body: body}); mishap != nil {
+			test.Fatal(mishap)
+		}
+		book, mishap := world.Book()
+		if mishap != nil || book.Config.Version != 2 || len(book.Config.Routes) != 2 || fmt.Sprint(book.Evacuated) != "[z1]" {
+			world.broke("after the patch: %+v %v", book, mishap)
+		}
+		if took, whole := world.reached(2, time.Second); !whole {
+			world.broke("not everywhere after %v", took)
+		} else if held := world.Members[0].Daemon.Version().Book; fmt.Sprint(held.Evacuated) != "[z1]" || len(held.Trail) > 0 {
+			world.broke("a member holds %+v", held)
+		}
+		world.report(test)
+	})
+}
+
+// Emptied zones and the newest routing last when the leader dies just after it
+// acknowledged, when power goes everywhere, and when one disk is lost with it.
+func TestAcknowledgedLastsEverything(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 2)
+		version, want := uint64(1), map[string]bool{}
+		for round := range 9 {
+			zone := fmt.Sprint("z", round%4)
+			if mishap := world.Evacuate(zone, !want[zone]); mishap != nil {
+				test.Fatal(mishap)
+			}
+			want[zone] = !want[zone]
+			if mishap := world.Put(version+1, version); mishap != nil {
+				test.Fatal(mishap)
+			}
+			version++
+			switch leader := world.Leader(); round % 3 {
+			case 0:
+				world.KillCore(leader, true)
+				world.Rest(time.Duration(seed%5) * 300 * time.Millisecond)
+				world.StartCore(leader)
+			case 1:
+				for index := range world.Cores {
+					world.KillCore(index, true)
+				}
+				world.WipeCore((round + int(seed)) % 3)
+				world.Rest(time.Second)
+				for index := range world.Cores {
+					world.StartCore(index)
+				}
+			case 2:
+				world.WipeCore(leader)
+				world.Rest(200 * time.Millisecond)
+				world.StartCore(leader)
+			}
+			if !world.Until(15*time.Second, func() bool { return world.Leader() >= 0 }) {
+				test.Fatal("no leader")
+			}
+			book, mishap := world.Book()
+			if mishap != nil {
+				test.Fatal(mishap)
+			}
+			held := map[string]bool{}
+			for _, zone := range book.Evacuated {
+				held[zone] = true
+			}
+			for zone, emptied := range want {
+				if held[zone] != emptied {
+					world.broke("round %d: %s emptied %v, read back %v", round, zone, emptied, book.Evacuated)
+				}
+			}
+			if book.Config.Version != version {
+				world.broke("round %d: version %d, read back %d", round, version, book.Config.Version)
+			}
+			world.Until(15*time.Second, func() bool {
+				for _, machine := range world.Cores {
+					if !machine.Core.Sound() {
+						return false
+					}
+				}
+				return true
+			})
+		}
+		world.report(test)
+	})
+}
+
+// What an operator waits who orders a routing while the leader is stopped, with
+// a warning and without, or frozen; and how soon it is in force everywhere.
+func TestFarLeaderChange(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 9)
+		version := uint64(1)
+		for round := range 9 {
+			kind := []string{"calm", "planned", "killed", "frozen", "cut"}[round%5]
+			world.Until(5*time.Second, func() bool { return world.Leader() >= 0 })
+			world.Rest(3 * time.Second)
+			leader := world.Leader()
+			holds := []*member.Hold{world.Members[round%9].Daemon.Hold, world.Members[(round+1)%9].Daemon.Hold}
+			switch kind {
+			case "planned":
+				world.threads.Start(func() {
+					world.Cores[leader].Core.Retire(6 * time.Second)
+				})
+				holds[0] = world.Cores[leader].Hold
+			case "killed":
+				world.KillCore(leader, true)
+			case "frozen":
+				world.Net.Freeze(world.Cores[leader].Host, true)
+			case "cut":
+				world.isolate(leader, true)
+			}
+			begin := time.Now()
+			_, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, holds, "routechange", Whole(version+1, version))
+			wait := time.Since(begin)
+			if mishap != nil {
+				test.Fatalf("%s: %v", kind, mishap)
+			}
+			version++
+			spread, whole := world.reached(version, 5*time.Second)
+			most := map[string]time.Duration{"calm": 400 * time.Millisecond, "planned": 1200 * time.Millisecond, "killed": 4 * time.Second, "frozen": 4 * time.Second, "cut": 4 * time.Second}[kind]
+			if wait > most {
+				world.broke("%s: an operator waited %v", kind, wait)
+			}
+			if !whole || kind == "calm" && spread > 400*time.Millisecond || spread > 2*time.Second {
+				world.broke("%s: in force after %v, everywhere: %v", kind, spread, whole)
+			}
+			if !world.membersReady() {
+				world.broke("%s: a member is not ready", kind)
+			}
+			test.Logf("%s: acknowledged after %v, everywhere %v later", kind, wait, spread)
+			switch kind {
+			case "frozen":
+				world.Net.Freeze(world.Cores[leader].Host, false)
+			case "cut":
+				world.isolate(leader, false)
+			case "planned":
+				if _, mishap := order[wire.Evacuate, wire.EvacuateTold](world, holds[:1], "evacuate", &wire.Evacuate{Zone: "z", Begin: true}); mishap != nil {
+					world.broke("a retired core does not forward: %v", mishap)
+				}
+				world.KillCore(leader, false)
+				world.StartCore(leader)
+			case "killed":
+				world.StartCore(leader)
+			}
+		}
+		world.report(test)
+	})
+}
+
+// A member that is cut off from all cores stays ready on what it holds, and
+// catches up once it is back; one that stood still asks first.
+func TestMemberServesAlone(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 3)
+		lone := world.Members[int(seed)%3]
+		cut := func(shut bool) {
+			for _, core := range world.Cores {
+				world.Net.Cut(core.Host, lone.Host, shut)
+			}
+		}
+		cut(true)
+		if mishap := world.Put(2, 1); mishap != nil {
+			test.Fatal(mishap)
+		}
+		for range 100 {
+			world.Rest(100 * time.Millisecond)
+			if !lone.Daemon.Ready() || lone.Daemon.Version().Book.Config.Version != 1 {
+				world.broke("cut off: ready %v, version %d", lone.Daemon.Ready(), lone.Daemon.Version().Book.Config.Version)
+				break
+			}
+		}
+		cut(false)
+		if took, whole := world.reached(2, 4*time.Second); !whole {
+			world.broke("back in touch: not caught up after %v", took)
+		}
+		world.report(test)
+	})
+}
+
+// A backend that leaves stays leaving, its warm time moves by no jitter, and it
+// is gone once two whole lists lack it.
+func TestListedBackendsOnlyMoveOn(test *testing.T) {
+	world := func(seed uint64, listed func(call int) []wire.Backend) func(test *testing.T) {
+		return func(test *testing.T) {
+			world := NewFarWorld(seed, 3)
+			defer world.CloseFar()
+			mutex, call := sync.Mutex{}, 0
+			world.Listed = func(string) control.Listing {
+				mutex.Lock()
+				defer mutex.Unlock()
+				call++
+				return control.Listing{Backends: listed(call)}
+			}
+			world.farUp(test, 1)
+			left, warm := false, int64(0)
+			for range 600 {
+				world.Rest(100 * time.Millisecond)
+				for _, backend := range world.Members[0].Daemon.Version().Table.Backends {
+					if left = left || backend.Leaving; left && !backend.Leaving {
+						world.broke("a backend stays again")
+					}
+					if warm > 0 && backend.WarmAt != 0 && backend.WarmAt != warm {
+						world.broke("warm at %d, then %d", warm, backend.WarmAt)
+					}
+					warm = backend.WarmAt
+				}
+			}
+			if held := world.Members[0].Daemon.Version().Table.Backends; len(held) != 0 || !left {
+				world.broke("left %v, still held: %v", left, held)
+			}
+			world.report(test)
+		}
+	}
+	eachWorld(test, func(seed uint64) func(test *testing.T) {
+		warm := time.Now().Add(time.Hour).UnixMilli()
+		return world(seed, func(call int) []wire.Backend {
+			if call > 40 {
+				return nil
+			}
+			one := wire.Backend{Name: "b", Service: "desk", Address: "10.9.9.9:80", Slots: 4, WarmAt: warm + int64(call%5)*90, Leaving: call > 15 && call%3 > 0}
+			if call%4 == 0 {
+				one.WarmAt = 0
+			}
+			return []wire.Backend{one}
+		})
+	})
+}
+
+func eachWorld(test *testing.T, play func(seed uint64) func(test *testing.T)) {
+	each(test, func(test *testing.T, seed uint64) { play(seed)(test) })
+}
--- a/sim/world.go
+++ b/sim/world.go
@@ -43,6 +43,14 @@
 	reports bool
 	lives   int
 	planned bool
+	Shape   func(machine *Core, place *control.Place)
+	Paces   member.Paces
+	Limits  member.HoldLimits
+
+	Members  []*Member
+	Requests func(*Member) []wire.WindowCount
+	Metering control.Metering
+	Listed   func(page string) control.Listing
 }
 
 // Lead is one leadership that came to stand.
@@ -66,6 +74,8 @@
 	line    *wire.Line
 	starts  uint64
 	jump    atomic.Int64
+	wiped   bool
+	Hold    *member.Hold
 }
 
 // Daemon is one directory node or proxy of the world.
@@ -148,6 +158,9 @@
 		}
 	}
 	place.Wall = func() int64 { return time.Now().UnixMilli() + machine.jump.Load() }
+	if world.Shape != nil {
+		world.Shape(machine, &place)
+	}
 	place.Observe = func(_ control.Standing, ballot wire.Ballot) { world.led(machine, ballot) }
 	machine.threads = run.NewThreads()
 	machine.line = wire.NewLine(world.Net.Transport(machine.Host))
@@ -166,8 +179,9 @@
 	for _, other := range world.Cores {
 		addresses = append(addresses, other.Wire)
 	}
-	finder := member.NewFinder(machine.line, machine.threads, addresses)
-	operate := member.NewOperate(fmt.Sprint(machine.ID), member.NewHold(finder, machine.line, counts), counts, core.Settings, core.Sound)
+	finder := member.NewFinder(machine.line, machine.threads, addresses).Paced(world.Paces)
+	machine.Hold = member.NewHold(finder, machine.line, counts).Within(world.Limits)
+	operate := member.NewOperate(fmt.Sprint(machine.ID), machine.Hold, counts, core.Settings, core.Sound)
 	machine.servers = []*http.Server{world.serve(machine.threads, machine.Wire, door), world.serve(machine.threads, machine.Operate, operate)}
 	finder.Run()
 	core.Run()
@@ -260,6 +274,7 @@
 func (world *World) WipeCore(index int) {
 	world.KillCore(index, true)
 	world.Cores[index].Disk = NewDisk(world.Seed + uint64(index) + 77)
+	world.Cores[index].wiped = true
 }
 
 // AddDaemon lays out a directory node or a proxy; StartDaemon starts it.
