--- /dev/null
+++ b/route/check.go
@@ -0,0 +1,162 @@
+package route
+
+import (
+	"strconv"
+	"strings"
+
+	"orchidjunction/wire"
+)
+
+const (
+	emptyValue   = "empty"
+	doubleName   = "duplicate_name"
+	doubleKey    = "shared_key"
+	samePlace    = "same_place"
+	danglingName = "dangling_name"
+	outOfRange   = "out_of_range"
+	badPrefix    = "bad_prefix"
+)
+
+const detailsLimit = 20
+
+type checker struct {
+	details []wire.Detail
+	wrongs  int
+}
+
+func (checker *checker) wrong(path, kind, cause string) {
+	checker.wrongs++
+	if len(checker.details) < detailsLimit {
+		checker.details = append(checker.details, wire.Detail{Path: path, Kind: kind, Cause: cause})
+	}
+}
+
+func (checker *checker) atLeast(path string, value, least int64) {
+	if value < least {
+		checker.wrong(path, outOfRange, strconv.FormatInt(value, 10)+" is below "+strconv.FormatInt(least, 10))
+	}
+}
+
+// name takes a name that must be given and be there once.
+func (checker *checker) name(list, name string, seen map[string]bool) string {
+	path := list + "." + name
+	switch {
+	case name == "":
+		checker.wrong(list, emptyValue, "an item has no name")
+	case seen[name]:
+		checker.wrong(path, doubleName, "given twice")
+	}
+	seen[name] = true
+	return path
+}
+
+// Check finds everything that keeps the config from being put in force.
+func (config *Config) Check() *wire.Mishap {
+	checker := &checker{}
+	services := make(map[string]bool, len(config.Services))
+	for index := range config.Services {
+		checker.service(&config.Services[index], services)
+	}
+	names, places := make(map[string]bool, len(config.Routes)), make(map[place]string, len(config.Routes))
+	for index := range config.Routes {
+		checker.route(&config.Routes[index], names, services, places)
+	}
+	checker.tenants(config.Tenants)
+	checker.limits(&config.Limits)
+	if checker.wrongs == 0 {
+		return nil
+	}
+	mishap := wire.New(wire.Invalid, "%d wrong", checker.wrongs)
+	mishap.Details = checker.details
+	return mishap
+}
+
+type place struct{ host, prefix string }
+
+func (checker *checker) service(service *Service, seen map[string]bool) {
+	path := checker.name("services", service.Name, seen)
+	if service.HealthPath != "" && service.HealthPath[0] != '/' {
+		checker.wrong(path+".health_path", badPrefix, "no leading slash")
+	}
+	checker.atLeast(path+".max_connections", int64(service.MaxConnections), 0)
+	checker.atLeast(path+".warmup", int64(service.WarmupMs), 0)
+	if !(service.WarmupRate >= 0) {
+		checker.wrong(path+".warmup_rate", outOfRange, "is below 0")
+	}
+}
+
+func (checker *checker) route(route *Route, names, services map[string]bool, places map[place]string) {
+	path := checker.name("routes", route.Name, names)
+	if route.Host == "" {
+		checker.wrong(path+".host", emptyValue, "must be given")
+	}
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		checker.wrong(path+".prefix", badPrefix, "must begin and end with a slash")
+	}
+	at := place{host: hostKey(route.Host), prefix: route.Prefix}
+	if other, taken := places[at]; taken && other != route.Name {
+		checker.wrong(path, samePlace, "the same host and prefix as "+other)
+	}
+	places[at] = route.Name
+	if route.Kind > Download {
+		checker.wrong(path+".kind", outOfRange, "no such kind")
+	}
+	checker.atLeast(path+".timeout", int64(route.TimeoutMs), 1)
+	checker.atLeast(path+".target", int64(route.TargetMs), 0)
+	checker.atLeast(path+".attempts", int64(route.Attempts), 1)
+	checker.shares(path, route, services)
+	for _, home := range route.Homes {
+		if home == "" {
+			checker.wrong(path+".homes", emptyValue, "a region without a name")
+		}
+	}
+}
+
+func (checker *checker) shares(path string, route *Route, services map[string]bool) {
+	if route.Service == "" && len(route.Split) == 0 {
+		checker.wrong(path+".service", emptyValue, "neither a service nor a split")
+	}
+	if route.Service != "" && !services[route.Service] {
+		checker.wrong(path+".service", danglingName, "no service "+route.Service)
+	}
+	total := 0
+	for _, share := range route.Split {
+		if !services[share.Service] {
+			checker.wrong(path+".split", danglingName, "no service "+share.Service)
+		}
+		checker.atLeast(path+".split.weight", int64(share.Weight), 0)
+		total += max(share.Weight, 0)
+	}
+	if len(route.Split) > 0 && total == 0 {
+		checker.wrong(path+".split", outOfRange, "no weight is above 0")
+	}
+}
+
+func (checker *checker) tenants(tenants []Tenant) {
+	names, holders := make(map[string]bool, len(tenants)), map[string]string{}
+	for index := range tenants {
+		tenant := &tenants[index]
+		path := checker.name("tenants", tenant.Name, names)
+		for _, key := range tenant.Keys {
+			if key == "" {
+				checker.wrong(path+".keys", emptyValue, "an empty key")
+			}
+			if holder, held := holders[key]; held && holder != tenant.Name {
+				checker.wrong(path+".keys", doubleKey, "a key of "+holder+" as well")
+			}
+			holders[key] = tenant.Name
+		}
+		for _, home := range tenant.Homes {
+			if home == "" {
+				checker.wrong(path+".homes", emptyValue, "a region without a name")
+			}
+		}
+	}
+}
+
+func (checker *checker) limits(limits *Limits) {
+	checker.atLeast("limits.header_bytes", int64(limits.HeaderBytes), 0)
+	checker.atLeast("limits.body_bytes", limits.BodyBytes, 0)
+	checker.atLeast("limits.header_timeout", int64(limits.HeaderMs), 0)
+	checker.atLeast("limits.idle_timeout", int64(limits.IdleMs), 0)
+}
--- /dev/null
+++ b/route/patch.go
@@ -0,0 +1,60 @@
+package route
+
+import "orchidjunction/wire"
+
+// Apply is the config with a patch laid over it; the receiver stays as it is.
+// Whoever takes it on sets its version and checks it.
+func (config Config) Apply(patch *Patch) (Config, *wire.Mishap) {
+	var mishap *wire.Mishap
+	if config.Routes, mishap = overlay(config.Routes, patch.Routes, patch.RemoveRoutes, "routes", func(route *Route) string { return route.Name }); mishap != nil {
+		return Config{}, mishap
+	}
+	if config.Services, mishap = overlay(config.Services, patch.Services, patch.RemoveServices, "services", func(service *Service) string { return service.Name }); mishap != nil {
+		return Config{}, mishap
+	}
+	if config.Tenants, mishap = overlay(config.Tenants, patch.Tenants, patch.RemoveTenants, "tenants", func(tenant *Tenant) string { return tenant.Name }); mishap != nil {
+		return Config{}, mishap
+	}
+	config.Keyed = config.Keyed || len(patch.Tenants) > 0
+	if patch.Limits != nil {
+		config.Limits = *patch.Limits
+	}
+	return config, nil
+}
+
+// overlay replaces items in their place, adds new ones at the end and leaves
+// out the removed; an item both given and removed is given.
+func overlay[Item any](held, given []Item, removed []string, list string, name func(*Item) string) ([]Item, *wire.Mishap) {
+	if len(given) == 0 && len(removed) == 0 {
+		return held, nil
+	}
+	places := make(map[string]int, len(given))
+	for index := range given {
+		key := name(&given[index])
+		if _, twice := places[key]; twice {
+			return nil, &wire.Mishap{Kind: wire.Invalid, Cause: "1 wrong", Details: []wire.Detail{{Path: list + "." + key, Kind: doubleName, Cause: "given twice"}}}
+		}
+		places[key] = index
+	}
+	gone := make(map[string]bool, len(removed))
+	for _, key := range removed {
+		gone[key] = true
+	}
+	next := make([]Item, 0, len(held)+len(given))
+	replaced := make([]bool, len(given))
+	for index := range held {
+		key := name(&held[index])
+		if place, found := places[key]; found {
+			next = append(next, given[place])
+			replaced[place] = true
+		} else if !gone[key] {
+			next = append(next, held[index])
+		}
+	}
+	for index := range given {
+		if !replaced[index] {
+			next = append(next, given[index])
+		}
+	}
+	return next, nil
+}
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -18,6 +18,7 @@
 	NoLeader       Kind = "no_leader"
 	StaleBallot    Kind = "stale_ballot"
 	StaleBase      Kind = "stale_base"
+	StaleVersion   Kind = "stale_version"
 	Invalid        Kind = "invalid_settings"
 	ChangeReused   Kind = "change_id_reused"
 	OutcomeUnknown Kind = "outcome_unknown"
