--- /dev/null
+++ b/route/check_test.go
@@ -0,0 +1,94 @@
+package route
+
+import (
+	"strings"
+	"testing"
+
+	"orchidjunction/wire"
+)
+
+func goodConfig() *Config {
+	return &Config{
+		Version: 3,
+		Routes: []Route{
+			{Name: "cart", Host: "shop.test", Prefix: "/cart/", Kind: Once, TimeoutMs: 900, TargetMs: 300, Priority: 1, Service: "alder", Attempts: 2, Homes: []string{"north"}},
+			{Name: "shelf", Host: "shop.test", Prefix: "/", Kind: Repeatable, TimeoutMs: 700, Split: []Share{{"alder", 1}, {"birch", 3}}, Attempts: 1, Public: true},
+			{Name: "film", Host: "films.test", Prefix: "/cart/", Kind: Download, TimeoutMs: 5000, Service: "birch", Attempts: 3},
+		},
+		Services: []Service{{Name: "alder", HealthPath: "/well", MaxConnections: 9}, {Name: "birch"}},
+		Tenants:  []Tenant{{Name: "ann", Keys: []string{"a1", "a2"}, Ranked: true, Priority: 2}, {Name: "bob", Keys: []string{"b1"}, Homes: []string{"south"}}},
+		Keyed:    true,
+		Limits:   Limits{HeaderBytes: 100, BodyBytes: 1000, HeaderMs: 10, IdleMs: 20},
+	}
+}
+
+// A good config, changed in one thing at a time.
+func TestCheckNamesOneWrongThing(test *testing.T) {
+	for name, one := range map[string]struct {
+		change func(*Config)
+		want   string
+	}{
+		"nothing":                    {func(*Config) {}, ""},
+		"no tenants":                 {func(config *Config) { config.Tenants, config.Keyed = nil, false }, ""},
+		"no limits":                  {func(config *Config) { config.Limits = Limits{} }, ""},
+		"no routes":                  {func(config *Config) { config.Routes = nil }, ""},
+		"no health path":             {func(config *Config) { config.Services[0].HealthPath = "" }, ""},
+		"tenant without keys":        {func(config *Config) { config.Tenants[0].Keys = nil }, ""},
+		"home nobody knows":          {func(config *Config) { config.Routes[0].Homes = []string{"nowhere"} }, ""},
+		"one weight of two":          {func(config *Config) { config.Routes[1].Split[0].Weight = 0 }, ""},
+		"service beside a split":     {func(config *Config) { config.Routes[1].Service = "birch" }, ""},
+		"same prefix, other host":    {func(config *Config) { config.Routes[2].Host = "other.test" }, ""},
+		"service nobody knows":       {func(config *Config) { config.Routes[0].Service = "cedar" }, danglingName},
+		"split nobody knows":         {func(config *Config) { config.Routes[1].Split[1].Service = "cedar" }, danglingName},
+		"no attempts":                {func(config *Config) { config.Routes[0].Attempts = 0 }, outOfRange},
+		"attempts below 0":           {func(config *Config) { config.Routes[0].Attempts = -1 }, outOfRange},
+		"no timeout":                 {func(config *Config) { config.Routes[0].TimeoutMs = 0 }, outOfRange},
+		"target below 0":             {func(config *Config) { config.Routes[0].TargetMs = -1 }, outOfRange},
+		"kind nobody knows":          {func(config *Config) { config.Routes[0].Kind = Download + 1 }, outOfRange},
+		"prefix without first slash": {func(config *Config) { config.Routes[0].Prefix = "cart/" }, badPrefix},
+		"prefix without last slash":  {func(config *Config) { config.Routes[0].Prefix = "/cart" }, badPrefix},
+		"no prefix":                  {func(config *Config) { config.Routes[0].Prefix = "" }, badPrefix},
+		"no host":                    {func(config *Config) { config.Routes[0].Host = "" }, emptyValue},
+		"route without name":         {func(config *Config) { config.Routes[0].Name = "" }, emptyValue},
+		"service without name":       {func(config *Config) { config.Services = append(config.Services, Service{}) }, emptyValue},
+		"tenant without name":        {func(config *Config) { config.Tenants[0].Name = "" }, emptyValue},
+		"empty key":                  {func(config *Config) { config.Tenants[0].Keys[0] = "" }, emptyValue},
+		"empty home":                 {func(config *Config) { config.Routes[0].Homes[0] = "" }, emptyValue},
+		"empty home of a tenant":     {func(config *Config) { config.Tenants[1].Homes[0] = "" }, emptyValue},
+		"neither service nor split":  {func(config *Config) { config.Routes[0].Service = "" }, emptyValue},
+		"weights of 0":               {func(config *Config) { config.Routes[1].Split = []Share{{"alder", 0}, {"birch", 0}} }, outOfRange},
+		"weight below 0":             {func(config *Config) { config.Routes[1].Split[0].Weight = -1 }, outOfRange},
+		"route twice":                {func(config *Config) { config.Routes[2].Name = "cart" }, doubleName},
+		"service twice":              {func(config *Config) { config.Services = append(config.Services, Service{Name: "alder"}) }, doubleName},
+		"tenant twice":               {func(config *Config) { config.Tenants[1].Name = "ann" }, doubleName},
+		"same place":                 {func(config *Config) { config.Routes[1].Prefix = "/cart/" }, samePlace},
+		"same place, other letters":  {func(config *Config) { config.Routes[2].Host = "SHOP.test" }, samePlace},
+		"shared key":                 {func(config *Config) { config.Tenants[1].Keys[0] = "a2" }, doubleKey},
+		"health path without slash":  {func(config *Config) { config.Services[0].HealthPath = "well" }, badPrefix},
+		"connections below 0":        {func(config *Config) { config.Services[0].MaxConnections = -1 }, outOfRange},
+		"warmup below 0":             {func(config *Config) { config.Services[0].WarmupMs = -1 }, outOfRange},
+		"warmup rate below 0":        {func(config *Config) { config.Services[0].WarmupRate = -1 }, outOfRange},
+		"header bytes below 0":       {func(config *Config) { config.Limits.HeaderBytes = -1 }, outOfRange},
+		"body bytes below 0":         {func(config *Config) { config.Limits.BodyBytes = -1 }, outOfRange},
+		"header time below 0":        {func(config *Config) { config.Limits.HeaderMs = -1 }, outOfRange},
+		"idle time below 0":          {func(config *Config) { config.Limits.IdleMs = -1 }, outOfRange},
+	} {
+		config := goodConfig()
+		one.change(config)
+		mishap := config.Check()
+		switch {
+		case one.want == "" && mishap != nil:
+			test.Errorf("%s: %v", name, mishap)
+		case one.want != "" && (mishap == nil || mishap.Kind != wire.Invalid || len(mishap.Details) != 1 || mishap.Details[0].Kind != one.want):
+			test.Errorf("%s: %v, want one %s", name, mishap, one.want)
+		}
+	}
+}
+
+func TestCheckBoundsWhatItNames(test *testing.T) {
+	config := &Config{Routes: make([]Route, 1000)}
+	mishap := config.Check()
+	if mishap == nil || len(mishap.Details) != detailsLimit || !strings.Contains(mishap.Cause, "wrong") {
+		test.Fatalf("%d details", len(mishap.Details))
+	}
+}
--- /dev/null
+++ b/route/index_test.go
@@ -0,0 +1,126 @@
+package route
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+func TestFindTakesTheLongestPrefixOfTheHost(test *testing.T) {
+	config := goodConfig()
+	config.Routes = append(config.Routes, Route{Name: "deep", Host: "Shop.Test:99", Prefix: "/cart/deep/er/", Service: "birch"})
+	index := NewIndex(&Book{Config: *config})
+	for _, one := range []struct{ host, path, want string }{
+		{"shop.test", "/cart/", "cart"},
+		{"shop.test", "/cart/7", "cart"},
+		{"shop.test", "/cart", "shelf"},
+		{"shop.test", "/carts/7", "shelf"},
+		{"shop.test", "/cart/deep/e", "cart"},
+		{"shop.test", "/cart/deep/er", "cart"},
+		{"shop.test", "/cart/deep/er/x/y", "deep"},
+		{"SHOP.test:8080", "/cart/deep/er/", "deep"},
+		{"shop.test", "/", "shelf"},
+		{"shop.test", "", ""},
+		{"shop.test", "*", ""},
+		{"films.test", "/", ""},
+		{"films.test", "/cart/x", "film"},
+		{"nobody.test", "/cart/", ""},
+		{"", "/cart/", ""},
+		{"[::1]:80", "/cart/", ""},
+		{"[::1]", "/cart/", ""},
+	} {
+		got := ""
+		if compiled, found := index.Find(one.host, one.path); found {
+			got = compiled.Route.Name
+		}
+		if got != one.want {
+			test.Errorf("%s %s: %q, want %q", one.host, one.path, got, one.want)
+		}
+	}
+}
+
+// Many drawn routes and paths, against going through all of them.
+func TestFindAgreesWithASlowSearch(test *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	path := func(most int) string {
+		text := "/"
+		for range random.IntN(most) {
+			text += strings.Repeat("ab"[random.IntN(2):][:1], random.IntN(3)) + "/"
+		}
+		return text
+	}
+	for range 200 {
+		config := &Config{}
+		seen := map[string]bool{}
+		for range 12 {
+			if prefix := path(5); !seen[prefix] {
+				seen[prefix] = true
+				config.Routes = append(config.Routes, Route{Host: "shop.test", Prefix: prefix})
+			}
+		}
+		index := NewIndex(&Book{Config: *config})
+		for range 50 {
+			asked, want := path(8)+"a"[:random.IntN(2)], ""
+			for _, one := range config.Routes {
+				if strings.HasPrefix(asked, one.Prefix) && len(one.Prefix) > len(want) {
+					want = one.Prefix
+				}
+			}
+			got := ""
+			if compiled, found := index.Find("shop.test", asked); found {
+				got = compiled.Route.Prefix
+			}
+			if got != want {
+				test.Fatalf("%s: %q, want %q", asked, got, want)
+			}
+		}
+	}
+}
+
+func TestFindAllocatesNothing(test *testing.T) {
+	index := NewIndex(&Book{Config: *goodConfig()})
+	if count := testing.AllocsPerRun(100, func() {
+		index.Find("shop.test:8080", "/cart/a/b/c")
+		index.TenantOf("a2")
+	}); count != 0 {
+		test.Errorf("%v allocations", count)
+	}
+}
+
+func TestDrawFollowsTheWeights(test *testing.T) {
+	config := goodConfig()
+	config.Services = append(config.Services, Service{Name: "cedar"})
+	config.Routes[1].Split = []Share{{"birch", 3}, {"cedar", 0}, {"alder", 1}}
+	index := NewIndex(&Book{Config: *config})
+	compiled, _ := index.Find("shop.test", "/")
+	counts := map[string]int{}
+	for number := range compiled.Total {
+		counts[index.Services[compiled.Draw(number)].Name]++
+	}
+	if counts["birch"] != 3 || counts["alder"] != 1 || counts["cedar"] != 0 {
+		test.Errorf("%v", counts)
+	}
+	whole, _ := index.Find("shop.test", "/cart/")
+	if index.Services[whole.Draw(0)].Name != "alder" || whole.Total != 1 || whole.Homes[0] != "north" {
+		test.Errorf("%+v", whole)
+	}
+}
+
+func TestIndexKnowsTenantsServicesAndZones(test *testing.T) {
+	index := NewIndex(&Book{Config: *goodConfig(), Evacuated: []string{"z1"}})
+	if tenant, found := index.TenantOf("b1"); !found || tenant.Name != "bob" {
+		test.Errorf("%v", tenant)
+	}
+	if _, found := index.TenantOf("c1"); found {
+		test.Error("a key nobody holds")
+	}
+	if place, found := index.ServiceIndex("birch"); !found || index.Services[place].Name != "birch" {
+		test.Errorf("%d", place)
+	}
+	if _, found := index.ServiceIndex("cedar"); found {
+		test.Error("a service nobody knows")
+	}
+	if !index.Cleared("z1") || index.Cleared("z2") || index.Version != 3 || !index.Keyed || index.Limits.IdleMs != 20 {
+		test.Errorf("%+v", index)
+	}
+}
--- /dev/null
+++ b/route/patch_test.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func names(config *Config) string {
+	parts := []string{}
+	for index := range config.Routes {
+		parts = append(parts, fmt.Sprintf("%s:%d", config.Routes[index].Name, config.Routes[index].TimeoutMs))
+	}
+	for index := range config.Services {
+		parts = append(parts, config.Services[index].Name)
+	}
+	for index := range config.Tenants {
+		parts = append(parts, fmt.Sprint(config.Tenants[index].Name, config.Tenants[index].Keys))
+	}
+	return strings.Join(parts, " ")
+}
+
+func TestApplyChangesNamedItems(test *testing.T) {
+	for name, one := range map[string]struct {
+		patch Patch
+		want  string
+	}{
+		"nothing":            {Patch{}, "cart:900 shelf:700 film:5000 alder birch ann[a1 a2] bob[b1]"},
+		"route replaced":     {Patch{Routes: []Route{{Name: "shelf", TimeoutMs: 5}}}, "cart:900 shelf:5 film:5000 alder birch ann[a1 a2] bob[b1]"},
+		"route added":        {Patch{Routes: []Route{{Name: "new", TimeoutMs: 5}, {Name: "film", TimeoutMs: 6}}}, "cart:900 shelf:700 film:6 new:5 alder birch ann[a1 a2] bob[b1]"},
+		"route removed":      {Patch{RemoveRoutes: []string{"cart", "cart"}}, "shelf:700 film:5000 alder birch ann[a1 a2] bob[b1]"},
+		"removed unknown":    {Patch{RemoveRoutes: []string{"none"}}, "cart:900 shelf:700 film:5000 alder birch ann[a1 a2] bob[b1]"},
+		"removed and given":  {Patch{RemoveRoutes: []string{"cart"}, Routes: []Route{{Name: "cart", TimeoutMs: 7}}}, "cart:7 shelf:700 film:5000 alder birch ann[a1 a2] bob[b1]"},
+		"service added":      {Patch{Services: []Service{{Name: "cedar"}}}, "cart:900 shelf:700 film:5000 alder birch cedar ann[a1 a2] bob[b1]"},
+		"service removed":    {Patch{RemoveServices: []string{"alder"}}, "cart:900 shelf:700 film:5000 birch ann[a1 a2] bob[b1]"},
+		"tenant's keys":      {Patch{Tenants: []Tenant{{Name: "ann", Keys: []string{"a2"}}}}, "cart:900 shelf:700 film:5000 alder birch ann[a2] bob[b1]"},
+		"all tenants remove": {Patch{RemoveTenants: []string{"ann", "bob"}}, "cart:900 shelf:700 film:5000 alder birch"},
+	} {
+		config := goodConfig()
+		next, mishap := config.Apply(&one.patch)
+		if mishap != nil || names(&next) != one.want || !next.Keyed {
+			test.Errorf("%s: %s, %v, want %s", name, names(&next), mishap, one.want)
+		}
+		if !reflect.DeepEqual(config, goodConfig()) {
+			test.Errorf("%s: the receiver changed", name)
+		}
+	}
+}
+
+func TestApplyRefusesAnItemGivenTwice(test *testing.T) {
+	for name, patch := range map[string]Patch{
+		"routes":   {Routes: []Route{{Name: "new"}, {Name: "new"}}},
+		"services": {Services: []Service{{Name: "alder"}, {Name: "alder"}}},
+		"tenants":  {Tenants: []Tenant{{Name: "ann"}, {Name: "ann"}}},
+	} {
+		if _, mishap := goodConfig().Apply(&patch); mishap == nil || mishap.Details[0].Kind != doubleName {
+			test.Errorf("%s: %v", name, mishap)
+		}
+	}
+}
+
+func TestApplyLimitsAndFirstTenants(test *testing.T) {
+	config := goodConfig()
+	config.Tenants, config.Keyed = nil, false
+	next, _ := config.Apply(&Patch{Limits: &Limits{IdleMs: 7}})
+	if next.Limits.IdleMs != 7 || next.Keyed {
+		test.Errorf("%+v", next)
+	}
+	if next, _ = config.Apply(&Patch{Tenants: []Tenant{{Name: "ann"}}}); !next.Keyed || next.Limits.IdleMs != 20 {
+		test.Errorf("%+v", next)
+	}
+}
