--- a/route/check.go
+++ b/route/check.go
@@ -76,7 +76,7 @@
 func (checker *checker) service(service *Service, seen map[string]bool) {
 	path := checker.name("services", service.Name, seen)
 	if service.HealthPath != "" && service.HealthPath[0] != '/' {
-		checker.wrong(path+".health_path", badPrefix, "no leading slash")
+		checker.wrong(path+".health", badPrefix, "no leading slash")
 	}
 	checker.atLeast(path+".max_connections", int64(service.MaxConnections), 0)
 	checker.atLeast(path+".warmup", int64(service.WarmupMs), 0)
