--- /dev/null
+++ b/proxy/world_test.go
@@ -0,0 +1,203 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/route"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// world is one proxy behind a server of its own, and its scripted backends; all
+// time in it is virtual.
+type world struct {
+	test     *testing.T
+	threads  *run.Threads
+	counts   *run.Counts
+	doors    *doors
+	proxy    *Proxy
+	server   *http.Server
+	listener *listener
+	book     *route.Book
+	table    *wire.Table
+	backends map[string]*backend
+	asked    int
+}
+
+var ownHeaders = Headers{Attempt: "Attempt", Deadline: "Deadline", Seal: "Seal", Tenant: "Tenant", Target: "Target", Load: "Load", NotExecuted: "Not-Executed",
+	Backend: "Backend", Warmup: "Warmup", KeyScheme: "Key"}
+
+func ownPlace(name, zone string) Place {
+	return Place{Name: name, Zone: zone, Regions: map[string]string{"e1": "east", "e2": "east", "w1": "west"}, Headers: ownHeaders, RetryRatio: 0.2, RetryExtra: 60,
+		WarmupExcess: 1.5, WarmupExtra: 5, UsageWindow: 5 * time.Second, ListLag: time.Second}
+}
+
+func ownConfig() route.Config {
+	return route.Config{Version: 1,
+		Routes: []route.Route{
+			{Name: "once", Host: "host.example", Prefix: "/once/", Kind: route.Once, TimeoutMs: 2000, TargetMs: 800, Service: "plain", Attempts: 3},
+			{Name: "again", Host: "host.example", Prefix: "/again/", Kind: route.Repeatable, TimeoutMs: 2000, TargetMs: 800, Service: "plain", Attempts: 3},
+			{Name: "load", Host: "host.example", Prefix: "/load/", Kind: route.Download, TimeoutMs: 2000, TargetMs: 800, Service: "plain", Attempts: 3}},
+		Services: []route.Service{{Name: "plain", MaxConnections: 130, WarmupMs: 3000, WarmupRate: 10}, {Name: "other", MaxConnections: 130, WarmupMs: 3000, WarmupRate: 10}},
+		Limits:   route.Limits{BodyBytes: 1 << 20}}
+}
+
+func inWorld(test *testing.T, play func(world *world)) {
+	synctest.Test(test, func(test *testing.T) {
+		world := newWorld(test)
+		defer world.close()
+		play(world)
+	})
+}
+
+func newWorld(test *testing.T) *world {
+	world := &world{test: test, threads: run.NewThreads(), counts: run.NewCounts(), doors: newDoors(), listener: newListener(), backends: map[string]*backend{},
+		book: &route.Book{Config: ownConfig()}, table: &wire.Table{Complete: true, Members: []wire.Member{{Name: "p1", Kind: "proxy", Zone: "e1", Ready: true}}}}
+	world.proxy = NewProxy(ownPlace("p1", "e1"), world.doors.dial, func() int64 { return time.Now().UnixMilli() }, world.threads, world.counts)
+	world.server = &http.Server{Handler: world.proxy, ErrorLog: log.New(io.Discard, "", 0)}
+	world.threads.Start(func() { world.server.Serve(world.listener) })
+	world.proxy.Run()
+	return world
+}
+
+func (world *world) close() {
+	if off := world.counts.Get("requests_off_the_chart"); off != 0 {
+		world.test.Errorf("%d steps off the chart of requests", off)
+	}
+	world.server.Close()
+	for _, backend := range world.backends {
+		backend.stop()
+	}
+	world.threads.Stop()
+	world.lay(func() { world.table.Backends = nil })
+	world.threads.Wait()
+}
+
+// add brings up a backend of the plain service in the proxy's zone.
+func (world *world) add(name string) *backend {
+	return world.addAt(name, "plain", "e1", 8)
+}
+
+func (world *world) addAt(name, service, zone string, slots int) *backend {
+	added := newBackend(name, name+":80", world.threads)
+	world.backends[name] = added
+	world.doors.serve(added.address, added.accept)
+	world.lay(func() {
+		world.table.Backends = append(world.table.Backends, wire.Backend{Name: name, Service: service, Address: added.address, Zone: zone, Slots: slots})
+	})
+	return added
+}
+
+// lay changes copies of book and table, and puts them in force.
+func (world *world) lay(change func()) {
+	book, table := *world.book, *world.table
+	table.Backends = append([]wire.Backend{}, table.Backends...)
+	table.Members = append([]wire.Member{}, table.Members...)
+	book.Config.Routes = append([]route.Route{}, book.Config.Routes...)
+	book.Config.Services = append([]route.Service{}, book.Config.Services...)
+	world.book, world.table = &book, &table
+	change()
+	world.proxy.Lay(world.book, world.table)
+}
+
+func (world *world) listed(name string) *wire.Backend {
+	for index := range world.table.Backends {
+		if world.table.Backends[index].Name == name {
+			return &world.table.Backends[index]
+		}
+	}
+	world.test.Fatalf("no backend %s", name)
+	return nil
+}
+
+func (world *world) arrivals() []*arrival {
+	all := []*arrival{}
+	for _, backend := range world.backends {
+		all = append(all, backend.seen()...)
+	}
+	return all
+}
+
+// client is one connection to the proxy.
+type client struct {
+	pipe   net.Conn
+	reader *bufio.Reader
+}
+
+func (world *world) client() *client {
+	near, far := newPipes("front")
+	world.listener.put(far)
+	return &client{pipe: near, reader: bufio.NewReader(near)}
+}
+
+// reply is what the client got; broken tells that no whole answer came.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	broken error
+	took   time.Duration
+}
+
+// ask sends raw bytes and reads one answer.
+func (client *client) ask(method, raw string) reply {
+	begin := time.Now()
+	io.WriteString(client.pipe, raw)
+	response, fault := http.ReadResponse(client.reader, &http.Request{Method: method})
+	if fault != nil {
+		return reply{broken: fault, took: time.Since(begin)}
+	}
+	body, fault := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), broken: fault, took: time.Since(begin)}
+}
+
+// id gives every request one of its own.
+func (world *world) id() string {
+	world.asked++
+	return "id" + strconv.Itoa(world.asked)
+}
+
+// raw is a request's bytes as an orderly client sends them.
+func raw(method, path, id, fields, body string) string {
+	text := method + " " + path + " HTTP/1.1\r\nHost: host.example\r\nAttempt: " + id + "\r\n"
+	if !strings.Contains(fields, "Deadline: ") {
+		text += "Deadline: 1500\r\n"
+	}
+	if body != "" {
+		text += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	return text + fields + "\r\n" + body
+}
+
+// get asks on a connection of its own.
+func (world *world) get(path string) (reply, string) {
+	id := world.id()
+	client := world.client()
+	defer client.pipe.Close()
+	return client.ask("GET", raw("GET", path, id, "", "")), id
+}
+
+// good fails the test unless the reply is the backend's answer to the id.
+func (world *world) good(reply reply, id string) {
+	world.test.Helper()
+	if reply.broken != nil || reply.status != 200 || reply.body != text(id) || reply.header.Get("Attempt") != id || reply.header.Get("Seal") != "s-"+id {
+		world.test.Errorf("%s got %d %q %v %v", id, reply.status, reply.body, reply.header, reply.broken)
+	}
+}
+
+// promised are the statuses that say a request has not run and never will.
+func promised(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+func unreachable(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
