A backend's 408, 429 or 503 that may have run is no promise to the client

Cause: an answer without the not-executed field was handed on whatever its status. A client of a non-repeatable route takes these statuses for a promise that nothing ran; it now gets 502.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -143,6 +143,11 @@
 	return answer, ended
 }
 
+// promises is whether a status tells the client that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // release gives a connection back where nothing unread is left on it.
 func (proxy *Proxy) release(target *target, connection *connection, sound bool) {
 	if !sound || connection.reader.Buffered() > 0 {
@@ -243,7 +248,7 @@
 			}
 			return &answer{response: response}, refused
 		}
-		if id == "" || response.StatusCode < 300 && response.Header.Get(names.Seal) == "" {
+		if id == "" || response.StatusCode < 300 && response.Header.Get(names.Seal) == "" || !request.route.Kind.Repeats() && promises(response.StatusCode) {
 			return nil, spoiled
 		}
 		connection.heed(response.Header.Get("Keep-Alive"))
