The rest of a long refusal is not read as the next answer

Cause: at most 256 KiB of a refusal's body were read, and the connection was given back as if that were all; what came after it met the next request.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -240,8 +240,8 @@
 		}
 		held.target.tell(response.Header.Get(names.Load), proxy.clock())
 		if response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotExecuted) != "" {
-			_, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
-			proxy.release(held.target, connection, fault == nil && !response.Close)
+			count, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
+			proxy.release(held.target, connection, fault == nil && count < wholeMost && !response.Close)
 			if response.StatusCode == http.StatusMisdirectedRequest {
 				held.target.failed(proxy.clock(), true)
 				proxy.counts.Add("backends_replaced", 1)
