A client that goes does not break a connection that another request has

Cause: after a refusal the connection was given back before the hook was taken off that ends its deadline when the client goes; in between another request could take it.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -114,7 +114,7 @@
 		}
 		return nil, unsent
 	}
-	answer, ended := proxy.receive(request, held, connection)
+	answer, ended := proxy.receive(request, held, connection, stop)
 	now := proxy.clock()
 	switch ended {
 	case answered:
@@ -131,7 +131,6 @@
 			answer.release(answer.response == nil || !answer.response.Close)
 		}
 	case refused:
-		stop()
 	default:
 		stop()
 		held.target.drop(connection)
@@ -213,8 +212,9 @@
 	return append(head, "\r\n"...)
 }
 
-// receive reads the answer to this request; answers to others are passed over.
-func (proxy *Proxy) receive(request *request, held *candidate, connection *connection) (*answer, fate) {
+// receive reads the answer to this request; answers to others are passed over. A
+// refusal gives the connection back, and so ends what stop ends.
+func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, fate) {
 	names := &proxy.place.Headers
 	for surplus := 0; ; {
 		response, fault := http.ReadResponse(connection.reader, request.source)
@@ -241,7 +241,8 @@
 		held.target.tell(response.Header.Get(names.Load), proxy.clock())
 		if response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotExecuted) != "" {
 			count, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
-			proxy.release(held.target, connection, fault == nil && count < wholeMost && !response.Close)
+			sound := stop() && fault == nil && count < wholeMost && !response.Close
+			proxy.release(held.target, connection, sound)
 			if response.StatusCode == http.StatusMisdirectedRequest {
 				held.target.failed(proxy.clock(), true)
 				proxy.counts.Add("backends_replaced", 1)
