The head of a backend's answer is bounded

Cause: http.ReadResponse reads a head of any length; a backend in trouble that sends bytes without end could fill the memory until the request's limit.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -217,7 +217,7 @@
 func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, fate) {
 	names := &proxy.place.Headers
 	for surplus := 0; ; {
-		response, fault := http.ReadResponse(connection.reader, request.source)
+		response, fault := connection.answer(request.source)
 		if fault != nil {
 			return nil, lost
 		}
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
@@ -17,18 +20,29 @@
 const (
 	connectionIdle   = 8 * time.Second
 	connectionBuffer = 4 << 10
+	headMost         = 256 << 10
 )
 
 // connection carries one request at a time to one backend.
 type connection struct {
 	conn   net.Conn
+	head   *io.LimitedReader
 	reader *bufio.Reader
 	used   time.Time
 	idle   time.Duration
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, connectionBuffer), used: time.Now(), idle: connectionIdle}
+	head := &io.LimitedReader{R: conn, N: headMost}
+	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, connectionBuffer), used: time.Now(), idle: connectionIdle}
+}
+
+// answer reads the head of an answer; one that does not end is cut off.
+func (connection *connection) answer(to *http.Request) (*http.Response, error) {
+	connection.head.N = headMost
+	response, fault := http.ReadResponse(connection.reader, to)
+	connection.head.N = math.MaxInt64
+	return response, fault
 }
 
 // sound is whether an idle connection may carry another request: not too old, not
