--- a/proxy/request.go
+++ b/proxy/request.go
@@ -213,15 +213,17 @@
 		}
 		proxy.move(request, sending)
 		answer, ended := proxy.attempt(request, held, view.most[request.service])
-		held.target.leave()
-		if proxy.lines.waiting() {
-			proxy.freed.Ring()
+		if ended == answered && answer.rest != nil {
+			defer proxy.leave(held.target)
+			proxy.finish(request, answer)
+			return
 		}
+		proxy.leave(held.target)
 		request.tried = append(request.tried, held.target)
 		switch ended {
 		case answered:
 			repeats := request.route.Kind.Repeats() && answer.response.StatusCode >= 500 && attempts+1 < request.route.Attempts
-			if !repeats || answer.rest != nil {
+			if !repeats {
 				proxy.finish(request, answer)
 				return
 			}
@@ -258,6 +260,14 @@
 	}
 }
 
+// leave frees a place at a target for those who wait.
+func (proxy *Proxy) leave(target *target) {
+	target.leave()
+	if proxy.lines.waiting() {
+		proxy.freed.Ring()
+	}
+}
+
 // refuse ends a request that has not run.
 func (proxy *Proxy) refuse(request *request, status int, kind wire.Kind) {
 	proxy.move(request, ending)
