--- a/proxy/request.go
+++ b/proxy/request.go
@@ -133,8 +133,8 @@
 	}
 	patience := time.Duration(found.TimeoutMs) * time.Millisecond
 	if text := source.Header.Get(names.Deadline); text != "" {
-		if milliseconds, fault := strconv.ParseFloat(text, 64); fault == nil && milliseconds >= 0 {
-			patience = min(patience, time.Duration(milliseconds*float64(time.Millisecond)))
+		if milliseconds, fault := strconv.ParseFloat(text, 64); fault == nil && milliseconds >= 0 && milliseconds < float64(found.TimeoutMs) {
+			patience = time.Duration(milliseconds * float64(time.Millisecond))
 		}
 	}
 	request.limit = request.begin.Add(patience)
