--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -1,9 +1,56 @@
 package proxy
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
+// first gives an act to the first arrival at any of the backends, and good answers
+// to later ones.
+func first(does act) act {
+	var mutex sync.Mutex
+	done := false
+	return func(exchange *exchange) bool {
+		mutex.Lock()
+		now := does
+		if done {
+			now = well
+		}
+		done = true
+		mutex.Unlock()
+		return now(exchange)
+	}
+}
+
+// troubles are ways to leave a client without an answer to a request that may have run.
+var troubles = map[string]act{
+	"reset after reading":   resetAfterReading,
+	"close after reading":   closeAfterReading,
+	"half an answer":        half,
+	"half a head":           halfHead,
+	"garbage":               garbage,
+	"no seal":               withoutSeal,
+	"no id":                 withoutID,
+	"body until close":      untilClose,
+	"half of the chunks":    chunkedHalf,
+	"silence":               silent,
+	"switching protocols":   status("101 Switching Protocols"),
+	"own 500":               status("500 Internal Server Error"),
+	"own 503, may have run": status("503 Service Unavailable"),
+	"own 429, may have run": status("429 Too Many Requests"),
+	"own 408, may have run": status("408 Request Timeout"),
+	"answer to somebody else": func(exchange *exchange) bool {
+		exchange.say("%s", whole("foreign", "200 OK", "", "foreign"))
+		return false
+	},
+}
+
 func TestGoodAnswerComesBack(test *testing.T) {
 	inWorld(test, func(world *world) {
 		world.add("b1")
@@ -16,3 +63,547 @@
 		}
 	})
 }
+
+// What may have run is sent nowhere else, and nobody is told that it has not run.
+func TestOnceNeverReachesTwoBackends(test *testing.T) {
+	for name, does := range troubles {
+		test.Run(name, func(test *testing.T) {
+			inWorld(test, func(world *world) {
+				for _, backend := range []string{"b1", "b2", "b3"} {
+					world.add(backend).ever(does)
+				}
+				reply, _ := world.get("/once/a")
+				if count := len(world.arrivals()); count != 1 {
+					test.Errorf("%d arrivals", count)
+				}
+				if reply.broken != nil || reply.status < 500 || promised(reply.status) {
+					test.Errorf("%d %q %v", reply.status, reply.body, reply.broken)
+				}
+				if reply.took > 1600*time.Millisecond {
+					test.Errorf("took %s", reply.took)
+				}
+			})
+		})
+	}
+}
+
+// A repeatable request is tried elsewhere after any trouble, and the client gets
+// the second backend's answer only.
+func TestRepeatableGoesElsewhere(test *testing.T) {
+	for name, does := range troubles {
+		if name == "silence" || name == "own 429, may have run" || name == "own 408, may have run" {
+			continue
+		}
+		test.Run(name, func(test *testing.T) {
+			inWorld(test, func(world *world) {
+				shared := first(does)
+				for _, backend := range []string{"b1", "b2", "b3"} {
+					world.add(backend).ever(shared)
+				}
+				reply, id := world.get("/again/a")
+				world.good(reply, id)
+				all := world.arrivals()
+				if len(all) != 2 || all[0].backend == all[1].backend {
+					test.Errorf("arrivals %v", all)
+				}
+			})
+		})
+	}
+}
+
+// Whatever all backends do, nobody's success is handed on that lacks the seal or
+// belongs to another, and no more backends are tried than the route allows.
+func TestNoFalseSuccess(test *testing.T) {
+	for name, does := range troubles {
+		test.Run(name, func(test *testing.T) {
+			inWorld(test, func(world *world) {
+				for number := range 5 {
+					world.add(fmt.Sprint("b", number)).ever(does)
+				}
+				for range 4 {
+					reply, id := world.get("/again/a")
+					if reply.status < 400 && reply.broken == nil || strings.Contains(reply.body, "foreign") {
+						test.Errorf("%s got %d %q", id, reply.status, reply.body)
+					}
+					per := map[string]int{}
+					for _, arrival := range world.arrivals() {
+						if arrival.get("Attempt") == id {
+							per[arrival.backend]++
+						}
+					}
+					if len(per) > 3 {
+						test.Errorf("%s reached %d backends", id, len(per))
+					}
+					for backend, count := range per {
+						if count > 1 {
+							test.Errorf("%s reached %s %d times", id, backend, count)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// A request that a backend refused has not run: another backend gets it.
+func TestRefusedGoesElsewhere(test *testing.T) {
+	for name, does := range map[string]act{"shed": shed, "misdirected": misdirected, "shed with 500": func(exchange *exchange) bool {
+		exchange.say("%s", bare(exchange.get("Attempt"), "500 Internal Server Error", "Not-Executed: 1\r\n", ""))
+		return true
+	}} {
+		for _, path := range []string{"/once/a", "/again/a"} {
+			test.Run(name+path, func(test *testing.T) {
+				inWorld(test, func(world *world) {
+					shared := first(does)
+					world.add("b1").ever(shared)
+					world.add("b2").ever(shared)
+					reply, id := world.get(path)
+					world.good(reply, id)
+					all := world.arrivals()
+					if len(all) != 2 || all[0].backend == all[1].backend {
+						test.Errorf("%d arrivals", len(all))
+					}
+				})
+			})
+		}
+	}
+}
+
+// Where all refuse, as many are tried as the route allows, and the client is told
+// to come back.
+func TestRefusedByAll(test *testing.T) {
+	for _, path := range []string{"/once/a", "/again/a"} {
+		inWorld(test, func(world *world) {
+			for number := range 5 {
+				world.add(fmt.Sprint("b", number)).ever(shed)
+			}
+			world.proxy.view.Load().budgets[0].tokens = 2
+			reply, _ := world.get(path)
+			if reply.status != 503 || reply.header.Get("Retry-After") == "" || reply.broken != nil {
+				test.Errorf("%s: %d %v", path, reply.status, reply.header)
+			}
+			if count := len(world.arrivals()); count != 3 {
+				test.Errorf("%s: %d arrivals", path, count)
+			}
+		})
+	}
+}
+
+// Without budget nothing is sent a second time.
+func TestEmptyBudgetEndsAttempts(test *testing.T) {
+	for does, want := range map[string]int{"shed": 503, "reset": 502} {
+		inWorld(test, func(world *world) {
+			acts := map[string]act{"shed": shed, "reset": resetAfterReading}
+			world.add("b1").ever(acts[does])
+			world.add("b2").ever(acts[does])
+			world.proxy.view.Load().budgets[0].tokens = 0
+			reply, _ := world.get("/again/a")
+			if reply.status != want || len(world.arrivals()) != 1 {
+				test.Errorf("%s: %d after %d arrivals", does, reply.status, len(world.arrivals()))
+			}
+		})
+	}
+}
+
+// What could not be sent at all goes elsewhere and costs no budget.
+func TestUnsentGoesElsewhere(test *testing.T) {
+	for name, spoil := range map[string]func(*world){
+		"refused dial":   func(world *world) { world.doors.serve("b1:80", nil) },
+		"silent dial":    func(world *world) { world.doors.silence("b1:80", true) },
+		"reset at once":  func(world *world) { world.doors.serve("b1:80", func(pipe *pipe) { pipe.reset() }) },
+		"no connections": func(world *world) { world.proxy.targets["b1"].open = 1000 },
+	} {
+		for _, path := range []string{"/once/a", "/again/a"} {
+			test.Run(name+path, func(test *testing.T) {
+				inWorld(test, func(world *world) {
+					world.add("b1")
+					spoil(world)
+					world.addAt("b2", "plain", "e2", 8)
+					world.proxy.view.Load().budgets[0].tokens = 0
+					reply, id := world.get(path)
+					world.good(reply, id)
+					if len(world.backends["b1"].seen()) != 0 {
+						test.Error("b1 got it")
+					}
+					world.proxy.targets["b1"].open = 0
+					world.doors.silence("b1:80", false)
+				})
+			})
+		}
+	}
+}
+
+// Bytes that were taken but not read may have run all the same.
+func TestResetBeforeReadingMayHaveRun(test *testing.T) {
+	inWorld(test, func(world *world) {
+		late := func(pipe *pipe) { world.threads.Rest(10 * time.Millisecond); pipe.reset() }
+		world.add("b1").greet(late)
+		world.add("b2").greet(late)
+		reply, _ := world.get("/once/a")
+		if reply.status != 502 || len(world.arrivals()) != 0 {
+			test.Errorf("%d, %d arrivals", reply.status, len(world.arrivals()))
+		}
+		if world.counts.Get("connections_opened") != 1 {
+			test.Errorf("%d connections", world.counts.Get("connections_opened"))
+		}
+	})
+}
+
+// An idle connection that its backend closed takes the bytes of the next request,
+// and nobody knows what became of them.
+func TestIdleCloseRacesWithReuse(test *testing.T) {
+	for path, want := range map[string]int{"/once/a": 502, "/again/a": 200} {
+		inWorld(test, func(world *world) {
+			world.add("b1")
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+			world.addAt("b2", "plain", "e2", 8)
+			world.backends["b1"].hang()
+			if reply, _ = world.get(path); reply.status != want {
+				test.Errorf("%s: %d", path, reply.status)
+			}
+			if count := len(world.backends["b2"].seen()); count != (want-502)/-302 {
+				test.Errorf("%s: %d arrivals at the other", path, count)
+			}
+		})
+	}
+}
+
+// Surplus answers are passed over, whenever they come.
+func TestSurplusAnswers(test *testing.T) {
+	for name, play := range map[string]struct {
+		does act
+		rest time.Duration
+	}{
+		"in one go":            {surplusNow, 0},
+		"in place of the next": {surplusLate(20 * time.Millisecond), 0},
+		"while idle":           {surplusLate(20 * time.Millisecond), 100 * time.Millisecond},
+		"while idle, in chunks": {func(exchange *exchange) bool {
+			well(exchange)
+			exchange.backend.threads.Rest(time.Millisecond)
+			return chunked(exchange)
+		}, 100 * time.Millisecond},
+		"garbage after a whole": {func(exchange *exchange) bool { well(exchange); exchange.say("left over"); return true }, 0},
+	} {
+		test.Run(name, func(test *testing.T) {
+			inWorld(test, func(world *world) {
+				world.add("b1").then(play.does)
+				world.add("b2").then(play.does)
+				for range 6 {
+					reply, id := world.get("/once/a")
+					world.good(reply, id)
+					world.threads.Rest(play.rest)
+				}
+				if surplus := world.counts.Get("answers_surplus"); play.does != nil && strings.HasPrefix(name, "w") != (surplus > 0) && name != "in place of the next" {
+					test.Errorf("%d surplus answers read", surplus)
+				}
+			})
+		})
+	}
+}
+
+// Leftover bytes that form no answer spoil one request at most, and never look
+// like its answer.
+func TestLateGarbage(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(func(exchange *exchange) bool {
+			well(exchange)
+			exchange.backend.threads.Rest(time.Millisecond)
+			exchange.say("HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 3\r\n\r\nbad")
+			return true
+		})
+		reply, id := world.get("/once/a")
+		world.good(reply, id)
+		world.threads.Rest(10 * time.Millisecond)
+		if reply, _ = world.get("/once/b"); reply.status != 502 {
+			test.Errorf("%d %q", reply.status, reply.body)
+		}
+		reply, id = world.get("/once/c")
+		world.good(reply, id)
+	})
+}
+
+// A backend that sends answer after answer is given up.
+func TestTooManySurplusAnswers(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(func(exchange *exchange) bool {
+			for range 5 {
+				exchange.say("%s", whole("foreign", "200 OK", "", "foreign"))
+			}
+			return well(exchange)
+		})
+		if reply, _ := world.get("/once/a"); reply.status != 502 {
+			test.Errorf("%d %q", reply.status, reply.body)
+		}
+	})
+}
+
+// The rest of a refusal's body is no answer to the next request.
+func TestRefusalWithLargeBodyTaintsConnection(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(func(exchange *exchange) bool {
+			exchange.say("%s", bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: full\r\n", string(letters(0, wholeMost+2*connectionBuffer))))
+			return true
+		})
+		if reply, _ := world.get("/once/a"); reply.status != 503 {
+			test.Errorf("%d", reply.status)
+		}
+		reply, id := world.get("/once/b")
+		world.good(reply, id)
+		if connections := world.backends["b1"].connections(); connections != 2 {
+			test.Errorf("%d connections", connections)
+		}
+	})
+}
+
+// A head without end is cut off long before it fills the memory.
+func TestEndlessHead(test *testing.T) {
+	inWorld(test, func(world *world) {
+		written := 0
+		world.add("b1").ever(func(exchange *exchange) bool {
+			exchange.say("HTTP/1.1 200 OK\r\nX: ")
+			for part := letters(0, 32<<10); written < 64<<20; written += len(part) {
+				if _, fault := exchange.pipe.Write(part); fault != nil {
+					return false
+				}
+			}
+			return false
+		})
+		if reply, _ := world.get("/once/a"); reply.status != 502 {
+			test.Errorf("%d", reply.status)
+		}
+		synctest.Wait()
+		if written > 4<<20 {
+			test.Errorf("%d bytes of a head were read", written)
+		}
+	})
+}
+
+// Streamed answers come whole and unchanged, or visibly cut.
+func TestLargeAnswers(test *testing.T) {
+	for _, size := range []int{0, 1, wholeMost - 1, wholeMost, wholeMost + 1, 3 * wholeMost} {
+		for _, inChunks := range []bool{false, true} {
+			inWorld(test, func(world *world) {
+				world.add("b1").then(large(size, size, inChunks))
+				reply, id := world.get("/load/a")
+				if reply.status != 200 || reply.broken != nil || reply.body != string(letters(0, size)) {
+					test.Errorf("%d bytes in chunks %v: %d, %d bytes, %v", size, inChunks, reply.status, len(reply.body), reply.broken)
+				}
+				reply, id = world.get("/once/b")
+				world.good(reply, id)
+				if connections := world.backends["b1"].connections(); connections != 1 {
+					test.Errorf("%d bytes in chunks %v: %d connections", size, inChunks, connections)
+				}
+			})
+			if size == 0 {
+				continue
+			}
+			for _, path := range []string{"/load/a", "/once/a"} {
+				inWorld(test, func(world *world) {
+					world.add("b1").then(large(size, size-1, inChunks))
+					reply, id := world.get(path)
+					if reply.broken == nil && reply.status < 500 || size > wholeMost && reply.broken == nil {
+						test.Errorf("%s: %d bytes less one in chunks %v: %d, %d bytes", path, size, inChunks, reply.status, len(reply.body))
+					}
+					reply, id = world.get("/once/b")
+					world.good(reply, id)
+				})
+			}
+		}
+	}
+}
+
+// A stream that stops is cut at the request's limit.
+func TestStreamThatStops(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(func(exchange *exchange) bool {
+			large(4*wholeMost, 2*wholeMost, false)(exchange)
+			return silent(exchange)
+		})
+		reply, _ := world.get("/load/a")
+		if reply.broken == nil || reply.took > 1600*time.Millisecond {
+			test.Errorf("%d after %s: %v", reply.status, reply.took, reply.broken)
+		}
+	})
+}
+
+// A stream keeps its place at the backend until its end.
+func TestStreamKeepsItsPlace(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(large(4*wholeMost, 4*wholeMost, false))
+		client := world.client()
+		defer client.pipe.Close()
+		io.WriteString(client.pipe, raw("GET", "/load/a", "id", "", ""))
+		synctest.Wait()
+		if _, running := world.held("b1"); running != 1 {
+			test.Errorf("%d running while an answer streams", running)
+		}
+		response, _ := http.ReadResponse(client.reader, nil)
+		io.Copy(io.Discard, response.Body)
+		synctest.Wait()
+		if _, running := world.held("b1"); running != 0 {
+			test.Errorf("%d running after it", running)
+		}
+	})
+}
+
+// Answers without a body.
+func TestAnswersWithoutBody(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(func(exchange *exchange) bool {
+			exchange.say("HTTP/1.1 200 OK\r\nAttempt: %s\r\nSeal: s\r\nContent-Length: 77\r\n\r\n", exchange.get("Attempt"))
+			return true
+		}, func(exchange *exchange) bool {
+			exchange.say("HTTP/1.1 204 No Content\r\nAttempt: %s\r\nSeal: s\r\n\r\n", exchange.get("Attempt"))
+			return true
+		}, func(exchange *exchange) bool {
+			exchange.say("HTTP/1.1 304 Not Modified\r\nAttempt: %s\r\nETag: x\r\n\r\n", exchange.get("Attempt"))
+			return true
+		}, func(exchange *exchange) bool {
+			exchange.say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+			return well(exchange)
+		})
+		client := world.client()
+		defer client.pipe.Close()
+		reply := client.ask("HEAD", raw("HEAD", "/once/a", "id", "", ""))
+		if reply.status != 200 || reply.header.Get("Content-Length") != "77" || reply.broken != nil {
+			test.Errorf("%+v", reply)
+		}
+		for _, want := range []int{204, 304} {
+			if reply = client.ask("GET", raw("GET", "/once/a", "id", "", "")); reply.status != want || reply.body != "" || reply.broken != nil {
+				test.Errorf("%+v", reply)
+			}
+		}
+		world.good(client.ask("GET", raw("GET", "/once/a", "id", "", "")), "id")
+		if connections := world.backends["b1"].connections(); connections != 1 {
+			test.Errorf("%d connections", connections)
+		}
+	})
+}
+
+// The answer's fields come back, but for those of the connection and of the backend's own state.
+func TestAnswerFields(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(withFields("Connection: keep-alive, Secret\r\nSecret: x\r\nKeep-Alive: timeout=5\r\nLoad: 1,0,8\r\nBackend: b1\r\nWarmup: 0\r\nKept: one\r\nKept: two\r\nContent-Encoding: none\r\n"))
+		reply, id := world.get("/once/a")
+		world.good(reply, id)
+		for _, gone := range []string{"Secret", "Keep-Alive", "Load", "Backend", "Warmup", "Content-Type", "Transfer-Encoding"} {
+			if value, is := reply.header[gone]; is {
+				test.Errorf("%s came: %q", gone, value)
+			}
+		}
+		if kept := reply.header["Kept"]; len(kept) != 2 || kept[0] != "one" || reply.header.Get("Content-Encoding") != "none" {
+			test.Errorf("%v", reply.header)
+		}
+	})
+}
+
+// Failures of the backend's own keep status and body.
+func TestBackendsOwnFailures(test *testing.T) {
+	for _, line := range []string{"400 Bad Request", "404 Not Found", "409 Conflict", "500 Internal Server Error", "504 Gateway Timeout"} {
+		inWorld(test, func(world *world) {
+			world.add("b1").ever(status(line))
+			if reply, _ := world.get("/once/a"); fmt.Sprint(reply.status) != line[:3] || reply.body != "of the backend" {
+				test.Errorf("%s: %d %q", line, reply.status, reply.body)
+			}
+		})
+	}
+}
+
+// A client that goes takes its request with it.
+func TestClientGoes(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(silent)
+		client := world.client()
+		io.WriteString(client.pipe, raw("GET", "/again/a", "id", "", ""))
+		world.threads.Rest(50 * time.Millisecond)
+		client.pipe.Close()
+		world.threads.Rest(10 * time.Millisecond)
+		if open, running := world.held("b1"); open != 0 || running != 0 || world.proxy.InFlight() != 0 {
+			test.Errorf("open %d, running %d, under way %d", open, running, world.proxy.InFlight())
+		}
+		if len(world.arrivals()) != 1 {
+			test.Errorf("%d arrivals", len(world.arrivals()))
+		}
+	})
+}
+
+// The limit is the client's, or the route's where that is shorter, and backends
+// are told what is left of it.
+func TestDeadline(test *testing.T) {
+	for deadline, limit := range map[string]int{"700": 700, "1500": 1500, "90000": 2000, "1e300": 2000, "Inf": 2000, "NaN": 2000, "-4": 2000, "soon": 2000, "0.5": 1, "0": 1} {
+		inWorld(test, func(world *world) {
+			world.add("b1").ever(silent)
+			client := world.client()
+			defer client.pipe.Close()
+			reply := client.ask("GET", raw("GET", "/once/a", "id", "Deadline: "+deadline+"\r\n", ""))
+			took := int(reply.took.Milliseconds())
+			if limit > 1 && (reply.status != 504 || took < limit || took > limit+60) || limit == 1 && reply.status != 503 && reply.status != 504 {
+				test.Errorf("deadline %s: %d after %s", deadline, reply.status, reply.took)
+			}
+			for _, arrival := range world.arrivals() {
+				if got := arrival.get("Deadline"); got != fmt.Sprint(limit) || len(arrival.all("Deadline")) != 1 {
+					test.Errorf("deadline %s: backend was told %v", deadline, arrival.all("Deadline"))
+				}
+			}
+		})
+	}
+	inWorld(test, func(world *world) {
+		shared := first(after(300*time.Millisecond, shed))
+		world.add("b1").ever(shared)
+		world.add("b2").ever(shared)
+		reply, id := world.get("/once/a")
+		world.good(reply, id)
+		for number, want := range []string{"1500", "1200"} {
+			if told := world.arrivals()[number].get("Deadline"); told != want {
+				test.Errorf("told %s", told)
+			}
+		}
+	})
+}
+
+// Attempts end with the route's number, and with none left to try.
+func TestAttemptsOfRoute(test *testing.T) {
+	for attempts := 1; attempts <= 4; attempts++ {
+		inWorld(test, func(world *world) {
+			world.lay(func() {
+				for index := range world.book.Config.Routes {
+					world.book.Config.Routes[index].Attempts = attempts
+				}
+			})
+			for number := range 3 {
+				world.add(fmt.Sprint("b", number)).ever(resetAfterReading)
+			}
+			world.proxy.view.Load().budgets[0].tokens = 9
+			reply, _ := world.get("/again/a")
+			if reply.status != 502 || len(world.arrivals()) != min(attempts, 3) {
+				test.Errorf("%d attempts: %d after %d arrivals", attempts, reply.status, len(world.arrivals()))
+			}
+		})
+	}
+}
+
+// A backend of another life at the same address refuses; it is left out for a while.
+func TestAddressTakenOver(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(func(exchange *exchange) bool {
+			if exchange.get("Target") != "someone" {
+				return misdirected(exchange)
+			}
+			return well(exchange)
+		})
+		world.addAt("b2", "plain", "e2", 8)
+		for range 5 {
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+		}
+		if count := len(world.backends["b1"].seen()); count != 1 {
+			test.Errorf("asked %d times", count)
+		}
+		for _, arrival := range world.arrivals() {
+			if arrival.get("Target") != arrival.backend || len(arrival.all("Target")) != 1 {
+				test.Errorf("%s was told %v", arrival.backend, arrival.all("Target"))
+			}
+		}
+	})
+}
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
 	"testing"
@@ -125,9 +126,18 @@
 	for _, backend := range world.backends {
 		all = append(all, backend.seen()...)
 	}
+	sort.Slice(all, func(left, right int) bool { return all[left].at.Before(all[right].at) })
 	return all
 }
 
+// held is how many connections a target has open, and how many requests run there.
+func (world *world) held(name string) (int, int) {
+	target := world.proxy.targets[name]
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.open, target.running
+}
+
 // client is one connection to the proxy.
 type client struct {
 	pipe   net.Conn
