A key in a second field or after a tab does not reach the backend

Cause: only the first Authorization value was looked at, and only a space parted the scheme from the key, so on public routes other spellings of a key were passed on.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -194,7 +195,7 @@
 		if hopByHop[name] || listed[name] || proxy.withheld[name] || name == "Content-Length" || name == "Expect" {
 			continue
 		}
-		if name == "Authorization" && len(values) > 0 && proxy.isKey(values[0]) {
+		if name == "Authorization" && slices.ContainsFunc(values, proxy.isKey) {
 			continue
 		}
 		for _, value := range values {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -83,8 +83,12 @@
 }
 
 func (proxy *Proxy) key(value string) (string, bool) {
-	scheme, key, found := strings.Cut(strings.TrimSpace(value), " ")
-	return strings.TrimSpace(key), found && strings.EqualFold(scheme, proxy.place.Headers.KeyScheme)
+	value = strings.TrimSpace(value)
+	end := strings.IndexAny(value, " \t")
+	if end < 0 || !strings.EqualFold(value[:end], proxy.place.Headers.KeyScheme) {
+		return "", false
+	}
+	return strings.TrimSpace(value[end:]), true
 }
 
 func (proxy *Proxy) ServeHTTP(writer http.ResponseWriter, source *http.Request) {
