A request keeps its service when a new view numbers services anew

Cause: the request held its service's index in the view it was admitted under, and read the candidates, the budget and the cap of whatever stood there in a newer view: a changed order of services sent it to a service that no route of it names.

--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -26,7 +26,7 @@
 // choose takes a place at the target that costs least: own waiting, distance and
 // what it does to links weighed together. A cold one is taken only where no warm
 // one has room.
-func (proxy *Proxy) choose(request *request, view *View, tried []*target) (*candidate, choice) {
+func (proxy *Proxy) choose(request *request, candidates []candidate, tried []*target) (*candidate, choice) {
 	now := proxy.clock()
 	trueNow := proxy.now()
 	mean, kilobytes := request.stat.expect(request.route)
@@ -34,7 +34,6 @@
 	bestCost, full := 0.0, false
 	var fallback, coldest *candidate
 	coldCost := 0.0
-	candidates := view.services[request.service]
 	offset := 0
 	if len(candidates) > 0 {
 		offset = rand.IntN(len(candidates))
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -49,7 +49,7 @@
 	route   *route.Compiled
 	tenant  *route.Tenant
 	stat    *Stat
-	service int
+	service string
 	rank    int
 	body    []byte
 	begin   time.Time
@@ -109,7 +109,9 @@
 		return
 	}
 	proxy.move(request, routed)
-	view.budgets[request.service].request()
+	if number, found := view.index.ServiceIndex(request.service); found {
+		view.budgets[number].request()
+	}
 	proxy.carry(request)
 }
 
@@ -163,16 +165,17 @@
 		}
 		request.body = body
 	}
-	request.service = found.Services[0]
+	service := found.Services[0]
 	if last := len(found.Cumulative) - 1; last > 0 && found.Cumulative[last] > 0 {
 		drawn := rand.IntN(found.Cumulative[last])
 		for index, upto := range found.Cumulative {
 			if drawn < upto {
-				request.service = found.Services[index]
+				service = found.Services[index]
 				break
 			}
 		}
 	}
+	request.service = view.index.Services[service].Name
 	return 0, ""
 }
 
@@ -185,7 +188,8 @@
 	var last *answer
 	for {
 		view := proxy.view.Load()
-		if request.service >= len(view.services) {
+		service, found := view.index.ServiceIndex(request.service)
+		if !found {
 			break
 		}
 		if request.context.Err() != nil {
@@ -197,7 +201,7 @@
 			break
 		}
 		seen := proxy.freed.Count()
-		held, how := proxy.choose(request, view, request.tried)
+		held, how := proxy.choose(request, view.services[service], request.tried)
 		if held == nil {
 			if how == noneLeft && len(request.tried) > 0 && !sentBefore && now.Before(waitUntil) {
 				request.tried = request.tried[:0]
@@ -210,13 +214,13 @@
 			proxy.lines.leave(request.rank)
 			continue
 		}
-		if sentBefore && !view.budgets[request.service].take() {
+		if sentBefore && !view.budgets[service].take() {
 			held.target.leave()
 			proxy.counts.Add("budget_empty", 1)
 			break
 		}
 		proxy.move(request, sending)
-		answer, ended := proxy.attempt(request, held, view.most[request.service])
+		answer, ended := proxy.attempt(request, held, view.most[service])
 		if ended == answered && answer.rest != nil {
 			defer proxy.leave(held.target)
 			proxy.finish(request, answer)
