A proxy that leaves tells also the clients whose requests it has taken

Cause: Connection: close was set as a request came in, so answers to requests under way at the order to leave kept their connections for a next request.

--- a/proxy/request.go
+++ b/proxy/request.go
@@ -66,6 +66,9 @@
 }
 
 func (proxy *Proxy) move(request *request, to stage) {
+	if to == ending && proxy.Leaving() {
+		request.writer.Header().Set("Connection", "close")
+	}
 	for _, next := range stageChart[request.stage] {
 		if next == to {
 			request.stage = to
@@ -96,9 +99,6 @@
 	proxy.counts.Add("requests", 1)
 	proxy.flight.enter()
 	defer proxy.flight.leave()
-	if proxy.Leaving() {
-		writer.Header().Set("Connection", "close")
-	}
 	view := proxy.view.Load()
 	if view == nil {
 		proxy.refuse(request, http.StatusServiceUnavailable, wire.NotReady)
