--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -114,7 +115,7 @@
 		}
 		return nil, unsent
 	}
-	answer, ended := proxy.receive(request, held, connection)
+	answer, ended := proxy.receive(request, held, connection, stop)
 	now := proxy.clock()
 	switch ended {
 	case answered:
@@ -131,7 +132,6 @@
 			answer.release(answer.response == nil || !answer.response.Close)
 		}
 	case refused:
-		stop()
 	default:
 		stop()
 		held.target.drop(connection)
@@ -143,6 +143,11 @@
 	return answer, ended
 }
 
+// promises is whether a status tells the client that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // release gives a connection back where nothing unread is left on it.
 func (proxy *Proxy) release(target *target, connection *connection, sound bool) {
 	if !sound || connection.reader.Buffered() > 0 {
@@ -190,7 +195,7 @@
 		if hopByHop[name] || listed[name] || proxy.withheld[name] || name == "Content-Length" || name == "Expect" {
 			continue
 		}
-		if name == "Authorization" && len(values) > 0 && proxy.isKey(values[0]) {
+		if name == "Authorization" && slices.ContainsFunc(values, proxy.isKey) {
 			continue
 		}
 		for _, value := range values {
@@ -208,11 +213,12 @@
 	return append(head, "\r\n"...)
 }
 
-// receive reads the answer to this request; answers to others are passed over.
-func (proxy *Proxy) receive(request *request, held *candidate, connection *connection) (*answer, fate) {
+// receive reads the answer to this request; answers to others are passed over. A
+// refusal gives the connection back, and so ends what stop ends.
+func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, fate) {
 	names := &proxy.place.Headers
 	for surplus := 0; ; {
-		response, fault := http.ReadResponse(connection.reader, request.source)
+		response, fault := connection.answer(request.source)
 		if fault != nil {
 			return nil, lost
 		}
@@ -235,15 +241,16 @@
 		}
 		held.target.tell(response.Header.Get(names.Load), proxy.clock())
 		if response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotExecuted) != "" {
-			_, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
-			proxy.release(held.target, connection, fault == nil && !response.Close)
+			count, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
+			sound := stop() && fault == nil && count < wholeMost && !response.Close
+			proxy.release(held.target, connection, sound)
 			if response.StatusCode == http.StatusMisdirectedRequest {
 				held.target.failed(proxy.clock(), true)
 				proxy.counts.Add("backends_replaced", 1)
 			}
 			return &answer{response: response}, refused
 		}
-		if id == "" || response.StatusCode < 300 && response.Header.Get(names.Seal) == "" {
+		if id == "" || response.StatusCode < 300 && response.Header.Get(names.Seal) == "" || !request.route.Kind.Repeats() && promises(response.StatusCode) {
 			return nil, spoiled
 		}
 		connection.heed(response.Header.Get("Keep-Alive"))
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -49,7 +49,7 @@
 	route   *route.Compiled
 	tenant  *route.Tenant
 	stat    *Stat
-	service int
+	service string
 	rank    int
 	body    []byte
 	begin   time.Time
@@ -66,6 +66,9 @@
 }
 
 func (proxy *Proxy) move(request *request, to stage) {
+	if to == ending && proxy.Leaving() {
+		request.writer.Header().Set("Connection", "close")
+	}
 	for _, next := range stageChart[request.stage] {
 		if next == to {
 			request.stage = to
@@ -83,8 +86,12 @@
 }
 
 func (proxy *Proxy) key(value string) (string, bool) {
-	scheme, key, found := strings.Cut(strings.TrimSpace(value), " ")
-	return strings.TrimSpace(key), found && strings.EqualFold(scheme, proxy.place.Headers.KeyScheme)
+	value = strings.TrimSpace(value)
+	end := strings.IndexAny(value, " \t")
+	if end < 0 || !strings.EqualFold(value[:end], proxy.place.Headers.KeyScheme) {
+		return "", false
+	}
+	return strings.TrimSpace(value[end:]), true
 }
 
 func (proxy *Proxy) ServeHTTP(writer http.ResponseWriter, source *http.Request) {
@@ -92,9 +99,6 @@
 	proxy.counts.Add("requests", 1)
 	proxy.flight.enter()
 	defer proxy.flight.leave()
-	if proxy.Leaving() {
-		writer.Header().Set("Connection", "close")
-	}
 	view := proxy.view.Load()
 	if view == nil {
 		proxy.refuse(request, http.StatusServiceUnavailable, wire.NotReady)
@@ -105,7 +109,9 @@
 		return
 	}
 	proxy.move(request, routed)
-	view.budgets[request.service].request()
+	if number, found := view.index.ServiceIndex(request.service); found {
+		view.budgets[number].request()
+	}
 	proxy.carry(request)
 }
 
@@ -133,8 +139,8 @@
 	}
 	patience := time.Duration(found.TimeoutMs) * time.Millisecond
 	if text := source.Header.Get(names.Deadline); text != "" {
-		if milliseconds, fault := strconv.ParseFloat(text, 64); fault == nil && milliseconds >= 0 {
-			patience = min(patience, time.Duration(milliseconds*float64(time.Millisecond)))
+		if milliseconds, fault := strconv.ParseFloat(text, 64); fault == nil && milliseconds >= 0 && milliseconds < float64(found.TimeoutMs) {
+			patience = time.Duration(milliseconds * float64(time.Millisecond))
 		}
 	}
 	request.limit = request.begin.Add(patience)
@@ -159,16 +165,17 @@
 		}
 		request.body = body
 	}
-	request.service = found.Services[0]
+	service := found.Services[0]
 	if last := len(found.Cumulative) - 1; last > 0 && found.Cumulative[last] > 0 {
 		drawn := rand.IntN(found.Cumulative[last])
 		for index, upto := range found.Cumulative {
 			if drawn < upto {
-				request.service = found.Services[index]
+				service = found.Services[index]
 				break
 			}
 		}
 	}
+	request.service = view.index.Services[service].Name
 	return 0, ""
 }
 
@@ -181,7 +188,8 @@
 	var last *answer
 	for {
 		view := proxy.view.Load()
-		if request.service >= len(view.services) {
+		service, found := view.index.ServiceIndex(request.service)
+		if !found {
 			break
 		}
 		if request.context.Err() != nil {
@@ -193,7 +201,7 @@
 			break
 		}
 		seen := proxy.freed.Count()
-		held, how := proxy.choose(request, view, request.tried)
+		held, how := proxy.choose(request, view.services[service], request.tried)
 		if held == nil {
 			if how == noneLeft && len(request.tried) > 0 && !sentBefore && now.Before(waitUntil) {
 				request.tried = request.tried[:0]
@@ -206,22 +214,24 @@
 			proxy.lines.leave(request.rank)
 			continue
 		}
-		if sentBefore && !view.budgets[request.service].take() {
+		if sentBefore && !view.budgets[service].take() {
 			held.target.leave()
 			proxy.counts.Add("budget_empty", 1)
 			break
 		}
 		proxy.move(request, sending)
-		answer, ended := proxy.attempt(request, held, view.most[request.service])
-		held.target.leave()
-		if proxy.lines.waiting() {
-			proxy.freed.Ring()
+		answer, ended := proxy.attempt(request, held, view.most[service])
+		if ended == answered && answer.rest != nil {
+			defer proxy.leave(held.target)
+			proxy.finish(request, answer)
+			return
 		}
+		proxy.leave(held.target)
 		request.tried = append(request.tried, held.target)
 		switch ended {
 		case answered:
 			repeats := request.route.Kind.Repeats() && answer.response.StatusCode >= 500 && attempts+1 < request.route.Attempts
-			if !repeats || answer.rest != nil {
+			if !repeats {
 				proxy.finish(request, answer)
 				return
 			}
@@ -258,6 +268,14 @@
 	}
 }
 
+// leave frees a place at a target for those who wait.
+func (proxy *Proxy) leave(target *target) {
+	target.leave()
+	if proxy.lines.waiting() {
+		proxy.freed.Ring()
+	}
+}
+
 // refuse ends a request that has not run.
 func (proxy *Proxy) refuse(request *request, status int, kind wire.Kind) {
 	proxy.move(request, ending)
