--- /dev/null
+++ b/cmd/ojnode/core.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/platform"
+	"orchidjunction/program"
+	"orchidjunction/wire"
+)
+
+const (
+	beat        = 150 * time.Millisecond
+	suspect     = 750 * time.Millisecond
+	tablePace   = 150 * time.Millisecond
+	sessionSpan = 2500 * time.Millisecond
+	listPace    = 500 * time.Millisecond
+	goneAfter   = 2
+	settle      = 3500 * time.Millisecond
+	callLimit   = 1500 * time.Millisecond
+	userTimeout = 1500 * time.Millisecond
+	sendLimit   = 800 * time.Millisecond
+	seekPace    = 50 * time.Millisecond
+	graceRest   = 500 * time.Millisecond
+)
+
+// runCore is the life of a core.
+func (node *node) runCore() *wire.Mishap {
+	settings := node.source.Settings()
+	if settings.Folder == "" {
+		return wire.New(wire.BadFlag, "a core needs a data folder")
+	}
+	if fault := os.MkdirAll(settings.Folder, 0o700); fault != nil {
+		return wire.New(wire.BadFlag, "data folder: %v", fault)
+	}
+	line := wire.NewLine(program.FarTransport(userTimeout))
+	var core *control.Core
+	client := platform.NewClient(settings.Platform.Address, program.FarTransport(userTimeout), func() int64 { return core.Now() })
+	place := control.Place{Name: settings.Name, Zone: settings.Zone, Wire: inner(settings, settings.Address), Seeds: innerSeeds(settings), Found: settings.First,
+		Least: 2*settings.Survive.Machines + 1, Beat: beat, Suspect: suspect, Seed: uint64(time.Now().UnixNano()), Direct: true, Table: tablePace,
+		SessionSpan: sessionSpan, Lister: client.List, ListPace: listPace, GoneAfter: goneAfter}
+	if settings.Metered() {
+		place.Metering = control.Metering{Window: settings.Bounds.ReportWindow, Settle: settle, Quiet: settings.Bounds.Lease, Report: func(report control.WindowReport) control.ReportResult {
+			ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+			defer cancel()
+			return client.Report(ctx, report)
+		}}
+	}
+	if mishap := place.Check(); mishap != nil {
+		return mishap
+	}
+	core, mishap := control.NewCore(place, control.Folder(settings.Folder), line, node.threads, node.counts)
+	if mishap != nil {
+		return mishap
+	}
+	door := wire.NewDoor(node.counts)
+	core.Register(door)
+	finder := member.NewFinder(line, node.threads, place.Seeds).Paced(member.Paces{Seek: seekPace})
+	hold := member.NewHold(finder, line, node.counts).Within(member.HoldLimits{Send: sendLimit})
+	orders := platform.NewControl(platform.NewLeaderOrders(hold), func() map[string]string { return node.source.Settings().Zones }, node.counts)
+	if mishap := node.open(side{place.Wire, door}, side{settings.Listen.Operators, orders}); mishap != nil {
+		return mishap
+	}
+	finder.Run()
+	core.Run()
+	node.source.Follow(node.threads)
+	program.LogCounts(node.threads, node.counts, settings.Name)
+	program.OnTerm(node.threads, func() {
+		begin, grace := time.Now(), settings.Bounds.Grace-graceRest
+		core.Retire(grace)
+		node.listeners[1].Drain(grace - time.Since(begin))
+		node.threads.Stop()
+	})
+	klog.Infof("%s: core started in zone %s", settings.Name, settings.Zone)
+	node.threads.Wait()
+	core.Close()
+	if mishap := core.Broken(); mishap != nil {
+		fmt.Fprintf(os.Stderr, "ojnode: %v\n", mishap)
+		os.Exit(3)
+	}
+	return nil
+}
--- a/cmd/ojnode/main.go
+++ b/cmd/ojnode/main.go
@@ -5,9 +5,10 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"strconv"
 
 	"github.com/integrii/flaggy"
-	"k8s.io/klog/v2"
 	"orchidjunction/platform"
 	"orchidjunction/program"
 	"orchidjunction/run"
@@ -19,8 +20,8 @@
 func main() {
 	flags := program.NewFlags("ojnode", "a machine of orchidjunction on a platform")
 	proxy, core := flaggy.NewSubcommand("proxy"), flaggy.NewSubcommand("core")
-	proxy.Description = "carries clients' requests to backends"
-	core.Description = "keeps the routing, elects the leader and answers look-ups"
+	proxy.Description = "carries clients' requests to backends and answers where to go"
+	core.Description = "keeps the routing, elects the leader and takes operators' orders"
 	flags.Parser.AttachSubcommand(proxy, 1)
 	flags.Parser.AttachSubcommand(core, 1)
 	flags.Parse()
@@ -30,8 +31,11 @@
 	source, mishap := platform.NewSource()
 	flags.Exit(mishap)
 	node := &node{source: source, threads: run.NewThreads(), counts: run.NewCounts()}
-	flags.Exit(node.open())
-	node.run()
+	if proxy.Used {
+		flags.Exit(node.runProxy())
+	} else {
+		flags.Exit(node.runCore())
+	}
 }
 
 // node is one process with its open sides.
@@ -42,17 +46,15 @@
 	listeners []*program.Listener
 }
 
-func (node *node) open() *wire.Mishap {
-	settings := node.source.Settings()
-	for _, side := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{settings.Listen.Ready, http.HandlerFunc(ready)},
-		{settings.Listen.Clients, http.HandlerFunc(ready)},
-		{settings.Listen.Operators, platform.NewControl(noLeader{}, func() map[string]string { return node.source.Settings().Zones }, node.counts)},
-		{settings.Listen.Lookups, platform.NewLookup(node.source.Settings, func() *wire.Table { return nil })},
-	} {
+// side is one address and what serves it.
+type side struct {
+	address string
+	handler http.Handler
+}
+
+// open listens on every side that has an address.
+func (node *node) open(sides ...side) *wire.Mishap {
+	for _, side := range sides {
 		if side.address == "" {
 			continue
 		}
@@ -62,38 +64,25 @@
 		}
 		node.listeners = append(node.listeners, listener)
 	}
-	return nil
-}
-
-func (node *node) run() {
-	settings := node.source.Settings()
 	for _, listener := range node.listeners {
 		listener.Serve(node.threads)
 		node.threads.OnStop(listener.Close)
 	}
-	node.source.Follow(node.threads)
-	program.LogCounts(node.threads, node.counts, settings.Name)
-	program.OnTerm(node.threads, node.threads.Stop)
-	klog.Infof("%s: started in zone %s", settings.Name, settings.Zone)
-	node.threads.Wait()
-}
-
-// ready says not ready until the parts are joined.
-func ready(writer http.ResponseWriter, _ *http.Request) {
-	writer.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// noLeader refuses all orders until the parts are joined.
-type noLeader struct{}
-
-func (noLeader) Change(*wire.RouteChange) (*wire.RouteChangeTold, *wire.Mishap) {
-	return nil, wire.New(wire.NoLeader, "no leader is known")
+	return nil
 }
 
-func (noLeader) Read() (*wire.RouteReadTold, *wire.Mishap) {
-	return nil, wire.New(wire.NoLeader, "no leader is known")
+// inner is where a machine's process takes messages from the others.
+func inner(settings *platform.Settings, address string) string {
+	if parsed, fault := netip.ParseAddrPort(address); fault == nil {
+		address = parsed.Addr().String()
+	}
+	return address + ":" + strconv.Itoa(settings.FirstPort)
 }
 
-func (noLeader) Evacuate(*wire.Evacuate) (*wire.EvacuateTold, *wire.Mishap) {
-	return nil, wire.New(wire.NoLeader, "no leader is known")
+func innerSeeds(settings *platform.Settings) []string {
+	seeds := []string{}
+	for _, seed := range settings.Seeds {
+		seeds = append(seeds, inner(settings, seed))
+	}
+	return seeds
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -76,7 +76,7 @@
 		}
 	}
 	if view := proxy.view.Load(); view != nil {
-		proxy.stat.keep(view.index.Book.Config.Routes)
+		proxy.stat.keep(view.book.Config.Routes)
 	}
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -46,7 +46,7 @@
 	context context.Context
 	stage   stage
 	id      string
-	route   *route.Compiled
+	route   *route.Route
 	tenant  *route.Tenant
 	stat    *Stat
 	service string
@@ -120,12 +120,13 @@
 	source, names := request.source, &proxy.place.Headers
 	request.id = source.Header.Get(names.Attempt)
 	path, _, _ := strings.Cut(source.RequestURI, "?")
-	found, is := view.index.Find(source.Host, path)
+	compiled, is := view.index.Find(source.Host, path)
 	if !is {
 		return http.StatusNotFound, wire.UnknownRoute
 	}
+	found := compiled.Route
 	request.route = found
-	config := &view.index.Book.Config
+	config := &view.book.Config
 	key, given := proxy.key(source.Header.Get("Authorization"))
 	if given {
 		request.tenant, _ = view.index.TenantOf(key)
@@ -165,15 +166,12 @@
 		}
 		request.body = body
 	}
-	service := found.Services[0]
-	if last := len(found.Cumulative) - 1; last > 0 && found.Cumulative[last] > 0 {
-		drawn := rand.IntN(found.Cumulative[last])
-		for index, upto := range found.Cumulative {
-			if drawn < upto {
-				service = found.Services[index]
-				break
-			}
-		}
+	if len(compiled.Services) == 0 {
+		return http.StatusServiceUnavailable, wire.NoBackend
+	}
+	service := compiled.Services[0]
+	if compiled.Total > 0 {
+		service = compiled.Draw(rand.IntN(compiled.Total))
 	}
 	request.service = view.index.Services[service].Name
 	return 0, ""
--- a/proxy/stat.go
+++ b/proxy/stat.go
@@ -22,7 +22,7 @@
 
 func newStat() *Stat { return &Stat{routes: map[string]*routeStat{}} }
 
-func (stat *Stat) of(of *route.Compiled) *routeStat {
+func (stat *Stat) of(of *route.Route) *routeStat {
 	held := stat.routes[of.Name]
 	if held == nil {
 		held = &routeStat{milliseconds: float64(max(of.TargetMs, 20)) / 5}
@@ -35,19 +35,19 @@
 }
 
 // expect is how many milliseconds an answer should take and how many kilobytes it has.
-func (stat *Stat) expect(of *route.Compiled) (float64, float64) {
+func (stat *Stat) expect(of *route.Route) (float64, float64) {
 	stat.mutex.Lock()
 	defer stat.mutex.Unlock()
 	held := stat.of(of)
 	return held.milliseconds, held.kilobytes
 }
 
-func (stat *Stat) mean(of *route.Compiled) float64 {
+func (stat *Stat) mean(of *route.Route) float64 {
 	milliseconds, _ := stat.expect(of)
 	return milliseconds
 }
 
-func (stat *Stat) served(of *route.Compiled, took time.Duration, size int) {
+func (stat *Stat) served(of *route.Route, took time.Duration, size int) {
 	stat.mutex.Lock()
 	defer stat.mutex.Unlock()
 	held := stat.of(of)
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -19,6 +19,7 @@
 
 // View is what a proxy has in force: routing and backends; it is swapped whole.
 type View struct {
+	book     *route.Book
 	index    *route.Index
 	services [][]candidate
 	budgets  []*Budget
@@ -35,8 +36,8 @@
 	proxy.laying.Lock()
 	defer proxy.laying.Unlock()
 	before := proxy.view.Load()
-	view := &View{}
-	if before != nil && before.index.Book == book {
+	view := &View{book: book}
+	if before != nil && before.book == book {
 		view.index = before.index
 	} else {
 		view.index = route.NewIndex(book)
