--- /dev/null
+++ b/sim/metering_test.go
@@ -0,0 +1,307 @@
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/wire"
+)
+
+// meters is the platform that windows are reported to, and what was truly counted.
+type meters struct {
+	mutex   sync.Mutex
+	world   *World
+	random  *rand.Rand
+	span    int64
+	counted map[string]map[int64]map[string]uint64
+	begun   map[int64]uint64
+	told    map[int64]control.WindowReport
+	at      map[int64]int64
+	fences  map[uint64]string
+	highest uint64
+	down    bool
+}
+
+func newMeters(world *World) *meters {
+	made := &meters{world: world, random: rand.New(rand.NewPCG(world.Seed, 29)), span: 5000, counted: map[string]map[int64]map[string]uint64{}, begun: map[int64]uint64{},
+		told: map[int64]control.WindowReport{}, at: map[int64]int64{}, fences: map[uint64]string{}}
+	world.Metering = control.Metering{Window: 5 * time.Second, Settle: 3500 * time.Millisecond, Quiet: 3 * time.Second, Report: made.report}
+	world.Requests = made.windows
+	return made
+}
+
+// begin counts requests that a member begins now, by its own clock.
+func (meters *meters) begin(one *Member) {
+	window, tenant := one.Daemon.Now()/meters.span, fmt.Sprint("tenant-", meters.random.IntN(3))
+	meters.mutex.Lock()
+	defer meters.mutex.Unlock()
+	process := one.Daemon.Incarnation()
+	if meters.counted[process] == nil {
+		meters.counted[process] = map[int64]map[string]uint64{}
+	}
+	if meters.counted[process][window] == nil {
+		meters.counted[process][window] = map[string]uint64{}
+	}
+	meters.counted[process][window][tenant]++
+	meters.begun[time.Now().UnixMilli()/meters.span]++
+}
+
+func (meters *meters) windows(one *Member) []wire.WindowCount {
+	meters.mutex.Lock()
+	defer meters.mutex.Unlock()
+	all := []wire.WindowCount{}
+	now := one.Daemon.Now() / meters.span
+	for window, tenants := range meters.counted[one.Daemon.Incarnation()] {
+		if window > now-6 {
+			all = append(all, wire.WindowCount{Window: window, Tenants: maps.Clone(tenants)})
+		}
+	}
+	return all
+}
+
+func (meters *meters) report(report control.WindowReport) control.ReportResult {
+	meters.mutex.Lock()
+	defer meters.mutex.Unlock()
+	if meters.down || meters.random.IntN(5) == 0 {
+		return control.ReportAgain
+	}
+	if holder, found := meters.fences[report.Fence]; found && holder != report.Holder {
+		meters.world.broke("%s and %s share fence %d", holder, report.Holder, report.Fence)
+	}
+	meters.fences[report.Fence] = report.Holder
+	if report.Fence < meters.highest {
+		return control.ReportFenced
+	}
+	meters.highest = report.Fence
+	if before, found := meters.told[report.Window]; found && !maps.Equal(before.Tenants, report.Tenants) {
+		meters.world.broke("window %d: %v, then %v", report.Window, before.Tenants, report.Tenants)
+	}
+	if _, found := meters.told[report.Window]; !found {
+		meters.at[report.Window] = time.Now().UnixMilli()
+	}
+	meters.told[report.Window] = report
+	return control.ReportAccepted
+}
+
+// judge compares what was reported of some windows with what was truly begun.
+func (meters *meters) judge(first, last int64, late int64, share float64) {
+	meters.mutex.Lock()
+	defer meters.mutex.Unlock()
+	for window := first; window <= last; window++ {
+		report, found := meters.told[window]
+		if !found {
+			meters.world.broke("window %d was not reported", window)
+			continue
+		}
+		sum := uint64(0)
+		for _, requests := range report.Tenants {
+			sum += requests
+		}
+		if begun := meters.begun[window]; float64(sum) < float64(begun)*(1-share) || float64(sum) > float64(begun)*(1+share) {
+			meters.world.broke("window %d: %d reported, %d begun", window, sum, begun)
+		}
+		if delay := meters.at[window] - (window+1)*meters.span; delay > late {
+			meters.world.broke("window %d: reported after %d ms", window, delay)
+		}
+	}
+}
+
+func (meters *meters) stop(down bool) {
+	meters.mutex.Lock()
+	meters.down = down
+	meters.mutex.Unlock()
+}
+
+// Windows are reported once, whole and in time; over changes of leaders, a
+// platform that is away and the loss of all cores, no window has two counts.
+func TestWindowsAreSealedOnce(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		meters := newMeters(world)
+		defer world.CloseFar()
+		world.farUp(test, 4)
+		load := func(span time.Duration) {
+			for until := time.Now().Add(span); time.Now().Before(until); {
+				for _, one := range world.Members {
+					meters.begin(one)
+				}
+				world.Rest(20 * time.Millisecond)
+			}
+		}
+		load(12 * time.Second)
+		calm := time.Now().UnixMilli()/meters.span - 1
+		load(20 * time.Second)
+		meters.judge(calm, time.Now().UnixMilli()/meters.span-3, 10_000, 0.02)
+		for round := range 8 {
+			leader := world.Leader()
+			switch round % 4 {
+			case 0:
+				world.KillCore(leader, true)
+				load(time.Second)
+				world.StartCore(leader)
+			case 1:
+				meters.stop(true)
+				load(4 * time.Second)
+				world.threads.Start(func() { world.TermCore(leader); world.StartCore(leader) })
+				load(2 * time.Second)
+				meters.stop(false)
+			case 2:
+				world.Net.Freeze(world.Cores[leader].Host, true)
+				load(3 * time.Second)
+				world.Net.Freeze(world.Cores[leader].Host, false)
+			case 3:
+				for index := range world.Cores {
+					world.KillCore(index, true)
+				}
+				load(time.Second)
+				for index := range world.Cores {
+					world.StartCore(index)
+				}
+			}
+			load(time.Duration(seed*13%5+4) * time.Second)
+			world.Until(10*time.Second, func() bool { return world.Leader() >= 0 })
+		}
+		load(12 * time.Second)
+		meters.judge(calm, time.Now().UnixMilli()/meters.span-4, 25_000, 0.02)
+		test.Logf("%d windows, fences %v", len(meters.told), meters.fences)
+		world.report(test)
+	})
+}
+
+// A member that is silent as a window is sealed is waited for a while, and its
+// counts are in; one that said farewell isn't.
+func TestSilentMemberIsWaitedFor(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		meters := newMeters(world)
+		defer world.CloseFar()
+		world.farUp(test, 2)
+		world.Until(6*time.Second, func() bool { return time.Now().UnixMilli()%meters.span < 10 })
+		world.Rest(10 * time.Second)
+		window := time.Now().UnixMilli() / meters.span
+		begin := func(count int) {
+			for range count {
+				for _, one := range world.Members {
+					meters.begin(one)
+				}
+				world.Rest(10 * time.Millisecond)
+			}
+		}
+		begin(100)
+		world.Rest(3 * time.Second)
+		for _, core := range world.Cores {
+			world.Net.Cut(core.Host, world.Members[0].Host, true)
+		}
+		begin(50)
+		world.Rest(3900 * time.Millisecond)
+		for _, core := range world.Cores {
+			world.Net.Cut(core.Host, world.Members[0].Host, false)
+		}
+		world.Rest(5 * time.Second)
+		meters.judge(window, window, 10_000, 0)
+		world.report(test)
+	})
+}
+
+// Wall clocks are wrong by seconds or hours on one core and on members, and jump
+// while all goes on: the time of day that all use stays near the true one.
+func TestClocksThatJump(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		random := rand.New(rand.NewPCG(seed, 31))
+		jump := func() int64 { return []int64{-7_200_000, -3000, 2500, 4_000_000}[random.IntN(4)] }
+		wrong := int(seed) % 3
+		world.Cores[wrong].jump.Store(jump())
+		for range 4 {
+			world.AddMember(random.IntN(3)).Jump = jump()
+		}
+		for index := range world.Cores {
+			world.StartCore(index)
+		}
+		for _, one := range world.Members {
+			world.StartMember(one)
+		}
+		world.Until(10*time.Second, func() bool { return world.Leader() >= 0 })
+		near := func(what string, most int64) {
+			for _, one := range world.Members {
+				if off := one.Daemon.Now() - time.Now().UnixMilli(); off > most || off < -most {
+					world.broke("%s: %s is off by %d ms", what, one.Name, off)
+				}
+			}
+			for _, machine := range world.Cores {
+				if core := machine.life(world); core != nil {
+					if off := core.Now() - time.Now().UnixMilli(); off > most || off < -most {
+						world.broke("%s: core %d is off by %d ms", what, machine.ID, off)
+					}
+				}
+			}
+		}
+		world.Rest(2 * time.Second)
+		near("started", 40)
+		for round := range 8 {
+			machine := world.Cores[(wrong+round)%3]
+			machine.jump.Store(jump())
+			switch round % 4 {
+			case 1:
+				world.KillCore(world.Leader(), true)
+				world.Rest(4 * time.Second)
+				near("leader away", 60)
+				for index, one := range world.Cores {
+					if one.life(world) == nil {
+						one.jump.Store(0)
+						world.StartCore(index)
+					}
+				}
+			case 3:
+				world.KillCore(wrong, true)
+				world.Cores[wrong].jump.Store(jump())
+				world.StartCore(wrong)
+			}
+			world.Until(10*time.Second, func() bool { return world.Leader() >= 0 })
+			world.Rest(2 * time.Second)
+			near(fmt.Sprint("round ", round), 60)
+		}
+		world.report(test)
+	})
+}
+
+// A member that said farewell is out of the table at once, others by their silence.
+func TestFarewellLeavesTheTable(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 5)
+		listed := func(one *Member) bool {
+			for _, known := range world.Members[0].Daemon.Version().Table.Members {
+				if known.Name == one.Name {
+					return true
+				}
+			}
+			return false
+		}
+		left := func(one *Member) time.Duration {
+			begin := time.Now()
+			if !listed(one) || !world.Until(10*time.Second, func() bool { return !listed(one) }) {
+				world.broke("%s is still listed", one.Name)
+			}
+			return time.Since(begin)
+		}
+		world.Rest(2 * time.Second)
+		world.Members[3].Daemon.Retire(100*time.Millisecond, time.Second, func(time.Duration) bool { return true })
+		world.KillMember(world.Members[3])
+		said := left(world.Members[3])
+		world.KillMember(world.Members[4])
+		silent := left(world.Members[4])
+		if said > 600*time.Millisecond || silent < 1500*time.Millisecond || silent > 4*time.Second {
+			world.broke("left the table after %v with a farewell, %v without", said, silent)
+		}
+		world.report(test)
+	})
+}
+
