--- a/control/metering.go
+++ b/control/metering.go
@@ -13,7 +13,6 @@
 	meterStays  = 30 * time.Second
 	meterBooked = 10
 	meterSilent = 2 * time.Second
-	meterSlip   = 150 * time.Millisecond
 	meterAgain  = time.Second
 )
 
@@ -73,26 +72,24 @@
 type Meter struct {
 	mutex    sync.Mutex
 	open     map[int64]map[string]map[string]uint64
-	spoke    map[string]time.Time
+	spoke    map[string]int64
 	ended    map[string]bool
 	reported map[int64]bool
 	fenced   wire.Ballot
 }
 
 func newMeter() *Meter {
-	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]time.Time{}, ended: map[string]bool{}, reported: map[int64]bool{}}
+	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]int64{}, ended: map[string]bool{}, reported: map[int64]bool{}}
 }
 
 func (meter *Meter) take(session *wire.Session) {
 	if len(session.Windows) == 0 {
 		return
 	}
-	incarnation, told := session.Member.Incarnation, time.Now().Add(-time.Duration(session.AgeMs)*time.Millisecond)
+	incarnation := session.Member.Incarnation
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
-	if meter.spoke[incarnation].Before(told) {
-		meter.spoke[incarnation] = told
-	}
+	meter.spoke[incarnation] = max(meter.spoke[incarnation], session.NowMs)
 	meter.ended[incarnation] = meter.ended[incarnation] || session.Gone
 	for _, count := range session.Windows {
 		processes := meter.open[count.Window]
@@ -127,13 +124,13 @@
 }
 
 // waits is whether a process that counted in a window, or in the one before,
-// goes on and has not spoken since the window ended.
-func (meter *Meter) waits(window int64, ended time.Duration) bool {
+// goes on and has not said by its own clock what it counted until the end.
+func (meter *Meter) waits(window, end int64) bool {
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
 	for _, counted := range []int64{window - 1, window} {
 		for incarnation := range meter.open[counted] {
-			if !meter.ended[incarnation] && time.Since(meter.spoke[incarnation]) > ended-meterSlip {
+			if !meter.ended[incarnation] && meter.spoke[incarnation] < end {
 				return true
 			}
 		}
@@ -141,13 +138,13 @@
 	return false
 }
 
-// forget drops what is older than a window.
-func (meter *Meter) forget(before int64) {
+// forget drops what is older than a window, and who fell silent before it.
+func (meter *Meter) forget(before, span int64) {
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
 	maps.DeleteFunc(meter.open, func(window int64, _ map[string]map[string]uint64) bool { return window < before })
-	maps.DeleteFunc(meter.spoke, func(incarnation string, at time.Time) bool { return time.Since(at) > 2*meterStays })
-	maps.DeleteFunc(meter.ended, func(incarnation string, _ bool) bool { return meter.spoke[incarnation].IsZero() })
+	maps.DeleteFunc(meter.spoke, func(_ string, at int64) bool { return at/span < before })
+	maps.DeleteFunc(meter.ended, func(incarnation string, _ bool) bool { return meter.spoke[incarnation] == 0 })
 	maps.DeleteFunc(meter.reported, func(window int64, _ bool) bool { return window < before })
 }
 
@@ -181,7 +178,7 @@
 // of disks before anybody hears of them.
 func (core *Core) sealWindows() {
 	now, span := core.Now(), core.place.Metering.Window.Milliseconds()
-	core.meter.forget((now - 2*meterStays.Milliseconds()) / span)
+	core.meter.forget((now-2*meterStays.Milliseconds())/span, span)
 	leadership, book := core.metered()
 	if book == nil {
 		return
@@ -226,14 +223,15 @@
 // counted has spoken since or had the time to.
 func (core *Core) settled(window, now int64) bool {
 	metering := core.place.Metering
-	ended := time.Duration(now-(window+1)*metering.Window.Milliseconds()) * time.Millisecond
+	end := (window + 1) * metering.Window.Milliseconds()
+	ended := time.Duration(now-end) * time.Millisecond
 	if ended < metering.Settle {
 		return false
 	}
 	if ended >= metering.Settle+meterSilent {
 		return true
 	}
-	return !core.meter.waits(window, ended)
+	return !core.meter.waits(window, end)
 }
 
 // reportWindows is the leader's duty to report what is sealed, oldest first.
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -261,8 +261,9 @@
 	if daemon.place.Direct {
 		core = daemon.chooseCore()
 	}
+	now := daemon.Now()
 	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes(), Usage: daemon.usage(),
-		Routing: version.Routing, Windows: daemon.windows(), Gone: gone}
+		Routing: version.Routing, NowMs: now, Windows: daemon.windows(), Gone: gone}
 	told, fault := wire.Ask[wire.Session, wire.SessionTold](daemon.line, core, "session", daemon.paces.ask(), session)
 	trip := time.Since(asked)
 	daemon.mutex.Lock()
--- a/sim/conn.go
+++ b/sim/conn.go
@@ -100,8 +100,10 @@
 func (address address) Network() string { return "tcp" }
 func (address address) String() string  { return string(address) }
 
-func (conn *conn) Read(into []byte) (int, error)  { return conn.in.read(into) }
-func (conn *conn) Write(body []byte) (int, error) { return conn.out.write(body, conn.net.delay(host(string(conn.local)), host(string(conn.remote)))) }
+func (conn *conn) Read(into []byte) (int, error) { return conn.in.read(into) }
+func (conn *conn) Write(body []byte) (int, error) {
+	return conn.out.write(body, conn.net.delay(host(string(conn.local)), host(string(conn.remote))))
+}
 func (conn *conn) Close() error {
 	conn.in.close(true)
 	conn.out.close(false)
--- a/sim/metering_test.go
+++ b/sim/metering_test.go
@@ -23,13 +23,14 @@
 	told    map[int64]control.WindowReport
 	at      map[int64]int64
 	fences  map[uint64]string
+	tellers map[int64]map[string]bool
 	highest uint64
 	down    bool
 }
 
 func newMeters(world *World) *meters {
 	made := &meters{world: world, random: rand.New(rand.NewPCG(world.Seed, 29)), span: 5000, counted: map[string]map[int64]map[string]uint64{}, begun: map[int64]uint64{},
-		told: map[int64]control.WindowReport{}, at: map[int64]int64{}, fences: map[uint64]string{}}
+		told: map[int64]control.WindowReport{}, at: map[int64]int64{}, fences: map[uint64]string{}, tellers: map[int64]map[string]bool{}}
 	world.Metering = control.Metering{Window: 5 * time.Second, Settle: 3500 * time.Millisecond, Quiet: 3 * time.Second, Report: made.report}
 	world.Requests = made.windows
 	return made
@@ -85,6 +86,10 @@
 		meters.at[report.Window] = time.Now().UnixMilli()
 	}
 	meters.told[report.Window] = report
+	if meters.tellers[report.Window] == nil {
+		meters.tellers[report.Window] = map[string]bool{}
+	}
+	meters.tellers[report.Window][report.Holder] = true
 	return control.ReportAccepted
 }
 
@@ -208,6 +213,59 @@
 	})
 }
 
+// A window that was sealed without a member's last counts is told again by the
+// next leader exactly so, though the counts came meanwhile.
+func TestSealedWindowNeverChanges(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		meters := newMeters(world)
+		defer world.CloseFar()
+		world.farUp(test, 2)
+		for round := range 3 {
+			world.Until(6*time.Second, func() bool { return time.Now().UnixMilli()%meters.span < 10 })
+			world.Rest(10 * time.Second)
+			window := time.Now().UnixMilli() / meters.span
+			cut := func(shut bool) {
+				for _, core := range world.Cores {
+					world.Net.Cut(core.Host, world.Members[0].Host, shut)
+				}
+			}
+			begin := func(count int) {
+				for range count {
+					for _, one := range world.Members {
+						meters.begin(one)
+					}
+					world.Rest(10 * time.Millisecond)
+				}
+			}
+			begin(100)
+			cut(true)
+			begin(100)
+			if !world.Until(15*time.Second, func() bool {
+				meters.mutex.Lock()
+				defer meters.mutex.Unlock()
+				_, told := meters.told[window]
+				return told
+			}) {
+				world.broke("window %d was not reported", window)
+			}
+			cut(false)
+			world.Rest(1200 * time.Millisecond)
+			leader := world.Leader()
+			world.KillCore(leader, round%2 == 0)
+			world.Rest(time.Second)
+			world.StartCore(leader)
+			world.Rest(8 * time.Second)
+			meters.mutex.Lock()
+			if tellers := meters.tellers[window]; len(tellers) < 2 {
+				world.broke("window %d was told by %v only", window, tellers)
+			}
+			meters.mutex.Unlock()
+		}
+		world.report(test)
+	})
+}
+
 // Wall clocks are wrong by seconds or hours on one core and on members, and jump
 // while all goes on: the time of day that all use stays near the true one.
 func TestClocksThatJump(test *testing.T) {
@@ -304,4 +362,3 @@
 		world.report(test)
 	})
 }
-
--- a/sim/roster_test.go
+++ b/sim/roster_test.go
@@ -76,6 +76,16 @@
 					world.Rest(2 * time.Second)
 					world.isolate(0, false)
 				},
+				"one core reaches one seed only": func(world *World) {
+					last := len(world.Cores) - 1
+					for index := range 2 {
+						world.Net.Cut(world.Cores[index].Host, world.Cores[last].Host, last > 2)
+					}
+					world.Rest(5 * time.Second)
+					for index := range 2 {
+						world.Net.Cut(world.Cores[index].Host, world.Cores[last].Host, false)
+					}
+				},
 				"started again without word of the first start": func(world *World) {
 					world.Rest(300 * time.Millisecond)
 					for index := range world.Cores {
--- a/wire/member.go
+++ b/wire/member.go
@@ -63,6 +63,7 @@
 
 	Routing uint64
 	Windows []WindowCount
+	NowMs   int64
 	Gone    bool
 }
 
