--- a/route/index_test.go
+++ b/route/index_test.go
@@ -8,7 +8,7 @@
 
 func TestFindTakesTheLongestPrefixOfTheHost(test *testing.T) {
 	config := goodConfig()
-	config.Routes = append(config.Routes, Route{Name: "deep", Host: "Shop.Test:99", Prefix: "/cart/deep/er/", Service: "birch"})
+	config.Routes = append(config.Routes, Route{Name: "deep", Host: "Shop.Test:99", Prefix: "/cart/deep/er/", Service: "birch"}, Route{Name: "six", Host: "[::1]", Prefix: "/"})
 	index := NewIndex(&Book{Config: *config})
 	for _, one := range []struct{ host, path, want string }{
 		{"shop.test", "/cart/", "cart"},
@@ -26,8 +26,9 @@
 		{"films.test", "/cart/x", "film"},
 		{"nobody.test", "/cart/", ""},
 		{"", "/cart/", ""},
-		{"[::1]:80", "/cart/", ""},
-		{"[::1]", "/cart/", ""},
+		{"[::1]:80", "/cart/", "six"},
+		{"[::1]", "/cart/", "six"},
+		{"[::2]", "/cart/", ""},
 	} {
 		got := ""
 		if compiled, found := index.Find(one.host, one.path); found {
@@ -97,7 +98,7 @@
 	for number := range compiled.Total {
 		counts[index.Services[compiled.Draw(number)].Name]++
 	}
-	if counts["birch"] != 3 || counts["alder"] != 1 || counts["cedar"] != 0 {
+	if counts["birch"] != 3 || counts["alder"] != 1 || counts["cedar"] != 0 || len(compiled.Services) != 2 {
 		test.Errorf("%v", counts)
 	}
 	whole, _ := index.Find("shop.test", "/cart/")
