After a total restart cores stand one after the other, lists are read at once

Cause: with everything killed, three cores stood at the same moment and fenced each other (two leaderships within 0.3 s), the first table waited 2.5 s for sessions, and daemons spoke twice a second only.

--- a/control/core.go
+++ b/control/core.go
@@ -75,7 +75,7 @@
 		core.chart.now = Following
 	}
 	core.round = core.voter.State().Promised.Round
-	core.patience = core.nextPatience()
+	core.patience = core.firstPatience()
 	core.sessions = newSessions(place.SessionSpan)
 	core.stirs = newStirs()
 	core.usage = newUsage(line.Transport())
--- a/control/election.go
+++ b/control/election.go
@@ -7,10 +7,28 @@
 	"orchidjunction/wire"
 )
 
+const firstStand = 30 * time.Millisecond
+
 func (core *Core) nextPatience() time.Duration {
 	return core.random.span(core.place.Suspect, core.place.Suspect*3/2)
 }
 
+// firstPatience is that of a core that has heard of no leader since it started:
+// with a roster the cores stand one after the other, so that they don't race.
+func (core *Core) firstPatience() time.Duration {
+	if !core.place.enlists() {
+		return core.nextPatience()
+	}
+	return firstStand + time.Duration(max(core.roster().ID-1, 0))*core.place.Suspect*3/5
+}
+
+// cold is whether this core has heard of no leader since it started.
+func (core *Core) cold() bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.place.enlists() && core.leader.Ballot.Round == 0
+}
+
 // elect is the duty of the election thread.
 func (core *Core) elect() {
 	yielded := false
@@ -36,9 +54,19 @@
 		case passed != nil:
 			core.succeed(passed)
 		case silent > patience:
-			yielded = core.stand(yielded)
+			cold := core.cold()
+			core.mutex.Lock()
+			heard := core.heard
+			core.mutex.Unlock()
+			yielded = core.stand(yielded || cold)
+			again := core.random.span(core.place.Beat/2, core.place.Suspect)
+			if cold {
+				again = core.random.span(core.place.Beat/2, core.place.Beat) + core.firstPatience()
+			}
 			core.mutex.Lock()
-			core.patience = time.Since(core.heard) + core.random.span(core.place.Beat/2, core.place.Suspect)
+			if core.heard.Equal(heard) {
+				core.patience = time.Since(core.heard) + again
+			}
 			core.mutex.Unlock()
 			continue
 		}
@@ -180,6 +208,7 @@
 	if mishap == nil && told.Granted {
 		core.mutex.Lock()
 		core.heard = time.Now()
+		core.patience = core.nextPatience()
 		core.mutex.Unlock()
 	}
 	return told, mishap
--- a/control/place.go
+++ b/control/place.go
@@ -83,6 +83,15 @@
 // enlists is whether this core learns who the others are from a roster.
 func (place *Place) enlists() bool { return place.ID == 0 }
 
+// firstTable is how long a leader that nobody can tell a table waits for the
+// daemons' sessions before it makes the first one.
+func (place *Place) firstTable() time.Duration {
+	if place.Direct {
+		return place.SessionSpan / 8
+	}
+	return place.SessionSpan
+}
+
 func (place *Place) writeLimit() time.Duration { return max(writeLimit, 2*place.Suspect) }
 
 func (place *Place) Check() *wire.Mishap {
--- a/control/platform.go
+++ b/control/platform.go
@@ -24,7 +24,9 @@
 	pagesLimit    = 1000
 	putOffLimit   = 60
 	goneAfter     = 3
-	warmSlip      = 400
+
+	firstListStands = 2 * time.Second
+	warmSlip        = 400
 )
 
 // Listing is one page of the list of backends and the name of the next, or why
@@ -55,6 +57,7 @@
 	backends map[string]wire.Backend
 	missed   map[string]int
 	whole    bool
+	finished time.Time
 	wait     time.Duration
 }
 
@@ -68,10 +71,22 @@
 	return reader
 }
 
+// done is whether a whole list was read.
+func (reader *PlatformReader) done() bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return reader.whole
+}
+
 // begin starts a leadership's reading from the table it holds, so that a first
-// list that lags or shifted between pages takes nothing away.
+// list that lags or shifted between pages takes nothing away. Where there is no
+// table, a list read a moment ago stands.
 func (reader *PlatformReader) begin(held []wire.Backend) {
 	reader.mutex.Lock()
+	if len(held) == 0 && reader.whole && time.Since(reader.finished) < firstListStands {
+		reader.mutex.Unlock()
+		return
+	}
 	reader.whole = false
 	reader.backends, reader.missed = map[string]wire.Backend{}, map[string]int{}
 	for _, backend := range held {
@@ -106,6 +121,10 @@
 
 func (core *Core) readPlatform() {
 	leadership, mishap := core.leading()
+	if mishap != nil && core.cold() && !core.platform.done() {
+		core.platform.read(core.threads.Rest, core.cold)
+		return
+	}
 	if mishap != nil || leadership.holds() != nil {
 		return
 	}
@@ -148,7 +167,7 @@
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
 	reader.wait = 0
-	reader.whole = true
+	reader.whole, reader.finished = true, time.Now()
 	for name, backend := range listed {
 		reader.backends[name] = reader.laid(backend)
 		delete(reader.missed, name)
--- a/control/restore.go
+++ b/control/restore.go
@@ -81,6 +81,7 @@
 func (core *Core) begin() {
 	core.mutex.Lock()
 	core.heard = time.Now()
+	core.patience = core.firstPatience()
 	core.mutex.Unlock()
 	core.chart.move(Following)
 }
--- a/control/table.go
+++ b/control/table.go
@@ -18,7 +18,7 @@
 	if before.Mark == (wire.TableMark{}) || !before.Complete {
 		before = core.askHeld(before, sessions)
 	}
-	if before.Mark == (wire.TableMark{}) && time.Since(leadership.since) < core.place.SessionSpan {
+	if before.Mark == (wire.TableMark{}) && time.Since(leadership.since) < core.place.firstTable() {
 		return
 	}
 	next := &wire.Table{Mark: wire.TableMark{Ballot: leadership.ballot, Number: 1}, Members: []wire.Member{}, Backends: before.Backends, Complete: before.Complete}
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -153,7 +153,7 @@
 func (daemon *Daemon) Run() {
 	daemon.Finder.Run()
 	daemon.threads.OnStop(daemon.news.Ring)
-	daemon.threads.Beat(run.Each(daemon.paces.Session), daemon.session)
+	daemon.threads.Start(daemon.speak)
 	if daemon.place.Direct {
 		daemon.threads.OnStop(func() { daemon.watched.leave(daemon.watched.now()) })
 		daemon.threads.Start(daemon.follow)
@@ -170,6 +170,20 @@
 	}
 }
 
+// speak keeps the session, at once when another leader is known or this daemon
+// became ready.
+func (daemon *Daemon) speak() {
+	if !daemon.place.Direct {
+		daemon.threads.Beat(run.Each(daemon.paces.Session), daemon.session)
+		return
+	}
+	for !daemon.threads.Stopping() {
+		seen := daemon.Finder.bell.Count()
+		daemon.session()
+		daemon.Finder.bell.Wait(seen, daemon.paces.Session)
+	}
+}
+
 // feel finds that this process stood still: what it holds may be long out of
 // force, so it serves again only on a newly confirmed serial, as after a start.
 func (daemon *Daemon) feel() {
@@ -375,6 +389,7 @@
 				daemon.mutex.Lock()
 				daemon.confirmed, daemon.once = true, true
 				daemon.mutex.Unlock()
+				daemon.Finder.bell.Ring()
 				klog.Infof("%s: serial %d, routing %d confirmed", daemon.place.Name, told.Serial, told.Routing)
 				return
 			}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -37,6 +37,9 @@
 	waitShare   = 4
 	waitingMost = 256
 	bodiesMost  = 96 << 20
+
+	firstViewWait = 120 * time.Millisecond
+	firstViewBack = time.Second
 )
 
 // request is one client's try on its way.
@@ -99,7 +102,7 @@
 	proxy.counts.Add("requests", 1)
 	proxy.flight.enter()
 	defer proxy.flight.leave()
-	view := proxy.view.Load()
+	view := proxy.await(request)
 	if view == nil {
 		proxy.refuse(request, http.StatusServiceUnavailable, wire.NotReady)
 		return
@@ -115,6 +118,18 @@
 	proxy.carry(request)
 }
 
+// await holds a request for a short while until the first view is in force.
+func (proxy *Proxy) await(request *request) *View {
+	until := request.begin.Add(firstViewWait)
+	for {
+		seen := proxy.freed.Count()
+		view := proxy.view.Load()
+		if view != nil || !proxy.freed.Wait(seen, until.Sub(proxy.clock())) {
+			return view
+		}
+	}
+}
+
 // admit finds the route and the tenant, and reads the body.
 func (proxy *Proxy) admit(request *request, view *View) (int, wire.Kind) {
 	source, names := request.source, &proxy.place.Headers
@@ -291,6 +306,9 @@
 // together do not return together.
 func (proxy *Proxy) comeBack(request *request) time.Duration {
 	span := 400 * time.Millisecond
+	if request.route == nil {
+		span = firstViewBack
+	}
 	if request.route != nil && request.route.TargetMs > 0 {
 		span = min(time.Second, time.Duration(request.route.TargetMs)*time.Millisecond/3)
 	}
