--- a/control/core.go
+++ b/control/core.go
@@ -80,6 +80,9 @@
 	core.stirs = newStirs()
 	core.usage = newUsage(line.Transport())
 	core.platform = newPlatformReader(&core.place, line.Transport(), core.Now, counts)
+	if accepted, proven := core.voter.State().proven(wire.RoutingRegister); proven {
+		core.committed[wire.RoutingRegister] = accepted
+	}
 	return core, nil
 }
 
@@ -310,6 +313,9 @@
 	if fresh {
 		core.counts.Add("commits", 1)
 		core.news.Ring()
+		if register == wire.RoutingRegister && core.place.enlists() {
+			core.threads.Start(func() { core.voter.Committed(register, accepted.Mark()) })
+		}
 	}
 }
 
--- a/control/place.go
+++ b/control/place.go
@@ -87,7 +87,7 @@
 // daemons' sessions before it makes the first one.
 func (place *Place) firstTable() time.Duration {
 	if place.Direct {
-		return place.SessionSpan / 8
+		return place.SessionSpan / 5
 	}
 	return place.SessionSpan
 }
--- a/control/platform.go
+++ b/control/platform.go
@@ -121,7 +121,7 @@
 
 func (core *Core) readPlatform() {
 	leadership, mishap := core.leading()
-	if mishap != nil && core.cold() && !core.platform.done() {
+	if mishap != nil && core.cold() {
 		core.platform.read(core.threads.Rest, core.cold)
 		return
 	}
--- a/control/store.go
+++ b/control/store.go
@@ -17,6 +17,15 @@
 	Promised wire.Ballot
 	Accepted [wire.Registers]wire.Accepted
 	Texts    wire.Texts
+
+	Committed wire.Marks
+}
+
+// proven is a register's accepted value where this core knew it committed: what a
+// later ballot holds under the same serial is the same value.
+func (state State) proven(register wire.Register) (wire.Accepted, bool) {
+	accepted, mark := state.Accepted[register], state.Committed[register]
+	return accepted, mark.Serial > 0 && mark.Serial == accepted.Value.Serial && !accepted.Ballot.Less(mark.Ballot)
 }
 
 func (state State) Marks() wire.Marks {
@@ -36,6 +45,8 @@
 	Register wire.Register
 	Accepted *wire.Accepted
 	Texts    wire.Texts
+
+	Committed *wire.Mark
 }
 
 func (state *State) lay(step record) {
@@ -47,6 +58,9 @@
 	if step.Promised != nil {
 		state.Promised = *step.Promised
 	}
+	if step.Committed != nil {
+		state.Committed[step.Register] = *step.Committed
+	}
 	if step.Accepted != nil {
 		state.Accepted[step.Register] = *step.Accepted
 		if len(step.Texts) > 0 || len(step.Accepted.Value.Parts) > 0 {
--- a/control/table.go
+++ b/control/table.go
@@ -10,6 +10,9 @@
 // buildTable is the leader's duty: members by their sessions, backends by the platform.
 func (core *Core) buildTable() {
 	leadership, mishap := core.leading()
+	if mishap != nil && core.place.Direct && core.cold() {
+		core.buildFirst()
+	}
 	if mishap != nil || leadership.holds() != nil {
 		return
 	}
@@ -18,7 +21,7 @@
 	if before.Mark == (wire.TableMark{}) || !before.Complete {
 		before = core.askHeld(before, sessions)
 	}
-	if before.Mark == (wire.TableMark{}) && time.Since(leadership.since) < core.place.firstTable() {
+	if before.Mark.Ballot.Round == 0 && time.Since(leadership.since) < core.place.firstTable() {
 		return
 	}
 	next := &wire.Table{Mark: wire.TableMark{Ballot: leadership.ballot, Number: 1}, Members: []wire.Member{}, Backends: before.Backends, Complete: before.Complete}
@@ -49,6 +52,25 @@
 	core.holdTable(next)
 }
 
+// buildFirst is what a core that heard of no leader since its start tells the
+// daemons that come to it. Every leader's table is newer.
+func (core *Core) buildFirst() {
+	before := core.Table()
+	backends, whole := core.platform.list()
+	if before.Mark.Ballot.Round > 0 || !whole {
+		return
+	}
+	next := &wire.Table{Mark: wire.TableMark{Number: before.Mark.Number + 1}, Backends: backends, Complete: true}
+	for _, held := range core.sessions.standing(0) {
+		next.Members = append(next.Members, held.session.Member)
+	}
+	if len(next.Members) == 0 || reflect.DeepEqual(before.Members, next.Members) && reflect.DeepEqual(before.Backends, next.Backends) {
+		return
+	}
+	core.counts.Add("tables_before_a_leader", 1)
+	core.holdTable(next)
+}
+
 // askHeld rebuilds from a daemon that still holds what the cores lost.
 func (core *Core) askHeld(table *wire.Table, sessions []heldSession) *wire.Table {
 	best, from := table.Mark, ""
--- a/control/voter.go
+++ b/control/voter.go
@@ -137,6 +137,17 @@
 	return voter.keep(record{Roster: roster, Founded: founds})
 }
 
+// Committed keeps that a register's accepted value is known to be committed, so
+// that it can be served after a restart before anybody leads.
+func (voter *Voter) Committed(register wire.Register, mark wire.Mark) {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	state := &voter.store.state
+	if state.Committed[register].Serial < mark.Serial && state.Accepted[register].Value.Serial == mark.Serial {
+		voter.keep(record{Register: register, Committed: &mark})
+	}
+}
+
 func (voter *Voter) Close() {
 	voter.turn.Take()
 	defer voter.turn.Give()
