Restarted cores prove by a majority's marks what is committed; daemons begin with it

Cause: the closing faults come just after a change was acknowledged, when only the leader knew it committed; daemons waited for an election over far links.

--- a/cmd/ojnode/proxy.go
+++ b/cmd/ojnode/proxy.go
@@ -49,7 +49,8 @@
 	daemon.Warm(plane.Ready)
 	door := wire.NewDoor(node.counts)
 	daemon.Register(door)
-	lookups := platform.NewLookup(node.source.Settings, func() *wire.Table { return daemon.Version().Table })
+	lookups := platform.NewLookup(node.source.Settings, func() *wire.Table { return daemon.Version().Table },
+		func() (string, bool) { return settings.Listen.Clients, plane.Ready() })
 	ready := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		if !daemon.Ready() || plane.Leaving() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
--- a/control/core.go
+++ b/control/core.go
@@ -98,6 +98,9 @@
 	core.threads.Beat(run.Each(2*core.place.Beat), core.tellSessions)
 	core.threads.Beat(run.Each(core.place.Table), core.buildTable)
 	core.threads.Beat(run.Each(core.place.Table), core.copyTable)
+	if core.place.enlists() {
+		core.threads.Start(core.survey)
+	}
 	if core.platform.lister != nil {
 		core.threads.Beat(core.platform.pace, core.readPlatform)
 	}
--- a/control/metering.go
+++ b/control/metering.go
@@ -222,13 +222,13 @@
 // settled is whether a window's counts are in: it ended a while ago, and who
 // counted has spoken since or had the time to.
 func (core *Core) settled(window, now int64) bool {
-	metering := core.place.Metering
-	end := (window + 1) * metering.Window.Milliseconds()
+	duty := core.place.Metering
+	end := (window + 1) * duty.Window.Milliseconds()
 	ended := time.Duration(now-end) * time.Millisecond
-	if ended < metering.Settle {
+	if ended < duty.Settle {
 		return false
 	}
-	if ended >= metering.Settle+meterSilent {
+	if ended >= duty.Settle+meterSilent {
 		return true
 	}
 	return !core.meter.waits(window, end)
--- a/control/table.go
+++ b/control/table.go
@@ -64,7 +64,7 @@
 	for _, held := range core.sessions.standing(0) {
 		next.Members = append(next.Members, held.session.Member)
 	}
-	if len(next.Members) == 0 || reflect.DeepEqual(before.Members, next.Members) && reflect.DeepEqual(before.Backends, next.Backends) {
+	if before.Complete && reflect.DeepEqual(before.Members, next.Members) && reflect.DeepEqual(before.Backends, next.Backends) {
 		return
 	}
 	core.counts.Add("tables_before_a_leader", 1)
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -114,6 +114,9 @@
 	daemon.windows = func() []wire.WindowCount { return nil }
 	daemon.reach.core, daemon.doubted = time.Now(), time.Now()
 	daemon.Finder = NewFinder(line, threads, place.Seeds).Paced(daemon.paces)
+	if place.Direct && place.Routed {
+		daemon.Finder.told = daemon.begin
+	}
 	daemon.Hold = NewHold(daemon.Finder, line, counts).Within(place.Hold)
 	daemon.version.Store(&Version{Table: &wire.Table{}})
 	return daemon
--- a/member/direct.go
+++ b/member/direct.go
@@ -61,6 +61,17 @@
 	return !version.behind(told.Serial, told.Routing, told.Table) || daemon.fetch(ctx, core) || ctx.Err() != nil
 }
 
+// begin takes a first version from whichever core has one: before a leader stands,
+// cores tell what they know committed.
+func (daemon *Daemon) begin(core string, told *wire.WhoTold) {
+	version := daemon.Version()
+	if version.Routing > 0 && version.Table.Complete || !version.behind(0, told.Routing, told.Table) {
+		return
+	}
+	daemon.counts.Add("begun_before_a_leader", 1)
+	daemon.fetch(context.Background(), core)
+}
+
 // chooseCore is the leader, unless it is unknown or just fell silent; then it is
 // another core, one after the other.
 func (daemon *Daemon) chooseCore() string {
--- a/member/finder.go
+++ b/member/finder.go
@@ -17,6 +17,7 @@
 	bell    *run.Bell
 	wanted  *run.Bell
 	paces   Paces
+	told    func(core string, told *wire.WhoTold)
 
 	mutex   sync.Mutex
 	cores   []string
@@ -28,7 +29,7 @@
 const finderIdle = time.Minute
 
 func NewFinder(line *wire.Line, threads *run.Threads, cores []string) *Finder {
-	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), cores: append([]string{}, cores...)}
+	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, cores: append([]string{}, cores...)}
 }
 
 // Paced sets how often a leader is looked for.
@@ -127,6 +128,7 @@
 			return false, fault
 		}
 		finder.learn(told.Cores)
+		finder.told(cores[index], told)
 		if !told.Duck {
 			finder.Heard(told.Leader)
 		}
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -26,6 +26,8 @@
 	most     []int
 }
 
+const sharesUnknown = 32
+
 // allowed is whether a region is among the homes; no homes allow all.
 func allowed(homes []string, region string) bool {
 	return len(homes) == 0 || slices.Contains(homes, region)
@@ -49,6 +51,10 @@
 		}
 	}
 	proxy.most = max(proxy.most, len(proxies))
+	shares := max(1, proxy.most)
+	if table.Mark.Ballot.Round == 0 {
+		shares = max(shares, sharesUnknown)
+	}
 	view.services = make([][]candidate, len(view.index.Services))
 	view.budgets = make([]*Budget, len(view.index.Services))
 	view.most = make([]int, len(view.index.Services))
@@ -62,7 +68,7 @@
 		view.budgets[number] = budget
 		view.most[number] = connectionsMost
 		if service.MaxConnections > 0 {
-			view.most[number] = max(2, service.MaxConnections*4/5/max(1, proxy.most))
+			view.most[number] = max(2, service.MaxConnections*4/5/shares)
 		}
 	}
 	evacuated := map[string]bool{}
--- a/wire/member.go
+++ b/wire/member.go
@@ -169,6 +169,9 @@
 	Duck   bool
 	Cores  []string
 	Serial uint64
+
+	Routing uint64
+	Table   TableMark
 }
 
 // Confirm asks the leader for the newest serial, proved by a beat after the ask.
