--- /dev/null
+++ b/proxy/budget_test.go
@@ -0,0 +1,112 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// spending is what several proxies did of late, for the sum over any window.
+type spending struct {
+	at    time.Time
+	again bool
+}
+
+// over is whether attempts past the first passed what is allowed in the last window.
+func over(events []spending, ratio, extra float64) (int, float64, bool) {
+	requests, again := 0, 0
+	for index := len(events) - 1; index >= 0 && time.Since(events[index].at) < 10*time.Second; index-- {
+		if events[index].again {
+			again++
+		} else {
+			requests++
+		}
+	}
+	allowed := ratio*float64(requests) + extra
+	return again, allowed, float64(again) > allowed
+}
+
+// In any ten seconds the attempts past the first of all proxies stay within the
+// ratio and the extra, also while proxies restart, come and go, and hear of it late.
+func TestBudgetOfAllProxies(test *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(test, func(test *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 7))
+			ratio, extra := 0.2, 62.0
+			count := 1 + random.IntN(20)
+			most := count
+			fresh := func() *Budget { budget := &Budget{}; budget.share(ratio, extra, most); return budget }
+			budgets := []*Budget{}
+			for range count {
+				budgets = append(budgets, fresh())
+			}
+			events, granted, restarted := []spending{}, 0, time.Now()
+			pace, wish := time.Millisecond, 2
+			for step := range 12_000 {
+				if random.IntN(300) == 0 {
+					pace, wish = time.Duration(100+random.IntN(15_000))*time.Microsecond, 1+random.IntN(6)
+				}
+				time.Sleep(pace)
+				switch change := random.IntN(400); {
+				case change == 0 && len(budgets) < 24:
+					count++
+					most = max(most, count)
+					budgets = append(budgets, fresh())
+				case change == 1 && len(budgets) > 1:
+					count--
+					budgets = budgets[1:]
+				case change == 2 && time.Since(restarted) > 800*time.Millisecond:
+					restarted = time.Now()
+					budgets[random.IntN(len(budgets))] = fresh()
+				}
+				budget := budgets[random.IntN(len(budgets))]
+				if random.IntN(20) == 0 {
+					budget.share(ratio, extra, most)
+				}
+				if random.IntN(wish) == 0 {
+					budget.request()
+					events = append(events, spending{time.Now(), false})
+				}
+				for range random.IntN(2) {
+					if budget.take() {
+						granted++
+						events = append(events, spending{time.Now(), true})
+					}
+				}
+				if step%40 == 0 {
+					if again, allowed, is := over(events, ratio, extra); is {
+						test.Fatalf("seed %d: %d attempts past the first, %.1f allowed", seed, again, allowed)
+					}
+				}
+			}
+			if granted < 300 {
+				test.Errorf("seed %d: only %d granted", seed, granted)
+			}
+		})
+	}
+}
+
+// More proxies lower what one may save up at once; fewer do not raise it.
+func TestBudgetShare(test *testing.T) {
+	budget := &Budget{}
+	budget.share(0.2, 60, 1)
+	if !budget.take() || budget.take() {
+		test.Error("a fresh budget has not just one attempt")
+	}
+	for range 10_000 {
+		budget.request()
+	}
+	for _, step := range []struct {
+		proxies int
+		most    float64
+	}{{1, 45}, {9, 5}, {3, 5}} {
+		if budget.share(0.2, 60, step.proxies); budget.tokens != step.most || budget.most != step.most {
+			test.Errorf("%d proxies: %v of %v", step.proxies, budget.tokens, budget.most)
+		}
+	}
+	budget.share(0, 0, 1)
+	if budget.request(); budget.take() {
+		test.Error("granted where nothing is allowed")
+	}
+}
--- /dev/null
+++ b/proxy/choose_test.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// Near backends go first until they are busy; then the next nearest share.
+func TestChoosesNearThenIdle(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		proxies[0].Lay(&route.Book{Config: ownConfig()}, table)
+		if held, _ := proxies[0].pick(nil, nil); held.target.backend.Name != "near" {
+			test.Errorf("chose %s", held.target.backend.Name)
+		}
+		for range 30 {
+			proxies[0].pick(nil, nil)
+		}
+		for name, held := range proxies[0].targets {
+			if zone := held.backend.Zone; held.backend.Service == "plain" && (held.running == 0 || held.running > 12) {
+				test.Errorf("%s in %s has %d", name, zone, held.running)
+			}
+		}
+		for range 100 {
+			proxies[0].pick(nil, nil)
+		}
+		if _, how := proxies[0].pick(nil, nil); how != allFull {
+			test.Errorf("choice %d with all full", how)
+		}
+		for name, held := range proxies[0].targets {
+			if held.running > 12 {
+				test.Errorf("%s has %d", name, held.running)
+			}
+			if held.backend.Service != "plain" && held.running > 0 {
+				test.Errorf("%s of another service has %d", name, held.running)
+			}
+		}
+	})
+}
+
+// Equal backends share evenly.
+func TestChoosesEvenly(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxy := many([]string{"p1"}, []string{"e1"})[0]
+		backends := []wire.Backend{}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			backends = append(backends, wire.Backend{Name: name, Service: "plain", Zone: "e1", Slots: 4})
+		}
+		proxy.Lay(&route.Book{Config: ownConfig()}, &wire.Table{Members: members([]string{"p1"}, []string{"e1"}), Backends: backends})
+		counts := map[string]int{}
+		for range 400 {
+			held, _ := proxy.pick(nil, nil)
+			counts[held.target.backend.Name]++
+			held.target.leave()
+		}
+		for name, count := range counts {
+			if count < 50 || count > 160 {
+				test.Errorf("%s had %d of 400", name, count)
+			}
+		}
+	})
+}
+
+// What was tried is not chosen again, and one that is left out only where nothing
+// else is there.
+func TestChoosesUntried(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		proxies[0].Lay(&route.Book{Config: ownConfig()}, table)
+		tried := []*target{}
+		for range 4 {
+			held, how := proxies[0].pick(nil, nil, tried...)
+			if how != chosen {
+				test.Fatalf("choice %d", how)
+			}
+			tried = append(tried, held.target)
+		}
+		if _, how := proxies[0].pick(nil, nil, tried...); how != noneLeft {
+			test.Errorf("choice %d with all tried", how)
+		}
+		for _, held := range tried {
+			held.failed(time.Now(), true)
+		}
+		if _, how := proxies[0].pick(nil, nil, tried[0]); how != noneLeft {
+			test.Errorf("choice %d with the rest left out", how)
+		}
+		if _, how := proxies[0].pick(nil, nil); how != chosen {
+			test.Errorf("choice %d with all left out", how)
+		}
+	})
+}
--- /dev/null
+++ b/proxy/connection_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// sockets are two ends of a connection of the system's own; what one end writes is
+// there for the other at once.
+func sockets(test *testing.T) (net.Conn, net.Conn) {
+	test.Helper()
+	pair, fault := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	ends := [2]net.Conn{}
+	for index, descriptor := range pair {
+		file := os.NewFile(uintptr(descriptor), "pair")
+		if ends[index], fault = net.FileConn(file); fault != nil {
+			test.Fatal(fault)
+		}
+		file.Close()
+		test.Cleanup(func() { ends[index].Close() })
+	}
+	return ends[0], ends[1]
+}
+
+// An idle connection is not used again once closed, written to or old.
+func TestIdleConnectionIsSound(test *testing.T) {
+	now := time.Now()
+	for name, play := range map[string]struct {
+		spoil func(*connection, net.Conn)
+		sound bool
+	}{
+		"quiet":       {func(*connection, net.Conn) {}, true},
+		"closed":      {func(_ *connection, far net.Conn) { far.Close() }, false},
+		"a byte":      {func(_ *connection, far net.Conn) { far.Write([]byte("x")) }, false},
+		"closed here": {func(near *connection, _ net.Conn) { near.close() }, false},
+		"too old":     {func(near *connection, _ net.Conn) { near.used = now.Add(-connectionIdle) }, false},
+		"told so":     {func(near *connection, _ net.Conn) { near.heed("timeout=0") }, false},
+		"left over": {func(near *connection, far net.Conn) {
+			far.Write([]byte("xy"))
+			near.reader.ReadByte()
+		}, false},
+		"not so old": {func(near *connection, _ net.Conn) { near.used = now.Add(time.Millisecond - connectionIdle) }, true},
+	} {
+		near, far := sockets(test)
+		held := newConnection(near)
+		held.used = now
+		play.spoil(held, far)
+		if held.sound(now) != play.sound {
+			test.Errorf("%s: sound %v", name, !play.sound)
+		}
+	}
+}
+
+// Only sound connections are taken; others are closed and counted out.
+func TestTakeDropsWhatIsNotSound(test *testing.T) {
+	held := newTarget(ownBackend())
+	for range 3 {
+		held.reserve(3)
+	}
+	fars := []net.Conn{}
+	for range 3 {
+		near, far := sockets(test)
+		held.give(newConnection(near))
+		fars = append(fars, far)
+	}
+	fars[2].Close()
+	fars[1].Write([]byte("HTTP/1.1 200 OK\r\n"))
+	taken := held.take(time.Now())
+	if taken == nil || held.open != 1 || len(held.idle) != 0 {
+		test.Fatalf("%v, %d open", taken, held.open)
+	}
+	if held.drop(taken); held.take(time.Now()) != nil || held.open != 0 {
+		test.Errorf("%d open", held.open)
+	}
+}
+
+// What Keep-Alive says shortens the time of an idle connection, never lengthens it.
+func TestKeepAlive(test *testing.T) {
+	for text, want := range map[string]time.Duration{"": connectionIdle, "timeout=4": 3 * time.Second, "max=5, Timeout=2": 1500 * time.Millisecond, "timeout=0": 0, "timeout=900": connectionIdle,
+		"timeout=-1": connectionIdle, "timeout=x": connectionIdle, "timeout": connectionIdle, "timeout=99999999999999999999": connectionIdle, "timeout=9999999999": connectionIdle} {
+		held := newConnection(nil)
+		if held.heed(text); held.idle != want {
+			test.Errorf("%q: %s", text, held.idle)
+		}
+	}
+}
+
+// Connections are used again, unless the backend says otherwise or they grow old.
+func TestReuse(test *testing.T) {
+	for name, play := range map[string]struct {
+		does act
+		rest time.Duration
+		want int
+	}{
+		"at once":         {well, 0, 1},
+		"chunked":         {chunked, 0, 1},
+		"after a while":   {well, connectionIdle - time.Second, 1},
+		"too long":        {well, connectionIdle, 2},
+		"within timeout":  {withFields("Keep-Alive: timeout=2\r\n"), 1400 * time.Millisecond, 1},
+		"past timeout":    {withFields("Keep-Alive: timeout=2\r\n"), 1500 * time.Millisecond, 2},
+		"timeout of none": {withFields("Keep-Alive: timeout=0\r\n"), 0, 2},
+		"closing":         {withFields("Connection: close\r\n"), 0, 2},
+		"shed":            {shed, 0, 1},
+		"shed, closing": {func(exchange *exchange) bool {
+			exchange.say("%s", bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: 1\r\nConnection: close\r\n", ""))
+			return true
+		}, 0, 2},
+		"shed, past timeout": {func(exchange *exchange) bool {
+			exchange.say("%s", bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: 1\r\nKeep-Alive: timeout=2\r\n", ""))
+			return true
+		}, 2 * time.Second, 2},
+	} {
+		inWorld(test, func(world *world) {
+			world.add("b1").then(play.does)
+			world.get("/once/a")
+			world.threads.Rest(play.rest)
+			reply, id := world.get("/once/b")
+			world.good(reply, id)
+			if connections := world.backends["b1"].connections(); connections != play.want {
+				test.Errorf("%s: %d connections", name, connections)
+			}
+		})
+	}
+}
+
+// Idle connections are closed in time.
+func TestIdleConnectionsExpire(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1")
+		reply, id := world.get("/once/a")
+		world.good(reply, id)
+		world.threads.Rest(connectionIdle - time.Second)
+		if open, _ := world.held("b1"); open != 1 {
+			test.Errorf("%d open early", open)
+		}
+		world.threads.Rest(time.Second + 2*tendPace)
+		if open, _ := world.held("b1"); open != 0 {
+			test.Errorf("%d open late", open)
+		}
+	})
+}
--- /dev/null
+++ b/proxy/meter_test.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"maps"
+	"testing"
+	"time"
+)
+
+// Counts fall into the window in which the request began, and old windows go.
+func TestMeterWindows(test *testing.T) {
+	now := int64(50_000)
+	meter := newMeter(5*time.Second, func() int64 { return now })
+	meter.count("a", 0)
+	meter.count("a", time.Millisecond)
+	meter.count("b", 5*time.Second+time.Millisecond)
+	meter.count("", 0)
+	now += 4999
+	meter.count("a", 0)
+	now++
+	meter.count("a", 0)
+	want := map[int64]map[string]uint64{8: {"b": 1}, 9: {"a": 1}, 10: {"a": 2}, 11: {"a": 1}}
+	all := meter.Windows()
+	for index, window := range all {
+		if !maps.Equal(window.Tenants, want[window.Window]) || index > 0 && all[index-1].Window >= window.Window {
+			test.Errorf("window %d: %v", window.Window, window.Tenants)
+		}
+	}
+	if len(all) != len(want) {
+		test.Errorf("%d windows", len(all))
+	}
+	all[0].Tenants["b"] = 99
+	now += 30_000
+	meter.count("c", 0)
+	for _, window := range meter.Windows() {
+		if window.Window <= 17-meterWindows || window.Tenants["b"] == 99 {
+			test.Errorf("window %d is kept: %v", window.Window, window.Tenants)
+		}
+	}
+	none := newMeter(0, func() int64 { return now })
+	none.count("a", 0)
+	if len(none.Windows()) != 0 {
+		test.Error("counted without windows")
+	}
+}
+
+// What may have run counts, what was refused or never sent does not.
+func TestMeteredAttempts(test *testing.T) {
+	for name, play := range map[string]struct {
+		does act
+		want uint64
+	}{
+		"well": {well, 1}, "shed": {shed, 0}, "misdirected": {misdirected, 0}, "reset": {resetAfterReading, 1}, "silence": {silent, 1}, "own 500": {status("500 Internal Server Error"), 1},
+		"streamed": {large(2*wholeMost, 2*wholeMost, false), 1}, "cut": {half, 1},
+	} {
+		inWorld(test, func(world *world) {
+			world.add("b1").ever(play.does)
+			world.keyed()
+			client := world.client()
+			defer client.pipe.Close()
+			for _, ask := range []struct{ path, key string }{{"/once/a", "k1"}, {"/once/a", "k9"}, {"/none/a", "k1"}, {"/open/a", "k9"}} {
+				client := world.client()
+				client.ask("GET", raw("GET", ask.path, world.id(), "Authorization: Key "+ask.key+"\r\n", ""))
+				client.pipe.Close()
+			}
+			total := uint64(0)
+			for _, window := range world.proxy.Windows() {
+				total += window.Tenants["first"]
+				if len(window.Tenants) != 1 {
+					test.Errorf("%s: %v", name, window.Tenants)
+				}
+			}
+			if total != play.want {
+				test.Errorf("%s: counted %d", name, total)
+			}
+		})
+	}
+}
+
+// A request counts in the window in which it began, however long it takes.
+func TestLongRequestCountsWhereItBegan(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(after(800*time.Millisecond, well))
+		world.keyed()
+		world.threads.Rest(5*time.Second - time.Duration(time.Now().UnixMilli()%5000)*time.Millisecond - 400*time.Millisecond)
+		number := time.Now().UnixMilli() / 5000
+		client := world.client()
+		defer client.pipe.Close()
+		client.ask("GET", raw("GET", "/once/a", "id", "Authorization: Key k1\r\n", ""))
+		if all := world.proxy.Windows(); len(all) != 1 || all[0].Window != number {
+			test.Errorf("%v, not in %d", all, number)
+		}
+	})
+}
--- /dev/null
+++ b/proxy/stat_test.go
@@ -0,0 +1,34 @@
+package proxy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"orchidjunction/route"
+)
+
+// What is expected of a route begins with its target time and follows its answers.
+func TestStat(test *testing.T) {
+	stat := newStat()
+	plain, load := &route.Compiled{Route: &route.Route{Name: "a", TargetMs: 500}}, &route.Compiled{Route: &route.Route{Name: "b", Kind: route.Download}}
+	if milliseconds, kilobytes := stat.expect(plain); milliseconds != 100 || kilobytes != 0 {
+		test.Errorf("%v ms, %v KB", milliseconds, kilobytes)
+	}
+	if milliseconds, kilobytes := stat.expect(load); milliseconds != 4 || kilobytes != 64 {
+		test.Errorf("%v ms, %v KB", milliseconds, kilobytes)
+	}
+	for range 300 {
+		stat.served(plain, 40*time.Millisecond, 10<<10)
+	}
+	if milliseconds, kilobytes := stat.expect(plain); math.Abs(milliseconds-40) > 1 || math.Abs(kilobytes-10) > 1 {
+		test.Errorf("%v ms, %v KB", milliseconds, kilobytes)
+	}
+	for number := range 40 {
+		stat.mean(&route.Compiled{Route: &route.Route{Name: fmt.Sprint(number)}})
+	}
+	if stat.keep([]route.Route{*plain.Route}); len(stat.routes) != 1 || stat.mean(plain) > 41 {
+		test.Errorf("%d routes kept", len(stat.routes))
+	}
+}
--- /dev/null
+++ b/proxy/target_test.go
@@ -0,0 +1,219 @@
+package proxy
+
+import (
+	"io"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+func ownBackend() wire.Backend {
+	return wire.Backend{Name: "b1", Service: "plain", Address: "b1:80", Zone: "e1", Slots: 4}
+}
+
+// A dead backend is left out, for longer each time, and is back after a dial.
+func TestDeadBackendIsLeftOutAndComesBack(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1")
+		world.addAt("b2", "plain", "w1", 8)
+		world.doors.serve("b1:80", nil)
+		for range 20 {
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+		}
+		if dials := world.doors.dialled("b1:80"); dials != 1 {
+			test.Errorf("%d dials by 20 requests", dials)
+		}
+		world.threads.Rest(20 * time.Second)
+		if dials := world.doors.dialled("b1:80"); dials < 4 || dials > 10 {
+			test.Errorf("%d dials in 20 s", dials)
+		}
+		for range 5 {
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+		}
+		if count := len(world.backends["b1"].seen()); count != 0 {
+			test.Errorf("%d requests at the dead one", count)
+		}
+		world.doors.serve("b1:80", world.backends["b1"].accept)
+		world.threads.Rest(ejectMost + 2*tendPace)
+		for range 5 {
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+		}
+		if count := len(world.backends["b1"].seen()); count != 5 {
+			test.Errorf("%d requests once it was back", count)
+		}
+		if world.counts.Get("backends_revived") != 1 {
+			test.Errorf("revived %d times", world.counts.Get("backends_revived"))
+		}
+	})
+}
+
+// With nothing else to try, one that is left out is tried all the same.
+func TestOnlyBackendIsTriedThoughLeftOut(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").then(resetAfterReading, resetAfterReading)
+		world.get("/once/a")
+		world.get("/once/b")
+		if _, _, ejected := world.proxy.targets["b1"].weigh(time.Now(), 10, 0); !ejected {
+			test.Error("not left out")
+		}
+		reply, id := world.get("/once/c")
+		world.good(reply, id)
+		if _, _, ejected := world.proxy.targets["b1"].weigh(time.Now(), 10, 0); ejected {
+			test.Error("still left out after a good answer")
+		}
+	})
+}
+
+// Spans of being left out double up to the most, and only one dial goes on.
+func TestEjection(test *testing.T) {
+	held, now := newTarget(ownBackend()), time.Now()
+	out := func() bool { _, _, ejected := held.weigh(now, 10, 0); return ejected }
+	held.failed(now, false)
+	if out() {
+		test.Error("left out after one failure")
+	}
+	held.failed(now, false)
+	if !out() || held.ejected != now.Add(ejectFirst) {
+		test.Errorf("left out until %s", held.ejected)
+	}
+	if held.wakes(now) {
+		test.Error("dialled at once")
+	}
+	for _, span := range []time.Duration{2 * ejectFirst, 4 * ejectFirst, ejectMost, ejectMost} {
+		now = held.ejected
+		if !held.wakes(now) || held.wakes(now) {
+			test.Error("not just one dial")
+		}
+		if held.revived(now, false); held.ejected != now.Add(span) {
+			test.Errorf("left out for %s", held.ejected.Sub(now))
+		}
+	}
+	held.wakes(held.ejected)
+	if held.revived(now, true); out() || held.failures != 0 {
+		test.Error("left out after a good dial")
+	}
+	if held.wakes(now) {
+		test.Error("dialled though it is in")
+	}
+	if held.failed(now, true); !out() {
+		test.Error("a dead one is not left out at once")
+	}
+	if held.served(time.Millisecond, 1, true); out() {
+		test.Error("left out after an answer")
+	}
+}
+
+// No more connections than the cap, and none to a target that is gone.
+func TestReserve(test *testing.T) {
+	held := newTarget(ownBackend())
+	for index := range 5 {
+		if held.reserve(3) != (index < 3) {
+			test.Errorf("connection %d", index)
+		}
+	}
+	if held.unreserve(); !held.reserve(3) {
+		test.Error("a freed one is not given again")
+	}
+	near, far := newPipes("b1")
+	held.give(newConnection(near))
+	held.retire()
+	if held.open != 2 || held.reserve(3) {
+		test.Errorf("%d open", held.open)
+	}
+	if _, fault := far.Read(make([]byte, 1)); fault != io.EOF {
+		test.Errorf("an idle one of a retired target: %v", fault)
+	}
+	near, _ = newPipes("b1")
+	if held.give(newConnection(near)); held.open != 1 || len(held.idle) != 0 {
+		test.Errorf("%d open, %d idle", held.open, len(held.idle))
+	}
+}
+
+// The cap binds all requests under way together; who has no connection waits or
+// goes elsewhere, and is never sent.
+func TestConnectionCap(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.lay(func() { world.book.Config.Services[0].MaxConnections = 5 })
+		world.addAt("b1", "plain", "e1", 50).ever(after(100*time.Millisecond, well))
+		most := 0
+		for range 12 {
+			client := world.client()
+			defer client.pipe.Close()
+			io.WriteString(client.pipe, raw("GET", "/once/a", world.id(), "", ""))
+			synctest.Wait()
+			open, _ := world.held("b1")
+			most = max(most, open)
+		}
+		world.threads.Rest(time.Second)
+		if most != 4 || world.backends["b1"].connections() != 4 {
+			test.Errorf("%d open, %d opened", most, world.backends["b1"].connections())
+		}
+	})
+}
+
+// What a backend says of its load counts beside what is known here, and fades.
+func TestLoad(test *testing.T) {
+	held, now := newTarget(ownBackend()), time.Now()
+	held.enter()
+	for _, bad := range []string{"", "1", "1,2", "a,b,c", "-1,0,4", "1,-2,4", "1,2,3,4", "1e3,0,4"} {
+		if held.tell(bad, now); held.load(now) != 1 {
+			test.Errorf("%q counts as %v", bad, held.load(now))
+		}
+	}
+	held.tell(" 7 , 2 , 4 ", now)
+	if load := held.load(now); math.Abs(load-9) > 0.01 {
+		test.Errorf("load %v", load)
+	}
+	if _, full, _ := held.weigh(now, 10, 0); full {
+		test.Error("full with 9 for 4 slots")
+	}
+	held.tell("12,0,4", now)
+	if _, full, _ := held.weigh(now, 10, 0); !full {
+		test.Error("not full with 12 for 4 slots")
+	}
+	if later := held.load(now.Add(10 * time.Second)); later < 1 || later > 6 {
+		test.Errorf("load %v long after", later)
+	}
+	if held.tell("0,0,4", now); held.load(now) < 1 {
+		test.Errorf("load %v below what runs", held.load(now))
+	}
+}
+
+// Waiting, distance, slowness and failures all cost.
+func TestWeigh(test *testing.T) {
+	now := time.Now()
+	cost := func(change func(*target)) float64 {
+		held := newTarget(ownBackend())
+		change(held)
+		cost, _, _ := held.weigh(now, 100, 0)
+		return cost
+	}
+	plain := cost(func(*target) {})
+	busier := plain
+	for running := 1; running < 12; running++ {
+		next := cost(func(held *target) { held.running = running })
+		if next <= busier {
+			test.Errorf("%d running cost %v, one less %v", running, next, busier)
+		}
+		busier = next
+	}
+	for name, change := range map[string]func(*target){
+		"slow":    func(held *target) { held.served(time.Second, 100, true) },
+		"failing": func(held *target) { held.served(time.Millisecond, 100, false) },
+		"far":     func(held *target) { held.dialled(30 * time.Millisecond) },
+		"broken":  func(held *target) { held.failed(now, false) },
+	} {
+		if got := cost(change); got <= plain {
+			test.Errorf("%s costs %v, plain %v", name, got, plain)
+		}
+	}
+	if got := cost(func(held *target) { held.served(time.Millisecond, 100, true) }); got >= plain {
+		test.Errorf("fast costs %v, plain %v", got, plain)
+	}
+}
--- /dev/null
+++ b/proxy/view_test.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// names are the backends that a proxy may choose, with those chosen put aside.
+func (proxy *Proxy) names(tenant *route.Tenant, homes []string) map[string]bool {
+	names, tried := map[string]bool{}, []*target{}
+	for {
+		held, how := proxy.pick(tenant, homes, tried...)
+		if how != chosen {
+			return names
+		}
+		held.target.leave()
+		names[held.target.backend.Name] = true
+		tried = append(tried, held.target)
+	}
+}
+
+func same(names map[string]bool, wanted ...string) bool {
+	for _, name := range wanted {
+		if !names[name] {
+			return false
+		}
+	}
+	return len(names) == len(wanted)
+}
+
+func placed() ([]*Proxy, *wire.Table) {
+	proxies := many([]string{"p1"}, []string{"e1"})
+	return proxies, &wire.Table{Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{
+		{Name: "near", Service: "plain", Zone: "e1", Slots: 4}, {Name: "beside", Service: "plain", Zone: "e2", Slots: 4}, {Name: "far", Service: "plain", Zone: "w1", Slots: 4},
+		{Name: "foreign", Service: "other", Zone: "e1", Slots: 4}, {Name: "stray", Service: "unknown", Zone: "e1", Slots: 4}, {Name: "nowhere", Service: "plain", Zone: "z9", Slots: 4}}}
+}
+
+// Homes of route and tenant both bind, also where nothing is left.
+func TestHomes(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		proxies[0].Lay(&route.Book{Config: ownConfig()}, table)
+		east, west, both := []string{"east"}, []string{"west"}, []string{"west", "east"}
+		for _, bound := range []struct {
+			route, tenant []string
+			names         []string
+		}{
+			{nil, nil, []string{"near", "beside", "far", "nowhere"}},
+			{east, nil, []string{"near", "beside"}},
+			{nil, west, []string{"far"}},
+			{both, west, []string{"far"}},
+			{both, both, []string{"near", "beside", "far"}},
+			{east, west, nil},
+			{[]string{"north"}, nil, nil},
+		} {
+			if names := proxies[0].names(&route.Tenant{Name: "t", Homes: bound.tenant}, bound.route); !same(names, bound.names...) {
+				test.Errorf("%v and %v: %v", bound.route, bound.tenant, names)
+			}
+		}
+	})
+}
+
+// Backends that leave, that are gone and that stand in evacuated zones get nothing.
+func TestLeavingAndEvacuated(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		book := &route.Book{Config: ownConfig()}
+		lay := func(change func()) {
+			copied, moved := *book, *table
+			moved.Backends = append([]wire.Backend{}, table.Backends...)
+			book, table = &copied, &moved
+			change()
+			proxies[0].Lay(book, table)
+		}
+		lay(func() { book.Evacuated = []string{"e1", "z9"} })
+		if names := proxies[0].names(nil, nil); !same(names, "beside", "far") {
+			test.Errorf("evacuated: %v", names)
+		}
+		lay(func() { table.Backends[2].Leaving = true })
+		if names := proxies[0].names(nil, nil); !same(names, "beside") {
+			test.Errorf("leaving: %v", names)
+		}
+		gone := proxies[0].targets["beside"]
+		lay(func() { table.Backends = append(table.Backends[:1:1], table.Backends[2:]...) })
+		if names := proxies[0].names(nil, nil); len(names) != 0 || !gone.gone || gone.reserve(64) {
+			test.Errorf("gone: %v", names)
+		}
+		lay(func() { book.Evacuated = []string{"z9"} })
+		if names := proxies[0].names(nil, nil); len(names) != 0 {
+			test.Errorf("at the end of the evacuation: %v", names)
+		}
+		time.Sleep(time.Second)
+		if names := proxies[0].names(nil, nil); !same(names, "near") {
+			test.Errorf("with a token of the cold one: %v", names)
+		}
+		if names := proxies[0].names(nil, nil); len(names) != 0 {
+			test.Errorf("with its token gone: %v", names)
+		}
+		time.Sleep(proxies[0].place.doubtSpan())
+		for range 5 {
+			if names := proxies[0].names(nil, nil); !same(names, "near") {
+				test.Errorf("warm again: %v", names)
+			}
+		}
+	})
+}
+
+// A target lives as long as its backend is listed: what is known of it outlives views.
+func TestTargetsOutliveViews(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		book := &route.Book{Config: ownConfig()}
+		proxies[0].Lay(book, table)
+		first, index := proxies[0].targets["near"], proxies[0].view.Load().index
+		proxies[0].Lay(book, table)
+		if proxies[0].targets["near"] != first || proxies[0].view.Load().index != index {
+			test.Error("made anew")
+		}
+		proxies[0].Lay(book, &wire.Table{Members: table.Members})
+		proxies[0].Lay(book, table)
+		if proxies[0].targets["near"] == first {
+			test.Error("a retired target is back")
+		}
+	})
+}
+
+// Proxies share a service's connections; the count of proxies only rises.
+func TestConnectionsAreShared(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		names, zones := []string{"p1", "p2", "p3", "p4"}, []string{"e1", "e1", "e2", "w1"}
+		config := ownConfig()
+		config.Services = append(config.Services, route.Service{Name: "small", MaxConnections: 3}, route.Service{Name: "free"})
+		for _, step := range []struct{ count, most, small int }{{1, 104, 2}, {4, 26, 2}, {2, 26, 2}} {
+			table.Members = members(names[:step.count], zones[:step.count])
+			proxies[0].Lay(&route.Book{Config: config}, table)
+			most := proxies[0].view.Load().most
+			if most[0] != step.most || most[2] != step.small || most[3] != connectionsMost {
+				test.Errorf("%d proxies: %v", step.count, most)
+			}
+		}
+		table.Members[1].Leaving = true
+		table.Members = append(table.Members, wire.Member{Name: "d1", Kind: "dir"})
+		fresh := many([]string{"p1"}, []string{"e1"})[0]
+		fresh.Lay(&route.Book{Config: config}, table)
+		if most := fresh.view.Load().most[0]; most != 104 {
+			test.Errorf("beside one that leaves: %d", most)
+		}
+	})
+}
