A route to an unknown service does not lead to the first service

Cause: a name missing in the index read as 0. Configs are checked before they come this far; should one slip through, the route is left out.

--- a/route/pending.go
+++ b/route/pending.go
@@ -31,15 +31,23 @@
 	for number := range book.Config.Routes {
 		route := &book.Config.Routes[number]
 		compiled := &Compiled{Route: route}
-		if len(route.Split) == 0 {
-			compiled.Services, compiled.Cumulative = []int{index.dense[route.Service]}, []int{1}
+		shares := route.Split
+		if len(shares) == 0 {
+			shares = []Share{{Service: route.Service, Weight: 1}}
 		}
 		total := 0
-		for _, share := range route.Split {
+		for _, share := range shares {
+			number, known := index.dense[share.Service]
+			if !known {
+				continue
+			}
 			total += share.Weight
-			compiled.Services = append(compiled.Services, index.dense[share.Service])
+			compiled.Services = append(compiled.Services, number)
 			compiled.Cumulative = append(compiled.Cumulative, total)
 		}
+		if len(compiled.Services) == 0 {
+			continue
+		}
 		index.hosts[route.Host] = append(index.hosts[route.Host], compiled)
 	}
 	return index
