Requests without a connection do not wake each other without end

Cause: giving back a place where nothing was sent rang the bell for those who wait; at a service whose connections are all in use two of them woke each other in a busy loop.

--- a/proxy/request.go
+++ b/proxy/request.go
@@ -222,11 +222,17 @@
 		proxy.move(request, sending)
 		answer, ended := proxy.attempt(request, held, view.most[service])
 		if ended == answered && answer.rest != nil {
-			defer proxy.leave(held.target)
+			defer func() {
+				held.target.leave()
+				proxy.freed.Ring()
+			}()
 			proxy.finish(request, answer)
 			return
 		}
-		proxy.leave(held.target)
+		held.target.leave()
+		if ended != unsent && proxy.lines.waiting() {
+			proxy.freed.Ring()
+		}
 		request.tried = append(request.tried, held.target)
 		switch ended {
 		case answered:
@@ -268,14 +274,6 @@
 	}
 }
 
-// leave frees a place at a target for those who wait.
-func (proxy *Proxy) leave(target *target) {
-	target.leave()
-	if proxy.lines.waiting() {
-		proxy.freed.Ring()
-	}
-}
-
 // refuse ends a request that has not run.
 func (proxy *Proxy) refuse(request *request, status int, kind wire.Kind) {
 	proxy.move(request, ending)
