--- a/proxy/target_test.go
+++ b/proxy/target_test.go
@@ -154,6 +154,9 @@
 		if most != 4 || world.backends["b1"].connections() != 4 {
 			test.Errorf("%d open, %d opened", most, world.backends["b1"].connections())
 		}
+		if capped := world.counts.Get("connections_capped"); capped > 100 {
+			test.Errorf("asked for a connection %d times in vain", capped)
+		}
 	})
 }
 
