--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -50,7 +50,7 @@
 		for _, name := range []string{"a", "b", "c", "d"} {
 			backends = append(backends, wire.Backend{Name: name, Service: "plain", Zone: "e1", Slots: 4})
 		}
-		proxy.Lay(&route.Book{Config: ownConfig()}, &wire.Table{Members: members([]string{"p1"}, []string{"e1"}), Backends: backends})
+		proxy.Lay(&route.Book{Config: ownConfig()}, &wire.Table{Mark: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: backends})
 		counts := map[string]int{}
 		for range 400 {
 			held, _ := proxy.pick(nil, nil)
--- a/proxy/view_test.go
+++ b/proxy/view_test.go
@@ -34,7 +34,7 @@
 
 func placed() ([]*Proxy, *wire.Table) {
 	proxies := many([]string{"p1"}, []string{"e1"})
-	return proxies, &wire.Table{Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{
+	return proxies, &wire.Table{Mark: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{
 		{Name: "near", Service: "plain", Zone: "e1", Slots: 4}, {Name: "beside", Service: "plain", Zone: "e2", Slots: 4}, {Name: "far", Service: "plain", Zone: "w1", Slots: 4},
 		{Name: "foreign", Service: "other", Zone: "e1", Slots: 4}, {Name: "stray", Service: "unknown", Zone: "e1", Slots: 4}, {Name: "nowhere", Service: "plain", Zone: "z9", Slots: 4}}}
 }
@@ -120,7 +120,7 @@
 		if proxies[0].targets["near"] != first || proxies[0].view.Load().index != index {
 			test.Error("made anew")
 		}
-		proxies[0].Lay(book, &wire.Table{Members: table.Members})
+		proxies[0].Lay(book, &wire.Table{Mark: leaderMark, Members: table.Members})
 		proxies[0].Lay(book, table)
 		if proxies[0].targets["near"] == first {
 			test.Error("a retired target is back")
@@ -152,3 +152,21 @@
 		}
 	})
 }
+
+// Before a leader made a table nobody knows how many proxies there are: cold backends
+// get nothing, and few connections are opened.
+func TestTableBeforeALeader(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies := many([]string{"p1"}, []string{"e1"})
+		cold := wire.Backend{Name: "b1", Service: "plain", Address: "10.0.0.1:80", Zone: "e1", Slots: 4, WarmAt: time.Now().UnixMilli() + 60000}
+		for round, want := range map[uint64]choice{0: noneLeft, 1: chosen} {
+			table := &wire.Table{Mark: wire.TableMark{Ballot: wire.Ballot{Round: round}, Number: 1}, Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{cold}}
+			proxies[0].Lay(&route.Book{Config: ownConfig()}, table)
+			proxies[0].pick(nil, nil)
+			time.Sleep(time.Second)
+			if _, how := proxies[0].pick(nil, nil); how != want {
+				test.Errorf("round %d: choice %d, want %d", round, how, want)
+			}
+		}
+	})
+}
--- a/proxy/warmup_test.go
+++ b/proxy/warmup_test.go
@@ -34,7 +34,7 @@
 func (proxy *Proxy) pick(tenant *route.Tenant, homes []string, tried ...*target) (*candidate, choice) {
 	view := proxy.view.Load()
 	compiled := &route.Compiled{Route: &route.Route{Name: "picked", TargetMs: 800, Homes: homes}}
-	return proxy.choose(&request{source: &http.Request{}, stat: proxy.stat, route: compiled, tenant: tenant}, view.services[0], tried)
+	return proxy.choose(&request{source: &http.Request{}, stat: proxy.stat, route: compiled.Route, tenant: tenant}, view.services[0], tried)
 }
 
 // warmTotal presses several proxies for a cold backend and gives the most that it
@@ -84,7 +84,7 @@
 				news, olds := members(names, zones), members(names[1:], zones[1:])
 				lay := func() {
 					for index, proxy := range proxies {
-						table := &wire.Table{Members: news, Backends: []wire.Backend{backend}}
+						table := &wire.Table{Mark: leaderMark, Members: news, Backends: []wire.Backend{backend}}
 						if differing && index%2 == 1 {
 							table.Members = olds
 						}
@@ -111,7 +111,7 @@
 		proxies := many([]string{"p1"}, []string{"e1"})
 		cold := wire.Backend{Name: "cold", Service: "plain", Zone: "e1", Slots: 8, WarmAt: time.Now().Add(3 * time.Second).UnixMilli()}
 		warm := wire.Backend{Name: "warm", Service: "plain", Zone: "w1", Slots: 2}
-		proxies[0].Lay(&route.Book{Config: ownConfig()}, &wire.Table{Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{cold, warm}})
+		proxies[0].Lay(&route.Book{Config: ownConfig()}, &wire.Table{Mark: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{cold, warm}})
 		proxies[0].targets["cold"].warm(time.Now(), 1)
 		time.Sleep(time.Second)
 		for range 6 {
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -63,7 +63,7 @@
 
 func newWorld(test *testing.T) *world {
 	world := &world{test: test, threads: run.NewThreads(), counts: run.NewCounts(), doors: newDoors(), listener: newListener(), backends: map[string]*backend{},
-		book: &route.Book{Config: ownConfig()}, table: &wire.Table{Complete: true, Members: []wire.Member{{Name: "p1", Kind: "proxy", Zone: "e1", Ready: true}}}}
+		book: &route.Book{Config: ownConfig()}, table: &wire.Table{Mark: leaderMark, Complete: true, Members: []wire.Member{{Name: "p1", Kind: "proxy", Zone: "e1", Ready: true}}}}
 	world.proxy = NewProxy(ownPlace("p1", "e1"), world.doors.dial, func() int64 { return time.Now().UnixMilli() }, world.threads, world.counts)
 	world.server = &http.Server{Handler: world.proxy, ErrorLog: log.New(io.Discard, "", 0)}
 	world.threads.Start(func() { world.server.Serve(world.listener) })
@@ -214,3 +214,6 @@
 }
 
 func unreachable(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+
+// leaderMark is a table's that some leader made.
+var leaderMark = wire.TableMark{Ballot: wire.Ballot{Round: 1, Core: 1}, Number: 1}
