--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -9,9 +9,11 @@
 const (
 	connectionsMost = 64
 	queueDepth      = 2.0
-	nearPenalty     = 15.0
-	farPenalty      = 60.0
-	kilobytePenalty = 1.5
+	nearPenalty     = 100.0
+	farPenalty      = 300.0
+	kilobytePenalty = 10.0
+	nearMost        = 0.5
+	farMost         = 0.75
 )
 
 // choice is what choosing ended with.
@@ -46,9 +48,9 @@
 		far := 0.0
 		switch held.far {
 		case sameRegion:
-			far = nearPenalty + kilobytes*kilobytePenalty
+			far = min(nearPenalty+kilobytes*kilobytePenalty, nearMost*float64(request.route.TargetMs))
 		case otherRegion:
-			far = farPenalty + kilobytes*kilobytePenalty
+			far = min(farPenalty+kilobytes*kilobytePenalty, farMost*float64(request.route.TargetMs))
 		}
 		cost, isFull, ejected := held.target.weigh(now, mean, far)
 		if held.cold(now, trueNow) {
