--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -388,7 +388,10 @@
 func TestRefusalWithLargeBodyTaintsConnection(test *testing.T) {
 	inWorld(test, func(world *world) {
 		world.add("b1").then(func(exchange *exchange) bool {
-			exchange.say("%s", bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: full\r\n", string(letters(0, wholeMost+2*connectionBuffer))))
+			all := bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: full\r\n", string(letters(0, wholeMost+connectionBuffer)))
+			exchange.say("%s", all[:len(all)-connectionBuffer])
+			exchange.backend.threads.Rest(5 * time.Millisecond)
+			exchange.say("%s", all[len(all)-connectionBuffer:])
 			return true
 		})
 		if reply, _ := world.get("/once/a"); reply.status != 503 {
--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -65,6 +65,21 @@
 	})
 }
 
+// One that is left out gets no overflow of those that are full.
+func TestOverflowIsNotForTheLeftOut(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxies, table := placed()
+		proxies[0].Lay(&route.Book{Config: ownConfig()}, table)
+		proxies[0].targets["far"].failed(time.Now(), true)
+		for range 36 {
+			proxies[0].pick(nil, nil)
+		}
+		if held, how := proxies[0].pick(nil, nil); how != allFull {
+			test.Errorf("choice %d: %v", how, held)
+		}
+	})
+}
+
 // What was tried is not chosen again, and one that is left out only where nothing
 // else is there.
 func TestChoosesUntried(test *testing.T) {
--- a/proxy/request_test.go
+++ b/proxy/request_test.go
@@ -277,6 +277,19 @@
 	}
 }
 
+// A body that cannot be read reaches nobody.
+func TestMalformedBody(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1")
+		client := world.client()
+		defer client.pipe.Close()
+		reply := client.ask("POST", raw("POST", "/once/a", "id", "Transfer-Encoding: chunked\r\n", "")+"5\r\nabcdeXX\r\n0\r\n\r\n")
+		if reply.status != 400 || len(world.arrivals()) != 0 {
+			test.Errorf("%d, %d arrivals", reply.status, len(world.arrivals()))
+		}
+	})
+}
+
 // fill keeps all places of a backend of one slot.
 func (world *world) fill(count int, span time.Duration) {
 	world.addAt("b1", "plain", "e1", 1).ever(after(span, well))
