A backend whose address another life has is not taken for one that came back

Cause: a dial was enough to let a backend in again that had answered 421; every half second a request lost an attempt, and the service's budget a token, to it.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -246,7 +246,7 @@
 			sound := stop() && fault == nil && count < wholeMost && !response.Close
 			proxy.release(held.target, connection, sound)
 			if response.StatusCode == http.StatusMisdirectedRequest {
-				held.target.failed(proxy.clock(), true)
+				held.target.displace(proxy.clock())
 				proxy.counts.Add("backends_replaced", 1)
 			}
 			return &answer{response: response}, refused
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -38,6 +38,7 @@
 	ejected    time.Time
 	backoff    time.Duration
 	reviving   bool
+	replaced   bool
 	roundTrip  time.Duration
 	warmup     Warmup
 	suspect    time.Time
@@ -193,7 +194,7 @@
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
 	target.failures, target.backoff = 0, 0
-	target.ejected = time.Time{}
+	target.ejected, target.replaced = time.Time{}, false
 	if !good {
 		target.failing += failureShare * (1 - target.failing)
 		return
@@ -218,11 +219,19 @@
 	}
 }
 
+// displace leaves the target out as long as can be: another life has its address,
+// and takes dials as well.
+func (target *target) displace(now time.Time) {
+	target.mutex.Lock()
+	target.replaced, target.backoff, target.ejected = true, ejectMost, now.Add(ejectMost)
+	target.mutex.Unlock()
+}
+
 // wakes is whether an ejected target should be dialled again; only one dial goes on.
 func (target *target) wakes(now time.Time) bool {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	if target.ejected.IsZero() || target.gone || target.reviving || now.Before(target.ejected.Add(-ejectFirst/2)) {
+	if target.ejected.IsZero() || target.gone || target.replaced || target.reviving || now.Before(target.ejected.Add(-ejectFirst/2)) {
 		return false
 	}
 	target.reviving = true
