--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -611,6 +611,22 @@
 	})
 }
 
+// It is not taken for a backend that came back because it takes dials.
+func TestAddressTakenOverIsNotRevived(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(misdirected)
+		world.addAt("b2", "plain", "w1", 8)
+		for range 100 {
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+			world.threads.Rest(100 * time.Millisecond)
+		}
+		if count := len(world.backends["b1"].seen()); count > 3 {
+			test.Errorf("asked %d times in 10 s", count)
+		}
+	})
+}
+
 // Attempts end with the route's number, and with none left to try.
 func TestAttemptsOfRoute(test *testing.T) {
 	for attempts := 1; attempts <= 4; attempts++ {
--- a/proxy/warmup_test.go
+++ b/proxy/warmup_test.go
@@ -43,7 +43,7 @@
 	sent, most := []time.Time{}, 0
 	begin := time.Now()
 	for time.Since(begin) < span {
-		if random.IntN(40) == 0 {
+		if random.IntN(600) == 0 {
 			time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 			lay()
 		}
