--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -624,6 +624,9 @@
 		if count := len(world.backends["b1"].seen()); count > 3 {
 			test.Errorf("asked %d times in 10 s", count)
 		}
+		if revived := world.counts.Get("backends_revived"); revived != 0 {
+			test.Errorf("revived %d times", revived)
+		}
 	})
 }
 
