--- a/control/election.go
+++ b/control/election.go
@@ -7,10 +7,28 @@
 	"orchidjunction/wire"
 )
 
+const firstStand = 30 * time.Millisecond
+
 func (core *Core) nextPatience() time.Duration {
 	return core.random.span(core.place.Suspect, core.place.Suspect*3/2)
 }
 
+// firstPatience is that of a core that has heard of no leader since it started:
+// with a roster the cores stand one after the other, so that they don't race.
+func (core *Core) firstPatience() time.Duration {
+	if !core.place.enlists() {
+		return core.nextPatience()
+	}
+	return firstStand + time.Duration(max(core.roster().ID-1, 0))*core.place.Suspect*3/5
+}
+
+// cold is whether this core has heard of no leader since it started.
+func (core *Core) cold() bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.place.enlists() && core.leader.Ballot.Round == 0
+}
+
 // elect is the duty of the election thread.
 func (core *Core) elect() {
 	yielded := false
@@ -25,21 +43,48 @@
 		core.mutex.Unlock()
 		switch standing := core.chart.Now(); {
 		case standing == Retired || standing == Lameduck || leads:
+		case standing == Blank && !core.roster().known():
+			core.enlist()
+			continue
+		case standing == Blank && core.roster().ID == 0:
+			core.spectate()
+			continue
 		case standing == Blank:
 			core.restore()
 		case passed != nil:
 			core.succeed(passed)
 		case silent > patience:
-			yielded = core.stand(yielded)
+			cold := core.cold()
+			core.mutex.Lock()
+			heard := core.heard
+			core.mutex.Unlock()
+			yielded = core.stand(yielded || cold)
+			again := core.random.span(core.place.Beat/2, core.place.Suspect)
+			if cold {
+				again = core.random.span(core.place.Beat/2, core.place.Beat) + core.firstPatience()
+			}
 			core.mutex.Lock()
-			core.patience = time.Since(core.heard) + core.random.span(core.place.Beat/2, core.place.Suspect)
+			if core.heard.Equal(heard) {
+				core.patience = time.Since(core.heard) + again
+			}
 			core.mutex.Unlock()
 			continue
 		}
-		core.prompt.Wait(seen, core.place.Beat/4)
+		core.prompt.Wait(seen, core.idle(silent, patience))
 	}
 }
 
+// idle is how long nothing is due to the election thread, unless it is prompted.
+func (core *Core) idle(silent, patience time.Duration) time.Duration {
+	switch core.chart.Now() {
+	case Retired, Lameduck, Leading:
+		return core.place.Suspect
+	case Following:
+		return max(patience-silent, time.Millisecond)
+	}
+	return core.place.Beat / 4
+}
+
 // stand runs one candidacy by fence; true when it gave way to a fitter core.
 func (core *Core) stand(yielded bool) bool {
 	if !core.chart.move(Prechecking) {
@@ -49,8 +94,8 @@
 	core.counts.Add("prechecks", 1)
 	marks := core.voter.State().Marks()
 	told := askPeers(core, func(peer Peer) (*wire.PrecheckTold, error) {
-		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: core.place.ID, Marks: marks})
-	}, func(told *wire.PrecheckTold) bool { return false }, len(core.place.Peers))
+		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: core.roster().ID, Marks: marks})
+	}, func(told *wire.PrecheckTold) bool { return false }, len(core.roster().Peers))
 	willing, reach := 1, 1+len(told)
 	for _, answer := range told {
 		core.sawRound(answer.Round)
@@ -62,12 +107,12 @@
 			willing++
 		}
 	}
-	if willing < core.place.majority() {
+	if willing < core.roster().majority() {
 		core.counts.Add("prechecks_short", 1)
 		return false
 	}
 	for id, answer := range told {
-		if !yielded && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, core.place.ID) {
+		if !yielded && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, core.roster().ID) {
 			core.counts.Add("prechecks_yielded", 1)
 			return true
 		}
@@ -99,7 +144,7 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	core.round++
-	return wire.Ballot{Round: core.round, Core: core.place.ID}, core.leader.Ballot
+	return wire.Ballot{Round: core.round, Core: core.roster().ID}, core.leader.Ballot
 }
 
 // found establishes under the ballot and takes the lead.
@@ -114,7 +159,7 @@
 	}
 	core.mutex.Lock()
 	core.leadership = leadership
-	core.leader = core.place.leader(ballot)
+	core.leader = core.roster().leader(ballot)
 	core.duck, core.successor = false, wire.Leader{}
 	core.mutex.Unlock()
 	if core.voter.State().Promised != ballot || !core.chart.move(Leading) {
@@ -122,7 +167,7 @@
 		return
 	}
 	core.place.Observe(Leading, ballot)
-	klog.Infof("core %d: leads under %s, revoked %s by %s", core.place.ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
+	klog.Infof("core %d: leads under %s, revoked %s by %s", core.roster().ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
 	for register := range wire.Registers {
 		core.commit(register, wire.Accepted{Ballot: ballot, Value: leadership.value(register)}, leadership.settings().texts)
 	}
@@ -163,6 +208,7 @@
 	if mishap == nil && told.Granted {
 		core.mutex.Lock()
 		core.heard = time.Now()
+		core.patience = core.nextPatience()
 		core.mutex.Unlock()
 	}
 	return told, mishap
@@ -198,8 +244,11 @@
 	core.wanted = message.Table
 	core.patience = core.nextPatience()
 	core.mutex.Unlock()
+	if message.NowMs > 0 {
+		core.clock.Heard(message.NowMs)
+	}
 	if moved {
-		klog.Infof("core %d: follows core %d under %s", core.place.ID, message.Leader.Core, message.Ballot)
+		klog.Infof("core %d: follows core %d under %s", core.roster().ID, message.Leader.Core, message.Ballot)
 		core.news.Ring()
 	}
 	for register := range message.Committed {
@@ -207,7 +256,9 @@
 			core.commit(wire.Register(register), accepted, state.Texts)
 		}
 	}
-	return &wire.BeatTold{Taken: true, Voter: state.Founded, Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}, nil
+	told := &wire.BeatTold{Taken: true, Voter: state.Founded, Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}
+	told.AnchorMs, told.NowMs = core.toldClock()
+	return told, nil
 }
 
 func (core *Core) onStepDown(message *wire.StepDown) (*wire.StepDownTold, *wire.Mishap) {
--- a/control/store.go
+++ b/control/store.go
@@ -11,10 +11,21 @@
 
 // State is all that a core must never forget.
 type State struct {
+	Opening  bool
+	Roster   []Peer
 	Founded  bool
 	Promised wire.Ballot
 	Accepted [wire.Registers]wire.Accepted
 	Texts    wire.Texts
+
+	Committed wire.Marks
+}
+
+// proven is a register's accepted value where this core knew it committed: what a
+// later ballot holds under the same serial is the same value.
+func (state State) proven(register wire.Register) (wire.Accepted, bool) {
+	accepted, mark := state.Accepted[register], state.Committed[register]
+	return accepted, mark.Serial > 0 && mark.Serial == accepted.Value.Serial && !accepted.Ballot.Less(mark.Ballot)
 }
 
 func (state State) Marks() wire.Marks {
@@ -27,18 +38,29 @@
 
 // record is one synced step; only what changed is set.
 type record struct {
+	Opening  bool
+	Roster   []Peer
 	Founded  bool
 	Promised *wire.Ballot
 	Register wire.Register
 	Accepted *wire.Accepted
 	Texts    wire.Texts
+
+	Committed *wire.Mark
 }
 
 func (state *State) lay(step record) {
+	state.Opening = state.Opening || step.Opening
+	if len(step.Roster) > 0 {
+		state.Roster = step.Roster
+	}
 	state.Founded = state.Founded || step.Founded
 	if step.Promised != nil {
 		state.Promised = *step.Promised
 	}
+	if step.Committed != nil {
+		state.Committed[step.Register] = *step.Committed
+	}
 	if step.Accepted != nil {
 		state.Accepted[step.Register] = *step.Accepted
 		if len(step.Texts) > 0 || len(step.Accepted.Value.Parts) > 0 {
--- a/control/table.go
+++ b/control/table.go
@@ -10,6 +10,9 @@
 // buildTable is the leader's duty: members by their sessions, backends by the platform.
 func (core *Core) buildTable() {
 	leadership, mishap := core.leading()
+	if mishap != nil && core.place.Direct && core.cold() {
+		core.buildFirst()
+	}
 	if mishap != nil || leadership.holds() != nil {
 		return
 	}
@@ -18,7 +21,7 @@
 	if before.Mark == (wire.TableMark{}) || !before.Complete {
 		before = core.askHeld(before, sessions)
 	}
-	if before.Mark == (wire.TableMark{}) && time.Since(leadership.since) < sessionSpan {
+	if before.Mark.Ballot.Round == 0 && time.Since(leadership.since) < core.place.firstTable() {
 		return
 	}
 	next := &wire.Table{Mark: wire.TableMark{Ballot: leadership.ballot, Number: 1}, Members: []wire.Member{}, Backends: before.Backends, Complete: before.Complete}
@@ -30,9 +33,9 @@
 		next.Members = append(next.Members, held.session.Member)
 		known[held.session.Member.Name] = true
 	}
-	if time.Since(leadership.since) < sessionSpan || core.sessions.lapsed(before.Members, known) {
+	if time.Since(leadership.since) < core.place.SessionSpan || core.sessions.lapsed(before.Members, known) {
 		for _, member := range before.Members {
-			if !known[member.Name] {
+			if !known[member.Name] && !core.sessions.gone(member.Name) {
 				next.Members = append(next.Members, member)
 			}
 		}
@@ -49,6 +52,25 @@
 	core.holdTable(next)
 }
 
+// buildFirst is what a core that heard of no leader since its start tells the
+// daemons that come to it. Every leader's table is newer.
+func (core *Core) buildFirst() {
+	before := core.Table()
+	backends, whole := core.platform.list()
+	if before.Mark.Ballot.Round > 0 || !whole {
+		return
+	}
+	next := &wire.Table{Mark: wire.TableMark{Number: before.Mark.Number + 1}, Backends: backends, Complete: true}
+	for _, held := range core.sessions.standing(0) {
+		next.Members = append(next.Members, held.session.Member)
+	}
+	if before.Complete && reflect.DeepEqual(before.Members, next.Members) && reflect.DeepEqual(before.Backends, next.Backends) {
+		return
+	}
+	core.counts.Add("tables_before_a_leader", 1)
+	core.holdTable(next)
+}
+
 // askHeld rebuilds from a daemon that still holds what the cores lost.
 func (core *Core) askHeld(table *wire.Table, sessions []heldSession) *wire.Table {
 	best, from := table.Mark, ""
@@ -60,7 +82,7 @@
 	if from == "" {
 		return table
 	}
-	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Table: table.Mark})
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: table.Mark})
 	if fault != nil || told.Table == nil {
 		core.counts.Add("tables_not_rebuilt", 1)
 		return table
@@ -77,7 +99,7 @@
 	if leads || !leader.Known() || !held.Less(wanted) {
 		return
 	}
-	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Table: held})
+	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: held})
 	if fault == nil && told.Table != nil {
 		core.holdTable(told.Table)
 	}
--- a/control/voter.go
+++ b/control/voter.go
@@ -120,6 +120,34 @@
 	return voter.keep(append(steps, step)...)
 }
 
+// Open marks a blank disk as one of the system's first start.
+func (voter *Voter) Open() *wire.Mishap {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	return voter.keep(record{Opening: true})
+}
+
+// Enrol keeps who votes; the first roster stays for good.
+func (voter *Voter) Enrol(roster []Peer, founds bool) *wire.Mishap {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	if len(voter.store.state.Roster) > 0 {
+		return wire.New(wire.BadMessage, "a roster is there")
+	}
+	return voter.keep(record{Roster: roster, Founded: founds})
+}
+
+// Committed keeps that a register's accepted value is known to be committed, so
+// that it can be served after a restart before anybody leads.
+func (voter *Voter) Committed(register wire.Register, mark wire.Mark) {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	state := &voter.store.state
+	if state.Committed[register].Serial < mark.Serial && state.Accepted[register].Value.Serial == mark.Serial {
+		voter.keep(record{Register: register, Committed: &mark})
+	}
+}
+
 func (voter *Voter) Close() {
 	voter.turn.Take()
 	defer voter.turn.Give()
--- /dev/null
+++ b/proxy/connection.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Dialer opens a connection to a backend; tests bring their own.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+const (
+	connectionIdle   = 8 * time.Second
+	connectionBuffer = 4 << 10
+	headMost         = 256 << 10
+)
+
+// connection carries one request at a time to one backend.
+type connection struct {
+	conn   net.Conn
+	head   *io.LimitedReader
+	reader *bufio.Reader
+	used   time.Time
+	idle   time.Duration
+}
+
+func newConnection(conn net.Conn) *connection {
+	head := &io.LimitedReader{R: conn, N: headMost}
+	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, connectionBuffer), used: time.Now(), idle: connectionIdle}
+}
+
+// answer reads the head of an answer; one that does not end is cut off.
+func (connection *connection) answer(to *http.Request) (*http.Response, error) {
+	connection.head.N = headMost
+	response, fault := http.ReadResponse(connection.reader, to)
+	connection.head.N = math.MaxInt64
+	return response, fault
+}
+
+// sound is whether an idle connection may carry another request: not too old, not
+// closed by the other side, and with no byte that nobody asked for.
+func (connection *connection) sound(now time.Time) bool {
+	if now.Sub(connection.used) >= connection.idle || connection.reader.Buffered() > 0 {
+		return false
+	}
+	able, is := connection.conn.(syscall.Conn)
+	if !is {
+		return true
+	}
+	raw, fault := able.SyscallConn()
+	if fault != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	fault = raw.Read(func(descriptor uintptr) bool {
+		_, fault := syscall.Read(int(descriptor), one[:])
+		quiet = errors.Is(fault, syscall.EAGAIN)
+		return true
+	})
+	return fault == nil && quiet
+}
+
+// heed lays down what an answer's Keep-Alive field says of idle time.
+func (connection *connection) heed(keepAlive string) {
+	for _, part := range strings.Split(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, fault := strconv.Atoi(value); fault == nil && seconds >= 0 {
+			connection.idle = min(connectionIdle, time.Duration(min(seconds, 3600))*time.Second*3/4)
+		}
+	}
+}
+
+func (connection *connection) close() { connection.conn.Close() }
--- a/wire/member.go
+++ b/wire/member.go
@@ -63,6 +63,8 @@
 
 	Routing uint64
 	Windows []WindowCount
+	NowMs   int64
+	Gone    bool
 }
 
 func (session *Session) Check() *Mishap {
@@ -167,6 +169,9 @@
 	Duck   bool
 	Cores  []string
 	Serial uint64
+
+	Routing uint64
+	Table   TableMark
 }
 
 // Confirm asks the leader for the newest serial, proved by a beat after the ask.
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -118,7 +118,7 @@
 // Status is the HTTP status an outer side gives for a kind.
 func (kind Kind) Status() int {
 	switch kind {
-	case StaleBase, KeyBusy:
+	case StaleBase, StaleVersion, KeyBusy:
 		return http.StatusConflict
 	case Invalid, BadRequest, BadMessage, KeyRequired:
 		return http.StatusBadRequest
