--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -19,7 +19,9 @@
 	suspect     = 750 * time.Millisecond
 	tablePace   = 150 * time.Millisecond
 	sessionSpan = 2500 * time.Millisecond
-	listPace    = 500 * time.Millisecond
+	listShare   = 5
+	listFastest = 300 * time.Millisecond
+	listSlowest = time.Second
 	goneAfter   = 2
 	settle      = 3500 * time.Millisecond
 	callLimit   = 1500 * time.Millisecond
@@ -29,6 +31,12 @@
 	graceRest   = 500 * time.Millisecond
 )
 
+// listPace leaves the larger part of the time to leave a backend for the list's lag
+// and for telling everybody.
+func listPace(settings *platform.Settings) time.Duration {
+	return max(listFastest, min(listSlowest, (settings.Bounds.Drain-settings.Platform.Lag)/listShare))
+}
+
 // runCore is the life of a core.
 func (node *node) runCore() *wire.Mishap {
 	settings := node.source.Settings()
@@ -43,7 +51,7 @@
 	client := platform.NewClient(settings.Platform.Address, program.FarTransport(userTimeout), func() int64 { return core.Now() })
 	place := control.Place{Name: settings.Name, Zone: settings.Zone, Wire: inner(settings, settings.Address), Seeds: innerSeeds(settings), Found: settings.First,
 		Least: 2*settings.Survive.Machines + 1, Beat: beat, Suspect: suspect, Seed: uint64(time.Now().UnixNano()), Direct: true, Table: tablePace,
-		SessionSpan: sessionSpan, Lister: client.List, ListPace: listPace, GoneAfter: goneAfter}
+		SessionSpan: sessionSpan, Lister: client.List, ListPace: listPace(settings), GoneAfter: goneAfter}
 	if settings.Metered() {
 		place.Metering = control.Metering{Window: settings.Bounds.ReportWindow, Settle: settle, Quiet: settings.Bounds.Lease, Report: func(report control.WindowReport) control.ReportResult {
 			ctx, cancel := context.WithTimeout(context.Background(), callLimit)
--- a/control/core.go
+++ b/control/core.go
@@ -48,6 +48,7 @@
 	texts      wire.Texts
 	held       *content
 	table      *wire.Table
+	tableLog   *wire.TableLog
 	wanted     wire.TableMark
 	broken     *wire.Mishap
 	patience   time.Duration
@@ -64,6 +65,7 @@
 	core := &Core{place: place, line: line, threads: threads, counts: counts, news: run.NewBell(), prompt: run.NewBell(), reading: run.NewTurn(),
 		random: newDraws(place.Seed + uint64(place.ID)), table: &wire.Table{}, heard: time.Now()}
 	core.clock, core.clocks = run.NewClock(place.Wall), newClocks()
+	core.tableLog = wire.NewTableLog()
 	core.enlisted, core.meter = newEnlisted(place.Wire), newMeter()
 	core.known.Store(place.roster(store.State().Roster))
 	core.voter = NewVoter(store, core.diskFault, core.raised)
@@ -341,6 +343,7 @@
 	core.mutex.Lock()
 	fresh := core.table.Mark.Less(table.Mark)
 	if fresh {
+		core.tableLog.Next(core.table, table)
 		core.table = table
 	}
 	core.mutex.Unlock()
--- a/control/routing.go
+++ b/control/routing.go
@@ -17,7 +17,7 @@
 	body   []byte
 }
 
-// of packs a book without its trail.
+// of packs a book without its trail, and squeezes it.
 func (routed *routedBody) of(value wire.Value) ([]byte, *wire.Mishap) {
 	routed.mutex.Lock()
 	defer routed.mutex.Unlock()
@@ -33,8 +33,8 @@
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	routed.serial, routed.body = value.Serial, body
-	return body, nil
+	routed.serial, routed.body = value.Serial, wire.Squeeze(body)
+	return routed.body, nil
 }
 
 // Routing is the committed routing as this core holds it.
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -221,7 +221,7 @@
 		if mishap != nil {
 			return nil, mishap
 		}
-		told.Routing, told.RoutingBody = routing.Serial, body
+		told.Routing, told.RoutingBody, told.RoutingPacked = routing.Serial, body, true
 	}
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
@@ -229,7 +229,10 @@
 		told.Serial, told.Parts = value.Serial, treeParts(value.Parts)
 	}
 	if fetch.Table.Less(core.table.Mark) {
-		told.Table = core.table
+		delta, known := core.tableLog.Since(fetch.Table, core.table)
+		if told.Delta = delta; !known {
+			told.Table = core.table
+		}
 	}
 	return told, nil
 }
--- a/control/table.go
+++ b/control/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"sort"
 	"time"
 
 	"orchidjunction/wire"
@@ -40,6 +41,7 @@
 			}
 		}
 	}
+	sort.Slice(next.Members, func(left, right int) bool { return next.Members[left].Name < next.Members[right].Name })
 	if backends, whole := core.platform.list(); whole {
 		next.Backends, next.Complete = backends, true
 	}
@@ -83,6 +85,9 @@
 		return table
 	}
 	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: table.Mark})
+	if fault == nil && told.Delta != nil {
+		told.Table, _ = table.Apply(told.Delta)
+	}
 	if fault != nil || told.Table == nil {
 		core.counts.Add("tables_not_rebuilt", 1)
 		return table
@@ -100,7 +105,14 @@
 		return
 	}
 	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: held})
-	if fault == nil && told.Table != nil {
+	if fault != nil {
+		return
+	}
+	if told.Table != nil {
 		core.holdTable(told.Table)
+	} else if told.Delta != nil {
+		if table, fits := core.Table().Apply(told.Delta); fits {
+			core.holdTable(table)
+		}
 	}
 }
--- a/member/version.go
+++ b/member/version.go
@@ -35,7 +35,11 @@
 		next.Serial, next.Tree, next.Settings = told.Serial, tree, tree.Settings
 	}
 	if told.Routing > version.Routing {
-		book, mishap := route.BookOf(told.RoutingBody)
+		body, mishap := told.Unpacked()
+		if mishap != nil {
+			return nil, mishap
+		}
+		book, mishap := route.BookOf(body)
 		if mishap != nil {
 			return nil, mishap
 		}
@@ -43,6 +47,8 @@
 	}
 	if told.Table != nil && version.Table.Mark.Less(told.Table.Mark) {
 		next.Table = told.Table
+	} else if told.Delta != nil && version.Table.Mark.Less(told.Delta.Mark) {
+		next.Table, _ = version.Table.Apply(told.Delta)
 	}
 	return &next, nil
 }
--- a/program/program.go
+++ b/program/program.go
@@ -156,10 +156,13 @@
 
 // Listener is one open address and what serves it.
 type Listener struct {
-	server *http.Server
-	open   net.Listener
+	server   *http.Server
+	open     net.Listener
+	standing *standing
 }
 
+const drainPace = 20 * time.Millisecond
+
 func Listen(address string, handler http.Handler, header int) (*Listener, *wire.Mishap) {
 	if mishap := control.CheckAddress("listen", address); mishap != nil {
 		return nil, mishap
@@ -168,7 +171,8 @@
 	if fault != nil {
 		return nil, wire.New(wire.BadFlag, "%s: %v", address, fault)
 	}
-	return &Listener{open: typedListener{open}, server: &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+	standing := newStanding()
+	return &Listener{open: typedListener{open}, standing: standing, server: &http.Server{ConnState: standing.turned, Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
 		MaxHeaderBytes: header, ErrorLog: klog.NewStandardLogger("INFO")}}, nil
 }
 
@@ -176,15 +180,22 @@
 	threads.Start(func() { listener.server.Serve(listener.open) })
 }
 
-// Drain takes nothing new and waits for what is in flight, at most the grace.
+// Drain takes nothing new and waits for what is in flight, at most the grace. A
+// connection that waits for a request is ended by its reads: what was read of a
+// request before that is served.
 func (listener *Listener) Drain(grace time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	if listener.server.Shutdown(ctx) == nil {
-		return true
+	until := time.Now().Add(grace)
+	listener.open.Close()
+	for {
+		if listener.standing.end() == 0 {
+			return true
+		}
+		if !time.Now().Before(until) {
+			listener.server.Close()
+			return false
+		}
+		time.Sleep(drainPace)
 	}
-	listener.server.Close()
-	return false
 }
 
 func (listener *Listener) Close() { listener.server.Close() }
--- /dev/null
+++ b/program/standing.go
@@ -0,0 +1,50 @@
+package program
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const freshConnection = 300 * time.Millisecond
+
+// standing are a listener's open connections and since when each waits for a request.
+type standing struct {
+	mutex   sync.Mutex
+	waiting map[net.Conn]time.Time
+	serving map[net.Conn]bool
+}
+
+func newStanding() *standing {
+	return &standing{waiting: map[net.Conn]time.Time{}, serving: map[net.Conn]bool{}}
+}
+
+func (standing *standing) turned(conn net.Conn, state http.ConnState) {
+	standing.mutex.Lock()
+	defer standing.mutex.Unlock()
+	delete(standing.waiting, conn)
+	delete(standing.serving, conn)
+	switch state {
+	case http.StateNew:
+		standing.waiting[conn] = time.Now()
+	case http.StateIdle:
+		standing.waiting[conn] = time.Time{}
+	case http.StateActive:
+		standing.serving[conn] = true
+	}
+}
+
+// end lets waiting connections read nothing more, new ones a little later, and
+// gives how many are still open.
+func (standing *standing) end() int {
+	standing.mutex.Lock()
+	defer standing.mutex.Unlock()
+	now := time.Now()
+	for conn, since := range standing.waiting {
+		if now.Sub(since) > freshConnection {
+			conn.SetReadDeadline(now)
+		}
+	}
+	return len(standing.waiting) + len(standing.serving)
+}
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -92,7 +92,7 @@
 		}
 		service := view.index.Services[number]
 		view.services[number] = append(view.services[number], candidate{target: held, region: proxy.place.Regions[backend.Zone], far: proxy.place.distance(backend.Zone),
-			warmAt: backend.WarmAt, owned: table.Mark.Ballot.Round > 0 && owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
+			warmAt: backend.WarmAt, owned: table.Mark.Ballot.Round > 0 && (backend.WarmAt > 0 || held.doubted(now)) && owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
 			warming: warmupRate(service.WarmupRate, proxy.place.WarmupExcess, proxy.place.WarmupExtra)})
 	}
 	proxy.evacuated = evacuated
--- a/wire/member.go
+++ b/wire/member.go
@@ -156,9 +156,11 @@
 	Serial uint64
 	Parts  []Part
 	Table  *Table
+	Delta  *TableDelta
 
-	Routing     uint64
-	RoutingBody []byte
+	Routing       uint64
+	RoutingBody   []byte
+	RoutingPacked bool
 }
 
 // Who asks any daemon for the leader.
--- /dev/null
+++ b/wire/table_test.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"sort"
+	"testing"
+)
+
+// Whoever follows by deltas holds the same table as the one who made it, from
+// whichever mark it comes, over leaders that go on where the last one stopped.
+func TestTableDeltas(test *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		log, table := NewTableLog(), &Table{}
+		followers := []*Table{{}, {}, {}}
+		members, backends := map[string]Member{}, map[string]Backend{}
+		round, whole := uint64(1), 0
+		for step := range 400 {
+			for range random.IntN(4) {
+				name := fmt.Sprint("n", random.IntN(20))
+				switch random.IntN(4) {
+				case 0:
+					delete(members, name)
+				case 1:
+					delete(backends, name)
+				case 2:
+					members[name] = Member{Name: name, Ready: random.IntN(2) == 0}
+				default:
+					backends[name] = Backend{Name: name, Leaving: random.IntN(2) == 0, WarmAt: int64(random.IntN(3))}
+				}
+			}
+			if random.IntN(40) == 0 {
+				round++
+			}
+			next := &Table{Mark: TableMark{Ballot: Ballot{Round: round, Core: 1}, Number: uint64(step + 1)}, Complete: true}
+			for _, member := range members {
+				next.Members = append(next.Members, member)
+			}
+			for _, backend := range backends {
+				next.Backends = append(next.Backends, backend)
+			}
+			sort.Slice(next.Members, func(left, right int) bool { return next.Members[left].Name < next.Members[right].Name })
+			sort.Slice(next.Backends, func(left, right int) bool { return next.Backends[left].Name < next.Backends[right].Name })
+			log.Next(table, next)
+			table = next
+			for index := range followers {
+				if random.IntN(1+index*index*30) > 0 {
+					continue
+				}
+				delta, known := log.Since(followers[index].Mark, table)
+				if !known {
+					whole++
+					followers[index] = table
+					continue
+				}
+				applied, fits := followers[index].Apply(delta)
+				if !fits || applied.Mark != table.Mark || !same(applied, table) {
+					test.Fatalf("seed %d step %d follower %d: %v, %+v want %+v", seed, step, index, fits, applied, table)
+				}
+				followers[index] = applied
+			}
+		}
+		if whole > 3 {
+			test.Errorf("seed %d: %d whole tables for %d followers", seed, whole, len(followers))
+		}
+		if _, fits := (&Table{}).Apply(&TableDelta{Base: TableMark{Number: 9}}); fits {
+			test.Errorf("a delta of another table was laid in")
+		}
+	}
+}
+
+func same(left, right *Table) bool {
+	return len(left.Members) == len(right.Members) && len(left.Backends) == len(right.Backends) &&
+		(len(left.Members) == 0 || reflect.DeepEqual(left.Members, right.Members)) && (len(left.Backends) == 0 || reflect.DeepEqual(left.Backends, right.Backends))
+}
+
+// What went out of the log's reach is told as a whole.
+func TestTableLogIsBounded(test *testing.T) {
+	log, table := NewTableLog(), &Table{}
+	first := TableMark{Number: 1}
+	for step := range 3000 {
+		next := &Table{Mark: TableMark{Number: uint64(step + 1)}, Backends: []Backend{{Name: fmt.Sprint("a", step)}, {Name: fmt.Sprint("b", step)}}}
+		log.Next(table, next)
+		table = next
+	}
+	if _, known := log.Since(first, table); known {
+		test.Errorf("the first mark is still known")
+	}
+	if len(log.marks) > tableMarksMost || len(log.gone) > tableGoneMost || len(log.backends) != 2 {
+		test.Errorf("%d marks, %d gone, %d backends", len(log.marks), len(log.gone), len(log.backends))
+	}
+	if delta, known := log.Since(TableMark{Number: 2999}, table); !known || len(delta.GoneBackends) != 2 || len(delta.Backends) != 2 {
+		test.Errorf("%v %+v", known, delta)
+	}
+}
