--- a/cmd/ojnode/proxy.go
+++ b/cmd/ojnode/proxy.go
@@ -39,7 +39,7 @@
 	dialer := &net.Dialer{Control: program.UserTimeout(backendSilent), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}}
 	plane := proxy.NewProxy(proxy.Place{Name: settings.Name, Zone: settings.Zone, Regions: settings.Zones, Headers: platform.RequestHeaders(),
 		RetryRatio: settings.Bounds.RetryRatio, RetryExtra: float64(settings.Bounds.RetryExtra), WarmupExcess: settings.Bounds.WarmupExcess,
-		WarmupExtra: settings.Bounds.WarmupExtra, UsageWindow: settings.Bounds.ReportWindow, ListLag: settings.Platform.Lag}, dialer.DialContext, daemon.Now, node.threads, node.counts)
+		WarmupExtra: settings.Bounds.WarmupExtra, UsageWindow: settings.Bounds.ReportWindow, ListLag: settings.Platform.Lag, LinkBytes: settings.Machine.LinkMbps * 1e6 / 8}, dialer.DialContext, daemon.Now, node.threads, node.counts)
 	daemon.Serve(func(version *member.Version) {
 		if version.Book != nil && version.Routing > 0 && version.Table.Complete {
 			plane.Lay(version.Book, version.Table)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -265,7 +265,8 @@
 		if response.ContentLength > 0 && response.ContentLength <= wholeMost {
 			buffer.Grow(int(response.ContentLength) + bytes.MinRead)
 		}
-		count, fault := io.Copy(&buffer, io.LimitReader(response.Body, wholeMost))
+		source := &paced{from: response.Body, lane: proxy.inward, ctx: request.within, clock: proxy.clock, large: response.ContentLength > bulkLeast}
+		count, fault := io.Copy(&buffer, io.LimitReader(source, wholeMost))
 		if fault != nil {
 			return nil, lost
 		}
@@ -275,7 +276,7 @@
 		case response.ContentLength >= 0 && count < response.ContentLength && count < wholeMost:
 			return nil, lost
 		case count == wholeMost:
-			got.rest = response.Body
+			got.rest = source
 		}
 		return got, answered
 	}
--- a/proxy/place.go
+++ b/proxy/place.go
@@ -14,6 +14,7 @@
 	WarmupExtra  float64
 	UsageWindow  time.Duration
 	ListLag      time.Duration
+	LinkBytes    float64
 }
 
 func (place *Place) region() string { return place.Regions[place.Zone] }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -34,6 +34,8 @@
 	lines    lines
 	flight   flight
 	bodies   bodies
+	inward   *Lane
+	outward  *Lane
 	leaving  atomic.Bool
 
 	laying    sync.Mutex
@@ -47,6 +49,7 @@
 func NewProxy(place Place, dial Dialer, now func() int64, threads *run.Threads, counts *run.Counts) *Proxy {
 	proxy := &Proxy{place: place, dial: dial, threads: threads, counts: counts, clock: time.Now, now: now, stat: newStat(), freed: run.NewBell(),
 		targets: map[string]*target{}, budgets: map[string]*Budget{}, evacuated: map[string]bool{}, withheld: map[string]bool{}}
+	proxy.inward, proxy.outward = newLane(place.LinkBytes, proxy.clock()), newLane(place.LinkBytes, proxy.clock())
 	proxy.meter = newMeter(place.UsageWindow, now)
 	for _, name := range []string{place.Headers.Deadline, place.Headers.Target, place.Headers.Tenant} {
 		proxy.withheld[http.CanonicalHeaderKey(name)] = true
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -47,6 +47,7 @@
 	source  *http.Request
 	writer  http.ResponseWriter
 	context context.Context
+	within  context.Context
 	stage   stage
 	id      string
 	route   *route.Route
@@ -111,6 +112,9 @@
 		proxy.refuse(request, status, kind)
 		return
 	}
+	within, cancel := context.WithDeadline(request.context, request.limit)
+	defer cancel()
+	request.within = within
 	proxy.move(request, routed)
 	if number, found := view.index.ServiceIndex(request.service); found {
 		view.budgets[number].request()
@@ -160,6 +164,7 @@
 		}
 	}
 	request.limit = request.begin.Add(patience)
+	proxy.inward.pass(int(max(source.ContentLength, 0)), request.begin)
 	most := config.Limits.BodyBytes
 	if most <= 0 {
 		most = bodiesMost
@@ -349,9 +354,16 @@
 		header.Set("Content-Length", strconv.Itoa(size))
 	}
 	request.writer.WriteHeader(answer.response.StatusCode)
-	request.writer.Write(answer.body)
+	writer := &pacedWriter{to: request.writer, lane: proxy.outward, ctx: request.within, clock: proxy.clock, large: size > bulkLeast || answer.rest != nil}
+	if _, fault := writer.Write(answer.body); fault != nil {
+		if answer.rest != nil {
+			answer.release(false)
+		}
+		proxy.counts.Add("answers_cut_short", 1)
+		panic(http.ErrAbortHandler)
+	}
 	if answer.rest != nil {
-		copied, fault := io.Copy(request.writer, answer.rest)
+		copied, fault := io.Copy(writer, answer.rest)
 		size += int(copied)
 		whole := fault == nil && (answer.response.ContentLength < 0 || int64(size) == answer.response.ContentLength)
 		answer.release(whole && !answer.response.Close)
