--- a/control/core.go
+++ b/control/core.go
@@ -96,17 +96,27 @@
 	core.threads.Beat(run.Each(core.place.Table), core.buildTable)
 	core.threads.Beat(run.Each(core.place.Table), core.copyTable)
 	if core.platform.lister != nil {
-		core.threads.Beat(core.platform.pace, core.readPlatform)
+		core.threads.Beat(core.paced(core.platform.pace), core.readPlatform)
 	}
 	if core.place.Metering.Report != nil {
-		core.threads.Beat(run.Each(meterPace), core.sealWindows)
-		core.threads.Beat(run.Each(meterPace), core.reportWindows)
+		core.threads.Beat(core.paced(run.Each(meterPace)), core.sealWindows)
+		core.threads.Beat(core.paced(run.Each(meterPace)), core.reportWindows)
 	} else if core.place.Platform != "" {
 		core.threads.Beat(run.Each(usagePace), core.sealUsage)
 		core.threads.Beat(run.Each(usagePace), core.deliverUsage)
 	}
 }
 
+// paced is the pace of a leader's duty; other cores only look whether they lead.
+func (core *Core) paced(leads func() time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if _, mishap := core.leading(); mishap != nil {
+			return core.place.Suspect / 3
+		}
+		return leads()
+	}
+}
+
 // Register opens the core's side of the wire.
 func (core *Core) Register(door *wire.Door) {
 	wire.Take(door, "precheck", answer(core.onPrecheck))
--- a/sim/metering_test.go
+++ b/sim/metering_test.go
@@ -38,9 +38,10 @@
 
 // begin counts requests that a member begins now, by its own clock.
 func (meters *meters) begin(one *Member) {
-	window, tenant := one.Daemon.Now()/meters.span, fmt.Sprint("tenant-", meters.random.IntN(3))
+	window := one.Daemon.Now() / meters.span
 	meters.mutex.Lock()
 	defer meters.mutex.Unlock()
+	tenant := fmt.Sprint("tenant-", meters.random.IntN(3))
 	process := one.Daemon.Incarnation()
 	if meters.counted[process] == nil {
 		meters.counted[process] = map[int64]map[string]uint64{}
--- a/sim/roster_test.go
+++ b/sim/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -39,69 +40,88 @@
 	}
 }
 
+// beginning is one way in which a system starts for the first time.
+type beginning struct {
+	name   string
+	apart  int
+	before func(world *World)
+	after  func(world *World)
+}
+
+// lonely cuts the last core from all seeds but one.
+func lonely(shut bool) func(world *World) {
+	return func(world *World) {
+		last := world.Cores[len(world.Cores)-1]
+		for _, seed := range world.Cores[:2] {
+			world.Net.Cut(seed.Host, last.Host, shut && len(world.Cores) > 3)
+		}
+	}
+}
+
 // Cores that start together, apart, or with the founder killed and started
-// again at any moment, found one roster, and all of them are in it.
+// again at any moment, found one roster, and all of them know it.
 func TestRosterIsFoundedOnce(test *testing.T) {
+	nothing := func(*World) {}
 	each(test, func(test *testing.T, seed uint64) {
-		for _, cores := range []int{3, 4, 5} {
-			for name, start := range map[string]func(world *World){
-				"together": func(*World) {},
-				"a seed is slow": func(world *World) {
-					world.KillCore(int(seed)%3, false)
-					world.Rest(4 * time.Second)
-					world.StartCore(int(seed) % 3)
-				},
-				"the founder is killed": func(world *World) {
-					for range 4 {
-						world.Rest(time.Duration(300+seed*7%40*10) * time.Millisecond)
-						world.KillCore(0, true)
-						world.Rest(time.Duration(seed*31%200) * time.Millisecond)
-						world.StartCore(0)
-					}
-				},
-				"all are killed": func(world *World) {
-					for range 3 {
-						world.Rest(time.Duration(400+seed*13%60*10) * time.Millisecond)
-						for index := range world.Cores {
-							world.KillCore(index, true)
-						}
-						for index := range world.Cores {
-							world.StartCore(index)
-						}
-					}
-				},
-				"the founder's links are cut": func(world *World) {
-					world.Rest(time.Duration(700+seed*17%50*10) * time.Millisecond)
-					world.isolate(0, true)
-					world.Rest(2 * time.Second)
-					world.isolate(0, false)
-				},
-				"one core reaches one seed only": func(world *World) {
-					last := len(world.Cores) - 1
-					for index := range 2 {
-						world.Net.Cut(world.Cores[index].Host, world.Cores[last].Host, last > 2)
-					}
-					world.Rest(5 * time.Second)
-					for index := range 2 {
-						world.Net.Cut(world.Cores[index].Host, world.Cores[last].Host, false)
-					}
-				},
-				"started again without word of the first start": func(world *World) {
-					world.Rest(300 * time.Millisecond)
+		random := rand.New(rand.NewPCG(seed, 37))
+		some := func(most int) time.Duration { return time.Duration(random.IntN(most)) * time.Millisecond }
+		beginnings := []beginning{
+			{"together", 80, nothing, nothing},
+			{"a seed is slow", 80, nothing, func(world *World) {
+				world.KillCore(int(seed)%3, false)
+				world.Rest(4 * time.Second)
+				world.StartCore(int(seed) % 3)
+			}},
+			{"the founder is killed", 80, nothing, func(world *World) {
+				for range 4 {
+					world.Rest(300*time.Millisecond + some(400))
+					world.KillCore(0, true)
+					world.Rest(some(200))
+					world.StartCore(0)
+				}
+			}},
+			{"all are killed", 80, nothing, func(world *World) {
+				for range 3 {
+					world.Rest(400*time.Millisecond + some(600))
 					for index := range world.Cores {
 						world.KillCore(index, true)
-						world.Cores[index].wiped = true
+					}
+					for index := range world.Cores {
 						world.StartCore(index)
 					}
-				},
-			} {
-				what := fmt.Sprintf("%d cores, %s", cores, name)
+				}
+			}},
+			{"the founder's links are cut", 80, nothing, func(world *World) {
+				world.Rest(700*time.Millisecond + some(500))
+				world.isolate(0, true)
+				world.Rest(2 * time.Second)
+				world.isolate(0, false)
+			}},
+			{"started again without word of the first start", 80, nothing, func(world *World) {
+				world.Rest(300 * time.Millisecond)
+				for index := range world.Cores {
+					world.KillCore(index, true)
+					world.Cores[index].wiped = true
+					world.StartCore(index)
+				}
+			}},
+		}
+		for index := range 4 {
+			beginnings = append(beginnings, beginning{"one core reaches one seed only", 1 + 20*index, lonely(true), func(world *World) {
+				world.Rest(5 * time.Second)
+				lonely(false)(world)
+			}})
+		}
+		for _, cores := range []int{3, 4, 5} {
+			for _, beginning := range beginnings {
 				world := NewFarWorld(seed, cores)
+				beginning.before(world)
 				for index := range world.Cores {
 					world.StartCore(index)
+					world.Rest(some(beginning.apart))
 				}
-				start(world)
-				world.oneRoster(test, what, cores)
+				beginning.after(world)
+				world.oneRoster(test, fmt.Sprintf("%d cores, %s", cores, beginning.name), cores)
 				world.report(test)
 				world.CloseFar()
 			}
--- a/sim/world.go
+++ b/sim/world.go
@@ -160,6 +160,9 @@
 	place.Wall = func() int64 { return time.Now().UnixMilli() + machine.jump.Load() }
 	if world.Shape != nil {
 		world.Shape(machine, &place)
+		if mishap := place.Check(); mishap != nil {
+			world.broke("%s: %v", machine.Host, mishap)
+		}
 	}
 	place.Observe = func(_ control.Standing, ballot wire.Ballot) { world.led(machine, ballot) }
 	machine.threads = run.NewThreads()
