--- a/control/clock.go
+++ b/control/clock.go
@@ -74,11 +74,11 @@
 	return core.clock.Anchored(), now
 }
 
-// beatFor is a beat with the time at which it will arrive.
+// beatFor is a beat with the time at which it will arrive, once the way is known.
 func (core *Core) beatFor(peer Peer, message *wire.Beat) *wire.Beat {
-	timed := *message
-	if _, now := core.toldClock(); now > 0 {
-		timed.NowMs = now + core.clocks.trip(peer.ID).Milliseconds()/2
+	timed, trip := *message, core.clocks.trip(peer.ID)
+	if _, now := core.toldClock(); now > 0 && trip > 0 {
+		timed.NowMs = now + trip.Milliseconds()/2
 	}
 	return &timed
 }
--- /dev/null
+++ b/sim/far_test.go
@@ -0,0 +1,155 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"orchidjunction/member"
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// racer orders routings on top of what it reads, each by a number of its own.
+type racer struct {
+	world  *World
+	mutex  sync.Mutex
+	acked  map[uint64]uint64
+	zones  map[string]bool
+	unsure map[string]bool
+	ended  int
+}
+
+// run orders until told to stop; an order without a clear answer is sent again
+// unchanged, by another way.
+func (racer *racer) run(number int, going func() bool) {
+	world := racer.world
+	random := rand.New(rand.NewPCG(world.Seed, uint64(100+number)))
+	defer func() {
+		racer.mutex.Lock()
+		racer.ended++
+		racer.mutex.Unlock()
+	}()
+	holds := func() []*member.Hold {
+		all := world.holds()
+		for _, one := range world.Members {
+			all = append(all, one.Daemon.Hold)
+		}
+		random.Shuffle(len(all), func(left, right int) { all[left], all[right] = all[right], all[left] })
+		return all
+	}
+	zone := fmt.Sprint("z", number)
+	for going() {
+		world.Rest(time.Duration(random.IntN(300)) * time.Millisecond)
+		if random.IntN(4) == 0 {
+			begin := random.IntN(2) == 0
+			_, mishap := order[wire.Evacuate, wire.EvacuateTold](world, holds(), "evacuate", &wire.Evacuate{Zone: zone, Begin: begin})
+			racer.mutex.Lock()
+			racer.zones[zone], racer.unsure[zone] = begin, mishap != nil
+			racer.mutex.Unlock()
+			continue
+		}
+		told, mishap := order[wire.RouteRead, wire.RouteReadTold](world, holds(), "routeread", &wire.RouteRead{})
+		if mishap != nil {
+			continue
+		}
+		book, mishap := route.BookOf(told.Body)
+		if mishap != nil {
+			world.broke("read back: %v", mishap)
+			return
+		}
+		base := book.Config.Version
+		racer.mutex.Lock()
+		for version := range racer.acked {
+			if version > base && racer.acked[version] < base {
+				world.broke("%d on %d was acknowledged, then %d read", version, racer.acked[version], base)
+			}
+		}
+		racer.mutex.Unlock()
+		version := base + 1 + uint64(random.IntN(3))*3 + uint64(number)
+		if _, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, holds(), "routechange", Whole(version, base)); mishap == nil {
+			racer.mutex.Lock()
+			racer.acked[version] = base
+			racer.mutex.Unlock()
+		}
+	}
+}
+
+// Cores are harmed one after the other, and all at once, while operators race:
+// what they were told lasts, no base is built on twice, and members follow.
+func TestFarChaosKeepsWhatOperatorsWereTold(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3+2*int(seed%2))
+		meters := newMeters(world)
+		defer world.CloseFar()
+		world.farUp(test, 4)
+		racers := &racer{world: world, acked: map[uint64]uint64{}, zones: map[string]bool{}, unsure: map[string]bool{}}
+		stop := false
+		going := func() bool {
+			racers.mutex.Lock()
+			defer racers.mutex.Unlock()
+			return !stop
+		}
+		for number := range 3 {
+			world.threads.Start(func() { racers.run(number, going) })
+		}
+		world.threads.Start(func() {
+			for going() {
+				for _, one := range world.Members {
+					meters.begin(one)
+				}
+				world.Rest(50 * time.Millisecond)
+			}
+		})
+		chaos := world.Chaos()
+		for until := time.Now().Add(2 * chaosSpan()); time.Now().Before(until); {
+			chaos.Harm(Kinds[chaos.random.IntN(len(Kinds))], chaos.random.IntN(len(world.Cores)))
+			world.Rest(chaos.span(100*time.Millisecond, 4*time.Second))
+		}
+		racers.mutex.Lock()
+		stop = true
+		racers.mutex.Unlock()
+		if !world.Until(60*time.Second, func() bool { racers.mutex.Lock(); defer racers.mutex.Unlock(); return racers.ended == 3 }) {
+			test.Fatal("operators have no answer")
+		}
+		book, mishap := world.Book()
+		if mishap != nil {
+			test.Fatal(mishap)
+		}
+		applied, bases := map[uint64]bool{}, map[uint64]uint64{}
+		for _, one := range book.Trail {
+			applied[one.Version] = true
+		}
+		for version, base := range racers.acked {
+			if !applied[version] {
+				world.broke("%d on %d was acknowledged and is not in the trail", version, base)
+			}
+			if other, found := bases[base]; found {
+				world.broke("%d and %d were both acknowledged on %d", other, version, base)
+			}
+			bases[base] = version
+		}
+		for zone, emptied := range racers.zones {
+			held := false
+			for _, one := range book.Evacuated {
+				held = held || one == zone
+			}
+			if held != emptied && !racers.unsure[zone] {
+				world.broke("%s emptied %v, read back %v", zone, emptied, book.Evacuated)
+			}
+		}
+		if took, whole := world.reached(book.Config.Version, 4*time.Second); !whole {
+			world.broke("routing %d is not everywhere after %v", book.Config.Version, took)
+		}
+		if len(racers.acked) < 15 {
+			world.broke("only %d routings were acknowledged", len(racers.acked))
+		}
+		if held := world.rosters(); len(held) != 1 {
+			world.broke("%v", held)
+		}
+		test.Logf("%d acknowledged, %d leaderships, %d windows told, harms %v", len(racers.acked), len(world.Leads), len(meters.told), chaos.Done)
+		world.report(test)
+	})
+}
