What a blank disk takes over is accepted under its own ballot, so it is no vote of a former one

Cause: a survey takes a majority of equal marks as proof of a commit. A restored core kept the others' marks as its own; with 5 cores and two disks wiped one after the other, copies of a single uncommitted vote made three equal marks, while a cut-off core held a later ballot that the next leader would have preferred. The fence is a majority with the core itself, so its own ballot may be written there.

--- a/control/restore.go
+++ b/control/restore.go
@@ -71,7 +71,7 @@
 	}
 	core.counts.Add("restores", 1)
 	klog.Infof("core %d: restored from %d cores under %s", core.roster().ID, len(granted), ballot)
-	granted[core.roster().ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: accepted}
+	granted[core.roster().ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: core.voter.State().Accepted}
 	if core.chart.move(Revoking) {
 		core.found(ballot, &Revocation{Method: BallotFence, Ballot: ballot, Revoked: revoked, Promises: granted, Complete: true})
 		core.chart.moveBack()
--- a/control/voter.go
+++ b/control/voter.go
@@ -100,7 +100,8 @@
 	return &wire.AcceptTold{Taken: true, Promised: state.Promised}, nil
 }
 
-// Found makes a blank disk a voter with what the others hold.
+// Found makes a blank disk a voter with what the others hold, accepted under its
+// own ballot: a copy is no vote for the ballot that it was written under.
 func (voter *Voter) Found(promised wire.Ballot, accepted [wire.Registers]wire.Accepted, texts wire.Texts) *wire.Mishap {
 	voter.turn.Take()
 	defer voter.turn.Give()
@@ -114,6 +115,7 @@
 	steps := []record{}
 	for register := range accepted {
 		if accepted[register].Ballot.Round > 0 {
+			accepted[register].Ballot = promised
 			steps = append(steps, record{Register: wire.Register(register), Accepted: &accepted[register], Texts: texts})
 		}
 	}
