A core whose leadership ended is not cold

Cause: the end of a leadership emptied the known leader, and a core that knows no ballot counts as one that heard of nobody since its start: it stood again every 0.1 s instead of after the suspicion span, read lists without leading and gave no way to fitter cores. The ballot stays, as a daemon keeps it for a leader it dropped.

--- a/control/core.go
+++ b/control/core.go
@@ -282,7 +282,7 @@
 	if mine {
 		core.leadership = nil
 		if core.leader.Ballot == leadership.ballot {
-			core.leader = wire.Leader{}
+			core.leader = wire.Leader{Ballot: leadership.ballot}
 		}
 		core.heard = time.Now()
 	}
