Only who still leads refuses a base that it never heard of

Cause: cores that restarted and have heard nobody elect at once, while a leader cut off from them still believes its last beat. It answered 412 to an order on a base that the next leader had acknowledged; where the order had already gone there by another way, it would be in force though refused. The refusal is now confirmed by a beat, else the order goes on to the next leader.

--- a/control/routing.go
+++ b/control/routing.go
@@ -131,6 +131,8 @@
 }
 
 // onRouteChange puts an operator's routing in force at the leader, or says why not.
+// A base that is newer than all this core knows is refused only by who still leads:
+// the next leader may have taken the order.
 func (core *Core) onRouteChange(message *wire.RouteChange) (*wire.RouteChangeTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
 	if mishap != nil {
@@ -140,12 +142,17 @@
 	if fault := wire.Unpack(message.Body, change); fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	told := &wire.RouteChangeTold{}
+	told, newer := &wire.RouteChangeTold{}, false
 	told.Serial, mishap = leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
 		next, again, mishap := decide(book, change)
-		told.Again = again
+		told.Again, newer = again, change.Base > book.Config.Version
 		return next, mishap
 	})
+	if mishap != nil && mishap.Kind == wire.StaleBase && newer {
+		if unsure := leadership.confirm(core.roundLimit()); unsure != nil {
+			mishap = unsure
+		}
+	}
 	if mishap != nil {
 		core.counts.Add("routings_"+string(mishap.Kind), 1)
 		return nil, mishap
