A leader asks the daemons for their table where its own is from before it led

Cause: after all cores restarted, a core holds a table it made alone before a leader; it took that for its own and asked no daemon. Members who could not speak within 0.5 s fell out of the first table, with counts of backends that changed.

--- a/control/table.go
+++ b/control/table.go
@@ -18,7 +18,7 @@
 	}
 	before := core.Table()
 	sessions := core.sessions.standing(0)
-	if before.Mark == (wire.TableMark{}) || !before.Complete {
+	if before.Mark.Ballot.Round == 0 || !before.Complete {
 		before = core.askHeld(before, sessions)
 	}
 	if before.Mark.Ballot.Round == 0 && time.Since(leadership.since) < core.place.firstTable() {
