--- a/sim/far.go
+++ b/sim/far.go
@@ -137,6 +137,9 @@
 		Routes: []route.Route{{Name: fmt.Sprint("route-", version), Host: "a.example", Prefix: "/a/", Service: "desk", Attempts: 1, TimeoutMs: 2000, TargetMs: 500, Kind: route.Repeatable}}}
 }
 
+// Book is a small routing as the register holds it.
+func Book(version uint64) *route.Book { return &route.Book{Config: *Routing(version)} }
+
 // Whole is an operator's order of a whole routing on top of a version.
 func Whole(version, base uint64) *wire.RouteChange {
 	body, _ := wire.Pack(&route.Change{Version: version, Base: base, Digest: fmt.Sprintf("%d on %d", version, base), Whole: Routing(version)})
--- /dev/null
+++ b/sim/recovery_test.go
@@ -0,0 +1,482 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/wire"
+)
+
+// killAll ends every core, and every member too where wanted.
+func (world *World) killAll(power, members bool) {
+	for index := range world.Cores {
+		world.KillCore(index, power)
+	}
+	for _, one := range world.Members {
+		if members {
+			world.KillMember(one)
+		}
+	}
+}
+
+func (world *World) startAll() {
+	for index := range world.Cores {
+		if world.Cores[index].life(world) == nil {
+			world.StartCore(index)
+		}
+	}
+	for _, one := range world.Members {
+		if !one.Alive {
+			world.StartMember(one)
+		}
+	}
+}
+
+// coresApart cuts all cores from each other.
+func (world *World) coresApart(cut bool) {
+	for index := range world.Cores {
+		world.isolate(index, cut)
+	}
+}
+
+// serves is the version that a member serves by, 0 while it can't.
+func (one *Member) serves() uint64 {
+	version := one.Daemon.Version()
+	if version.Book == nil || !version.Table.Complete {
+		return 0
+	}
+	return version.Book.Config.Version
+}
+
+// serving is how long after now the first member, or every one, serves a version.
+func (world *World) serving(version uint64, all bool, limit time.Duration) (time.Duration, bool) {
+	begin := time.Now()
+	done := world.Until(limit, func() bool {
+		count := 0
+		for _, one := range world.Members {
+			if one.Alive && one.serves() >= version {
+				count++
+			}
+		}
+		return count == len(world.Members) || !all && count > 0
+	})
+	return time.Since(begin), done
+}
+
+func (world *World) sound() bool {
+	for _, machine := range world.Cores {
+		if core := machine.life(world); core == nil || !core.Sound() {
+			return false
+		}
+	}
+	return true
+}
+
+func (world *World) leads() int {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return len(world.Leads)
+}
+
+// calm waits until one leads and all vote.
+func (world *World) calm(test *testing.T) int {
+	test.Helper()
+	if !world.Until(20*time.Second, func() bool { return world.Leader() >= 0 && world.sound() }) {
+		test.Fatal("not calm")
+	}
+	return world.Leader()
+}
+
+// calmNotFirst is calm under a leader that is not the one that stands first.
+func (world *World) calmNotFirst(test *testing.T) int {
+	test.Helper()
+	for world.calm(test) == 0 {
+		world.TermCore(0)
+		world.StartCore(0)
+	}
+	return world.Leader()
+}
+
+// All end just after a routing was acknowledged: by a kill, by the loss of power,
+// or with as many disks as may be lost. Members serve it soon after the start.
+func TestServedSoonAfterAllEnded(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for _, cores := range []int{3, 5} {
+			world := NewFarWorld(seed, cores)
+			world.farUp(test, 4)
+			version := uint64(1)
+			for round, kind := range []string{"killed", "power", "wiped", "leader stays away", "leader wiped, others were cut", "killed"} {
+				leader := world.calm(test)
+				cut := []int{}
+				for offset := 1; offset <= cores/2 && kind == "leader wiped, others were cut"; offset++ {
+					cut = append(cut, (leader+offset)%cores)
+					world.isolate((leader+offset)%cores, true)
+				}
+				if mishap := world.Put(version+1, version); mishap != nil {
+					test.Fatal(mishap)
+				}
+				version++
+				world.killAll(kind != "killed", true)
+				first, whole := 400*time.Millisecond, 600*time.Millisecond
+				switch kind {
+				case "wiped":
+					first, whole = 400*time.Millisecond, 1800*time.Millisecond
+					for lost := range cores / 2 {
+						world.WipeCore((int(seed) + round + lost) % cores)
+					}
+				case "leader stays away":
+					whole = 2500 * time.Millisecond
+				case "leader wiped, others were cut":
+					first, whole = 2500*time.Millisecond, 2500*time.Millisecond
+					world.WipeCore(leader)
+				}
+				world.Rest(time.Duration(seed*37%8) * 50 * time.Millisecond)
+				for _, index := range cut {
+					world.isolate(index, false)
+				}
+				world.startAll()
+				if kind == "leader stays away" {
+					world.KillCore(leader, false)
+				}
+				begin := time.Now()
+				took, done := world.serving(version, false, 10*time.Second)
+				if !done || took > first {
+					world.broke("%d cores, %s: served after %v, want %v", cores, kind, took, first)
+				}
+				_, done = world.serving(version, true, 10*time.Second)
+				if all := time.Since(begin); !done || all > whole {
+					world.broke("%d cores, %s: served everywhere after %v, want %v", cores, kind, all, whole)
+				} else {
+					test.Logf("%d cores, %s: served after %v, everywhere after %v", cores, kind, took, all)
+				}
+				world.startAll()
+				world.calm(test)
+				if book, mishap := world.Book(); mishap != nil || book.Config.Version != version {
+					world.broke("%d cores, %s: read back %+v %v", cores, kind, book, mishap)
+				}
+			}
+			world.report(test)
+			world.CloseFar()
+		}
+	})
+}
+
+// accepted lays an uncommitted routing on a stopped core's disk.
+func (world *World) accepted(test *testing.T, index int, version uint64) {
+	test.Helper()
+	store, mishap := control.OpenStore(world.Cores[index].Disk)
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	voter := control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
+	held := voter.State().Accepted[wire.RoutingRegister]
+	body, _ := wire.Pack(Book(version))
+	told, mishap := voter.Accept(&wire.Accept{Ballot: voter.State().Promised, Register: wire.RoutingRegister, Value: wire.Value{Serial: held.Value.Serial + 1, Body: body}})
+	if mishap != nil || !told.Taken {
+		test.Fatal(told, mishap)
+	}
+	store.Close()
+}
+
+// A routing that less than a majority accepted is told to nobody before a leader
+// decides on it, and after that all hold the same.
+func TestUndecidedIsNotHandedOut(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for _, cores := range []int{3, 5} {
+			for _, apart := range []bool{true, false} {
+				world := NewFarWorld(seed, cores)
+				world.farUp(test, 3)
+				world.Rest(time.Second)
+				world.killAll(true, true)
+				holders := map[int]bool{}
+				for offset := range cores / 2 {
+					holders[(int(seed)+offset)%cores] = true
+					world.accepted(test, (int(seed)+offset)%cores, 2)
+				}
+				if apart {
+					world.coresApart(true)
+				}
+				for index := range world.Cores {
+					if apart || holders[index] {
+						world.StartCore(index)
+					}
+				}
+				for _, one := range world.Members {
+					world.StartMember(one)
+				}
+				for until := time.Now().Add(5 * time.Second); time.Now().Before(until); world.Rest(20 * time.Millisecond) {
+					for _, one := range world.Members {
+						if version := one.Daemon.Version(); version.Book != nil && version.Book.Config.Version > 1 {
+							test.Fatalf("%d cores, apart %v: %s holds an undecided routing", cores, apart, one.Name)
+						}
+					}
+				}
+				for _, one := range world.Members {
+					if apart && one.serves() != 1 {
+						world.broke("%d cores: %s does not serve what was known committed", cores, one.Name)
+					}
+				}
+				world.coresApart(false)
+				world.startAll()
+				world.calm(test)
+				book, mishap := world.Book()
+				if mishap != nil {
+					test.Fatal(mishap)
+				}
+				if took, done := world.serving(book.Config.Version, true, 5*time.Second); !done {
+					world.broke("%d cores: %d not everywhere after %v", cores, book.Config.Version, took)
+				}
+				for _, one := range world.Members {
+					if one.serves() != book.Config.Version {
+						world.broke("%d decided, %s holds %d", book.Config.Version, one.Name, one.serves())
+					}
+				}
+				world.report(test)
+				world.CloseFar()
+			}
+		}
+	})
+}
+
+// A core that restarts alone leaves the leader where it is.
+func TestRestartAloneDisturbsNobody(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3+2*int(seed%2))
+		defer world.CloseFar()
+		world.farUp(test, 2)
+		leader := world.calmNotFirst(test)
+		before := world.leads()
+		for index := range world.Cores {
+			for round := range 3 {
+				if index == leader {
+					continue
+				}
+				world.KillCore(index, round%2 == 0)
+				world.Rest(time.Duration(round) * 400 * time.Millisecond)
+				world.StartCore(index)
+				world.Rest(2 * time.Second)
+				if mishap := world.Evacuate("z", round%2 == 0); mishap != nil {
+					world.broke("%v", mishap)
+				}
+			}
+		}
+		if after := world.leads(); after != before || world.Leader() != leader {
+			world.broke("core %d led, then %v", leader+1, world.Leads[before:])
+		}
+		world.report(test)
+	})
+}
+
+// counted is a counter's sum over the living cores.
+func (world *World) counted(name string) uint64 {
+	sum := uint64(0)
+	for _, machine := range world.Cores {
+		if machine.life(world) == nil {
+			continue
+		}
+		told, fault := wire.Ask[wire.Status, wire.StatusTold](machine.line, machine.Wire, "status", time.Second, &wire.Status{})
+		if fault != nil {
+			world.broke("no status of core %d: %v", machine.ID, fault)
+			continue
+		}
+		sum += told.Counts[name]
+	}
+	return sum
+}
+
+// Cores that start again together stand in turn: one fence, one leadership, and soon.
+func TestCoresStandInTurn(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for _, cores := range []int{3, 5} {
+			world := NewFarWorld(seed, cores)
+			world.farUp(test, 0)
+			longest := time.Duration(0)
+			for round := range 25 {
+				world.calm(test)
+				before := world.leads()
+				world.killAll(round%2 == 0, false)
+				world.Rest(500 * time.Millisecond)
+				begin := time.Now()
+				for index := range world.Cores {
+					if round%5 != 4 || index != int(seed)%cores {
+						world.StartCore(index)
+					}
+					world.Rest(time.Duration(round%3) * time.Duration(world.random.IntN(60)) * time.Millisecond)
+				}
+				world.Rest(time.Until(begin.Add(2 * time.Second)))
+				switch after := world.leads(); after - before {
+				case 0:
+					world.broke("%d cores, round %d: nobody leads after 2 s", cores, round)
+				case 1:
+					longest = max(longest, world.Leads[before].At.Sub(begin))
+				default:
+					world.broke("%d cores, round %d: %v within 2 s", cores, round, world.Leads[before:])
+				}
+				if fences := world.counted("standing_revoking"); fences > 1 {
+					world.broke("%d cores, round %d: %d fences", cores, round, fences)
+				}
+				world.startAll()
+			}
+			test.Logf("%d cores: the latest leader stood after %v", cores, longest)
+			world.report(test)
+			world.CloseFar()
+		}
+	})
+}
+
+// A core that restarts cut off from the others tells what it knew committed and
+// leads nothing; members in touch with the others go on to what is newer, and
+// back in touch it follows without disturbing.
+func TestRestartedCutOff(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 2)
+		lone, fresh, near := int(seed)%3, world.AddMember(0), world.AddMember(1)
+		world.Rest(time.Second)
+		world.KillCore(lone, true)
+		world.isolate(lone, true)
+		if mishap := world.Put(2, 1); mishap != nil {
+			test.Fatal(mishap)
+		}
+		for index, machine := range world.Cores {
+			world.Net.Cut(machine.Host, near.Host, index != lone)
+		}
+		world.StartCore(lone)
+		world.Rest(time.Duration(seed%3) * 100 * time.Millisecond)
+		world.StartMember(fresh)
+		world.StartMember(near)
+		world.Rest(1500 * time.Millisecond)
+		if fresh.serves() != 2 || near.serves() != 1 {
+			world.broke("in touch with all: serves %d, with the lone core: %d", fresh.serves(), near.serves())
+		}
+		if world.Cores[lone].Core.Leads() {
+			world.broke("a core that is cut off leads")
+		}
+		before, leader := world.leads(), world.Leader()
+		world.isolate(lone, false)
+		for _, machine := range world.Cores {
+			world.Net.Cut(machine.Host, near.Host, false)
+		}
+		if took, done := world.serving(2, true, 4*time.Second); !done {
+			world.broke("back in touch: not caught up after %v", took)
+		}
+		world.Rest(2 * time.Second)
+		if after := world.leads(); after != before || world.Leader() != leader {
+			world.broke("back in touch the lone core made %v", world.Leads[before:])
+		}
+		world.report(test)
+	})
+}
+
+// All cores restart under living members. A table from before a leader replaces
+// no leader's, and the next leader's keeps a member that can't speak just then.
+func TestTableBeforeALeaderIsTheOldest(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.Listed = func(string) control.Listing {
+			return control.Listing{Backends: []wire.Backend{{Name: "b", Service: "desk", Address: "10.9.9.9:80", Slots: 4}}}
+		}
+		world.farUp(test, 5)
+		world.Rest(3 * time.Second)
+		mute, marks := world.Members[int(seed)%5], map[string]wire.TableMark{}
+		for round := range 4 {
+			world.calm(test)
+			world.Rest(3 * time.Second)
+			cut := func(shut bool) {
+				for _, machine := range world.Cores {
+					world.Net.Cut(machine.Host, mute.Host, shut)
+				}
+			}
+			cut(true)
+			world.killAll(round%2 == 0, false)
+			world.Rest(200 * time.Millisecond)
+			world.startAll()
+			late := world.AddMember(round % 3)
+			world.StartMember(late)
+			begin := time.Now()
+			for time.Since(begin) < 1400*time.Millisecond {
+				for _, one := range world.Members {
+					table := one.Daemon.Version().Table
+					if table.Mark.Less(marks[one.Name]) {
+						world.broke("round %d: %s went back from table %v to %v", round, one.Name, marks[one.Name], table.Mark)
+					}
+					marks[one.Name] = table.Mark
+					if one != late && table.Mark.Ballot.Round == 0 {
+						world.broke("round %d: %s took a table of no leader", round, one.Name)
+					}
+					listed := false
+					for _, known := range table.Members {
+						listed = listed || known.Name == mute.Name
+					}
+					if !listed && table.Mark.Ballot.Round > 0 {
+						test.Fatalf("round %d: %s lost %s from its table %v after %v", round, one.Name, mute.Name, table.Mark, time.Since(begin))
+					}
+				}
+				world.Rest(10 * time.Millisecond)
+			}
+			cut(false)
+			if !late.Daemon.Version().Table.Complete {
+				world.broke("round %d: the new member has no table", round)
+			}
+		}
+		world.report(test)
+	})
+}
+
+// A leader that others have replaced without its knowledge does not refuse an
+// order for a base it never heard of: that may be in force already.
+func TestReplacedLeaderRefusesNoNewerBase(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		refused := 0
+		for range 4 {
+			world := NewFarWorld(seed, 3)
+			world.Net.Lag(func(string, string) time.Duration { return 0 })
+			world.farUp(test, 0)
+			leader := world.calmNotFirst(test)
+			world.Rest(time.Second)
+			world.isolate(leader, true)
+			for index := range world.Cores {
+				if index != leader {
+					world.KillCore(index, true)
+					world.StartCore(index)
+				}
+			}
+			other := (leader + 1) % 3
+			if !world.Until(2*time.Second, func() bool {
+				for index, machine := range world.Cores {
+					if core := machine.life(world); index != leader && core.Leads() {
+						other = index
+						return true
+					}
+				}
+				return false
+			}) {
+				test.Fatal("no second leader")
+			}
+			ask := func(index int, version, base uint64) error {
+				_, fault := wire.Ask[wire.RouteChange, wire.RouteChangeTold](world.Cores[other].line, world.Cores[index].Wire, "routechange", 500*time.Millisecond, Whole(version, base))
+				return fault
+			}
+			if fault := ask(other, 2, 1); fault != nil {
+				test.Fatal(fault)
+			}
+			line := wire.NewLine(world.Net.Transport("10.8.0.1"))
+			_, fault := wire.Ask[wire.RouteChange, wire.RouteChangeTold](line, world.Cores[leader].Wire, "routechange", time.Second, Whole(3, 2))
+			if kind := wire.KindOf(fault); kind == wire.StaleBase {
+				world.broke("the replaced leader refused: %v", fault)
+			} else if kind != wire.NotLeader && kind != wire.NoLeader {
+				world.broke("the replaced leader answered %v", fault)
+			} else {
+				refused++
+			}
+			line.Close()
+			world.report(test)
+			world.CloseFar()
+		}
+		test.Log(fmt.Sprint(refused, " sent on"))
+	})
+}
