A takeover is one frame, and a segment found unnamed is named before it is used

Cause: what a blank disk takes over went out in several frames; torn so that an earlier one was lost and a later one whole, the core ended with corrupt_store for good. And a process killed between making a segment and syncing the folder left one that the next process appended to, though a loss of power could take its name. Both tests fail without the change.

--- a/control/journal.go
+++ b/control/journal.go
@@ -71,6 +71,9 @@
 	}
 	journal.number = segments[len(segments)-1]
 	file, fault := disk.Extend(numbered(name, journal.number), journal.size)
+	if fault == nil {
+		fault = disk.Sync()
+	}
 	if fault != nil {
 		return nil, storeFault(wire.DiskFault, fault, "extend %s", numbered(name, journal.number))
 	}
--- a/control/store.go
+++ b/control/store.go
@@ -47,6 +47,7 @@
 	Texts    wire.Texts
 
 	Committed *wire.Mark
+	Then      []record
 }
 
 func (state *State) lay(step record) {
@@ -67,6 +68,9 @@
 			state.trim(step.Texts)
 		}
 	}
+	for _, next := range step.Then {
+		state.lay(next)
+	}
 }
 
 // trim keeps the texts that accepted values name; readers may hold the former map.
@@ -138,25 +142,20 @@
 	return nil
 }
 
-// Append lasts once it returns; after any fault the store takes nothing more.
-func (store *Store) Append(steps ...record) *wire.Mishap {
-	var block []byte
-	for _, step := range steps {
-		frame, mishap := packFrame(&step)
-		if mishap != nil {
-			return mishap
-		}
-		block = append(block, frame...)
+// Append lasts once it returns; after any fault the store takes nothing more. It
+// is one frame: torn in any way, all of it is cut.
+func (store *Store) Append(step record) *wire.Mishap {
+	frame, mishap := packFrame(&step)
+	if mishap != nil {
+		return mishap
 	}
-	if store.journal.full(block) && store.journal.broken == nil {
+	if store.journal.full(frame) && store.journal.broken == nil {
 		store.journal.broken = store.roll()
 	}
-	if mishap := store.journal.Append(block); mishap != nil {
+	if mishap := store.journal.Append(frame); mishap != nil {
 		return mishap
 	}
-	for _, step := range steps {
-		store.state.lay(step)
-	}
+	store.state.lay(step)
 	return nil
 }
 
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -100,3 +100,51 @@
 		test.Fatal(fmt.Sprint("too few tried: ", stopped, cut))
 	}
 }
+
+// A segment that a process made and did not live to see named on the disk is
+// named before the next process appends to it.
+func TestFoundSegmentLastsOnceAppended(test *testing.T) {
+	disk := sim.NewDisk(1)
+	if _, fault := disk.Create("segment-0000000000000000"); fault != nil {
+		test.Fatal(fault)
+	}
+	answered := fill(test, disk, rand.New(rand.NewPCG(1, 1)), 8)
+	store, mishap := control.OpenStore(disk.Sever(true))
+	if mishap != nil || !same(answered, store.State()) {
+		test.Fatalf("answered %v %v, kept %+v: %v", answered.Promised, answered.Marks(), store, mishap)
+	}
+}
+
+// What a blank disk takes over is torn in its first bytes only, or in any others:
+// the disk is blank again, and works.
+func TestTornTakeoverLeavesABlankDisk(test *testing.T) {
+	accepted := [wire.Registers]wire.Accepted{}
+	for register := range accepted {
+		accepted[register] = wire.Accepted{Ballot: wire.Ballot{Round: 2, Core: 1}, Value: wire.Value{Serial: 3, Body: make([]byte, 300)}}
+	}
+	open := func(disk *sim.Disk) *control.Voter {
+		store, mishap := control.OpenStore(disk)
+		if mishap != nil {
+			test.Fatal(mishap)
+		}
+		return control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
+	}
+	whole := sim.NewDisk(1)
+	open(whole).Found(wire.Ballot{Round: 5, Core: 3}, accepted, nil)
+	size := whole.Size("segment-0000000000000000")
+	for at := 0; at < size; at += 7 {
+		disk := whole.Fork()
+		disk.Harm("segment-0000000000000000", at)
+		voter := open(disk)
+		if !voter.Blank() || voter.State().Marks() != (wire.Marks{}) {
+			test.Fatalf("byte %d: %+v", at, voter.State())
+		}
+		if mishap := voter.Found(wire.Ballot{Round: 6, Core: 3}, accepted, nil); mishap != nil || voter.Blank() {
+			test.Fatalf("byte %d: %v", at, mishap)
+		}
+		voter.Close()
+		if again := open(disk.Sever(true)); again.Blank() || again.State().Promised.Round != 6 {
+			test.Fatalf("byte %d: %+v", at, again.State())
+		}
+	}
+}
--- a/control/voter.go
+++ b/control/voter.go
@@ -33,9 +33,9 @@
 func (voter *Voter) Blank() bool { return !voter.State().Founded }
 
 // keep appends within the turn and shows the new state.
-func (voter *Voter) keep(steps ...record) *wire.Mishap {
+func (voter *Voter) keep(step record) *wire.Mishap {
 	before := voter.store.state.Promised
-	if mishap := voter.store.Append(steps...); mishap != nil {
+	if mishap := voter.store.Append(step); mishap != nil {
 		voter.fault(mishap)
 		return mishap
 	}
@@ -112,14 +112,13 @@
 	if promised.Round > 0 {
 		step.Promised = &promised
 	}
-	steps := []record{}
 	for register := range accepted {
 		if accepted[register].Ballot.Round > 0 {
 			accepted[register].Ballot = promised
-			steps = append(steps, record{Register: wire.Register(register), Accepted: &accepted[register], Texts: texts})
+			step.Then = append(step.Then, record{Register: wire.Register(register), Accepted: &accepted[register], Texts: texts})
 		}
 	}
-	return voter.keep(append(steps, step)...)
+	return voter.keep(step)
 }
 
 // Open marks a blank disk as one of the system's first start.
