Before a leader a proxy saves up one further attempt, not a share by a table that names few

Cause: a table from before a leader names only the daemons that spoke to that core. Freshly started proxies in a cut-off zone each took their part of the extra by that count, so that together with the rest of the fleet they could pass retry_extra. Once a leader's table comes the part is laid down as always. Seen failing with the part taken from any table.

--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -11,6 +11,8 @@
 	tokens float64
 	most   float64
 	ratio  float64
+
+	presumed bool
 }
 
 const (
@@ -28,11 +30,24 @@
 		budget.most = most
 		budget.tokens = min(budgetStart, most)
 	}
+	if budget.presumed {
+		budget.most, budget.presumed = most, false
+	}
 	budget.most = min(budget.most, most)
 	budget.ratio = ratio * budgetUse
 	budget.tokens = min(budget.tokens, budget.most)
 }
 
+// presume is share while no leader said how many proxies there are: no more is
+// saved up than what a fresh process starts with.
+func (budget *Budget) presume(ratio, extra float64, proxies int) {
+	budget.share(ratio, extra, proxies)
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.most, budget.presumed = min(budget.most, budgetStart), true
+	budget.tokens = min(budget.tokens, budget.most)
+}
+
 func (budget *Budget) request() {
 	budget.mutex.Lock()
 	budget.tokens = min(budget.most, budget.tokens+budget.ratio)
--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
 )
 
 // spending is what several proxies did of late, for the sum over any window.
@@ -114,3 +117,46 @@
 		test.Error("granted where nothing is allowed")
 	}
 }
+
+// Before a leader says how many proxies there are, none saves up more than what a
+// fresh process starts with; after that, its part as always.
+func TestBudgetBeforeALeader(test *testing.T) {
+	budget := &Budget{}
+	for range 3 {
+		budget.presume(0.2, 60, 1)
+		for range 100 {
+			budget.request()
+		}
+		if budget.tokens != budgetStart {
+			test.Errorf("%v saved up before a leader", budget.tokens)
+		}
+	}
+	for _, step := range []struct {
+		proxies int
+		most    float64
+	}{{5, 9}, {9, 5}, {3, 5}} {
+		budget.share(0.2, 60, step.proxies)
+		for range 100 {
+			budget.request()
+		}
+		if budget.tokens != step.most {
+			test.Errorf("%d proxies: %v saved up", step.proxies, budget.tokens)
+		}
+	}
+}
+
+// Which of the two a proxy goes by is told by its table.
+func TestBudgetFollowsTheTable(test *testing.T) {
+	proxy := many([]string{"p1"}, []string{"e1"})[0]
+	proxy.place.RetryRatio, proxy.place.RetryExtra = 0.2, 60
+	for _, round := range []uint64{0, 1} {
+		proxy.Lay(&route.Book{Config: ownConfig()}, &wire.Table{Mark: wire.TableMark{Ballot: wire.Ballot{Round: round}, Number: 1}, Members: members([]string{"p1"}, []string{"e1"})})
+		budget := proxy.budgets["plain"]
+		for range 1000 {
+			budget.request()
+		}
+		if want := map[uint64]float64{0: budgetStart, 1: 45}[round]; budget.tokens != want {
+			test.Errorf("round %d: %v saved up, want %v", round, budget.tokens, want)
+		}
+	}
+}
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -52,7 +52,8 @@
 	}
 	proxy.most = max(proxy.most, len(proxies))
 	shares := max(1, proxy.most)
-	if table.Mark.Ballot.Round == 0 {
+	led := table.Mark.Ballot.Round > 0
+	if !led {
 		shares = max(shares, sharesUnknown)
 	}
 	view.services = make([][]candidate, len(view.index.Services))
@@ -64,7 +65,11 @@
 			budget = &Budget{}
 			proxy.budgets[service.Name] = budget
 		}
-		budget.share(proxy.place.RetryRatio, proxy.place.RetryExtra, proxy.most)
+		if led {
+			budget.share(proxy.place.RetryRatio, proxy.place.RetryExtra, proxy.most)
+		} else {
+			budget.presume(proxy.place.RetryRatio, proxy.place.RetryExtra, proxy.most)
+		}
 		view.budgets[number] = budget
 		view.most[number] = connectionsMost
 		if service.MaxConnections > 0 {
@@ -92,7 +97,7 @@
 		}
 		service := view.index.Services[number]
 		view.services[number] = append(view.services[number], candidate{target: held, region: proxy.place.Regions[backend.Zone], far: proxy.place.distance(backend.Zone),
-			warmAt: backend.WarmAt, owned: table.Mark.Ballot.Round > 0 && owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
+			warmAt: backend.WarmAt, owned: led && owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
 			warming: warmupRate(service.WarmupRate, proxy.place.WarmupExcess, proxy.place.WarmupExtra)})
 	}
 	proxy.evacuated = evacuated
