--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -24,7 +24,7 @@
 	listSlowest = time.Second
 	goneAfter   = 2
 	settle      = 3500 * time.Millisecond
-	callLimit   = 1500 * time.Millisecond
+	callLimit   = 1000 * time.Millisecond
 	userTimeout = 1500 * time.Millisecond
 	sendLimit   = 800 * time.Millisecond
 	seekPace    = 50 * time.Millisecond
--- a/cmd/ojnode/proxy.go
+++ b/cmd/ojnode/proxy.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	sessionPace   = 800 * time.Millisecond
+	sessionPace   = 500 * time.Millisecond
 	watchPace     = 2500 * time.Millisecond
 	feelPace      = 500 * time.Millisecond
 	lookPace      = 500 * time.Millisecond
--- a/control/metering.go
+++ b/control/metering.go
@@ -189,7 +189,7 @@
 	return time.Since(leadership.since) >= core.place.Metering.Quiet
 }
 
-// firstWindow is the one that metering begins with: the present one or, under a
+// firstWindow is the one that duty begins with: the present one or, under a
 // routing that a former leadership took, the one before.
 func (leadership *Leadership) firstWindow(present int64) int64 {
 	if leadership.rewritten[wire.RoutingRegister] > 0 {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -104,19 +104,21 @@
 	connection.conn.SetDeadline(request.limit.Add(limitSlack))
 	stop := context.AfterFunc(request.context, func() { connection.conn.SetDeadline(time.Unix(1, 0)) })
 	head := proxy.head(request, held.target.backend.Name, left)
+	begun := proxy.meter.begin(request.tenantName())
 	sent, fault := send(connection, head, request.body)
 	if fault != nil {
 		stop()
 		held.target.drop(connection)
 		held.target.failed(proxy.clock(), false)
+		proxy.meter.settle(begun, sent)
 		if sent {
-			proxy.meter.count(request.tenantName(), 0)
 			return nil, lost
 		}
 		return nil, unsent
 	}
 	answer, ended := proxy.receive(request, held, connection, stop)
 	now := proxy.clock()
+	proxy.meter.settle(begun, ended != refused)
 	switch ended {
 	case answered:
 		answer.release = func(sound bool) {
@@ -127,7 +129,6 @@
 		}
 		good := answer.response.StatusCode < 500
 		held.target.served(now.Sub(begin), request.stat.mean(request.route), good)
-		proxy.meter.count(request.tenantName(), now.Sub(begin))
 		if answer.rest == nil {
 			answer.release(answer.response == nil || !answer.response.Close)
 		}
@@ -138,7 +139,6 @@
 		if request.context.Err() == nil && now.Before(request.limit) {
 			held.target.failed(now, false)
 		}
-		proxy.meter.count(request.tenantName(), now.Sub(begin))
 	}
 	return answer, ended
 }
--- a/proxy/meter.go
+++ b/proxy/meter.go
@@ -18,19 +18,68 @@
 
 	mutex   sync.Mutex
 	windows map[int64]map[string]uint64
+	owed    map[string]uint64
+	running map[*begun]bool
 }
 
+// begun is a request that was sent and has no answer yet.
+type begun struct {
+	tenant  string
+	at      int64
+	counted bool
+}
+
+// surely is after how long without a refusal a request counts as begun.
+const surely = 150
+
 func newMeter(window time.Duration, now func() int64) *Meter {
-	return &Meter{window: window, now: now, windows: map[int64]map[string]uint64{}}
+	return &Meter{window: window, now: now, windows: map[int64]map[string]uint64{}, owed: map[string]uint64{}, running: map[*begun]bool{}}
+}
+
+// begin takes a request that is sent now. It counts before its answer comes, or
+// those under way would be lost with the process.
+func (meter *Meter) begin(tenant string) *begun {
+	begun := &begun{tenant: tenant, at: meter.now()}
+	if tenant != "" && meter.window > 0 {
+		meter.mutex.Lock()
+		meter.running[begun] = true
+		meter.mutex.Unlock()
+	}
+	return begun
+}
+
+// settle ends it. Counts never fall: one that counted and had not begun after all
+// stands for the tenant's next.
+func (meter *Meter) settle(begun *begun, ran bool) {
+	if begun.tenant == "" || meter.window <= 0 {
+		return
+	}
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	delete(meter.running, begun)
+	switch {
+	case ran && !begun.counted:
+		meter.lay(begun.tenant, begun.at)
+	case !ran && begun.counted:
+		meter.owed[begun.tenant]++
+	}
 }
 
 func (meter *Meter) count(tenant string, ago time.Duration) {
 	if tenant == "" || meter.window <= 0 {
 		return
 	}
-	number := (meter.now() - ago.Milliseconds()) / meter.window.Milliseconds()
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
+	meter.lay(tenant, meter.now()-ago.Milliseconds())
+}
+
+func (meter *Meter) lay(tenant string, at int64) {
+	if meter.owed[tenant] > 0 {
+		meter.owed[tenant]--
+		return
+	}
+	number := at / meter.window.Milliseconds()
 	counts := meter.windows[number]
 	if counts == nil {
 		counts = map[string]uint64{}
@@ -48,6 +97,12 @@
 func (meter *Meter) Windows() []wire.WindowCount {
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
+	for begun := range meter.running {
+		if !begun.counted && meter.now()-begun.at >= surely {
+			begun.counted = true
+			meter.lay(begun.tenant, begun.at)
+		}
+	}
 	all := make([]wire.WindowCount, 0, len(meter.windows))
 	for number, counts := range meter.windows {
 		all = append(all, wire.WindowCount{Window: number, Tenants: maps.Clone(counts)})
--- a/proxy/meter_test.go
+++ b/proxy/meter_test.go
@@ -91,3 +91,41 @@
 		}
 	})
 }
+
+// A request that waits for its answer counts soon after it was sent; one refused
+// late stands for the tenant's next.
+func TestMeterCountsWhatIsUnderWay(test *testing.T) {
+	now := int64(50_000)
+	meter := newMeter(5*time.Second, func() int64 { return now })
+	total := func() uint64 {
+		sum := uint64(0)
+		for _, window := range meter.Windows() {
+			sum += window.Tenants["a"]
+		}
+		return sum
+	}
+	slow, refused := meter.begin("a"), meter.begin("a")
+	for _, step := range []struct {
+		after int64
+		do    func()
+		want  uint64
+	}{
+		{0, func() {}, 0},
+		{surely - 1, func() {}, 0},
+		{1, func() {}, 2},
+		{5000, func() { meter.settle(slow, true) }, 2},
+		{0, func() { meter.settle(refused, false) }, 2},
+		{0, func() { meter.settle(meter.begin("a"), true) }, 2},
+		{0, func() { meter.settle(meter.begin("a"), true) }, 3},
+		{0, func() { meter.settle(meter.begin("a"), false) }, 3},
+	} {
+		now += step.after
+		step.do()
+		if got := total(); got != step.want {
+			test.Errorf("after %d ms: %d, want %d", now-50_000, got, step.want)
+		}
+	}
+	if len(meter.running) != 0 {
+		test.Errorf("%d still run", len(meter.running))
+	}
+}
