Windows wait for silent daemons until they are nearly due; a leader that follows another reports at once

Cause: proxies cut off for 5 to 10 s had no say in windows sealed 5.5 s after their end, and every new leader kept quiet for 3 s though only one that reported before may not.

--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -29,6 +29,7 @@
 	sendLimit   = 800 * time.Millisecond
 	seekPace    = 50 * time.Millisecond
 	graceRest   = 500 * time.Millisecond
+	reportRest  = 1100 * time.Millisecond
 )
 
 // listPace leaves the larger part of the time to leave a backend for the list's lag
@@ -53,7 +54,7 @@
 		Least: 2*settings.Survive.Machines + 1, Beat: beat, Suspect: suspect, Seed: uint64(time.Now().UnixNano()), Direct: true, Table: tablePace,
 		SessionSpan: sessionSpan, Lister: client.List, ListPace: listPace(settings), GoneAfter: goneAfter}
 	if settings.Metered() {
-		place.Metering = control.Metering{Window: settings.Bounds.ReportWindow, Settle: settle, Quiet: settings.Bounds.Lease, Report: func(report control.WindowReport) control.ReportResult {
+		place.Metering = control.Metering{Window: settings.Bounds.ReportWindow, Settle: settle, Latest: settings.Bounds.UsageDelay - reportRest, Quiet: settings.Bounds.Lease, Report: func(report control.WindowReport) control.ReportResult {
 			ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 			defer cancel()
 			return client.Report(ctx, report)
--- a/control/metering.go
+++ b/control/metering.go
@@ -13,15 +13,19 @@
 	meterStays  = 30 * time.Second
 	meterBooked = 10
 	meterSilent = 2 * time.Second
+	meterTaken  = 1500 * time.Millisecond
 	meterAgain  = time.Second
 )
 
 // Metering is how requests are counted by windows of true time, window k from
-// k times Window after the start of 1970, and to whom the counts are reported.
+// k times Window after the start of 1970, and to whom the counts are reported. A
+// window is sealed Settle after its end, or up to Latest after it while a daemon
+// that counted is silent.
 // A Report must end well before Quiet is over.
 type Metering struct {
 	Window time.Duration
 	Settle time.Duration
+	Latest time.Duration
 	Quiet  time.Duration
 	Report func(WindowReport) ReportResult
 }
@@ -76,21 +80,26 @@
 	ended    map[string]bool
 	reported map[int64]bool
 	fenced   wire.Ballot
+	begun    time.Time
+	holding  wire.Ballot
+	held     time.Time
+	names    map[string]string
 }
 
 func newMeter() *Meter {
-	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]int64{}, ended: map[string]bool{}, reported: map[int64]bool{}}
+	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]int64{}, ended: map[string]bool{}, reported: map[int64]bool{}, begun: time.Now(), names: map[string]string{}}
 }
 
 func (meter *Meter) take(session *wire.Session) {
-	if len(session.Windows) == 0 {
-		return
-	}
 	incarnation := session.Member.Incarnation
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
 	meter.spoke[incarnation] = max(meter.spoke[incarnation], session.NowMs)
 	meter.ended[incarnation] = meter.ended[incarnation] || session.Gone
+	if former := meter.names[session.Member.Name]; former != "" && former != incarnation {
+		meter.ended[former] = true
+	}
+	meter.names[session.Member.Name] = incarnation
 	for _, count := range session.Windows {
 		processes := meter.open[count.Window]
 		if processes == nil {
@@ -148,6 +157,20 @@
 	return false
 }
 
+// heard is whether every proxy that stands said what it counted until the end, to
+// this core: a new leader knows nothing of those that have not spoken to it yet.
+func (meter *Meter) heard(table *wire.Table, end int64) bool {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	for index := range table.Members {
+		member := &table.Members[index]
+		if member.Kind == "proxy" && !member.Leaving && meter.spoke[meter.names[member.Name]] < end {
+			return false
+		}
+	}
+	return true
+}
+
 // forget drops what is older than a window, and who fell silent before it.
 func (meter *Meter) forget(before, span int64) {
 	meter.mutex.Lock()
@@ -184,9 +207,18 @@
 	return leadership, book
 }
 
-// quiet is whether the leadership stands so long that no former one still reports.
+// quiet is whether this core may report: what it reported under a former leadership,
+// or might have before it started, is long past, so that holders never alternate
+// within that time.
 func (core *Core) quiet(leadership *Leadership) bool {
-	return time.Since(leadership.since) >= core.place.Metering.Quiet
+	span := core.place.Metering.Quiet
+	if time.Since(leadership.since) >= span {
+		return true
+	}
+	core.meter.mutex.Lock()
+	defer core.meter.mutex.Unlock()
+	former := core.meter.holding != leadership.ballot && time.Since(core.meter.held) < span
+	return time.Since(core.meter.begun) >= span && !former
 }
 
 // firstWindow is the one that duty begins with: the present one or, under a
@@ -213,7 +245,7 @@
 	}
 	next = max(next, (now-meterStays.Milliseconds())/span)
 	sealed := []sealedWindow{}
-	for book.Next > 0 && core.settled(next, now) {
+	for book.Next > 0 && core.settled(leadership, next, now) {
 		sealed = append(sealed, sealedWindow{Window: next, Tenants: core.meter.sum(next)})
 		next++
 	}
@@ -244,18 +276,18 @@
 }
 
 // settled is whether a window's counts are in: it ended a while ago, and who
-// counted has spoken since or had the time to.
-func (core *Core) settled(window, now int64) bool {
+// counted has spoken since or had the time to, also to a new leader.
+func (core *Core) settled(leadership *Leadership, window, now int64) bool {
 	duty := core.place.Metering
 	end := (window + 1) * duty.Window.Milliseconds()
 	ended := time.Duration(now-end) * time.Millisecond
 	if ended < duty.Settle {
 		return false
 	}
-	if ended >= duty.Settle+meterSilent {
+	if !core.meter.waits(window, end) && core.meter.heard(core.Table(), end) {
 		return true
 	}
-	return !core.meter.waits(window, end)
+	return ended >= max(duty.Latest, duty.Settle+meterSilent) && time.Since(leadership.since) >= meterTaken
 }
 
 // reportWindows is the leader's duty to report what is sealed, oldest first.
@@ -273,6 +305,9 @@
 			return
 		}
 		result := core.place.Metering.Report(WindowReport{Window: sealed.Window, Tenants: maps.Clone(sealed.Tenants), Holder: core.place.Name, Fence: fence(leadership.ballot)})
+		core.meter.mutex.Lock()
+		core.meter.holding, core.meter.held = leadership.ballot, time.Now()
+		core.meter.mutex.Unlock()
 		switch result {
 		case ReportAccepted:
 			core.meter.mutex.Lock()
