--- a/control/metering.go
+++ b/control/metering.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -84,17 +85,20 @@
 	holding  wire.Ballot
 	held     time.Time
 	names    map[string]string
+	process  uint64
 }
 
 func newMeter() *Meter {
-	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]int64{}, ended: map[string]bool{}, reported: map[int64]bool{}, begun: time.Now(), names: map[string]string{}}
+	return &Meter{open: map[int64]map[string]map[string]uint64{}, spoke: map[string]int64{}, ended: map[string]bool{}, reported: map[int64]bool{}, begun: time.Now(), names: map[string]string{}, process: rand.Uint64() | 1}
 }
 
 func (meter *Meter) take(session *wire.Session) {
 	incarnation := session.Member.Incarnation
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
-	meter.spoke[incarnation] = max(meter.spoke[incarnation], session.NowMs)
+	if session.Upon == 0 || session.Upon == meter.process {
+		meter.spoke[incarnation] = max(meter.spoke[incarnation], session.NowMs)
+	}
 	meter.ended[incarnation] = meter.ended[incarnation] || session.Gone
 	if former := meter.names[session.Member.Name]; former != "" && former != incarnation {
 		meter.ended[former] = true
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -133,7 +133,7 @@
 	leads := core.leads()
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
+	told := &wire.SessionTold{Process: core.meter.process, Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
 	if !core.duck && (leads || time.Since(core.heard) < core.place.Suspect) {
 		told.Leader, told.NowMs = core.leader, now
 	}
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -281,7 +281,8 @@
 	}
 	now := daemon.Now()
 	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes(), Usage: daemon.usage(),
-		Routing: version.Routing, NowMs: now, Windows: daemon.metered.fresh(core, daemon.Finder.Leader().Ballot, daemon.windows()), Gone: gone}
+		Routing: version.Routing, NowMs: now, Gone: gone}
+	session.Windows, session.Upon = daemon.metered.fresh(core, daemon.windows())
 	told, fault := wire.Ask[wire.Session, wire.SessionTold](daemon.line, core, "session", daemon.paces.ask(), session)
 	trip := time.Since(asked)
 	daemon.mutex.Lock()
@@ -297,7 +298,7 @@
 		}
 		return
 	}
-	daemon.metered.took(session.Windows)
+	daemon.metered.took(session.Windows, told.Process)
 	daemon.told, daemon.heard = *told, time.Now()
 	if told.Leader.Known() {
 		daemon.reach.heardCore(asked)
--- a/member/metered.go
+++ b/member/metered.go
@@ -4,17 +4,18 @@
 	"orchidjunction/wire"
 )
 
-// Metered is what the core that gets this daemon's sessions was told of its counts.
-// Only what changed since is told; another core, or another leader, is told all.
+// Metered is what the process that gets this daemon's sessions was told of its
+// counts. Only what changed since is told; another one is told all.
 type Metered struct {
-	core   string
-	ballot wire.Ballot
-	told   map[int64]map[string]uint64
+	core    string
+	process uint64
+	told    map[int64]map[string]uint64
 }
 
-func (metered *Metered) fresh(core string, ballot wire.Ballot, windows []wire.WindowCount) []wire.WindowCount {
-	if metered.told == nil || metered.core != core || metered.ballot != ballot {
-		metered.core, metered.ballot, metered.told = core, ballot, map[int64]map[string]uint64{}
+// fresh is what is to be told, and to which process it adds.
+func (metered *Metered) fresh(core string, windows []wire.WindowCount) ([]wire.WindowCount, uint64) {
+	if metered.told == nil || metered.core != core {
+		*metered = Metered{core: core, told: map[int64]map[string]uint64{}}
 	}
 	news, standing := []wire.WindowCount{}, map[int64]bool{}
 	for _, window := range windows {
@@ -34,11 +35,16 @@
 			delete(metered.told, window)
 		}
 	}
-	return news
+	return news, metered.process
 }
 
-// took lays down what the core has.
-func (metered *Metered) took(news []wire.WindowCount) {
+// took lays down what the process has; one that began since has nothing.
+func (metered *Metered) took(news []wire.WindowCount, process uint64) {
+	if metered.process != 0 && metered.process != process {
+		*metered = Metered{}
+		return
+	}
+	metered.process = process
 	for _, window := range news {
 		if metered.told[window.Window] == nil {
 			metered.told[window.Window] = map[string]uint64{}
--- a/member/metered_test.go
+++ b/member/metered_test.go
@@ -9,31 +9,31 @@
 
 func TestMeteredTellsWhatChanged(test *testing.T) {
 	metered := &Metered{}
-	first, second := wire.Ballot{Round: 1, Core: 1}, wire.Ballot{Round: 2, Core: 1}
 	counts := func(ann, bob uint64) []wire.WindowCount {
 		return []wire.WindowCount{{Window: 7, Tenants: map[string]uint64{"ann": ann, "bob": bob}}}
 	}
 	for number, step := range []struct {
 		core    string
-		ballot  wire.Ballot
 		windows []wire.WindowCount
-		lost    bool
+		process uint64
 		want    []wire.WindowCount
+		upon    uint64
 	}{
-		{"a", first, counts(1, 2), true, counts(1, 2)},
-		{"a", first, counts(1, 2), false, counts(1, 2)},
-		{"a", first, counts(1, 2), false, []wire.WindowCount{}},
-		{"a", first, counts(1, 3), false, []wire.WindowCount{{Window: 7, Tenants: map[string]uint64{"bob": 3}}}},
-		{"b", first, counts(1, 3), false, counts(1, 3)},
-		{"b", second, counts(1, 3), false, counts(1, 3)},
-		{"b", second, []wire.WindowCount{{Window: 8, Tenants: map[string]uint64{"ann": 1}}}, false, []wire.WindowCount{{Window: 8, Tenants: map[string]uint64{"ann": 1}}}},
+		{"a", counts(1, 2), 0, counts(1, 2), 0},
+		{"a", counts(1, 2), 5, counts(1, 2), 0},
+		{"a", counts(1, 2), 5, []wire.WindowCount{}, 5},
+		{"a", counts(1, 3), 5, []wire.WindowCount{{Window: 7, Tenants: map[string]uint64{"bob": 3}}}, 5},
+		{"b", counts(1, 3), 6, counts(1, 3), 0},
+		{"b", counts(1, 4), 7, []wire.WindowCount{{Window: 7, Tenants: map[string]uint64{"bob": 4}}}, 6},
+		{"b", counts(1, 4), 7, counts(1, 4), 0},
+		{"b", []wire.WindowCount{{Window: 8, Tenants: map[string]uint64{"ann": 1}}}, 7, []wire.WindowCount{{Window: 8, Tenants: map[string]uint64{"ann": 1}}}, 7},
 	} {
-		news := metered.fresh(step.core, step.ballot, step.windows)
-		if !reflect.DeepEqual(news, step.want) {
-			test.Errorf("step %d: %v want %v", number, news, step.want)
+		news, upon := metered.fresh(step.core, step.windows)
+		if !reflect.DeepEqual(news, step.want) || upon != step.upon {
+			test.Errorf("step %d: %v upon %d, want %v upon %d", number, news, upon, step.want, step.upon)
 		}
-		if !step.lost {
-			metered.took(news)
+		if step.process != 0 {
+			metered.took(news, step.process)
 		}
 	}
 	if len(metered.told) != 1 {
--- a/wire/member.go
+++ b/wire/member.go
@@ -51,7 +51,8 @@
 	Serial      uint64  `json:"serial"`
 }
 
-// Session is what a daemon tells its core, again and again.
+// Session is what a daemon tells its core, again and again. Windows say what changed
+// since the core's process that Upon names was told last; all, where it names none.
 type Session struct {
 	Member Member
 	Serial uint64
@@ -65,6 +66,7 @@
 	Windows []WindowCount
 	NowMs   int64
 	Gone    bool
+	Upon    uint64
 }
 
 func (session *Session) Check() *Mishap {
@@ -88,6 +90,7 @@
 
 	Routing uint64
 	NowMs   int64
+	Process uint64
 }
 
 // Count tells the leader at once how many tasks a process sent so far, by tenant.
