--- a/cmd/ojfleet/main.go
+++ b/cmd/ojfleet/main.go
@@ -34,7 +34,11 @@
 	flags.Parser.Int(&spec.Changes, "", "changes", "settings changes a second, about")
 	flags.Parser.Int(&spec.Tries, "", "tries", "tries that a caller makes for one task")
 	flags.Parser.Bool(&untimed, "", "untimed", "show the verdicts that a slow machine could fail, but do not count them")
+	measured := scaleFlags(flags)
 	flags.Parse()
+	if measured.play(flags) {
+		return
+	}
 	harm, found := fleet.Scenarios[scenario]
 	if !found {
 		flags.Exit(wire.New(wire.BadFlag, "--scenario: no scenario %q; there are %s", scenario, strings.Join(fleet.Names(), ", ")))
--- /dev/null
+++ b/cmd/ojfleet/scale.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/scale"
+	"orchidjunction/wire"
+)
+
+// scaling is the command line of the scale run and of the processes it starts.
+type scaling struct {
+	run, capacity, core, hollow *flaggy.Subcommand
+	results, page, sweep, spec  string
+}
+
+func scaleFlags(flags *program.Flags) *scaling {
+	scaling := &scaling{results: "docs/measure/scale", page: "docs/CAPACITY.md", sweep: "all",
+		run: flaggy.NewSubcommand("scale"), capacity: flaggy.NewSubcommand("capacity"), core: flaggy.NewSubcommand("scale-core"), hollow: flaggy.NewSubcommand("scale-hollow")}
+	names := []string{"all", "state"}
+	for _, sweep := range scale.Sweeps {
+		names = append(names, sweep.Name)
+	}
+	scaling.run.Description = "measures each role's cost as the fleet grows, with hollow daemons; uses about four cores"
+	scaling.run.String(&scaling.sweep, "", "sweep", "which size grows, comma between: "+strings.Join(names, ", "))
+	scaling.capacity.Description = "writes the tables of the capacity page, and the plots, from the results"
+	scaling.capacity.String(&scaling.page, "", "page", "the page")
+	for _, command := range []*flaggy.Subcommand{scaling.run, scaling.capacity} {
+		command.String(&scaling.results, "", "results", "folder of the results")
+		flags.Parser.AttachSubcommand(command, 1)
+	}
+	for _, command := range []*flaggy.Subcommand{scaling.core, scaling.hollow} {
+		command.Hidden = true
+		command.String(&scaling.spec, "", "spec", "the process's place as JSON")
+		flags.Parser.AttachSubcommand(command, 1)
+	}
+	return scaling
+}
+
+// play is whether the command line asked for any of this.
+func (scaling *scaling) play(flags *program.Flags) bool {
+	switch {
+	case scaling.core.Used:
+		spec := scale.CoreSpec{}
+		flags.Exit(scaling.read(&spec))
+		flags.Exit(scale.RunCore(spec))
+	case scaling.hollow.Used:
+		spec := scale.HollowSpec{}
+		flags.Exit(scaling.read(&spec))
+		flags.Exit(scale.RunHollow(spec))
+	case scaling.run.Used:
+		flags.Exit(scaling.measure())
+	case scaling.capacity.Used:
+		flags.Exit(scale.WritePage(scaling.page, scaling.results))
+	default:
+		return false
+	}
+	return true
+}
+
+func (scaling *scaling) read(spec any) *wire.Mishap {
+	if fault := json.Unmarshal([]byte(scaling.spec), spec); fault != nil {
+		return wire.New(wire.BadFlag, "--spec: %v", fault)
+	}
+	return nil
+}
+
+func (scaling *scaling) measure() *wire.Mishap {
+	threads := run.NewThreads()
+	program.OnTerm(threads, threads.Stop)
+	defer threads.Stop()
+	played := false
+	for _, name := range strings.Split(scaling.sweep, ",") {
+		if name == "all" || name == "state" {
+			played = true
+			if mishap := scale.PlayStates(scaling.results, os.Stdout); mishap != nil {
+				return mishap
+			}
+		}
+		for index := range scale.Sweeps {
+			if sweep := &scale.Sweeps[index]; name == "all" || name == sweep.Name {
+				played = true
+				if mishap := sweep.Play(scaling.results, threads, os.Stdout); mishap != nil {
+					return mishap
+				}
+			}
+		}
+	}
+	if !played {
+		return wire.New(wire.BadFlag, "--sweep: nothing is called %s", scaling.sweep)
+	}
+	fmt.Println("results in", scaling.results)
+	return nil
+}
--- /dev/null
+++ b/scale/core.go
@@ -0,0 +1,100 @@
+package scale
+
+import (
+	"net/http"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// The paces are those of cmd/ojnode.
+const (
+	beatPace    = 150 * time.Millisecond
+	suspectSpan = 750 * time.Millisecond
+	tablePace   = 150 * time.Millisecond
+	sessionSpan = 2500 * time.Millisecond
+	listPace    = 500 * time.Millisecond
+	goneAfter   = 2
+	settleSpan  = 3500 * time.Millisecond
+	userTimeout = 1500 * time.Millisecond
+	sendLimit   = 800 * time.Millisecond
+	seekPace    = 50 * time.Millisecond
+	sessionPace = 500 * time.Millisecond
+	watchPace   = 2500 * time.Millisecond
+	feelPace    = 500 * time.Millisecond
+	lookPace    = 500 * time.Millisecond
+	meterWindow = 5 * time.Second
+	meterQuiet  = 3 * time.Second
+)
+
+// CoreSpec is one core process. SlowUs is processor time that it burns on each
+// session, so that a run can be seen to notice it.
+type CoreSpec struct {
+	Name     string
+	Zone     string
+	Wire     string
+	Report   string
+	Seeds    []string
+	Folder   string
+	Cores    int
+	Platform string
+	Metered  bool
+	SlowUs   int
+}
+
+// slowed burns processor time on one kind of message.
+func slowed(handler http.Handler, path string, span time.Duration) http.Handler {
+	if span <= 0 {
+		return handler
+	}
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == path {
+			for until := time.Now().Add(span); time.Now().Before(until); {
+			}
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// RunCore is the life of a core process.
+func RunCore(spec CoreSpec) *wire.Mishap {
+	threads, counts, tap := run.NewThreads(), run.NewCounts(), newTap()
+	line := wire.NewLine(tap.transport())
+	place := control.Place{Name: spec.Name, Zone: spec.Zone, Wire: spec.Wire, Seeds: spec.Seeds, Found: true, Least: spec.Cores, Platform: spec.Platform,
+		Beat: beatPace, Suspect: suspectSpan, Seed: uint64(time.Now().UnixNano()), Direct: true, Table: tablePace, SessionSpan: sessionSpan, ListPace: listPace, GoneAfter: goneAfter}
+	if spec.Metered {
+		place.Metering = control.Metering{Window: meterWindow, Settle: settleSpan, Quiet: meterQuiet,
+			Report: func(control.WindowReport) control.ReportResult { return control.ReportAccepted }}
+	}
+	if mishap := place.Check(); mishap != nil {
+		return mishap
+	}
+	core, mishap := control.NewCore(place, control.Folder(spec.Folder), line, threads, counts)
+	if mishap != nil {
+		return mishap
+	}
+	door := wire.NewDoor(counts)
+	core.Register(door)
+	if mishap := tap.serve(spec.Wire, slowed(door, "/oj/session", time.Duration(spec.SlowUs)*time.Microsecond), threads); mishap != nil {
+		return mishap
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/reading", func(writer http.ResponseWriter, _ *http.Request) {
+		reading := tap.read()
+		serial, _ := core.Routing()
+		table := core.Table()
+		reading.Leads, reading.Routing, reading.Members, reading.Backends, reading.Counts = core.Leads(), serial, len(table.Members), len(table.Backends), counts.All()
+		writeJSON(writer, reading)
+	})
+	if mishap := newTap().serve(spec.Report, mux, threads); mishap != nil {
+		return mishap
+	}
+	core.Run()
+	program.OnTerm(threads, threads.Stop)
+	threads.Wait()
+	core.Close()
+	return core.Broken()
+}
--- /dev/null
+++ b/scale/hollow.go
@@ -0,0 +1,208 @@
+package scale
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"orchidjunction/member"
+	"orchidjunction/program"
+	"orchidjunction/proxy"
+	"orchidjunction/route"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// What a hollow daemon does with a version that it takes.
+const (
+	ApplyNothing = "nothing"
+	ApplyIndex   = "index"
+	ApplyLay     = "lay"
+)
+
+const (
+	zoneCount   = 100
+	regionCount = 30
+	heldWindows = 7
+)
+
+func zoneName(number int) string { return fmt.Sprintf("zone-%02d", number%zoneCount) }
+
+func regions() map[string]string {
+	all := map[string]string{}
+	for number := range zoneCount {
+		all[zoneName(number)] = fmt.Sprintf("region-%02d", number%regionCount)
+	}
+	return all
+}
+
+// HollowSpec is a process of hollow daemons; Active is how many tenants each
+// of them counts in a window.
+type HollowSpec struct {
+	First   int
+	Daemons int
+	Wire    string
+	Report  string
+	Seeds   []string
+	Apply   string
+	Active  int
+	Tenants int
+}
+
+type hollows struct {
+	spec    HollowSpec
+	tap     *Tap
+	daemons []*hollow
+
+	mutex   sync.Mutex
+	applied map[uint64][]int64
+}
+
+// hollow is one daemon whose data plane carries no requests.
+type hollow struct {
+	number  int
+	all     *hollows
+	threads *run.Threads
+	line    *wire.Line
+	daemon  *member.Daemon
+	held    atomic.Pointer[route.Index]
+	routing uint64
+}
+
+func (all *hollows) start(number int) *hollow {
+	spec := all.spec
+	threads, counts := run.NewThreads(), run.NewCounts()
+	line := wire.NewLine(all.tap.transport())
+	name := fmt.Sprintf("proxy-%05d", spec.First+number)
+	place := member.Place{Name: name, Kind: "proxy", Zone: zoneName(number), Wire: spec.Wire, Outer: spec.Wire, Operate: spec.Wire, Seeds: spec.Seeds,
+		Paces: member.Paces{Session: sessionPace, Watch: watchPace, Seek: seekPace, Feel: feelPace, Look: lookPace, Count: -1},
+		Hold:  member.HoldLimits{Send: sendLimit}, Direct: true, ServesAlone: true, Routed: true}
+	var random [8]byte
+	rand.Read(random[:])
+	one := &hollow{number: number, all: all, threads: threads, line: line}
+	one.daemon = member.NewDaemon(place, hex.EncodeToString(random[:]), line, threads, counts)
+	apply := func(*member.Version) {}
+	switch spec.Apply {
+	case ApplyIndex:
+		apply = func(version *member.Version) { one.held.Store(route.NewIndex(version.Book)) }
+	case ApplyLay:
+		plane := proxy.NewProxy(proxy.Place{Name: name, Zone: place.Zone, Regions: regions(), RetryRatio: 0.1, RetryExtra: 10, WarmupExcess: 1, UsageWindow: meterWindow},
+			(&net.Dialer{}).DialContext, one.daemon.Now, threads, counts)
+		plane.Run()
+		apply = func(version *member.Version) { plane.Lay(version.Book, version.Table) }
+	}
+	one.daemon.Serve(func(version *member.Version) {
+		if version.Book == nil || version.Routing == 0 || !version.Table.Complete {
+			return
+		}
+		apply(version)
+		one.inForce(version.Routing)
+	}, nil)
+	one.daemon.Meter(one.windows)
+	one.daemon.Run()
+	return one
+}
+
+// inForce notes when this daemon first had a routing in force.
+func (one *hollow) inForce(routing uint64) {
+	at := time.Now().UnixMicro()
+	one.all.mutex.Lock()
+	for serial := max(one.routing+1, routing-min(routing, 64)); serial <= routing; serial++ {
+		one.all.applied[serial] = append(one.all.applied[serial], at)
+	}
+	one.routing = max(one.routing, routing)
+	one.all.mutex.Unlock()
+}
+
+// windows are counts as a proxy tells them: those of its last windows, each
+// with as many tenants.
+func (one *hollow) windows() []wire.WindowCount {
+	if one.all.spec.Active == 0 {
+		return nil
+	}
+	now := one.daemon.Now() / meterWindow.Milliseconds()
+	all := make([]wire.WindowCount, 0, heldWindows)
+	for window := now - heldWindows + 1; window <= now; window++ {
+		counts := make(map[string]uint64, one.all.spec.Active)
+		for number := range one.all.spec.Active {
+			counts[tenantName((one.number*7919+int(window)*31+number*104729)%max(one.all.spec.Tenants, 1))] = uint64(now%100) + 1
+		}
+		all = append(all, wire.WindowCount{Window: window, Tenants: counts})
+	}
+	return all
+}
+
+func (one *hollow) stop() {
+	one.threads.Stop()
+	one.line.Close()
+}
+
+// RunHollow is the life of a process of hollow daemons.
+func RunHollow(spec HollowSpec) *wire.Mishap {
+	threads, tap := run.NewThreads(), newTap()
+	all := &hollows{spec: spec, tap: tap, applied: map[uint64][]int64{}}
+	for number := range spec.Daemons {
+		all.daemons = append(all.daemons, all.start(number))
+		threads.Rest(time.Millisecond)
+	}
+	door := wire.NewDoor(run.NewCounts())
+	all.daemons[0].daemon.Register(door)
+	if mishap := tap.serve(spec.Wire, door, threads); mishap != nil {
+		return mishap
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/reading", func(writer http.ResponseWriter, _ *http.Request) {
+		reading := tap.read()
+		all.mutex.Lock()
+		for _, one := range all.daemons {
+			if one.daemon.Ready() {
+				reading.Ready++
+			}
+		}
+		all.mutex.Unlock()
+		writeJSON(writer, reading)
+	})
+	mux.HandleFunc("/applied", func(writer http.ResponseWriter, request *http.Request) {
+		serial, _ := strconv.ParseUint(request.URL.Query().Get("serial"), 10, 64)
+		all.mutex.Lock()
+		times := append([]int64{}, all.applied[serial]...)
+		all.mutex.Unlock()
+		sort.Slice(times, func(left, right int) bool { return times[left] < times[right] })
+		writeJSON(writer, times)
+	})
+	mux.HandleFunc("/restart", func(writer http.ResponseWriter, request *http.Request) {
+		count, _ := strconv.Atoi(request.URL.Query().Get("count"))
+		all.restart(min(count, spec.Daemons), threads)
+		writeJSON(writer, true)
+	})
+	if mishap := newTap().serve(spec.Report, mux, threads); mishap != nil {
+		return mishap
+	}
+	program.OnTerm(threads, threads.Stop)
+	threads.Wait()
+	return nil
+}
+
+// restart ends some daemons without a word and starts others in their place.
+func (all *hollows) restart(count int, threads *run.Threads) {
+	all.mutex.Lock()
+	ended := append([]*hollow{}, all.daemons[len(all.daemons)-count:]...)
+	all.mutex.Unlock()
+	for _, one := range ended {
+		one.stop()
+	}
+	threads.Rest(200 * time.Millisecond)
+	for _, one := range ended {
+		next := all.start(one.number)
+		all.mutex.Lock()
+		all.daemons[one.number] = next
+		all.mutex.Unlock()
+	}
+}
--- /dev/null
+++ b/scale/state.go
@@ -0,0 +1,126 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"time"
+
+	"orchidjunction/proxy"
+	"orchidjunction/route"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// State is what one size of one kind of state costs a process, without any other.
+type State struct {
+	Kind     string
+	Size     int
+	PackedKB float64
+	PackMs   float64
+	UnpackMs float64
+	ApplyMs  float64
+	HeldMB   float64
+}
+
+// States are those that were measured, in sizes from small to large.
+type States struct {
+	Results []State
+}
+
+var stateSizes = map[string][]int{
+	"routes":   {1000, 10000, 40000, 130000},
+	"tenants":  {1000, 10000, 100000, 610000},
+	"backends": {100, 1000, 10000, 85000},
+	"members":  {12, 192, 3072, 16000},
+	"owners":   {12, 48, 192, 768},
+}
+
+var stateKinds = []string{"routes", "tenants", "backends", "members", "owners"}
+
+const ownersBackends = 1000
+
+// PlayStates measures books and tables as a daemon takes them: unpacked from
+// the wire, then applied to a proxy. Owners are members beside 1,000 backends.
+func PlayStates(folder string, progress io.Writer) *wire.Mishap {
+	all := &States{}
+	for _, kind := range stateKinds {
+		for _, size := range stateSizes[kind] {
+			state, mishap := measureState(kind, size)
+			if mishap != nil {
+				return mishap
+			}
+			all.Results = append(all.Results, *state)
+			fmt.Fprintf(progress, "%s %d: %+v\n", kind, size, *state)
+		}
+	}
+	return write(folder, "state", all)
+}
+
+func heldBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	stats := runtime.MemStats{}
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func measureState(kind string, size int) (*State, *wire.Mishap) {
+	book, table := &route.Book{Config: *config(1, 1, 1, 0)}, &wire.Table{Mark: wire.TableMark{Ballot: wire.Ballot{Round: 1, Core: 1}, Number: 1}, Complete: true}
+	services := max(1, min(size, 3100))
+	switch kind {
+	case "routes":
+		book = &route.Book{Config: *config(1, size, services, 0)}
+	case "tenants":
+		book = &route.Book{Config: *config(1, 1, 1, size)}
+	case "backends":
+		book, table.Backends = &route.Book{Config: *config(1, services, services, 0)}, backends(size, services)
+	case "members":
+		table.Members = members(size)
+	case "owners":
+		table.Members, table.Backends = members(size), backends(ownersBackends, 1)
+	}
+	inBook := kind == "routes" || kind == "tenants"
+	state := &State{Kind: kind, Size: size}
+	begin := time.Now()
+	var body []byte
+	var fault error
+	if inBook {
+		body, fault = wire.Pack(book)
+	} else {
+		body, fault = wire.Pack(table)
+	}
+	if fault != nil {
+		return nil, wire.AsMishap(fault)
+	}
+	state.PackMs, state.PackedKB = milliseconds(begin), float64(len(body))/1024
+	plane := proxy.NewProxy(proxy.Place{Name: "proxy-00000", Zone: zoneName(0), Regions: regions(), RetryRatio: 0.1, RetryExtra: 10, WarmupExcess: 1},
+		(&net.Dialer{}).DialContext, func() int64 { return time.Now().UnixMilli() }, run.NewThreads(), run.NewCounts())
+	before := heldBytes()
+	taken, laid := book, table
+	begin = time.Now()
+	if inBook {
+		taken = &route.Book{}
+		fault = wire.Unpack(body, taken)
+	} else {
+		laid = &wire.Table{}
+		fault = wire.Unpack(body, laid)
+	}
+	if fault != nil {
+		return nil, wire.AsMishap(fault)
+	}
+	state.UnpackMs = milliseconds(begin)
+	begin = time.Now()
+	plane.Lay(taken, laid)
+	state.ApplyMs = milliseconds(begin)
+	after := heldBytes()
+	state.HeldMB = max(0, (float64(after)-float64(before))/(1<<20))
+	runtime.KeepAlive(plane)
+	runtime.KeepAlive(book)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(body)
+	return state, nil
+}
+
+func milliseconds(begin time.Time) float64 { return float64(time.Since(begin).Microseconds()) / 1000 }
--- /dev/null
+++ b/scale/tap.go
@@ -0,0 +1,175 @@
+// Package scale measures what each role costs as the fleet grows: real cores in
+// processes of their own, and hollow daemons that share a process.
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"orchidjunction/program"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Tap counts the bytes and messages that pass one process's edge; headers of
+// HTTP are in the bytes, those of TCP are not.
+type Tap struct {
+	in, out  atomic.Uint64
+	mutex    sync.Mutex
+	messages map[string]uint64
+}
+
+func newTap() *Tap { return &Tap{messages: map[string]uint64{}} }
+
+func (tap *Tap) message(path string) {
+	tap.mutex.Lock()
+	tap.messages[strings.TrimPrefix(path, "/oj/")]++
+	tap.mutex.Unlock()
+}
+
+func (tap *Tap) counted() map[string]uint64 {
+	tap.mutex.Lock()
+	defer tap.mutex.Unlock()
+	all := make(map[string]uint64, len(tap.messages))
+	for name, count := range tap.messages {
+		all[name] = count
+	}
+	return all
+}
+
+type tappedConn struct {
+	net.Conn
+	tap *Tap
+}
+
+func (conn tappedConn) Read(body []byte) (int, error) {
+	count, fault := conn.Conn.Read(body)
+	conn.tap.in.Add(uint64(count))
+	return count, fault
+}
+
+func (conn tappedConn) Write(body []byte) (int, error) {
+	count, fault := conn.Conn.Write(body)
+	conn.tap.out.Add(uint64(count))
+	return count, fault
+}
+
+type tappedListener struct {
+	net.Listener
+	tap *Tap
+}
+
+func (listener tappedListener) Accept() (net.Conn, error) {
+	conn, fault := listener.Listener.Accept()
+	if fault != nil {
+		return nil, fault
+	}
+	return tappedConn{conn, listener.tap}, nil
+}
+
+// tappedTransport is a far transport whose calls are counted.
+type tappedTransport struct {
+	*http.Transport
+	tap *Tap
+}
+
+func (transport tappedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	transport.tap.message(request.URL.Path)
+	return transport.Transport.RoundTrip(request)
+}
+
+func (tap *Tap) transport() tappedTransport {
+	transport := program.FarTransport(userTimeout)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, fault := dial(ctx, network, address)
+		if fault != nil {
+			return nil, fault
+		}
+		return tappedConn{conn, tap}, nil
+	}
+	return tappedTransport{transport, tap}
+}
+
+// serve opens an address whose messages and bytes are counted.
+func (tap *Tap) serve(address string, handler http.Handler, threads *run.Threads) *wire.Mishap {
+	open, fault := net.Listen("tcp", address)
+	if fault != nil {
+		return wire.New(wire.BadFlag, "%s: %v", address, fault)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		tap.message(request.URL.Path)
+		handler.ServeHTTP(writer, request)
+	}), IdleTimeout: time.Minute}
+	threads.Start(func() { server.Serve(tappedListener{open, tap}) })
+	threads.OnStop(func() { server.Close() })
+	return nil
+}
+
+// Reading is what one process has used and passed on since its start.
+type Reading struct {
+	AtUs        int64
+	ProcessorUs int64
+	ResidentKB  int64
+	Descriptors int
+	BytesIn     uint64
+	BytesOut    uint64
+	Messages    map[string]uint64
+	Leads       bool
+	Routing     uint64
+	Members     int
+	Backends    int
+	Ready       int
+	Counts      map[string]uint64
+}
+
+func (tap *Tap) read() Reading {
+	usage := syscall.Rusage{}
+	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	reading := Reading{AtUs: time.Now().UnixMicro(), ProcessorUs: usage.Utime.Nano()/1000 + usage.Stime.Nano()/1000,
+		BytesIn: tap.in.Load(), BytesOut: tap.out.Load(), Messages: tap.counted()}
+	if entries, fault := os.ReadDir("/proc/self/fd"); fault == nil {
+		reading.Descriptors = len(entries)
+	}
+	reading.ResidentKB = residentKB()
+	return reading
+}
+
+func residentKB() int64 {
+	body, _ := os.ReadFile("/proc/self/status")
+	for _, line := range strings.Split(string(body), "\n") {
+		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
+			kilobytes, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kilobytes
+		}
+	}
+	return 0
+}
+
+func writeJSON(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(writer).Encode(value)
+}
+
+func getJSON(address, path string, value any) *wire.Mishap {
+	client := &http.Client{Timeout: 20 * time.Second}
+	defer client.CloseIdleConnections()
+	response, fault := client.Get("http://" + address + path)
+	if fault != nil {
+		return wire.New(wire.Unreachable, "%s%s: %v", address, path, fault)
+	}
+	defer response.Body.Close()
+	if fault := json.NewDecoder(response.Body).Decode(value); fault != nil {
+		return wire.New(wire.BadMessage, "%s%s: %v", address, path, fault)
+	}
+	return nil
+}
