--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -161,12 +161,13 @@
 	mux.HandleFunc("/reading", func(writer http.ResponseWriter, _ *http.Request) {
 		reading := tap.read()
 		all.mutex.Lock()
-		for _, one := range all.daemons {
+		daemons := append([]*hollow{}, all.daemons...)
+		all.mutex.Unlock()
+		for _, one := range daemons {
 			if one.daemon.Ready() {
 				reading.Ready++
 			}
 		}
-		all.mutex.Unlock()
 		writeJSON(writer, reading)
 	})
 	mux.HandleFunc("/applied", func(writer http.ResponseWriter, request *http.Request) {
--- a/scale/point.go
+++ b/scale/point.go
@@ -40,7 +40,7 @@
 // of a daemon are its part of the shared process.
 type Rates struct {
 	Processor   float64
-	MessagesIn  float64
+	Messages    float64
 	BytesIn     float64
 	BytesOut    float64
 	ResidentMB  float64
@@ -326,7 +326,7 @@
 }
 
 func (rates Rates) plus(more Rates, part float64) Rates {
-	return Rates{Processor: rates.Processor + part*more.Processor, MessagesIn: rates.MessagesIn + part*more.MessagesIn, BytesIn: rates.BytesIn + part*more.BytesIn,
+	return Rates{Processor: rates.Processor + part*more.Processor, Messages: rates.Messages + part*more.Messages, BytesIn: rates.BytesIn + part*more.BytesIn,
 		BytesOut: rates.BytesOut + part*more.BytesOut, ResidentMB: rates.ResidentMB + part*more.ResidentMB, Descriptors: rates.Descriptors + part*more.Descriptors}
 }
 
@@ -341,7 +341,7 @@
 		}
 		messages += float64(count - before.Messages[name])
 	}
-	return Rates{Processor: float64(after.ProcessorUs-before.ProcessorUs) / 1e6 / seconds, MessagesIn: messages / seconds,
+	return Rates{Processor: float64(after.ProcessorUs-before.ProcessorUs) / 1e6 / seconds, Messages: messages / seconds,
 		BytesIn: float64(after.BytesIn-before.BytesIn) / seconds, BytesOut: float64(after.BytesOut-before.BytesOut) / seconds,
 		ResidentMB: float64(after.ResidentKB) / 1024, Descriptors: float64(after.Descriptors)}
 }
--- a/scale/state.go
+++ b/scale/state.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"runtime"
+	"syscall"
 	"time"
 
 	"orchidjunction/proxy"
@@ -13,7 +14,8 @@
 	"orchidjunction/wire"
 )
 
-// State is what one size of one kind of state costs a process, without any other.
+// State is what one size of one kind of state costs a process, without any
+// other; milliseconds are of processor time.
 type State struct {
 	Kind     string
 	Size     int
@@ -83,7 +85,7 @@
 	}
 	inBook := kind == "routes" || kind == "tenants"
 	state := &State{Kind: kind, Size: size}
-	begin := time.Now()
+	begin := processorMs()
 	var body []byte
 	var fault error
 	if inBook {
@@ -94,12 +96,12 @@
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	state.PackMs, state.PackedKB = milliseconds(begin), float64(len(body))/1024
+	state.PackMs, state.PackedKB = processorMs()-begin, float64(len(body))/1024
 	plane := proxy.NewProxy(proxy.Place{Name: "proxy-00000", Zone: zoneName(0), Regions: regions(), RetryRatio: 0.1, RetryExtra: 10, WarmupExcess: 1},
 		(&net.Dialer{}).DialContext, func() int64 { return time.Now().UnixMilli() }, run.NewThreads(), run.NewCounts())
 	before := heldBytes()
 	taken, laid := book, table
-	begin = time.Now()
+	begin = processorMs()
 	if inBook {
 		taken = &route.Book{}
 		fault = wire.Unpack(body, taken)
@@ -110,17 +112,24 @@
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	state.UnpackMs = milliseconds(begin)
-	begin = time.Now()
+	state.UnpackMs = processorMs() - begin
+	begin = processorMs()
 	plane.Lay(taken, laid)
-	state.ApplyMs = milliseconds(begin)
+	state.ApplyMs = processorMs() - begin
 	after := heldBytes()
 	state.HeldMB = max(0, (float64(after)-float64(before))/(1<<20))
 	runtime.KeepAlive(plane)
 	runtime.KeepAlive(book)
 	runtime.KeepAlive(table)
 	runtime.KeepAlive(body)
+	runtime.KeepAlive(taken)
+	runtime.KeepAlive(laid)
 	return state, nil
 }
 
-func milliseconds(begin time.Time) float64 { return float64(time.Since(begin).Microseconds()) / 1000 }
+// processorMs is the processor time of this process so far, its collector's too.
+func processorMs() float64 {
+	usage := syscall.Rusage{}
+	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e6
+}
