Leader keeps its sorted list of backends until a list differs

Cause: at each table pace (150 ms) the leader sorted the whole list anew, put each backend in two maps and compared tables by reflection, though nothing had changed. That grew with the backends in one place and took longer than the pace from some 40,000 on. Ruled out: a generation number instead of comparing; lists of the same content from a new leader must not make a table either. Reading and comparing the list itself, each 500 ms, is unchanged.

--- a/control/platform.go
+++ b/control/platform.go
@@ -55,6 +55,7 @@
 
 	mutex    sync.Mutex
 	backends map[string]wire.Backend
+	sorted   []wire.Backend
 	missed   map[string]int
 	whole    bool
 	finished time.Time
@@ -88,7 +89,7 @@
 		return
 	}
 	reader.whole = false
-	reader.backends, reader.missed = map[string]wire.Backend{}, map[string]int{}
+	reader.backends, reader.missed, reader.sorted = map[string]wire.Backend{}, map[string]int{}, nil
 	for _, backend := range held {
 		reader.backends[backend.Name] = backend
 	}
@@ -108,14 +109,20 @@
 	return reader.listPace
 }
 
+// list gives the backends by name; who gets them changes nothing in them, since
+// the same ones are given until a list differs.
 func (reader *PlatformReader) list() ([]wire.Backend, bool) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
+	if reader.sorted != nil {
+		return reader.sorted, reader.whole
+	}
 	all := make([]wire.Backend, 0, len(reader.backends))
 	for _, backend := range reader.backends {
 		all = append(all, backend)
 	}
 	sort.Slice(all, func(left, right int) bool { return all[left].Name < all[right].Name })
+	reader.sorted = all
 	return all, reader.whole
 }
 
@@ -169,7 +176,10 @@
 	reader.wait = 0
 	reader.whole, reader.finished = true, time.Now()
 	for name, backend := range listed {
-		reader.backends[name] = reader.laid(backend)
+		before, found := reader.backends[name]
+		if next := reader.laid(backend); !found || next != before {
+			reader.backends[name], reader.sorted = next, nil
+		}
 		delete(reader.missed, name)
 	}
 	if twice {
@@ -183,6 +193,7 @@
 		if reader.missed[name]++; reader.missed[name] >= reader.goneAfter {
 			delete(reader.backends, name)
 			delete(reader.missed, name)
+			reader.sorted = nil
 		}
 	}
 }
--- a/control/stirs.go
+++ b/control/stirs.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -58,17 +59,31 @@
 	}
 }
 
-// lay gives backends with their counts, which never fall below what was given out.
+// lay gives backends with their counts, which never fall below what was given
+// out; the same ones where they have them already.
 func (stirs *Stirs) lay(backends, before []wire.Backend) []wire.Backend {
 	stirs.mutex.Lock()
 	defer stirs.mutex.Unlock()
-	for _, backend := range before {
-		stirs.counts[backend.Name] = max(stirs.counts[backend.Name], backend.Stir)
+	for index := range before {
+		if before[index].Stir > 0 {
+			stirs.counts[before[index].Name] = max(stirs.counts[before[index].Name], before[index].Stir)
+		}
+	}
+	laid := backends
+	for index := range backends {
+		if count := stirs.counts[backends[index].Name]; backends[index].Stir != count {
+			if &laid[0] == &backends[0] {
+				laid = slices.Clone(backends)
+			}
+			laid[index].Stir = count
+		}
+	}
+	if len(stirs.told) == 0 {
+		return laid
 	}
-	laid, listed := make([]wire.Backend, len(backends)), map[string]bool{}
-	for index, backend := range backends {
-		backend.Stir = stirs.counts[backend.Name]
-		laid[index], listed[backend.Name] = backend, true
+	listed := make(map[string]bool, len(backends))
+	for index := range backends {
+		listed[backends[index].Name] = true
 	}
 	for name := range stirs.told {
 		if !listed[name] {
--- a/control/table.go
+++ b/control/table.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"reflect"
+	"slices"
 	"time"
 
 	"orchidjunction/wire"
@@ -44,14 +44,23 @@
 		next.Backends, next.Complete = backends, true
 	}
 	next.Backends = core.stirs.lay(next.Backends, before.Backends)
-	if before.Mark.Ballot == leadership.ballot && reflect.DeepEqual(before.Members, next.Members) &&
-		reflect.DeepEqual(before.Backends, next.Backends) && before.Complete == next.Complete {
+	if before.Mark.Ballot == leadership.ballot && sameTable(before, next) {
 		return
 	}
 	core.counts.Add("tables", 1)
 	core.holdTable(next)
 }
 
+// sameTable is whether two tables say the same.
+func sameTable(before, next *wire.Table) bool {
+	return before.Complete == next.Complete && slices.Equal(before.Members, next.Members) && sameBackends(before.Backends, next.Backends)
+}
+
+// sameBackends is quick where both are one list.
+func sameBackends(before, next []wire.Backend) bool {
+	return len(before) == len(next) && (len(before) == 0 || &before[0] == &next[0] || slices.Equal(before, next))
+}
+
 // buildFirst is what a core that heard of no leader since its start tells the
 // daemons that come to it. Every leader's table is newer.
 func (core *Core) buildFirst() {
@@ -64,7 +73,7 @@
 	for _, held := range core.sessions.standing(0) {
 		next.Members = append(next.Members, held.session.Member)
 	}
-	if before.Complete && reflect.DeepEqual(before.Members, next.Members) && reflect.DeepEqual(before.Backends, next.Backends) {
+	if sameTable(before, next) {
 		return
 	}
 	core.counts.Add("tables_before_a_leader", 1)
--- /dev/null
+++ b/control/table_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// listed is a reader that has read a list of so many backends, and the list.
+func listed(count int) (*PlatformReader, *[]wire.Backend) {
+	list := make([]wire.Backend, 0, count)
+	for number := range count {
+		list = append(list, wire.Backend{Name: fmt.Sprintf("backend-%06d", (number*7919)%count), Service: "service", Address: "10.0.0.1:80", Zone: "zone", Slots: 16})
+	}
+	place := &Place{GoneAfter: 2, ListPace: time.Second, Lister: func(context.Context, string) Listing { return Listing{Backends: list} }}
+	reader := newPlatformReader(place, nil, func() int64 { return 0 }, run.NewCounts())
+	readOnce(reader)
+	return reader, &list
+}
+
+func readOnce(reader *PlatformReader) {
+	reader.read(func(time.Duration) bool { return true }, func() bool { return true })
+}
+
+// What the leader does at each table pace while nothing changes.
+func BenchmarkUnchangedTable(bench *testing.B) {
+	for _, count := range []int{100, 1000, 10000, 85000} {
+		bench.Run(fmt.Sprint(count), func(bench *testing.B) {
+			reader, _ := listed(count)
+			stirs := newStirs()
+			backends, _ := reader.list()
+			before := &wire.Table{Backends: stirs.lay(backends, nil), Complete: true}
+			for bench.Loop() {
+				backends, _ := reader.list()
+				next := &wire.Table{Backends: stirs.lay(backends, before.Backends), Complete: true}
+				if !sameTable(before, next) {
+					bench.Fatal("a table that did not change is called another one")
+				}
+			}
+		})
+	}
+}
+
+// A list that is kept sorted changes with every list that differs, and what was
+// given out before stays as it was.
+func TestListFollowsWhatIsRead(test *testing.T) {
+	reader, list := listed(5)
+	first, whole := reader.list()
+	if !whole || len(first) != 5 || first[0].Name != "backend-000000" || first[4].Name != "backend-000004" {
+		test.Fatalf("%v, whole %v", first, whole)
+	}
+	kept := slices.Clone(first)
+	readOnce(reader)
+	if again, _ := reader.list(); &again[0] != &first[0] {
+		test.Error("sorted anew though nothing changed")
+	}
+	(*list)[0].Leaving = true
+	readOnce(reader)
+	if changed, _ := reader.list(); !changed[0].Leaving {
+		test.Error("a backend that leaves is not told")
+	}
+	*list = append((*list)[:1:1], append((*list)[2:], wire.Backend{Name: "backend-000009", Service: "service", Address: "10.0.0.9:80"})...)
+	readOnce(reader)
+	if more, _ := reader.list(); len(more) != 6 {
+		test.Errorf("%d backends after one came and one was missed once", len(more))
+	}
+	readOnce(reader)
+	if fewer, _ := reader.list(); len(fewer) != 5 || fewer[4].Name != "backend-000009" {
+		test.Errorf("%v after one was missed twice", fewer)
+	}
+	if !slices.Equal(first, kept) {
+		test.Error("a list that was given out changed")
+	}
+	reader.begin(first)
+	if begun, whole := reader.list(); whole || !slices.Equal(begun, kept) {
+		test.Errorf("%v, whole %v, though reading began from another table", begun, whole)
+	}
+}
+
+// Counts are laid over backends without changing the list they come from, and
+// never fall below those of the table before.
+func TestStirsAreLaidOnACopy(test *testing.T) {
+	stirs, listed := newStirs(), []wire.Backend{{Name: "a"}, {Name: "b"}, {Name: "c", Stir: 9}}
+	laid := stirs.lay(listed, []wire.Backend{{Name: "b", Stir: 4}})
+	if laid[0].Stir != 0 || laid[1].Stir != 4 || laid[2].Stir != 0 {
+		test.Errorf("%v", laid)
+	}
+	if listed[1].Stir != 0 || listed[2].Stir != 9 {
+		test.Errorf("the list itself changed: %v", listed)
+	}
+	if again := stirs.lay(laid, nil); &again[0] != &laid[0] {
+		test.Error("copied though the counts are there")
+	}
+	if none := stirs.lay(nil, laid); len(none) != 0 {
+		test.Errorf("%v", none)
+	}
+}
+
+func TestSameTable(test *testing.T) {
+	member, backend := []wire.Member{{Name: "p", Ready: true}}, []wire.Backend{{Name: "b", WarmAt: 5}}
+	table := &wire.Table{Members: member, Backends: backend, Complete: true}
+	for name, next := range map[string]*wire.Table{
+		"a member":            {Members: []wire.Member{{Name: "p"}}, Backends: backend, Complete: true},
+		"a backend":           {Members: member, Backends: []wire.Backend{{Name: "b", WarmAt: 6}}, Complete: true},
+		"no backends":         {Members: member, Complete: true},
+		"one backend more":    {Members: member, Backends: append(slices.Clone(backend), wire.Backend{}), Complete: true},
+		"whether it is whole": {Members: member, Backends: backend},
+	} {
+		if sameTable(table, next) {
+			test.Errorf("same, though %s differs", name)
+		}
+	}
+	if !sameTable(table, &wire.Table{Members: slices.Clone(member), Backends: slices.Clone(backend), Complete: true}) {
+		test.Error("a copy is not the same")
+	}
+}
