--- a/cmd/ojfleet/scale.go
+++ b/cmd/ojfleet/scale.go
@@ -17,10 +17,11 @@
 type scaling struct {
 	run, capacity, core, hollow *flaggy.Subcommand
 	results, page, sweep, spec  string
+	port                        int
 }
 
 func scaleFlags(flags *program.Flags) *scaling {
-	scaling := &scaling{results: "docs/measure/scale", page: "docs/CAPACITY.md", sweep: "all",
+	scaling := &scaling{results: "docs/measure/scale", page: "docs/CAPACITY.md", sweep: "all", port: 24000,
 		run: flaggy.NewSubcommand("scale"), capacity: flaggy.NewSubcommand("capacity"), core: flaggy.NewSubcommand("scale-core"), hollow: flaggy.NewSubcommand("scale-hollow")}
 	names := []string{"all", "state"}
 	for _, sweep := range scale.Sweeps {
@@ -28,6 +29,7 @@
 	}
 	scaling.run.Description = "measures each role's cost as the fleet grows, with hollow daemons; uses about four cores"
 	scaling.run.String(&scaling.sweep, "", "sweep", "which size grows, comma between: "+strings.Join(names, ", "))
+	scaling.run.Int(&scaling.port, "", "base-port", "first of the ports used on 127.0.0.1")
 	scaling.capacity.Description = "writes the tables of the capacity page, and the plots, from the results"
 	scaling.capacity.String(&scaling.page, "", "page", "the page")
 	for _, command := range []*flaggy.Subcommand{scaling.run, scaling.capacity} {
@@ -85,7 +87,7 @@
 		for index := range scale.Sweeps {
 			if sweep := &scale.Sweeps[index]; name == "all" || name == sweep.Name {
 				played = true
-				if mishap := sweep.Play(scaling.results, threads, os.Stdout); mishap != nil {
+				if mishap := sweep.Play(scaling.results, scaling.port, threads, os.Stdout); mishap != nil {
 					return mishap
 				}
 			}
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -31,6 +31,8 @@
 	zoneCount   = 100
 	regionCount = 30
 	heldWindows = 7
+
+	startsAtOnce = 100
 )
 
 func zoneName(number int) string { return fmt.Sprintf("zone-%02d", number%zoneCount) }
@@ -150,7 +152,7 @@
 	all := &hollows{spec: spec, tap: tap, applied: map[uint64][]int64{}}
 	for number := range spec.Daemons {
 		all.daemons = append(all.daemons, all.start(number))
-		threads.Rest(time.Millisecond)
+		threads.Rest(startPace(number))
 	}
 	door := wire.NewDoor(run.NewCounts())
 	all.daemons[0].daemon.Register(door)
@@ -191,6 +193,15 @@
 	return nil
 }
 
+// startPace keeps a large fleet's start from being a storm of whole tables,
+// which is measured by restarts instead.
+func startPace(number int) time.Duration {
+	if number < startsAtOnce {
+		return time.Millisecond
+	}
+	return 25 * time.Millisecond
+}
+
 // restart ends some daemons without a word and starts others in their place.
 func (all *hollows) restart(count int, threads *run.Threads) {
 	all.mutex.Lock()
--- /dev/null
+++ b/scale/page_test.go
@@ -0,0 +1,89 @@
+package scale
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"orchidjunction/wire"
+)
+
+func linear(processorEach float64) *Run {
+	run := &Run{Name: "daemons", Along: "Daemons"}
+	for _, size := range []int{12, 48, 192, 768} {
+		point := middle
+		point.Daemons, point.Changes = size, 1
+		run.Results = append(run.Results, &Result{Point: point, Steady: map[string]Rates{leaderRole: {Processor: 0.02 + processorEach*float64(size)}, daemonRole: {Processor: 0.002}},
+			Changing: map[string]Rates{leaderRole: {Processor: 0.5}}, Changes: []Spread{{Half: 1, Most: 2, All: 3}}})
+	}
+	return run
+}
+
+func TestWritePageFillsItsPlaceOnly(test *testing.T) {
+	folder := test.TempDir()
+	page := filepath.Join(folder, "page.md")
+	os.WriteFile(page, []byte("before\n"+pageBegin+"\nold\n"+pageEnd+"\nafter\n"), 0o600)
+	if mishap := write(folder, "daemons", linear(0.001)); mishap != nil {
+		test.Fatal(mishap)
+	}
+	if mishap := write(folder, "state", &States{Results: []State{{Kind: "routes", Size: 1, PackedKB: 1}, {Kind: "routes", Size: 2, PackedKB: 2}}}); mishap != nil {
+		test.Fatal(mishap)
+	}
+	for range 2 {
+		if mishap := WritePage(page, folder); mishap != nil {
+			test.Fatal(mishap)
+		}
+	}
+	body, _ := os.ReadFile(page)
+	text := string(body)
+	if !strings.HasPrefix(text, "before\n") || !strings.HasSuffix(text, "\nafter\n") || strings.Contains(text, "\nold\n") || strings.Count(text, pageBegin) != 1 {
+		test.Error("what stands around the tables changed, or what was in them stayed")
+	}
+	if !strings.Contains(text, "not measured") {
+		test.Error("runs that are not there are not called so")
+	}
+	if !strings.Contains(text, "| 16 cores |") {
+		test.Error("16,000 daemons at 1 ms are not 16 cores")
+	}
+	if _, fault := os.Stat(filepath.Join(folder, "daemons.png")); fault != nil {
+		test.Error(fault)
+	}
+	os.WriteFile(page, []byte("no place"), 0o600)
+	if mishap := WritePage(page, folder); mishap == nil || mishap.Kind != wire.BadFlag {
+		test.Errorf("%v for a page without a place", mishap)
+	}
+	if mishap := WritePage(page, test.TempDir()); mishap == nil || mishap.Kind != wire.NotFound {
+		test.Errorf("%v without results", mishap)
+	}
+}
+
+// A point that did not get so far adds nothing to a line.
+func TestFitLeavesOutWhatFailed(test *testing.T) {
+	run := linear(0.001)
+	run.Results = append(run.Results, &Result{Point: Point{Daemons: 3000, Changes: 1}, Failed: []string{"not ready"}})
+	found := &evidence{runs: map[string]*Run{"daemons": run}, states: &States{}}
+	for name, of := range map[string]quantity{"steady": steady(leaderRole, processor), "change": perChange(leaderRole, processor), "everywhere": everywhere} {
+		if fit, measured := found.fit("daemons", of); !measured || fit.Points != 4 {
+			test.Errorf("%s: %+v, measured %v", name, fit, measured)
+		}
+	}
+	if _, measured := found.fit("no such run", everywhere); measured {
+		test.Error("a run that is not there was measured")
+	}
+}
+
+func TestConfigsOfAllSizesAreSound(test *testing.T) {
+	for _, sweep := range Sweeps {
+		for _, point := range sweep.Points[:1] {
+			if mishap := config(1, point.Routes, point.Services, point.Tenants).Check(); mishap != nil {
+				test.Errorf("%s: %v", sweep.Name, mishap)
+			}
+		}
+		for index := range sweep.Points {
+			if sweep.Points[index].Size(sweep.Along) <= 0 && sweep.Name != "usage" {
+				test.Errorf("%s: point %d has no size along %s", sweep.Name, index, sweep.Along)
+			}
+		}
+	}
+}
--- a/scale/point.go
+++ b/scale/point.go
@@ -77,7 +77,6 @@
 	followerRole = "follower"
 	daemonRole   = "daemon"
 	hollowMost   = 768
-	corePort     = 24000
 	portStep     = 10
 	seedMost     = 3
 	pageItems    = 1000
@@ -85,6 +84,7 @@
 
 type bench struct {
 	point   Point
+	port    int
 	folder  string
 	threads *run.Threads
 	cores   []*child
@@ -101,9 +101,9 @@
 	dead    bool
 }
 
-// Measure runs a fleet of a size and gives what it cost.
-func Measure(point Point, threads *run.Threads) *Result {
-	bench := &bench{point: point, threads: run.NewThreads(), result: &Result{Point: point, AtMs: time.Now().UnixMilli(), LoadBefore: load(),
+// Measure runs a fleet of a size on ports from a first one on, and gives what it cost.
+func Measure(point Point, port int, threads *run.Threads) *Result {
+	bench := &bench{point: point, port: port, threads: run.NewThreads(), result: &Result{Point: point, AtMs: time.Now().UnixMilli(), LoadBefore: load(),
 		Steady: map[string]Rates{}, Changing: map[string]Rates{}, Restarting: map[string]Rates{}}}
 	defer bench.down()
 	threads.OnStop(bench.threads.Stop)
@@ -182,16 +182,16 @@
 		return wire.New(wire.DiskFault, "%v", fault)
 	}
 	bench.folder = folder
-	list := fmt.Sprintf("127.0.0.1:%d", corePort-1)
+	list := fmt.Sprintf("127.0.0.1:%d", bench.port)
 	if mishap := newTap().serve(list, listOf(backends(point.Backends, point.Services)), bench.threads); mishap != nil {
 		return mishap
 	}
 	seeds := []string{}
 	for number := range min(point.Cores, seedMost) {
-		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", corePort+number*portStep))
+		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep))
 	}
 	for number := range point.Cores {
-		address, report := fmt.Sprintf("127.0.0.1:%d", corePort+number*portStep), fmt.Sprintf("127.0.0.1:%d", corePort+number*portStep+1)
+		address, report := fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep), fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep+1)
 		data := filepath.Join(folder, fmt.Sprintf("core-%d", number))
 		if fault := os.MkdirAll(data, 0o700); fault != nil {
 			return wire.New(wire.DiskFault, "%v", fault)
@@ -217,7 +217,7 @@
 		return mishap
 	}
 	for first := 0; first < point.Daemons; first += hollowMost {
-		port := corePort + 1000 + len(bench.hollows)*portStep
+		port := bench.port + 1000 + len(bench.hollows)*portStep
 		spec := HollowSpec{First: first, Daemons: min(hollowMost, point.Daemons-first), Wire: fmt.Sprintf("127.0.0.1:%d", port), Report: fmt.Sprintf("127.0.0.1:%d", port+1),
 			Seeds: seeds, Apply: point.Apply, Active: point.Active, Tenants: point.Tenants}
 		if mishap := bench.begin("scale-hollow", spec, spec.Report, spec.Wire, 4); mishap != nil {
--- a/scale/sweep.go
+++ b/scale/sweep.go
@@ -41,8 +41,11 @@
 
 // Sweeps are those that the page's tables are made of.
 var Sweeps = []Sweep{
-	{"daemons", "Daemons", along(func(point *Point, size int) { point.Daemons = size }, 12, 48, 192, 768)},
-	{"daemons-slowed", "Daemons", along(func(point *Point, size int) { point.Daemons, point.SlowUs, point.Changes = size, 1000, 1 }, 12, 48, 192, 384)},
+	{"daemons", "Daemons", along(func(point *Point, size int) { point.Daemons, point.Apply = size, ApplyIndex }, 12, 48, 192, 768)},
+	{"daemons-slowed", "Daemons", along(func(point *Point, size int) {
+		point.Daemons, point.Apply, point.SlowUs, point.Changes = size, ApplyIndex, 1000, 1
+	}, 12, 48, 96, 192)},
+	{"daemons-laid", "Daemons", along(func(point *Point, size int) { point.Daemons = size }, 12, 48, 192, 768)},
 	{"backends", "Backends", along(func(point *Point, size int) { point.Backends, point.Daemons = size, 12 }, 100, 1000, 10000, 85000)},
 	{"routes", "Routes", along(func(point *Point, size int) { point.Routes, point.Daemons = size, 12 }, 1000, 10000, 40000, 130000)},
 	{"tenants", "Tenants", along(func(point *Point, size int) { point.Tenants, point.Daemons = size, 6 }, 1000, 10000, 100000, 610000)},
@@ -56,10 +59,10 @@
 }
 
 // Play measures a sweep and keeps what it found after each point.
-func (sweep *Sweep) Play(folder string, threads *run.Threads, progress io.Writer) *wire.Mishap {
+func (sweep *Sweep) Play(folder string, port int, threads *run.Threads, progress io.Writer) *wire.Mishap {
 	played := &Run{Name: sweep.Name, Along: sweep.Along, Machine: "shared with benchmarks and builds while this ran", Processors: Processors()}
 	for _, point := range sweep.Points {
-		result := Measure(point, threads)
+		result := Measure(point, port, threads)
 		played.Results = append(played.Results, result)
 		fmt.Fprintf(progress, "%s %v: leader %.3f, follower %.3f, daemon %.5f of a core; daemon %.0f bytes/s in, %.0f out; changes %v; failed %v\n", sweep.Name, point.Size(sweep.Along),
 			result.Steady[leaderRole].Processor, result.Steady[followerRole].Processor, result.Steady[daemonRole].Processor,
