Session goes on while a daemon puts a large version in force

Cause: take held the daemon's mutex while it unpacked and laid a version, and the session asks under the same mutex what this daemon is. Now a mutex of its own keeps versions in order. The test failed before (5 s limit, twice) and passes now, with -race too.

--- a/member/daemon.go
+++ b/member/daemon.go
@@ -85,6 +85,7 @@
 	paces       Paces
 	clock       *run.Clock
 	watched     Watched
+	taking      sync.Mutex
 
 	mutex     sync.Mutex
 	core      int
--- /dev/null
+++ b/member/daemon_test.go
@@ -0,0 +1,37 @@
+package member
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// While a large version is put in force the session must go on: it asks this
+// daemon what it is.
+func TestReadyWhileAVersionIsPutInForce(test *testing.T) {
+	threads, answered := run.NewThreads(), run.NewBell()
+	daemon := NewDaemon(Place{Name: "p", Kind: "proxy", Zone: "z", Seeds: []string{"127.0.0.1:1"}, Direct: true, Routed: true}, "life", wire.NewLine(http.DefaultTransport), threads, run.NewCounts())
+	applied := uint64(0)
+	daemon.Serve(func(version *Version) {
+		applied++
+		threads.Start(func() {
+			daemon.member()
+			answered.Ring()
+		})
+		if !answered.Wait(applied-1, 5*time.Second) {
+			test.Error("what the session asks waits until the version is in force")
+		}
+	}, nil)
+	for number := uint64(1); number <= 2; number++ {
+		if !daemon.take(&wire.FetchTold{Table: &wire.Table{Mark: wire.TableMark{Number: number}}}, nil) {
+			test.Error("not taken")
+		}
+	}
+	if daemon.take(&wire.FetchTold{Table: &wire.Table{Mark: wire.TableMark{Number: 1}}}, nil); applied != 2 || daemon.Version().Table.Mark.Number != 2 {
+		test.Errorf("put in force %d times, table %v", applied, daemon.Version().Table.Mark)
+	}
+	threads.Wait()
+}
--- a/member/relay.go
+++ b/member/relay.go
@@ -92,23 +92,24 @@
 	return false
 }
 
-// take puts fetched parts in force, unless newer ones came meanwhile.
+// take puts fetched parts in force, unless newer ones came meanwhile. Its mutex
+// is not the daemon's, so that the session goes on while a large version is laid.
 func (daemon *Daemon) take(told *wire.FetchTold, texts wire.Texts) bool {
-	daemon.mutex.Lock()
+	daemon.taking.Lock()
 	before := daemon.Version()
 	next, mishap := before.after(told, texts)
 	if mishap != nil {
-		daemon.mutex.Unlock()
+		daemon.taking.Unlock()
 		daemon.counts.Add("versions_refused", 1)
 		return false
 	}
 	if next.Serial == before.Serial && next.Routing == before.Routing && next.Table == before.Table {
-		daemon.mutex.Unlock()
+		daemon.taking.Unlock()
 		return true
 	}
 	daemon.apply(next)
 	daemon.version.Store(next)
-	daemon.mutex.Unlock()
+	daemon.taking.Unlock()
 	if next.Serial != before.Serial {
 		klog.Infof("%s: serial %d in force", daemon.place.Name, next.Serial)
 		daemon.counts.Add("serials_in_force", 1)
