Cores pack an answer with a table once for all daemons that hold the same

Cause: each fetch packed the whole table anew; a table goes to every daemon within moments, so one leader packed members x daemons. Ruled out: handing out the kept bytes themselves; connect puts them back into its pool and would write over them (a test sees to it). A table, a routing or settings that differ have bytes of their own. At most four answers are kept, those of the newest table.

--- a/cmd/ojfleet/scale.go
+++ b/cmd/ojfleet/scale.go
@@ -29,7 +29,7 @@
 	}
 	scaling.run.Description = "measures each role's cost as the fleet grows, with hollow daemons; uses about four cores"
 	scaling.run.String(&scaling.sweep, "", "sweep", "which size grows, comma between: "+strings.Join(names, ", "))
-	scaling.run.Int(&scaling.port, "", "base-port", "first of the ports used on 127.0.0.1")
+	scaling.run.Int(&scaling.port, "", "first-port", "first of the ports used on 127.0.0.1")
 	scaling.capacity.Description = "writes the tables of the capacity page, and the plots, from the results"
 	scaling.capacity.String(&scaling.page, "", "page", "the page")
 	for _, command := range []*flaggy.Subcommand{scaling.run, scaling.capacity} {
--- a/control/core.go
+++ b/control/core.go
@@ -34,6 +34,7 @@
 	reading  *run.Turn
 	enlisted *Enlisted
 	routed   routedBody
+	fetched  fetchedAnswers
 	meter    *Meter
 
 	mutex      sync.Mutex
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -224,12 +224,44 @@
 		told.Routing, told.RoutingBody = routing.Serial, body
 	}
 	core.mutex.Lock()
-	defer core.mutex.Unlock()
 	if value := core.committed[wire.SettingsRegister].Value; value.Serial > fetch.Serial {
 		told.Serial, told.Parts = value.Serial, treeParts(value.Parts)
 	}
 	if fetch.Table.Less(core.table.Mark) {
 		told.Table = core.table
 	}
+	core.mutex.Unlock()
+	return core.fetched.of(told)
+}
+
+const fetchedMost = 4
+
+// fetchedAnswers are answers with the newest table, packed once for all daemons.
+type fetchedAnswers struct {
+	mutex sync.Mutex
+	table *wire.Table
+	held  map[fetchedKey]*wire.FetchTold
+}
+
+type fetchedKey struct{ serial, routing uint64 }
+
+// of gives the packed answer that says the same; one without a table is small.
+func (answers *fetchedAnswers) of(told *wire.FetchTold) (*wire.FetchTold, *wire.Mishap) {
+	if told.Table == nil {
+		return told, nil
+	}
+	answers.mutex.Lock()
+	defer answers.mutex.Unlock()
+	key := fetchedKey{told.Serial, told.Routing}
+	if held := answers.held[key]; held != nil && answers.table == told.Table {
+		return held, nil
+	}
+	if mishap := told.Seal(); mishap != nil {
+		return nil, mishap
+	}
+	if answers.table != told.Table || len(answers.held) >= fetchedMost {
+		answers.table, answers.held = told.Table, map[fetchedKey]*wire.FetchTold{}
+	}
+	answers.held[key] = told
 	return told, nil
 }
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -119,3 +119,65 @@
 		test.Error("a copy is not the same")
 	}
 }
+
+// Daemons that hold the same get the same bytes, packed once, and never those
+// of an older table or of another routing.
+func TestFetchesArePackedOnce(test *testing.T) {
+	answers := &fetchedAnswers{}
+	tables := []*wire.Table{{Mark: wire.TableMark{Number: 1}}, {Mark: wire.TableMark{Number: 2}, Members: []wire.Member{{Name: "p"}}}}
+	seen := map[string]*wire.FetchTold{}
+	for round := range 3 {
+		for _, table := range tables {
+			for routing := range uint64(6) {
+				asked := &wire.FetchTold{Table: table, Routing: routing, RoutingBody: []byte{byte(routing)}}
+				want, _ := wire.Pack(asked)
+				told, mishap := answers.of(asked)
+				if mishap != nil {
+					test.Fatal(mishap)
+				}
+				body, _ := wire.Codec{}.Marshal(told)
+				if string(body) != string(want) {
+					test.Errorf("round %d: another answer for table %d, routing %d", round, table.Mark.Number, routing)
+				}
+				again, _ := answers.of(&wire.FetchTold{Table: table, Routing: routing, RoutingBody: []byte{byte(routing)}})
+				if again != told {
+					test.Error("packed twice")
+				}
+				body[0] ^= 0xff
+				if second, _ := (wire.Codec{}).Marshal(again); string(second) != string(want) {
+					test.Error("who was given bytes changed those of others")
+				}
+				seen[string(want)] = told
+			}
+		}
+	}
+	if len(seen) != 12 {
+		test.Errorf("%d answers", len(seen))
+	}
+	if told, _ := answers.of(&wire.FetchTold{Routing: 9}); told.Routing != 9 || told.Table != nil {
+		test.Errorf("%+v", told)
+	}
+}
+
+// What a fetch of the whole table costs the core that answers.
+func BenchmarkFetch(bench *testing.B) {
+	for _, count := range []int{192, 768, 16000} {
+		table := &wire.Table{Mark: wire.TableMark{Number: 1}}
+		for number := range count {
+			table.Members = append(table.Members, wire.Member{Name: fmt.Sprintf("proxy-%05d", number), Kind: "proxy", Zone: "zone", Wire: "10.0.0.1:7000", Outer: "10.0.0.1:8000",
+				Operate: "10.0.0.1:7000", Incarnation: "0123456789abcdef", Ready: true})
+		}
+		bench.Run(fmt.Sprint(count, "-before"), func(bench *testing.B) {
+			for bench.Loop() {
+				wire.Codec{}.Marshal(&wire.FetchTold{Table: table})
+			}
+		})
+		bench.Run(fmt.Sprint(count, "-packed-once"), func(bench *testing.B) {
+			answers := &fetchedAnswers{}
+			for bench.Loop() {
+				told, _ := answers.of(&wire.FetchTold{Table: table})
+				wire.Codec{}.Marshal(told)
+			}
+		})
+	}
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -14,7 +15,14 @@
 
 func (Codec) Name() string { return "msgpack" }
 
-func (Codec) Marshal(message any) ([]byte, error) { return pack(message) }
+// Marshal gives bytes of their own also for a sealed message, since the sender
+// uses them again.
+func (Codec) Marshal(message any) ([]byte, error) {
+	if sealed, able := message.(interface{ body() []byte }); able && sealed.body() != nil {
+		return slices.Clone(sealed.body()), nil
+	}
+	return pack(message)
+}
 
 func (Codec) Unmarshal(body []byte, message any) error {
 	if mishap := unpack(body, message); mishap != nil {
--- a/wire/member.go
+++ b/wire/member.go
@@ -159,8 +159,22 @@
 
 	Routing     uint64
 	RoutingBody []byte
+
+	sealed []byte
+}
+
+// Seal packs the answer once for all that get the same; it is not changed after.
+func (told *FetchTold) Seal() *Mishap {
+	body, fault := pack(told)
+	if fault != nil {
+		return AsMishap(fault)
+	}
+	told.sealed = body
+	return nil
 }
 
+func (told *FetchTold) body() []byte { return told.sealed }
+
 // Who asks any daemon for the leader.
 type Who struct{}
 
