--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -19,7 +19,7 @@
 	suspect     = 750 * time.Millisecond
 	tablePace   = 150 * time.Millisecond
 	sessionSpan = 2500 * time.Millisecond
-	listShare   = 5
+	listShare   = 3.5
 	listFastest = 300 * time.Millisecond
 	listSlowest = time.Second
 	goneAfter   = 2
@@ -35,7 +35,7 @@
 // listPace leaves the larger part of the time to leave a backend for the list's lag
 // and for telling everybody.
 func listPace(settings *platform.Settings) time.Duration {
-	return max(listFastest, min(listSlowest, (settings.Bounds.Drain-settings.Platform.Lag)/listShare))
+	return max(listFastest, min(listSlowest, time.Duration(float64(settings.Bounds.Drain-settings.Platform.Lag)/listShare)))
 }
 
 // runCore is the life of a core.
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -23,6 +23,7 @@
 	chosen choice = iota
 	allFull
 	noneLeft
+	noneAllowed
 )
 
 // choose takes a place at the target that costs least: own waiting, distance and
@@ -36,13 +37,17 @@
 	bestCost, full := 0.0, false
 	var fallback, coldest *candidate
 	coldCost := 0.0
-	offset := 0
+	offset, permitted := 0, false
 	if len(candidates) > 0 {
 		offset = rand.IntN(len(candidates))
 	}
 	for step := range candidates {
 		held := &candidates[(step+offset)%len(candidates)]
-		if !allowed(request.route.Homes, held.region) || request.tenant != nil && !allowed(request.tenant.Homes, held.region) || slices.Contains(tried, held.target) {
+		if !allowed(request.route.Homes, held.region) || request.tenant != nil && !allowed(request.tenant.Homes, held.region) {
+			continue
+		}
+		permitted = true
+		if slices.Contains(tried, held.target) {
 			continue
 		}
 		far := 0.0
@@ -84,6 +89,8 @@
 	case best != nil:
 		best.target.enter()
 		return best, chosen
+	case !permitted:
+		return nil, noneAllowed
 	case full || coldest != nil:
 		return nil, allFull
 	}
--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -108,3 +108,28 @@
 		}
 	})
 }
+
+// Where no backend may serve a request it is refused at once, with a time to come back.
+func TestNobodyMayServe(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(well)
+		if _, how := world.proxy.pick(nil, []string{"nowhere"}); how != noneAllowed {
+			test.Errorf("choice %d", how)
+		}
+		if _, how := world.proxy.pick(&route.Tenant{Name: "t", Homes: []string{"nowhere"}}, nil); how != noneAllowed {
+			test.Errorf("choice %d with the tenant's homes", how)
+		}
+	})
+}
+
+// An idle connection is worth a little waiting, not much.
+func TestIdleConnectionIsPreferred(test *testing.T) {
+	target := newTarget(wire.Backend{Name: "b", Slots: 4})
+	now := time.Now()
+	bare, _, _ := target.weigh(now, 100, 0)
+	target.idle = append(target.idle, &connection{})
+	with, _, _ := target.weigh(now, 100, 0)
+	if bare-with != openPenalty {
+		test.Errorf("%v without, %v with one", bare, with)
+	}
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -224,7 +224,7 @@
 			if how == noneLeft && len(request.tried) > 0 && !sentBefore && now.Before(waitUntil) {
 				request.tried = request.tried[:0]
 			}
-			if !now.Before(waitUntil) || !proxy.lines.enter(request.rank) {
+			if how == noneAllowed || !now.Before(waitUntil) || !proxy.lines.enter(request.rank) {
 				break
 			}
 			proxy.move(request, waiting)
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	openPenalty  = 20.0
 	speedShare   = 0.1
 	failureShare = 0.15
 	othersShare  = 0.2
@@ -84,6 +85,9 @@
 	slots := float64(max(target.backend.Slots, 1))
 	load, service := target.load(now), mean*target.speed
 	cost = service + far + float64(target.roundTrip.Milliseconds()) + 0.4*service*min(1, load/slots) + 4*mean*target.failing
+	if len(target.idle) == 0 {
+		cost += openPenalty + float64(target.roundTrip.Milliseconds())
+	}
 	if load >= slots {
 		cost += (load - slots + 1) / slots * service
 	}
