--- /dev/null
+++ b/proxy/link_test.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// large reads an endless answer through a lane for a while and gives its bytes a second.
+func (lane *Lane) large(span time.Duration) float64 {
+	source := &paced{from: endless{}, lane: lane, ctx: context.Background(), clock: time.Now, large: true}
+	begin, body, count := time.Now(), make([]byte, bulkChunk), 0
+	for time.Since(begin) < span {
+		read, _ := source.Read(body)
+		count += read
+	}
+	return float64(count) / time.Since(begin).Seconds()
+}
+
+type endless struct{}
+
+func (endless) Read(body []byte) (int, error) { return len(body), nil }
+
+// Large answers take what small ones leave of the link, and never less than their floor.
+func TestLargeTakeWhatIsLeft(test *testing.T) {
+	const whole = 1 << 20
+	for _, step := range []struct{ small, least, most float64 }{{0, 0.88, 0.95}, {0.3, 0.53, 0.62}, {0.6, 0.24, 0.28}, {2, 0.24, 0.28}} {
+		synctest.Test(test, func(test *testing.T) {
+			lane := newLane(whole, time.Now())
+			for range 40 {
+				time.Sleep(50 * time.Millisecond)
+				lane.pass(int(step.small*whole/20), time.Now())
+			}
+			stop := time.Now().Add(5 * time.Second)
+			go func() {
+				for time.Now().Before(stop) {
+					time.Sleep(50 * time.Millisecond)
+					lane.pass(int(step.small*whole/20), time.Now())
+				}
+			}()
+			if got := lane.large(4*time.Second) / whole; got < step.least || got > step.most {
+				test.Errorf("beside %v of the link: %.3f", step.small, got)
+			}
+			synctest.Wait()
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
+
+// Small answers never wait, also while large ones fill the link; what turns out to be
+// large waits from where it is.
+func TestSmallPassAtOnce(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		lane := newLane(100<<10, time.Now())
+		lane.large(time.Second)
+		begin := time.Now()
+		small := &paced{from: bytes.NewReader(make([]byte, bulkLeast)), lane: lane, ctx: context.Background(), clock: time.Now}
+		if body, fault := io.ReadAll(small); len(body) != bulkLeast || fault != nil {
+			test.Errorf("%d bytes, %v", len(body), fault)
+		}
+		written := &bytes.Buffer{}
+		(&pacedWriter{to: written, lane: lane, ctx: context.Background(), clock: time.Now}).Write(make([]byte, 20<<10))
+		if took := time.Since(begin); took > 0 || written.Len() != 20<<10 {
+			test.Errorf("%v for %d bytes", took, written.Len())
+		}
+		grows := &paced{from: bytes.NewReader(make([]byte, 2*bulkLeast)), lane: lane, ctx: context.Background(), clock: time.Now}
+		io.ReadAll(grows)
+		if time.Since(begin) < 200*time.Millisecond {
+			test.Errorf("a large answer without a length took %v", time.Since(begin))
+		}
+	})
+}
+
+// A part whose turn is after the request's end ends it, and what was written is told.
+func TestPacedPartsEndInTime(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		lane := newLane(16<<10, time.Now())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		begin, written := time.Now(), &bytes.Buffer{}
+		count, fault := (&pacedWriter{to: written, lane: lane, ctx: ctx, clock: time.Now, large: true}).Write(make([]byte, 200<<10))
+		if fault == nil || count != written.Len() || count < bulkBurst || count > 64<<10 || time.Since(begin) > time.Second {
+			test.Errorf("%d of %d bytes after %v: %v", count, written.Len(), time.Since(begin), fault)
+		}
+	})
+}
+
+func TestLinkWithoutABound(test *testing.T) {
+	var lane *Lane = newLane(0, time.Now())
+	lane.pass(1<<30, time.Now())
+	if fault := lane.wait(context.Background(), 1<<30, time.Now()); fault != nil || lane != nil {
+		test.Errorf("%v, %v", lane, fault)
+	}
+}
