--- a/control/routing.go
+++ b/control/routing.go
@@ -3,12 +3,16 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"orchidjunction/route"
 	"orchidjunction/wire"
 )
 
-const routingTrail = 256
+const (
+	routingTrail  = 256
+	reopenedStays = time.Minute
+)
 
 // routedBody is a committed routing as daemons get it, packed once.
 type routedBody struct {
@@ -85,7 +89,7 @@
 }
 
 // evacuate is the book after an order on a zone, nil when the order changes nothing.
-func evacuate(book *route.Book, order *wire.Evacuate) *route.Book {
+func evacuate(book *route.Book, order *wire.Evacuate, now int64) *route.Book {
 	index, found := slices.BinarySearch(book.Evacuated, order.Zone)
 	if found == order.Begin {
 		return nil
@@ -95,6 +99,10 @@
 		next.Evacuated = slices.Insert(slices.Clone(book.Evacuated), index, order.Zone)
 	} else {
 		next.Evacuated = slices.Delete(slices.Clone(book.Evacuated), index, index+1)
+		next.Reopened = slices.DeleteFunc(slices.Clone(book.Reopened), func(one route.Reopened) bool {
+			return one.Zone == order.Zone || now-one.AtMs > reopenedStays.Milliseconds()
+		})
+		next.Reopened = append(next.Reopened, route.Reopened{Zone: order.Zone, AtMs: now})
 	}
 	return &next
 }
@@ -169,7 +177,7 @@
 	}
 	changed := false
 	serial, mishap := leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
-		next := evacuate(book, order)
+		next := evacuate(book, order, core.Now())
 		changed = next != nil
 		return next, nil
 	})
--- /dev/null
+++ b/control/routing_test.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"reflect"
+	"testing"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// A zone that was taken back is remembered for a while, by when that was.
+func TestEvacuatedAndReopened(test *testing.T) {
+	book := &route.Book{}
+	for number, step := range []struct {
+		zone      string
+		begin     bool
+		at        int64
+		evacuated []string
+		reopened  []route.Reopened
+	}{
+		{"b", true, 1000, []string{"b"}, nil},
+		{"a", true, 2000, []string{"a", "b"}, nil},
+		{"b", false, 3000, []string{"a"}, []route.Reopened{{Zone: "b", AtMs: 3000}}},
+		{"a", false, 4000, []string{}, []route.Reopened{{Zone: "b", AtMs: 3000}, {Zone: "a", AtMs: 4000}}},
+		{"b", true, 5000, []string{"b"}, []route.Reopened{{Zone: "b", AtMs: 3000}, {Zone: "a", AtMs: 4000}}},
+		{"b", false, 63500, []string{}, []route.Reopened{{Zone: "a", AtMs: 4000}, {Zone: "b", AtMs: 63500}}},
+	} {
+		if again := evacuate(book, &wire.Evacuate{Zone: step.zone, Begin: !step.begin}, step.at); again != nil {
+			test.Errorf("step %d: the contrary changed something", number)
+		}
+		next := evacuate(book, &wire.Evacuate{Zone: step.zone, Begin: step.begin}, step.at)
+		if next == nil || len(next.Evacuated) != len(step.evacuated) || len(step.evacuated) > 0 && !reflect.DeepEqual(next.Evacuated, step.evacuated) || !reflect.DeepEqual(next.Reopened, step.reopened) {
+			test.Fatalf("step %d: %+v", number, next)
+		}
+		book = next
+	}
+}
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -259,7 +259,9 @@
 // doubt makes the target count as cold until then.
 func (target *target) doubt(until time.Time) {
 	target.mutex.Lock()
-	target.suspect = until
+	if target.suspect.Before(until) {
+		target.suspect = until
+	}
 	target.mutex.Unlock()
 }
 
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"orchidjunction/route"
 	"orchidjunction/wire"
@@ -81,6 +82,10 @@
 		evacuated[zone] = true
 	}
 	now, listed := proxy.clock(), map[string]bool{}
+	reopened := map[string]time.Duration{}
+	for _, one := range book.Reopened {
+		reopened[one.Zone] = proxy.place.doubtSpan() - time.Duration(proxy.now()-one.AtMs)*time.Millisecond
+	}
 	for _, backend := range table.Backends {
 		held := proxy.targets[backend.Name]
 		if held == nil {
@@ -90,6 +95,8 @@
 		listed[backend.Name] = true
 		if proxy.evacuated[backend.Zone] && !evacuated[backend.Zone] {
 			held.doubt(now.Add(proxy.place.doubtSpan()))
+		} else if left := reopened[backend.Zone]; left > 0 {
+			held.doubt(now.Add(min(left, proxy.place.doubtSpan())))
 		}
 		number, found := view.index.ServiceIndex(backend.Service)
 		if !found || backend.Leaving || evacuated[backend.Zone] {
--- a/proxy/view_test.go
+++ b/proxy/view_test.go
@@ -170,3 +170,19 @@
 		}
 	})
 }
+
+// A proxy that did not see an evacuation end, since it began after that, takes the
+// zone's backends for cold for a while all the same.
+func TestReopenedZoneIsDoubtedByNewProxies(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		for ago, want := range map[time.Duration]choice{500 * time.Millisecond: allFull, time.Minute: chosen} {
+			proxies := many([]string{"p1"}, []string{"e1"})
+			backend := wire.Backend{Name: "b1", Service: "plain", Address: "10.0.0.1:80", Zone: "e1", Slots: 4}
+			book := &route.Book{Config: ownConfig(), Reopened: []route.Reopened{{Zone: "e1", AtMs: time.Now().Add(-ago).UnixMilli()}}}
+			proxies[0].Lay(book, &wire.Table{Mark: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: []wire.Backend{backend}})
+			if _, how := proxies[0].pick(nil, nil); how != want {
+				test.Errorf("taken back %v ago: choice %d, want %d", ago, how, want)
+			}
+		}
+	})
+}
--- a/proxy/warmup.go
+++ b/proxy/warmup.go
@@ -8,15 +8,19 @@
 )
 
 // Warmup paces the requests to one cold backend. Only its owner sends any, so that
-// the proxies' rates do not add up; the rate leaves room for a second owner while
+// the proxies' rates do not add up; the rate leaves room for two more owners while
 // views differ.
 type Warmup struct {
 	tokens float64
 	filled time.Time
 }
 
+// warmupOwners is how many proxies may take themselves for a backend's owner at once
+// while the fleet is cut apart.
+const warmupOwners = 3
+
 func warmupRate(rate, excess, extra float64) float64 {
-	return max(0, min(0.9*rate, (rate*excess+extra)/2-1))
+	return max(0, min(0.9*rate, (rate*excess+extra)/warmupOwners-1))
 }
 
 func (warmup *Warmup) take(now time.Time, rate float64) bool {
--- a/route/config.go
+++ b/route/config.go
@@ -119,9 +119,17 @@
 type Book struct {
 	Config    Config
 	Evacuated []string
+	Reopened  []Reopened
 	Trail     []Applied
 }
 
+// Reopened is when a zone was last taken back, in milliseconds of true time: its
+// backends may have turned cold meanwhile, and lists lag.
+type Reopened struct {
+	Zone string
+	AtMs int64
+}
+
 // BookOf reads the register's body; none is an empty book.
 func BookOf(body []byte) (*Book, *wire.Mishap) {
 	book := &Book{}
