--- a/control/routing.go
+++ b/control/routing.go
@@ -17,7 +17,7 @@
 	body   []byte
 }
 
-// of packs a book without its trail.
+// of packs a book without its trail, and squeezes it.
 func (routed *routedBody) of(value wire.Value) ([]byte, *wire.Mishap) {
 	routed.mutex.Lock()
 	defer routed.mutex.Unlock()
@@ -33,8 +33,8 @@
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	routed.serial, routed.body = value.Serial, body
-	return body, nil
+	routed.serial, routed.body = value.Serial, wire.Squeeze(body)
+	return routed.body, nil
 }
 
 // Routing is the committed routing as this core holds it.
@@ -131,6 +131,8 @@
 }
 
 // onRouteChange puts an operator's routing in force at the leader, or says why not.
+// A base that is newer than all this core knows is refused only by who still leads:
+// the next leader may have taken the order.
 func (core *Core) onRouteChange(message *wire.RouteChange) (*wire.RouteChangeTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
 	if mishap != nil {
@@ -140,12 +142,17 @@
 	if fault := wire.Unpack(message.Body, change); fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	told := &wire.RouteChangeTold{}
+	told, newer := &wire.RouteChangeTold{}, false
 	told.Serial, mishap = leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
 		next, again, mishap := decide(book, change)
-		told.Again = again
+		told.Again, newer = again, change.Base > book.Config.Version
 		return next, mishap
 	})
+	if mishap != nil && mishap.Kind == wire.StaleBase && newer {
+		if unsure := leadership.confirm(core.roundLimit()); unsure != nil {
+			mishap = unsure
+		}
+	}
 	if mishap != nil {
 		core.counts.Add("routings_"+string(mishap.Kind), 1)
 		return nil, mishap
