Orders reach the leader that the core itself knows, and end within their limit

Cause: on a core, operators' orders went to the leader that the core's finder had heard of last by asking, not to the one that the core itself follows or is. Behind a frozen leader each order waited 800 ms there, at cores that had followed the next leader for up to 1.7 s; and what was left was reckoned before a wait, so the answer came after 987 to 1,037 ms, when the operator had gone to the next core.

Ruled out: a slow election (leader at 9.63 and 9.75 s), a slow write (0.12 s).

Tests without the bench were seen failing first: 2.39 s for a limit of 2 s, the frozen leader asked in place of the known one.

--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -70,6 +70,7 @@
 	core.Register(door)
 	finder := member.NewFinder(line, node.threads, place.Seeds).Paced(member.Paces{Seek: seekPace})
 	hold := member.NewHold(finder, line, node.counts).Within(member.HoldLimits{Send: sendLimit})
+	hold.Follow(core.Leader)
 	orders := platform.NewControl(platform.NewLeaderOrders(hold), func() map[string]string { return node.source.Settings().Zones }, node.counts)
 	if mishap := node.open(side{place.Wire, door}, side{settings.Listen.Operators, orders}); mishap != nil {
 		return mishap
--- a/control/change.go
+++ b/control/change.go
@@ -116,3 +116,12 @@
 	}
 	return told, nil
 }
+
+// Leader is who leads as far as this core knows at the moment; nobody while it
+// hears of none or the leader steps down.
+func (core *Core) Leader() wire.Leader {
+	if told, _ := core.onWho(&wire.Who{}); !told.Duck {
+		return told.Leader
+	}
+	return wire.Leader{}
+}
--- a/member/hold.go
+++ b/member/hold.go
@@ -18,6 +18,7 @@
 	span   time.Duration
 	limit  time.Duration
 	send   time.Duration
+	known  func() wire.Leader
 
 	mutex sync.Mutex
 	held  int
@@ -53,6 +54,22 @@
 	return hold
 }
 
+// Follow names what tells the leader that this process itself knows at the moment,
+// where it is a core: its finder only hears of a new one by asking.
+func (hold *Hold) Follow(known func() wire.Leader) { hold.known = known }
+
+// catchUp brings the finder to what this process knows.
+func (hold *Hold) catchUp() {
+	if hold.known == nil {
+		return
+	}
+	if leader := hold.known(); leader.Known() {
+		hold.finder.Heard(leader)
+	} else {
+		hold.finder.Drop(hold.finder.Leader(), false)
+	}
+}
+
 func (hold *Hold) enter() bool {
 	hold.mutex.Lock()
 	defer hold.mutex.Unlock()
@@ -84,8 +101,8 @@
 		}
 		return &wire.Mishap{Kind: wire.NotStarted, Cause: "no leader within the hold; nothing was started", Retry: comeBack}
 	}
+	hold.catchUp()
 	for {
-		rest := hold.limit - time.Since(begin)
 		leader := hold.finder.Leader()
 		if !leader.Known() {
 			if !holding {
@@ -99,12 +116,13 @@
 				holding = true
 				hold.counts.Add("held", 1)
 			}
-			leader = hold.finder.Wait(min(hold.span-time.Since(begin), rest))
+			leader = hold.finder.Wait(min(hold.span, hold.limit) - time.Since(begin))
 			if !leader.Known() {
 				hold.counts.Add("hold_given_up", 1)
 				return nil, final()
 			}
 		}
+		rest := hold.limit - time.Since(begin)
 		if rest <= 0 {
 			return nil, final()
 		}
--- /dev/null
+++ b/member/hold_test.go
@@ -0,0 +1,103 @@
+package member
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// frozen takes what it is asked and says nothing, as a process that stands still.
+const frozen = "10.0.0.1:1"
+
+// leaders are a frozen leader and, where it has an address, one that answers.
+type leaders struct {
+	answering string
+	door      *wire.Door
+	silent    atomic.Int32
+	gaveUp    func()
+}
+
+func (leaders *leaders) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Host != leaders.answering {
+		leaders.silent.Add(1)
+		<-request.Context().Done()
+		if request.URL.Host == frozen && leaders.gaveUp != nil {
+			time.AfterFunc(400*time.Millisecond, leaders.gaveUp)
+		}
+		return nil, request.Context().Err()
+	}
+	recorder := httptest.NewRecorder()
+	leaders.door.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+func leaderOf(round uint64, address string) wire.Leader {
+	return wire.Leader{Ballot: wire.Ballot{Round: round, Core: int(round)}, Core: int(round), Address: address}
+}
+
+func holdAt(test *testing.T, transport *leaders, limits HoldLimits) (*Hold, *Finder) {
+	transport.door = wire.NewDoor(run.NewCounts())
+	wire.Take(transport.door, "evacuate", func(context.Context, *wire.Evacuate) (*wire.EvacuateTold, error) {
+		return &wire.EvacuateTold{Serial: 7}, nil
+	})
+	threads := run.NewThreads()
+	line := wire.NewLine(transport)
+	finder := NewFinder(line, threads, []string{frozen})
+	test.Cleanup(func() {
+		threads.Stop()
+		threads.Wait()
+	})
+	return NewHold(finder, line, run.NewCounts()).Within(limits), finder
+}
+
+// Who asks goes elsewhere once the limit has passed, so an answer after it is lost.
+func TestHoldEndsAtItsLimitThoughALeaderTurnsUpLate(test *testing.T) {
+	transport := &leaders{}
+	hold, finder := holdAt(test, transport, HoldLimits{Answer: 2 * time.Second, Send: 1500 * time.Millisecond})
+	transport.gaveUp = func() { finder.Heard(leaderOf(2, "10.0.0.2:1")) }
+	finder.Heard(leaderOf(1, frozen))
+	begin := time.Now()
+	if _, mishap := Send[wire.Evacuate, wire.EvacuateTold](hold, "evacuate", &wire.Evacuate{Zone: "osu", Begin: true}); mishap == nil || mishap.Kind != wire.OutcomeUnknown {
+		test.Fatalf("answered %v", mishap)
+	}
+	if took := time.Since(begin); took > 2200*time.Millisecond {
+		test.Fatalf("took %v, the limit is 2 s", took)
+	}
+}
+
+// A core that follows another leader, or leads, sends nothing to the one that its
+// finder heard of last.
+func TestHoldGoesToTheLeaderThatItsOwnCoreKnows(test *testing.T) {
+	transport := &leaders{answering: "10.0.0.2:1"}
+	hold, finder := holdAt(test, transport, HoldLimits{Answer: 2 * time.Second, Send: 1500 * time.Millisecond})
+	hold.Follow(func() wire.Leader { return leaderOf(2, transport.answering) })
+	finder.Heard(leaderOf(1, frozen))
+	told, mishap := Send[wire.Evacuate, wire.EvacuateTold](hold, "evacuate", &wire.Evacuate{Zone: "osu", Begin: true})
+	if mishap != nil || told.Serial != 7 {
+		test.Fatalf("told %v, %v", told, mishap)
+	}
+	if asked := transport.silent.Load(); asked != 0 {
+		test.Fatalf("the frozen leader was asked %d times", asked)
+	}
+}
+
+// A core that hears of no leader any more starts nothing at the last one, so that
+// what it holds has surely not run.
+func TestHoldStartsNothingAtALeaderThatItsOwnCoreNoLongerHears(test *testing.T) {
+	transport := &leaders{}
+	hold, finder := holdAt(test, transport, HoldLimits{Answer: 200 * time.Millisecond, Send: 150 * time.Millisecond})
+	hold.Follow(func() wire.Leader { return wire.Leader{} })
+	finder.Heard(leaderOf(1, frozen))
+	if _, mishap := Send[wire.Evacuate, wire.EvacuateTold](hold, "evacuate", &wire.Evacuate{Zone: "osu", Begin: true}); mishap == nil || mishap.Kind != wire.NotStarted {
+		test.Fatalf("answered %v", mishap)
+	}
+	if asked := transport.silent.Load(); asked != 0 {
+		test.Fatalf("the frozen leader was asked %d times", asked)
+	}
+}
