A core relays all counts of a daemon to the leader, not its last changes

Cause: daemons tell the core they speak to what changed in their counts. One that stays with the former leader (it keeps off a core that failed it within 3 s) goes on telling changes, and that core, now a follower, relayed these alone: the next leader never heard of the windows that were told before.

Ruled out: proxies killed (none was), a window sealed too early (it waited until nearly due).

The tests were seen failing first.

--- a/control/metering.go
+++ b/control/metering.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,6 +123,24 @@
 	}
 }
 
+// of is all that a session's process was told to have counted; whole is whether
+// that is all it counted, which changes upon another core's process can't say.
+func (meter *Meter) of(session *wire.Session) ([]wire.WindowCount, bool) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	if session.Upon != 0 && session.Upon != meter.process {
+		return nil, false
+	}
+	all := []wire.WindowCount{}
+	for window, processes := range meter.open {
+		if tenants := processes[session.Member.Incarnation]; len(tenants) > 0 {
+			all = append(all, wire.WindowCount{Window: window, Tenants: maps.Clone(tenants)})
+		}
+	}
+	slices.SortFunc(all, func(left, right wire.WindowCount) int { return cmp.Compare(left.Window, right.Window) })
+	return all, true
+}
+
 // oldest is the first window that anything was counted in, at most the one given.
 func (meter *Meter) oldest(window int64) int64 {
 	meter.mutex.Lock()
--- /dev/null
+++ b/control/relayed_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// A daemon that stays with a core which led tells it changes only. The next leader
+// gets all that the core was told, or it would seal what came since alone.
+func TestRelayedSessionTellsAllCountsNotTheLastChange(test *testing.T) {
+	threads := run.NewThreads()
+	core, mishap := NewCore(Place{ID: 1, Wire: "127.0.0.1:1", Found: true, Beat: 10 * time.Millisecond, Suspect: 30 * time.Millisecond}, Folder(test.TempDir()), wire.NewLine(http.DefaultTransport), threads, run.NewCounts())
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	defer core.Close()
+	member := wire.Member{Name: "edge-1", Kind: "proxy", Incarnation: "a"}
+	for _, session := range []*wire.Session{
+		{Member: member, NowMs: 1, Windows: []wire.WindowCount{{Window: 10, Tenants: map[string]uint64{"first": 5, "second": 2}}}},
+		{Member: member, NowMs: 2, Upon: core.meter.process, Windows: []wire.WindowCount{{Window: 11, Tenants: map[string]uint64{"first": 1}}}},
+	} {
+		if _, mishap := core.onSession(session); mishap != nil {
+			test.Fatal(mishap)
+		}
+	}
+	next := newMeter()
+	for _, held := range core.sessions.own(core.roster().ID) {
+		relayed := core.relayed(held)
+		next.take(&relayed)
+	}
+	if sum := next.sum(10); sum["first"] != 5 || sum["second"] != 2 {
+		test.Fatalf("window 10 at the next leader: %v", sum)
+	}
+	if sum := next.sum(11); sum["first"] != 1 {
+		test.Fatalf("window 11 at the next leader: %v", sum)
+	}
+	if next.spoke["a"] != 2 {
+		test.Fatalf("spoke %d, want 2: all was told", next.spoke["a"])
+	}
+}
+
+// What adds to a former process of the core is not all, and does not pass for it.
+func TestRelayedChangesUponAFormerProcessStayChanges(test *testing.T) {
+	threads := run.NewThreads()
+	core, mishap := NewCore(Place{ID: 1, Wire: "127.0.0.1:1", Found: true, Beat: 10 * time.Millisecond, Suspect: 30 * time.Millisecond}, Folder(test.TempDir()), wire.NewLine(http.DefaultTransport), threads, run.NewCounts())
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	defer core.Close()
+	session := wire.Session{Member: wire.Member{Name: "edge-1", Kind: "proxy", Incarnation: "a"}, NowMs: 2, Upon: core.meter.process + 2,
+		Windows: []wire.WindowCount{{Window: 11, Tenants: map[string]uint64{"first": 1}}}}
+	if _, mishap := core.onSession(&session); mishap != nil {
+		test.Fatal(mishap)
+	}
+	next := newMeter()
+	for _, held := range core.sessions.own(core.roster().ID) {
+		relayed := core.relayed(held)
+		next.take(&relayed)
+	}
+	if next.spoke["a"] != 0 || next.sum(11)["first"] != 1 {
+		test.Fatalf("spoke %d, window 11 %v", next.spoke["a"], next.sum(11))
+	}
+}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -168,6 +168,17 @@
 	}, func(*wire.TellTold) bool { return false }, len(core.roster().Peers))
 }
 
+// relayed is a session as the leader gets it from this core: with all counts that
+// this core was told, since what the session itself brought may only add to them.
+func (core *Core) relayed(held heldSession) wire.Session {
+	session := held.session
+	session.AgeMs = time.Since(held.told).Milliseconds()
+	if all, whole := core.meter.of(&session); whole {
+		session.Windows, session.Upon = all, 0
+	}
+	return session
+}
+
 // tellLeader brings the leader what is new since the last time.
 func (core *Core) tellLeader() {
 	core.mutex.Lock()
@@ -180,8 +191,7 @@
 	tell := &wire.Tell{Core: core.roster().ID}
 	for _, held := range core.sessions.own(core.roster().ID) {
 		if held.told.After(since) {
-			held.session.AgeMs = time.Since(held.told).Milliseconds()
-			tell.Sessions = append(tell.Sessions, held.session)
+			tell.Sessions = append(tell.Sessions, core.relayed(held))
 		}
 	}
 	if len(tell.Sessions) == 0 {
