--- a/member/daemon.go
+++ b/member/daemon.go
@@ -86,6 +86,7 @@
 	clock       *run.Clock
 	metered     Metered
 	watched     Watched
+	taking      sync.Mutex
 
 	mutex     sync.Mutex
 	core      int
