--- a/control/core.go
+++ b/control/core.go
@@ -116,10 +116,11 @@
 	}
 }
 
-// paced is the pace of a leader's duty; other cores only look whether they lead.
+// paced is the pace of a leader's duty, and of a core's that heard of no leader since
+// its start; other cores only look whether they lead.
 func (core *Core) paced(leads func() time.Duration) func() time.Duration {
 	return func() time.Duration {
-		if _, mishap := core.leading(); mishap != nil {
+		if _, mishap := core.leading(); mishap != nil && !core.cold() {
 			return core.place.Suspect / 3
 		}
 		return leads()
--- a/sim/routing_test.go
+++ b/sim/routing_test.go
@@ -135,6 +135,7 @@
 			test.Fatal(mishap)
 		}
 		more := Routing(2).Routes
+		more[0].Prefix = "/b/"
 		body, _ := wire.Pack(&route.Change{Version: 2, Base: 1, Digest: "patch", Patch: &route.Patch{Routes: more}})
 		if _, mishap := order[wire.RouteChange, wire.RouteChangeTold](world, world.holds(), "routechange", &wire.RouteChange{Body: body}); mishap != nil {
 			test.Fatal(mishap)
