--- a/proxy/link.go
+++ b/proxy/link.go
@@ -40,6 +40,51 @@
 	return &Lane{whole: bytesPerSecond, bulk: rate.NewLimiter(rate.Limit(bytesPerSecond*linkUse), bulkBurst), laid: now}
 }
 
+// Gate lets so many large answers be fetched at once that what their senders have
+// under way never fills the link for long; a reader alone cannot hold them back.
+type Gate struct {
+	most int
+
+	mutex sync.Mutex
+	held  int
+}
+
+const (
+	gateSpan   = 0.3
+	gateWindow = 64 << 10
+	gateLeast  = 2
+)
+
+// newGate is nil for a link without a bound.
+func newGate(bytesPerSecond float64) *Gate {
+	if bytesPerSecond <= 0 {
+		return nil
+	}
+	return &Gate{most: max(gateLeast, int(bytesPerSecond*gateSpan/gateWindow))}
+}
+
+func (gate *Gate) enter() bool {
+	if gate == nil {
+		return true
+	}
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if gate.held >= gate.most {
+		return false
+	}
+	gate.held++
+	return true
+}
+
+func (gate *Gate) leave() {
+	if gate == nil {
+		return
+	}
+	gate.mutex.Lock()
+	gate.held--
+	gate.mutex.Unlock()
+}
+
 // pass counts bytes that go at once.
 func (lane *Lane) pass(bytes int, now time.Time) {
 	if lane == nil {
--- a/proxy/link_test.go
+++ b/proxy/link_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"orchidjunction/route"
 )
 
 // large reads an endless answer through a lane for a while and gives its bytes a second.
@@ -95,3 +97,32 @@
 		test.Errorf("%v, %v", lane, fault)
 	}
 }
+
+// No more large answers are fetched at once than the link bears; the others wait, and
+// are refused in time where they wait in vain.
+func TestLargeAnswersTakeTurns(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.proxy.gate = newGate(1)
+		world.add("b1").ever(after(300*time.Millisecond, well))
+		request := &request{route: &route.Route{Kind: route.Download, TargetMs: 1000}, context: context.Background(), begin: time.Now(), limit: time.Now().Add(2 * time.Second)}
+		for range gateLeast {
+			if !world.proxy.pass(request) {
+				test.Error("refused where there is room")
+			}
+		}
+		begin := time.Now()
+		if world.proxy.pass(request) || time.Since(begin) != 500*time.Millisecond {
+			test.Errorf("not refused after half of the target time: %v", time.Since(begin))
+		}
+		request.begin, request.limit = time.Now(), time.Now().Add(2*time.Second)
+		world.threads.Start(func() {
+			world.threads.Rest(200 * time.Millisecond)
+			world.proxy.gate.leave()
+			world.proxy.freed.Ring()
+		})
+		begin = time.Now()
+		if !world.proxy.pass(request) || time.Since(begin) < 200*time.Millisecond || time.Since(begin) > 250*time.Millisecond {
+			test.Errorf("its turn came after %v", time.Since(begin))
+		}
+	})
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -36,6 +36,7 @@
 	bodies   bodies
 	inward   *Lane
 	outward  *Lane
+	gate     *Gate
 	leaving  atomic.Bool
 
 	laying    sync.Mutex
@@ -50,6 +51,7 @@
 	proxy := &Proxy{place: place, dial: dial, threads: threads, counts: counts, clock: time.Now, now: now, stat: newStat(), freed: run.NewBell(),
 		targets: map[string]*target{}, budgets: map[string]*Budget{}, evacuated: map[string]bool{}, withheld: map[string]bool{}}
 	proxy.inward, proxy.outward = newLane(place.LinkBytes, proxy.clock()), newLane(place.LinkBytes, proxy.clock())
+	proxy.gate = newGate(place.LinkBytes)
 	proxy.meter = newMeter(place.UsageWindow, now)
 	for _, name := range []string{place.Headers.Deadline, place.Headers.Target, place.Headers.Tenant} {
 		proxy.withheld[http.CanonicalHeaderKey(name)] = true
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -35,6 +35,7 @@
 const (
 	limitSlack  = 50 * time.Millisecond
 	waitShare   = 4
+	gateShare   = 2
 	waitingMost = 256
 	bodiesMost  = 96 << 20
 
@@ -119,9 +120,37 @@
 	if number, found := view.index.ServiceIndex(request.service); found {
 		view.budgets[number].request()
 	}
+	if request.route.Kind == route.Download {
+		if !proxy.pass(request) {
+			proxy.refuse(request, http.StatusServiceUnavailable, wire.Busy)
+			return
+		}
+		defer func() {
+			proxy.gate.leave()
+			proxy.freed.Ring()
+		}()
+	}
 	proxy.carry(request)
 }
 
+// pass waits for a large answer's turn on the link; false when that is too late.
+func (proxy *Proxy) pass(request *request) bool {
+	until := request.begin.Add(min(time.Duration(max(request.route.TargetMs, 40))*time.Millisecond, request.limit.Sub(request.begin)) / gateShare)
+	for !proxy.gate.enter() {
+		now := proxy.clock()
+		if request.context.Err() != nil {
+			proxy.counts.Add("clients_gone", 1)
+			panic(http.ErrAbortHandler)
+		}
+		if !now.Before(until) {
+			proxy.counts.Add("link_full", 1)
+			return false
+		}
+		proxy.freed.Wait(proxy.freed.Count(), min(until.Sub(now), waitPace))
+	}
+	return true
+}
+
 // await holds a request for a short while until the first view is in force.
 func (proxy *Proxy) await(request *request) *View {
 	until := request.begin.Add(firstViewWait)
