--- a/member/daemon.go
+++ b/member/daemon.go
@@ -85,6 +85,7 @@
 	paces       Paces
 	clock       *run.Clock
 	metered     Metered
+	saying      *run.Turn
 	watched     Watched
 	taking      sync.Mutex
 
@@ -104,11 +105,12 @@
 	ends      time.Time
 	parent    string
 	failed    map[string]time.Time
+	led       wire.Ballot
 }
 
 func NewDaemon(place Place, incarnation string, line *wire.Line, threads *run.Threads, counts *run.Counts) *Daemon {
 	daemon := &Daemon{place: place, incarnation: incarnation, line: line, threads: threads, counts: counts,
-		news: run.NewBell(), pulse: time.Now(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, warm: func() bool { return true }, usage: func() map[string]uint64 { return nil }, demand: func() float64 { return 0 }, finish: func(time.Duration) {}}
+		news: run.NewBell(), saying: run.NewTurn(), pulse: time.Now(), failed: map[string]time.Time{}, apply: func(*Version) {}, probes: func() []wire.Probe { return nil }, keeper: func() bool { return false }, warm: func() bool { return true }, usage: func() map[string]uint64 { return nil }, demand: func() float64 { return 0 }, finish: func(time.Duration) {}}
 	if place.Wall == nil {
 		place.Wall = func() int64 { return time.Now().UnixMilli() }
 	}
@@ -270,6 +272,8 @@
 
 // session tells a core that this daemon lives; a silent core is left for the next.
 func (daemon *Daemon) session() {
+	daemon.saying.Take()
+	defer daemon.saying.Give()
 	cores := daemon.Finder.Cores()
 	version := daemon.Version()
 	asked := time.Now()
--- a/member/direct.go
+++ b/member/direct.go
@@ -73,11 +73,16 @@
 }
 
 // chooseCore is the leader, unless it is unknown or just fell silent; then it is
-// another core, one after the other.
+// another core, one after the other. A new leadership is heard whatever its core
+// did before.
 func (daemon *Daemon) chooseCore() string {
 	leader, cores := daemon.Finder.Leader(), daemon.Finder.Cores()
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
+	if leader.Known() && daemon.led.Less(leader.Ballot) {
+		daemon.led = leader.Ballot
+		delete(daemon.failed, leader.Address)
+	}
 	if leader.Known() && time.Since(daemon.failed[leader.Address]) > aloneSpan {
 		return leader.Address
 	}
--- /dev/null
+++ b/member/direct_test.go
@@ -0,0 +1,32 @@
+package member
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// A core that failed is kept off for a while, unless it leads anew.
+func TestNewLeaderIsHeardThoughItsCoreFailed(test *testing.T) {
+	place := Place{Name: "p1", Kind: "proxy", Zone: "e1", Wire: "10.0.0.9:1", Outer: "10.0.0.9:2", Operate: "10.0.0.9:3", Seeds: []string{"10.0.0.1:1", "10.0.0.2:1"}, Direct: true, Routed: true}
+	daemon := NewDaemon(place, "i1", wire.NewLine(http.DefaultTransport), run.NewThreads(), run.NewCounts())
+	lead := func(round uint64) {
+		daemon.Finder.Heard(wire.Leader{Ballot: wire.Ballot{Round: round, Core: 1}, Core: 1, Address: "10.0.0.1:1"})
+	}
+	for number, step := range []struct {
+		do   func()
+		want string
+	}{
+		{func() { lead(1) }, "10.0.0.1:1"},
+		{func() { daemon.failed["10.0.0.1:1"] = time.Now() }, "10.0.0.2:1"},
+		{func() { lead(2) }, "10.0.0.1:1"},
+		{func() { daemon.failed["10.0.0.1:1"] = time.Now() }, "10.0.0.2:1"},
+	} {
+		if step.do(); daemon.chooseCore() != step.want {
+			test.Errorf("step %d: %s, want %s", number, daemon.chooseCore(), step.want)
+		}
+	}
+}
