Session doesn't wait for a daemon to catch up

Cause: catchUp fetched within the session's own thread. While a table of 85,000 backends (10 MB) was brought and laid, no session was told; it lapsed after 2.5 s, the lapse made a new table for all, which all fetched, and so on without end.

--- a/member/daemon.go
+++ b/member/daemon.go
@@ -86,6 +86,7 @@
 	clock       *run.Clock
 	watched     Watched
 	taking      sync.Mutex
+	catching    atomic.Bool
 
 	mutex     sync.Mutex
 	core      int
--- a/member/daemon_test.go
+++ b/member/daemon_test.go
@@ -35,3 +35,40 @@
 	}
 	threads.Wait()
 }
+
+// slowFetch answers a fetch only once it is let go.
+type slowFetch struct {
+	asked, let *run.Bell
+}
+
+func (slow *slowFetch) RoundTrip(request *http.Request) (*http.Response, error) {
+	slow.asked.Ring()
+	slow.let.Wait(0, 5*time.Second)
+	return nil, wire.New(wire.Unreachable, "nobody there")
+}
+
+func TestSessionGoesOnWhileCatchingUp(test *testing.T) {
+	threads, slow := run.NewThreads(), &slowFetch{asked: run.NewBell(), let: run.NewBell()}
+	counts := run.NewCounts()
+	daemon := NewDaemon(Place{Name: "p", Kind: "proxy", Zone: "z", Seeds: []string{"127.0.0.1:1"}, Direct: true, Routed: true}, "life", wire.NewLine(slow), threads, counts)
+	daemon.behind = time.Now().Add(-time.Minute)
+	begin := time.Now()
+	daemon.catchUp("127.0.0.1:1")
+	daemon.catchUp("127.0.0.1:1")
+	if took := time.Since(begin); took > time.Second {
+		test.Errorf("the session waited %v for a fetch", took)
+	}
+	if !slow.asked.Wait(0, 5*time.Second) {
+		test.Error("nothing was fetched")
+	}
+	if caught := counts.Get("caught_up"); caught != 1 {
+		test.Errorf("%d fetches at once", caught)
+	}
+	slow.let.Ring()
+	threads.Wait()
+	daemon.catchUp("127.0.0.1:1")
+	threads.Wait()
+	if caught := counts.Get("caught_up"); caught != 2 {
+		test.Errorf("%d fetches in all after the first one ended", caught)
+	}
+}
--- a/member/direct.go
+++ b/member/direct.go
@@ -115,13 +115,18 @@
 	}
 }
 
-// catchUp takes news from the core that told of it, where the wait for news did not.
+// catchUp takes news from the core that told of it, where the wait for news did
+// not; the session does not wait for that.
 func (daemon *Daemon) catchUp(core string) {
 	daemon.mutex.Lock()
 	late := !daemon.behind.IsZero() && time.Since(daemon.behind) > daemon.paces.Session/2
 	daemon.mutex.Unlock()
-	if late {
-		daemon.counts.Add("caught_up", 1)
-		daemon.fetch(context.Background(), core)
+	if !late || !daemon.catching.CompareAndSwap(false, true) {
+		return
 	}
+	daemon.counts.Add("caught_up", 1)
+	daemon.threads.Start(func() {
+		defer daemon.catching.Store(false)
+		daemon.fetch(context.Background(), core)
+	})
 }
