--- a/scale/page.go
+++ b/scale/page.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"path/filepath"
 	"slices"
 	"sort"
 	"strings"
@@ -47,11 +49,14 @@
 
 func readEvidence(folder string) (*evidence, *wire.Mishap) {
 	found := &evidence{folder: folder, runs: map[string]*Run{}, states: &States{}}
-	for _, sweep := range Sweeps {
-		run := &Run{}
-		mishap := read(folder, sweep.Name, run)
-		if mishap == nil {
-			found.runs[sweep.Name] = run
+	names, _ := filepath.Glob(filepath.Join(folder, "*.json"))
+	for _, path := range names {
+		run, name := &Run{}, strings.TrimSuffix(filepath.Base(path), ".json")
+		if mishap := read(folder, name, run); mishap != nil {
+			return nil, mishap
+		}
+		if run.Along != "" {
+			found.runs[name] = run
 		}
 	}
 	if mishap := read(folder, "state", found.states); mishap != nil {
@@ -101,7 +106,14 @@
 func resident(rates Rates) float64    { return rates.ResidentMB }
 func descriptors(rates Rates) float64 { return rates.Descriptors }
 
-// fit lays a line through those points of a run that got so far.
+// stormMost is what a daemon may get a second while nothing changes; where it
+// is more, tables follow each other without end.
+const stormMost = 5000
+
+func (result *Result) storms() bool { return result.Steady[daemonRole].BytesIn > stormMost }
+
+// fit lays a line through those points of a run that got so far and stood still
+// while nothing changed.
 func (found *evidence) fit(name string, of quantity) (Fit, bool) {
 	run := found.runs[name]
 	if run == nil {
@@ -109,7 +121,7 @@
 	}
 	sizes, values := []float64{}, []float64{}
 	for _, result := range run.Results {
-		if value, measured := of(result); measured {
+		if value, measured := of(result); measured && !result.storms() {
 			sizes, values = append(sizes, result.Point.Size(run.Along)), append(values, value)
 		}
 	}
@@ -268,16 +280,14 @@
 func (found *evidence) points() string {
 	table := &table{}
 	table.head("run", "size", "leader: cores", "follower: cores", "daemon: cores", "leader: MB", "daemon: bytes/s in / out", "change at 50 / 99 / 100% (ms, median)", "restarted: all ready (ms)", "leader killed: change everywhere (ms)", "load before", "what failed")
-	names := []string{}
-	for name := range found.runs {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(found.runs)) {
 		run := found.runs[name]
 		for _, result := range run.Results {
 			half, most, all := medianSpread(result.Changes)
 			failed := strings.Join(result.Failed, "; ")
+			if result.storms() {
+				failed = strings.TrimSpace("**storm**: tables without end " + failed)
+			}
 			table.row(name, number(result.Point.Size(run.Along)), number(result.Steady[leaderRole].Processor), number(result.Steady[followerRole].Processor), number(result.Steady[daemonRole].Processor),
 				number(result.Steady[leaderRole].ResidentMB), number(result.Steady[daemonRole].BytesIn)+" / "+number(result.Steady[daemonRole].BytesOut),
 				fmt.Sprintf("%.0f / %.0f / %.0f", half, most, all), fmt.Sprintf("%d in %.0f", result.Restarted, result.ReadyMs), fmt.Sprintf("%.0f", result.Killed.All), fmt.Sprintf("%.0f", result.LoadBefore), failed)
--- a/scale/page_test.go
+++ b/scale/page_test.go
@@ -87,3 +87,17 @@
 		}
 	}
 }
+
+// A point where tables follow each other without end is shown, but on no line.
+func TestStormsAreOnNoLine(test *testing.T) {
+	run := linear(0.001)
+	last := run.Results[len(run.Results)-1]
+	last.Steady[daemonRole] = Rates{BytesIn: stormMost + 1}
+	found := &evidence{runs: map[string]*Run{"daemons": run}, states: &States{}}
+	if fit, _ := found.fit("daemons", steady(leaderRole, processor)); fit.Points != 3 {
+		test.Errorf("%d points", fit.Points)
+	}
+	if !strings.Contains(found.points(), "**storm**") {
+		test.Error("a storm is not shown")
+	}
+}
--- a/scale/plot.go
+++ b/scale/plot.go
@@ -18,6 +18,7 @@
 	{"daemons", "Processor by daemons, nothing changes", "cores", []string{leaderRole, followerRole, daemonRole}, processor},
 	{"backends", "Processor by backends, nothing changes", "cores", []string{leaderRole, followerRole, daemonRole}, processor},
 	{"usage", "Bytes a second out of a daemon by tenants counted in a window", "bytes/s", []string{daemonRole}, bytesOut},
+	{"backends-before", "Processor by backends, before the list was kept sorted", "cores", []string{leaderRole, followerRole, daemonRole}, processor},
 	{"cores", "Processor by cores, nothing changes", "cores", []string{leaderRole, followerRole}, processor},
 }
 
--- a/scale/roles.go
+++ b/scale/roles.go
@@ -25,7 +25,7 @@
 	}
 	values := []float64{}
 	for _, result := range found.runs[run].Results {
-		if value, measured := of(result); measured {
+		if value, measured := of(result); measured && !result.storms() {
 			values = append(values, value)
 		}
 	}
