Scale run waits for 4 s without a new table before it measures standing still

With 768 daemons the 10 s began while tables of the start were still made (daemons-caught: 193 kB/s into each daemon, yet changes of 0.17 to 0.31 s right after).

--- a/scale/point.go
+++ b/scale/point.go
@@ -80,6 +80,9 @@
 	portStep     = 10
 	seedMost     = 3
 	pageItems    = 1000
+
+	settleQuiet = 4 * time.Second
+	settleMost  = 30 * time.Second
 )
 
 type bench struct {
@@ -366,8 +369,29 @@
 	return time.Duration(bench.point.Seconds * float64(time.Second))
 }
 
+// settle waits until no table was made for a while, or at most so long that a
+// storm is measured as one.
+func (bench *bench) settle() {
+	tables, since := uint64(0), time.Now()
+	for end := since.Add(settleMost); time.Since(since) < settleQuiet && time.Now().Before(end); {
+		made := uint64(0)
+		for _, one := range bench.cores {
+			reading := Reading{}
+			if getJSON(one.report, "/reading", &reading) == nil {
+				made += reading.Counts["tables"]
+			}
+		}
+		if made != tables {
+			tables, since = made, time.Now()
+		}
+		if !bench.threads.Rest(200 * time.Millisecond) {
+			return
+		}
+	}
+}
+
 func (bench *bench) steady() (mishap *wire.Mishap) {
-	bench.threads.Rest(4 * time.Second)
+	bench.settle()
 	bench.result.Steady, mishap = bench.over(func() *wire.Mishap {
 		bench.threads.Rest(bench.span())
 		return nil
