--- a/scale/roles.go
+++ b/scale/roles.go
@@ -104,8 +104,10 @@
 	count, countError := found.level("daemons", steady(daemonRole, messages))
 	opened, openedError := found.level("daemons", steady(daemonRole, descriptors))
 	beside, besideError := found.at("backends", steady(daemonRole, processor), fullBackends)
+	kept, keptError := found.at("backends", steady(daemonRole, resident), fullBackends)
 	return []line{
-		{"state in force", "routes × 130 k + tenants × 610 k + backends × 85 k + members × 16 k", memory, memoryError, "MB", mostMemoryMB, "state", "route.Index, proxy targets; to build: subsets (need 4)"},
+		{"resident with all backends, 100 routes and 100 tenants", "backends' line", kept, keptError, "MB", mostMemoryMB, "backends", "proxy targets and tables; to build: subsets (need 4)"},
+		{"live heap of the state in force (Go lets it double)", "routes × 130 k + tenants × 610 k + backends × 85 k + members × 16 k", memory, memoryError, "MB", mostMemoryMB, "state", "route.Index, proxy targets; to build: subsets (need 4)"},
 		{"state while a new version comes", "twice that, and the packed book and table", 2*memory + (bookBytes+tableBytes)/(1<<20), 2 * memoryError, "MB", mostMemoryMB, "state", "whole swap; to build: patches (need 1)"},
 		{"bytes/s in, nothing changes", "does not grow; mean of the points", idleIn, idleInError, "B/s", mostBytes, "daemons", "long poll and sessions of Direct mode"},
 		{"bytes/s in, for changes of routing", "1.03 changes/s × packed book", fullChanges * bookBytes, fullChanges * bookBytesError, "B/s", mostBytes, "state", "whole book by fetch; to build: patches (need 1)"},
