--- a/member/daemon.go
+++ b/member/daemon.go
@@ -88,6 +88,7 @@
 	saying      *run.Turn
 	watched     Watched
 	taking      sync.Mutex
+	catching    atomic.Bool
 
 	mutex     sync.Mutex
 	core      int
