The whole control side under every harm, with far links

Three to five cores 55 ms apart, six members, three racing operators, two harmers at once: kills, losses of power, torn writes, cuts both ways and one way, freezes, disk stalls and faults, wiped disks up to what may be lost at once, regions lost, all down. Judged: acknowledged orders last and are read back, none is refused and in force, no base is built on twice, nothing goes back, a serial in force lasts at a majority, in force within 4 s (14 s under an unsettled core) at members in touch, orders answered within 5 s while a majority is settled, one count a window, no shared fence, holders never A, B, A within the lease.

--- /dev/null
+++ b/sim/control_test.go
@@ -0,0 +1,574 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+const (
+	contactSpan = 5 * time.Second
+	inForceSpan = 4 * time.Second
+	stretchSpan = 10 * time.Second
+	ackSpan     = 5 * time.Second
+	leaseSpan   = 3 * time.Second
+)
+
+// harmed is a span of trouble for some cores or members; no end means it goes on.
+type harmed struct {
+	cores      []int
+	members    []*Member
+	begin, end time.Time
+}
+
+// answered is an operator's order and what became of it.
+type answered struct {
+	what          string
+	version, base uint64
+	emptied       bool
+	serial        uint64
+	begin, end    time.Time
+	mishap        *wire.Mishap
+}
+
+// acted is one call to the platform that was not refused for its fence.
+type acted struct {
+	holder string
+	at     time.Time
+}
+
+// Control is the whole control side under harm, and what is judged of it.
+type Control struct {
+	world  *World
+	meters *meters
+
+	mutex    sync.Mutex
+	harms    []*harmed
+	orders   []*answered
+	acts     []acted
+	versions map[uint64]uint64
+	stopped  bool
+	running  int
+}
+
+// Harmer brings harms about, one after the other; two may be at it at once.
+type Harmer struct {
+	*Control
+	chaos  *Chaos
+	random *rand.Rand
+	kinds  []string
+	cores  []string
+}
+
+func (side *Control) harmer(number uint64, kinds, cores []string) *Harmer {
+	one := &Harmer{Control: side, chaos: side.world.Chaos(), random: rand.New(rand.NewPCG(side.world.Seed, 83+number)), kinds: kinds, cores: cores}
+	one.chaos.random = rand.New(rand.NewPCG(side.world.Seed, 183+number))
+	return one
+}
+
+func (world *World) Control() *Control {
+	side := &Control{world: world, versions: map[uint64]uint64{}}
+	side.meters = newMeters(world)
+	world.Metering.Report = side.report
+	return side
+}
+
+// FarHarms are those of the control side beside the cores' own.
+var FarHarms = []string{"core", "core", "core", "disk-fails", "all-wiped", "all-down", "power-after-ack", "wipe-after-ack", "region-lost", "cores-apart", "most-wiped", "member-killed", "members-killed", "member-frozen", "member-cut", "calm"}
+
+// LinkHarms go on beside those: no process ends by them.
+var (
+	LinkHarms = []string{"core", "member-frozen", "member-cut", "calm"}
+	LinkKinds = []string{"freeze", "cut", "one-way", "alone", "faults"}
+)
+
+func (side *Harmer) span(least, most int) time.Duration {
+	return time.Duration(least+side.random.IntN(most-least)) * time.Millisecond
+}
+
+// under notes who is in trouble while something is done.
+func (side *Control) under(cores []int, members []*Member, do func()) {
+	one := &harmed{cores: cores, members: members, begin: time.Now()}
+	side.mutex.Lock()
+	side.harms = append(side.harms, one)
+	side.mutex.Unlock()
+	do()
+	side.mutex.Lock()
+	one.end = time.Now()
+	side.mutex.Unlock()
+}
+
+// spared is how many cores had no trouble in a span, and whether a member had none.
+func (side *Control) spared(from, until time.Time, one *Member) (int, bool) {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	touched, calm := map[int]bool{}, true
+	for _, harm := range side.harms {
+		if harm.begin.After(until) || !harm.end.IsZero() && harm.end.Before(from) {
+			continue
+		}
+		for _, index := range harm.cores {
+			touched[index] = true
+		}
+		calm = calm && !slices.Contains(harm.members, one)
+	}
+	return len(side.world.Cores) - len(touched), calm
+}
+
+func (side *Control) most() int { return len(side.world.Cores)/2 + 1 }
+
+func (side *Control) every() []int {
+	all := []int{}
+	for index := range side.world.Cores {
+		all = append(all, index)
+	}
+	return all
+}
+
+// Harm brings one about and heals it.
+func (side *Harmer) Harm(kind string) {
+	world, random := side.world, side.random
+	index, one := random.IntN(len(world.Cores)), world.Members[random.IntN(len(world.Members))]
+	leader := max(world.Leader(), 0)
+	lost := len(world.Cores) / 2
+	switch kind {
+	case "core":
+		kind = side.cores[random.IntN(len(side.cores))]
+		touched, members := []int{index}, []*Member{}
+		switch kind {
+		case "kill-leader":
+			touched = []int{leader}
+		case "alone":
+			touched = []int{leader, index}
+		case "all", "stale-leader-lost", "stale-disk-lost", "wipe":
+			touched = side.every()
+		case "faults":
+			touched, members = side.every(), world.Members
+		}
+		side.under(touched, members, func() { side.chaos.Harm(kind, index) })
+	case "disk-fails":
+		side.under([]int{index}, nil, func() {
+			world.Cores[index].Disk.Fail(true)
+			world.Rest(side.span(300, 1500))
+			world.KillCore(index, true)
+			world.StartCore(index)
+		})
+	case "all-wiped", "all-down", "power-after-ack":
+		if kind == "power-after-ack" {
+			side.put(world.holds(), random, 7)
+		}
+		members := []*Member{}
+		if kind != "power-after-ack" || random.IntN(2) == 0 {
+			members = world.Members
+		}
+		side.under(side.every(), members, func() {
+			world.killAll(kind != "all-down", len(members) > 0)
+			for offset := range lost {
+				if kind == "all-wiped" {
+					world.WipeCore((index + offset) % len(world.Cores))
+				}
+			}
+			world.Rest(side.span(10, 1000))
+			world.startAll()
+			world.Until(20*time.Second, world.sound)
+		})
+	case "wipe-after-ack", "most-wiped":
+		side.put(world.holds(), random, 7)
+		gone := []int{leader}
+		for offset := 1; offset < lost && kind == "most-wiped"; offset++ {
+			gone = append(gone, (leader+offset)%len(world.Cores))
+		}
+		side.under(gone, nil, func() {
+			for _, index := range gone {
+				world.WipeCore(index)
+			}
+			world.Rest(side.span(10, 3000))
+			world.startAll()
+			if !world.Until(30*time.Second, world.sound) {
+				world.broke("%s: cores %v do not vote again", kind, gone)
+			}
+		})
+	case "region-lost":
+		region := random.IntN(3)
+		cores, members := []int{}, []*Member{}
+		for index := range world.Cores {
+			if index%3 == region {
+				cores = append(cores, index)
+			}
+		}
+		for _, one := range world.Members {
+			if one.Region == region {
+				members = append(members, one)
+			}
+		}
+		side.under(cores, members, func() {
+			for _, index := range cores {
+				world.KillCore(index, true)
+			}
+			for _, one := range members {
+				world.KillMember(one)
+			}
+			world.Rest(side.span(500, 7000))
+			world.startAll()
+		})
+	case "cores-apart":
+		few := random.Perm(len(world.Cores))[:lost]
+		cut := func(shut bool) {
+			for index, machine := range world.Cores {
+				for _, other := range few {
+					if !slices.Contains(few, index) {
+						world.Net.Cut(machine.Host, world.Cores[other].Host, shut)
+					}
+				}
+			}
+		}
+		side.under(few, nil, func() {
+			cut(true)
+			world.Rest(side.span(500, 8000))
+			cut(false)
+		})
+	case "member-killed", "members-killed":
+		members := []*Member{one}
+		if kind == "members-killed" {
+			members = world.Members[:len(world.Members)/2]
+		}
+		side.under(nil, members, func() {
+			for _, one := range members {
+				world.KillMember(one)
+			}
+			world.Rest(side.span(50, 2500))
+			world.startAll()
+		})
+	case "member-frozen":
+		side.under(nil, []*Member{one}, func() {
+			world.Net.Freeze(one.Host, true)
+			world.Rest(side.span(200, 6000))
+			world.Net.Freeze(one.Host, false)
+		})
+	case "member-cut":
+		way := random.IntN(3)
+		cut := func(shut bool) {
+			for _, machine := range world.Cores {
+				if way != 1 {
+					world.Net.CutOneWay(machine.Host, one.Host, shut)
+				}
+				if way != 2 {
+					world.Net.CutOneWay(one.Host, machine.Host, shut)
+				}
+			}
+		}
+		side.under(nil, []*Member{one}, func() {
+			cut(true)
+			world.Rest(side.span(500, 7000))
+			cut(false)
+		})
+	case "calm":
+		world.Rest(side.span(5000, 9000))
+	}
+}
+
+// Run draws harms until the span is over; some follow each other at once.
+func (side *Harmer) Run(span time.Duration) {
+	for until := time.Now().Add(span); time.Now().Before(until); {
+		kind := side.kinds[side.random.IntN(len(side.kinds))]
+		side.chaos.Done[kind]++
+		side.Harm(kind)
+		if side.random.IntN(3) > 0 {
+			side.world.Rest(side.span(200, 9000))
+		}
+	}
+}
+
+func (side *Control) duty(duty func() bool) {
+	side.mutex.Lock()
+	side.running++
+	side.mutex.Unlock()
+	side.world.threads.Start(func() {
+		for duty() {
+			side.mutex.Lock()
+			ends := side.stopped
+			side.mutex.Unlock()
+			if ends {
+				break
+			}
+		}
+		side.mutex.Lock()
+		side.running--
+		side.mutex.Unlock()
+	})
+}
+
+func (side *Control) stop(limit time.Duration) bool {
+	side.mutex.Lock()
+	side.stopped = true
+	side.mutex.Unlock()
+	return side.world.Until(limit, func() bool { side.mutex.Lock(); defer side.mutex.Unlock(); return side.running == 0 })
+}
+
+// newest is what was acknowledged by then.
+func (side *Control) newest(by time.Time) (version, serial uint64) {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	for _, order := range side.orders {
+		if order.mishap == nil && !order.end.IsZero() && !order.end.After(by) {
+			version, serial = max(version, order.version), max(serial, order.serial)
+		}
+	}
+	return version, serial
+}
+
+func (side *Control) note(order *answered, serial uint64, mishap *wire.Mishap) {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	order.serial, order.mishap, order.end = serial, mishap, time.Now()
+}
+
+func (side *Control) begun(order *answered) *answered {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	order.begin = time.Now()
+	side.orders = append(side.orders, order)
+	return order
+}
+
+// put reads the routing back and orders another on top of it.
+func (side *Control) put(holds []*member.Hold, random *rand.Rand, number uint64) {
+	if len(holds) == 0 {
+		return
+	}
+	begin := time.Now()
+	told, mishap := order[wire.RouteRead, wire.RouteReadTold](side.world, holds, "routeread", &wire.RouteRead{})
+	if mishap != nil {
+		return
+	}
+	book, mishap := route.BookOf(told.Body)
+	if mishap != nil {
+		side.world.broke("read back: %v", mishap)
+		return
+	}
+	base := book.Config.Version
+	if acknowledged, _ := side.newest(begin); base < acknowledged {
+		side.world.broke("%d was acknowledged, then %d read back", acknowledged, base)
+	}
+	one := side.begun(&answered{what: "routing", base: base, version: base + 1 + uint64(random.IntN(3))*8 + number})
+	taken, mishap := order[wire.RouteChange, wire.RouteChangeTold](side.world, holds, "routechange", Whole(one.version, base))
+	if mishap != nil {
+		side.note(one, 0, mishap)
+		return
+	}
+	side.note(one, taken.Serial, nil)
+}
+
+// operate is one of several operators, by any door.
+func (side *Control) operate(number uint64) func() bool {
+	random := rand.New(rand.NewPCG(side.world.Seed, 100+number))
+	zone, begin := fmt.Sprint("z", number), false
+	return func() bool {
+		side.world.Rest(time.Duration(100+random.IntN(1400)) * time.Millisecond)
+		holds := side.world.holds()
+		for _, one := range side.world.Members {
+			holds = append(holds, one.Daemon.Hold)
+		}
+		random.Shuffle(len(holds), func(left, right int) { holds[left], holds[right] = holds[right], holds[left] })
+		if random.IntN(3) > 0 {
+			side.put(holds, random, number)
+			return true
+		}
+		begin = !begin
+		one := side.begun(&answered{what: zone, emptied: begin})
+		told, mishap := order[wire.Evacuate, wire.EvacuateTold](side.world, holds, "evacuate", &wire.Evacuate{Zone: zone, Begin: begin})
+		if mishap != nil {
+			side.note(one, 0, mishap)
+			return true
+		}
+		side.note(one, told.Serial, nil)
+		return true
+	}
+}
+
+// held is how many disks would keep a serial through a loss of power now, and how
+// many are blank.
+func (side *Control) held(serial uint64) (held, blank int) {
+	for _, machine := range side.world.Cores {
+		store, mishap := control.OpenStore(machine.Disk.Copy())
+		if mishap != nil || !store.State().Founded {
+			blank++
+		} else if store.State().Accepted[wire.RoutingRegister].Value.Serial >= serial {
+			held++
+		}
+	}
+	return held, blank
+}
+
+// watch judges what members have in force.
+func (side *Control) watch() bool {
+	now := time.Now()
+	for _, one := range side.world.Members {
+		version := one.Daemon.Version()
+		if version.Book == nil {
+			continue
+		}
+		side.mutex.Lock()
+		if known, found := side.versions[version.Routing]; found && known != version.Book.Config.Version {
+			side.world.broke("serial %d holds %d, and %d at %s", version.Routing, known, version.Book.Config.Version, one.Name)
+		}
+		_, seen := side.versions[version.Routing]
+		side.versions[version.Routing] = version.Book.Config.Version
+		side.mutex.Unlock()
+		if seen {
+			continue
+		}
+		if held, blank := side.held(version.Routing); held+blank < side.most() {
+			side.world.broke("%s has serial %d in force, which lasts at %d cores", one.Name, version.Routing, held)
+		}
+	}
+	for _, one := range side.world.Members {
+		cores, calm := side.spared(now.Add(-contactSpan), now, one)
+		if !calm || !one.Alive {
+			continue
+		}
+		limit := inForceSpan
+		if cores < len(side.world.Cores) {
+			limit += stretchSpan
+			if cores, _ = side.spared(now.Add(-limit-contactSpan), now, one); cores < side.most() {
+				continue
+			}
+		}
+		if _, serial := side.newest(now.Add(-limit)); one.Daemon.Version().Routing < serial {
+			side.world.broke("%s holds serial %d, %d was acknowledged %v ago", one.Name, one.Daemon.Version().Routing, serial, limit)
+		}
+	}
+	side.world.Rest(100 * time.Millisecond)
+	return true
+}
+
+// report judges the holders' order and hands on.
+func (side *Control) report(report control.WindowReport) control.ReportResult {
+	result := side.meters.report(report)
+	if result == control.ReportFenced {
+		return result
+	}
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	side.acts = append(side.acts, acted{report.Holder, time.Now()})
+	other := false
+	for index := len(side.acts) - 1; index >= 0 && time.Since(side.acts[index].at) < leaseSpan; index-- {
+		if side.acts[index].holder != report.Holder {
+			other = true
+		} else if other {
+			side.world.broke("%s acted, another, and %s again within %v", report.Holder, report.Holder, time.Since(side.acts[index].at))
+		}
+	}
+	return result
+}
+
+// judge looks at the end at all that operators were told.
+func (side *Control) judge(test *testing.T) {
+	world := side.world
+	book, mishap := world.Book()
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	applied, orders, bases, zones := map[uint64]bool{1: true}, map[string]bool{}, map[uint64]uint64{}, map[string]*answered{}
+	for _, one := range book.Trail {
+		applied[one.Version], orders[one.Digest] = true, true
+	}
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	acknowledged, late, longest := 0, 0, time.Duration(0)
+	for _, order := range side.orders {
+		took := order.end.Sub(order.begin)
+		proper := order.mishap == nil || order.mishap.Retry > 0
+		if took > ackSpan && proper {
+			late++
+			side.mutex.Unlock()
+			if cores, _ := side.spared(order.begin.Add(-contactSpan), order.begin.Add(ackSpan), nil); cores >= side.most() {
+				world.broke("%s %d on %d at %v took %v while %d cores were settled: %v", order.what, order.version, order.base, order.begin, took, cores, order.mishap)
+			}
+			side.mutex.Lock()
+		}
+		if order.what != "routing" {
+			zones[order.what] = order
+			continue
+		}
+		taken := orders[fmt.Sprintf("%d on %d", order.version, order.base)]
+		if order.mishap != nil {
+			if taken && order.mishap.Retry == 0 {
+				world.broke("%d on %d was refused and is in the trail: %v", order.version, order.base, order.mishap)
+			}
+			continue
+		}
+		acknowledged, longest = acknowledged+1, max(longest, took)
+		if !taken {
+			world.broke("%d on %d was acknowledged and is not in the trail", order.version, order.base)
+		}
+		if other, found := bases[order.base]; found && other != order.version {
+			world.broke("%d and %d were both acknowledged on %d", other, order.version, order.base)
+		}
+		bases[order.base] = order.version
+	}
+	for zone, order := range zones {
+		if held := slices.Contains(book.Evacuated, zone); order.mishap == nil && held != order.emptied {
+			world.broke("%s emptied %v, read back %v", zone, order.emptied, book.Evacuated)
+		}
+	}
+	for serial, version := range side.versions {
+		if !applied[version] {
+			world.broke("%d was in force as serial %d and is not in the trail", version, serial)
+		}
+	}
+	if len(book.Trail) >= 250 || acknowledged < 15 {
+		world.broke("%d routings acknowledged, %d in the trail", acknowledged, len(book.Trail))
+	}
+	if held := world.rosters(); len(held) != 1 {
+		world.broke("%v", held)
+	}
+	test.Logf("%d orders, %d acknowledged routings, %d late, longest %v, %d leaderships, %d windows told", len(side.orders), acknowledged, late, longest, len(world.Leads), len(side.meters.told))
+}
+
+// The whole control side under every harm, with far links: what operators were
+// told lasts and is in force in time, nothing goes back, duties have one holder.
+func TestControlSideUnderEverything(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3+2*int(seed%2))
+		side := world.Control()
+		defer world.CloseFar()
+		world.farUp(test, 6)
+		world.Rest(contactSpan)
+		for number := range uint64(3) {
+			side.duty(side.operate(number))
+		}
+		side.duty(side.watch)
+		side.duty(func() bool {
+			for _, one := range world.Members {
+				side.meters.begin(one)
+			}
+			return world.Rest(100 * time.Millisecond)
+		})
+		hard, links := side.harmer(0, FarHarms, Kinds), side.harmer(1, LinkHarms, LinkKinds)
+		ended := false
+		world.threads.Start(func() {
+			links.Run(2 * chaosSpan())
+			side.mutex.Lock()
+			ended = true
+			side.mutex.Unlock()
+		})
+		hard.Run(2 * chaosSpan())
+		world.Until(time.Minute, func() bool { side.mutex.Lock(); defer side.mutex.Unlock(); return ended })
+		world.Rest(contactSpan + inForceSpan)
+		if !side.stop(60 * time.Second) {
+			test.Fatal("operators have no answer")
+		}
+		side.judge(test)
+		test.Logf("harms %v, beside them %v", hard.chaos.Done, links.chaos.Done)
+		world.report(test)
+	})
+}
--- a/sim/recovery_test.go
+++ b/sim/recovery_test.go
@@ -465,6 +465,9 @@
 				test.Fatal(fault)
 			}
 			line := wire.NewLine(world.Net.Transport("10.8.0.1"))
+			if read, fault := wire.Ask[wire.RouteRead, wire.RouteReadTold](line, world.Cores[leader].Wire, "routeread", time.Second, &wire.RouteRead{}); fault == nil {
+				world.broke("the replaced leader read serial %d back", read.Serial)
+			}
 			_, fault := wire.Ask[wire.RouteChange, wire.RouteChangeTold](line, world.Cores[leader].Wire, "routechange", time.Second, Whole(3, 2))
 			if kind := wire.KindOf(fault); kind == wire.StaleBase {
 				world.broke("the replaced leader refused: %v", fault)
