--- a/control/core.go
+++ b/control/core.go
@@ -34,6 +34,7 @@
 	reading  *run.Turn
 	enlisted *Enlisted
 	routed   routedBody
+	fetched  fetchedAnswers
 	meter    *Meter
 
 	mutex      sync.Mutex
@@ -48,6 +49,7 @@
 	texts      wire.Texts
 	held       *content
 	table      *wire.Table
+	tableLog   *wire.TableLog
 	wanted     wire.TableMark
 	broken     *wire.Mishap
 	patience   time.Duration
@@ -64,6 +66,7 @@
 	core := &Core{place: place, line: line, threads: threads, counts: counts, news: run.NewBell(), prompt: run.NewBell(), reading: run.NewTurn(),
 		random: newDraws(place.Seed + uint64(place.ID)), table: &wire.Table{}, heard: time.Now()}
 	core.clock, core.clocks = run.NewClock(place.Wall), newClocks()
+	core.tableLog = wire.NewTableLog()
 	core.enlisted, core.meter = newEnlisted(place.Wire), newMeter()
 	core.known.Store(place.roster(store.State().Roster))
 	core.voter = NewVoter(store, core.diskFault, core.raised)
@@ -102,17 +105,28 @@
 		core.threads.Start(core.survey)
 	}
 	if core.platform.lister != nil {
-		core.threads.Beat(core.platform.pace, core.readPlatform)
+		core.threads.Beat(core.paced(core.platform.pace), core.readPlatform)
 	}
 	if core.place.Metering.Report != nil {
-		core.threads.Beat(run.Each(meterPace), core.sealWindows)
-		core.threads.Beat(run.Each(meterPace), core.reportWindows)
+		core.threads.Beat(core.paced(run.Each(meterPace)), core.sealWindows)
+		core.threads.Beat(core.paced(run.Each(meterPace)), core.reportWindows)
 	} else if core.place.Platform != "" {
 		core.threads.Beat(run.Each(usagePace), core.sealUsage)
 		core.threads.Beat(run.Each(usagePace), core.deliverUsage)
 	}
 }
 
+// paced is the pace of a leader's duty, and of a core's that heard of no leader since
+// its start; other cores only look whether they lead.
+func (core *Core) paced(leads func() time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if _, mishap := core.leading(); mishap != nil && !core.cold() {
+			return core.place.Suspect / 3
+		}
+		return leads()
+	}
+}
+
 // Register opens the core's side of the wire.
 func (core *Core) Register(door *wire.Door) {
 	wire.Take(door, "precheck", answer(core.onPrecheck))
@@ -341,6 +355,7 @@
 	core.mutex.Lock()
 	fresh := core.table.Mark.Less(table.Mark)
 	if fresh {
+		core.tableLog.Next(core.table, table)
 		core.table = table
 	}
 	core.mutex.Unlock()
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -133,7 +133,7 @@
 	leads := core.leads()
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	told := &wire.SessionTold{Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
+	told := &wire.SessionTold{Process: core.meter.process, Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
 	if !core.duck && (leads || time.Since(core.heard) < core.place.Suspect) {
 		told.Leader, told.NowMs = core.leader, now
 	}
@@ -168,6 +168,17 @@
 	}, func(*wire.TellTold) bool { return false }, len(core.roster().Peers))
 }
 
+// relayed is a session as the leader gets it from this core: with all counts that
+// this core was told, since what the session itself brought may only add to them.
+func (core *Core) relayed(held heldSession) wire.Session {
+	session := held.session
+	session.AgeMs = time.Since(held.told).Milliseconds()
+	if all, whole := core.meter.of(&session); whole {
+		session.Windows, session.Upon = all, 0
+	}
+	return session
+}
+
 // tellLeader brings the leader what is new since the last time.
 func (core *Core) tellLeader() {
 	core.mutex.Lock()
@@ -180,8 +191,7 @@
 	tell := &wire.Tell{Core: core.roster().ID}
 	for _, held := range core.sessions.own(core.roster().ID) {
 		if held.told.After(since) {
-			held.session.AgeMs = time.Since(held.told).Milliseconds()
-			tell.Sessions = append(tell.Sessions, held.session)
+			tell.Sessions = append(tell.Sessions, core.relayed(held))
 		}
 	}
 	if len(tell.Sessions) == 0 {
@@ -221,15 +231,50 @@
 		if mishap != nil {
 			return nil, mishap
 		}
-		told.Routing, told.RoutingBody = routing.Serial, body
+		told.Routing, told.RoutingBody, told.RoutingPacked = routing.Serial, body, true
 	}
 	core.mutex.Lock()
-	defer core.mutex.Unlock()
 	if value := core.committed[wire.SettingsRegister].Value; value.Serial > fetch.Serial {
 		told.Serial, told.Parts = value.Serial, treeParts(value.Parts)
 	}
 	if fetch.Table.Less(core.table.Mark) {
-		told.Table = core.table
+		delta, known := core.tableLog.Since(fetch.Table, core.table)
+		if told.Delta = delta; !known {
+			told.Table = core.table
+		}
+	}
+	core.mutex.Unlock()
+	return core.fetched.of(told)
+}
+
+const fetchedMost = 4
+
+// fetchedAnswers are answers with the newest table, packed once for all daemons.
+type fetchedAnswers struct {
+	mutex sync.Mutex
+	table *wire.Table
+	held  map[fetchedKey]*wire.FetchTold
+}
+
+type fetchedKey struct{ serial, routing uint64 }
+
+// of gives the packed answer that says the same; one without a table is small.
+func (answers *fetchedAnswers) of(told *wire.FetchTold) (*wire.FetchTold, *wire.Mishap) {
+	if told.Table == nil {
+		return told, nil
+	}
+	answers.mutex.Lock()
+	defer answers.mutex.Unlock()
+	key := fetchedKey{told.Serial, told.Routing}
+	if held := answers.held[key]; held != nil && answers.table == told.Table {
+		return held, nil
+	}
+	if mishap := told.Seal(); mishap != nil {
+		return nil, mishap
+	}
+	if answers.table != told.Table || len(answers.held) >= fetchedMost {
+		answers.table, answers.held = told.Table, map[fetchedKey]*wire.FetchTold{}
 	}
+	answers.held[key] = told
 	return told, nil
 }
--- a/control/table.go
+++ b/control/table.go
@@ -1,7 +1,8 @@
 package control
 
 import (
-	"reflect"
+	"slices"
+	"sort"
 	"time"
 
 	"orchidjunction/wire"
@@ -40,18 +41,28 @@
 			}
 		}
 	}
+	sort.Slice(next.Members, func(left, right int) bool { return next.Members[left].Name < next.Members[right].Name })
 	if backends, whole := core.platform.list(); whole {
 		next.Backends, next.Complete = backends, true
 	}
 	next.Backends = core.stirs.lay(next.Backends, before.Backends)
-	if before.Mark.Ballot == leadership.ballot && reflect.DeepEqual(before.Members, next.Members) &&
-		reflect.DeepEqual(before.Backends, next.Backends) && before.Complete == next.Complete {
+	if before.Mark.Ballot == leadership.ballot && sameTable(before, next) {
 		return
 	}
 	core.counts.Add("tables", 1)
 	core.holdTable(next)
 }
 
+// sameTable is whether two tables say the same.
+func sameTable(before, next *wire.Table) bool {
+	return before.Complete == next.Complete && slices.Equal(before.Members, next.Members) && sameBackends(before.Backends, next.Backends)
+}
+
+// sameBackends is quick where both are one list.
+func sameBackends(before, next []wire.Backend) bool {
+	return len(before) == len(next) && (len(before) == 0 || &before[0] == &next[0] || slices.Equal(before, next))
+}
+
 // buildFirst is what a core that heard of no leader since its start tells the
 // daemons that come to it. Every leader's table is newer.
 func (core *Core) buildFirst() {
@@ -64,7 +75,7 @@
 	for _, held := range core.sessions.standing(0) {
 		next.Members = append(next.Members, held.session.Member)
 	}
-	if before.Complete && reflect.DeepEqual(before.Members, next.Members) && reflect.DeepEqual(before.Backends, next.Backends) {
+	if sameTable(before, next) {
 		return
 	}
 	core.counts.Add("tables_before_a_leader", 1)
@@ -83,6 +94,9 @@
 		return table
 	}
 	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, from, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: table.Mark})
+	if fault == nil && told.Delta != nil {
+		told.Table, _ = table.Apply(told.Delta)
+	}
 	if fault != nil || told.Table == nil {
 		core.counts.Add("tables_not_rebuilt", 1)
 		return table
@@ -100,7 +114,14 @@
 		return
 	}
 	told, fault := wire.Ask[wire.Fetch, wire.FetchTold](core.line, leader.Address, "fetch", core.roundLimit(), &wire.Fetch{Serial: ^uint64(0), Routing: ^uint64(0), Table: held})
-	if fault == nil && told.Table != nil {
+	if fault != nil {
+		return
+	}
+	if told.Table != nil {
 		core.holdTable(told.Table)
+	} else if told.Delta != nil {
+		if table, fits := core.Table().Apply(told.Delta); fits {
+			core.holdTable(table)
+		}
 	}
 }
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -388,7 +388,10 @@
 func TestRefusalWithLargeBodyTaintsConnection(test *testing.T) {
 	inWorld(test, func(world *world) {
 		world.add("b1").then(func(exchange *exchange) bool {
-			exchange.say("%s", bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: full\r\n", string(letters(0, wholeMost+2*connectionBuffer))))
+			all := bare(exchange.get("Attempt"), "503 Service Unavailable", "Not-Executed: full\r\n", string(letters(0, wholeMost+connectionBuffer)))
+			exchange.say("%s", all[:len(all)-connectionBuffer])
+			exchange.backend.threads.Rest(5 * time.Millisecond)
+			exchange.say("%s", all[len(all)-connectionBuffer:])
 			return true
 		})
 		if reply, _ := world.get("/once/a"); reply.status != 503 {
@@ -608,6 +611,25 @@
 	})
 }
 
+// It is not taken for a backend that came back because it takes dials.
+func TestAddressTakenOverIsNotRevived(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1").ever(misdirected)
+		world.addAt("b2", "plain", "w1", 8)
+		for range 100 {
+			reply, id := world.get("/once/a")
+			world.good(reply, id)
+			world.threads.Rest(100 * time.Millisecond)
+		}
+		if count := len(world.backends["b1"].seen()); count > 3 {
+			test.Errorf("asked %d times in 10 s", count)
+		}
+		if revived := world.counts.Get("backends_revived"); revived != 0 {
+			test.Errorf("revived %d times", revived)
+		}
+	})
+}
+
 // Attempts end with the route's number, and with none left to try.
 func TestAttemptsOfRoute(test *testing.T) {
 	for attempts := 1; attempts <= 4; attempts++ {
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -9,9 +9,11 @@
 const (
 	connectionsMost = 64
 	queueDepth      = 2.0
-	nearPenalty     = 15.0
-	farPenalty      = 60.0
-	kilobytePenalty = 1.5
+	nearPenalty     = 100.0
+	farPenalty      = 300.0
+	kilobytePenalty = 10.0
+	nearMost        = 0.5
+	farMost         = 0.75
 )
 
 // choice is what choosing ended with.
@@ -21,6 +23,7 @@
 	chosen choice = iota
 	allFull
 	noneLeft
+	noneAllowed
 )
 
 // choose takes a place at the target that costs least: own waiting, distance and
@@ -34,21 +37,25 @@
 	bestCost, full := 0.0, false
 	var fallback, coldest *candidate
 	coldCost := 0.0
-	offset := 0
+	offset, permitted := 0, false
 	if len(candidates) > 0 {
 		offset = rand.IntN(len(candidates))
 	}
 	for step := range candidates {
 		held := &candidates[(step+offset)%len(candidates)]
-		if !allowed(request.route.Homes, held.region) || request.tenant != nil && !allowed(request.tenant.Homes, held.region) || slices.Contains(tried, held.target) {
+		if !allowed(request.route.Homes, held.region) || request.tenant != nil && !allowed(request.tenant.Homes, held.region) {
+			continue
+		}
+		permitted = true
+		if slices.Contains(tried, held.target) {
 			continue
 		}
 		far := 0.0
 		switch held.far {
 		case sameRegion:
-			far = nearPenalty + kilobytes*kilobytePenalty
+			far = min(nearPenalty+kilobytes*kilobytePenalty, nearMost*float64(request.route.TargetMs))
 		case otherRegion:
-			far = farPenalty + kilobytes*kilobytePenalty
+			far = min(farPenalty+kilobytes*kilobytePenalty, farMost*float64(request.route.TargetMs))
 		}
 		cost, isFull, ejected := held.target.weigh(now, mean, far)
 		if held.cold(now, trueNow) {
@@ -82,6 +89,8 @@
 	case best != nil:
 		best.target.enter()
 		return best, chosen
+	case !permitted:
+		return nil, noneAllowed
 	case full || coldest != nil:
 		return nil, allFull
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -35,6 +35,7 @@
 const (
 	limitSlack  = 50 * time.Millisecond
 	waitShare   = 4
+	gateShare   = 2
 	waitingMost = 256
 	bodiesMost  = 96 << 20
 
@@ -47,6 +48,7 @@
 	source  *http.Request
 	writer  http.ResponseWriter
 	context context.Context
+	within  context.Context
 	stage   stage
 	id      string
 	route   *route.Route
@@ -111,13 +113,44 @@
 		proxy.refuse(request, status, kind)
 		return
 	}
+	within, cancel := context.WithDeadline(request.context, request.limit)
+	defer cancel()
+	request.within = within
 	proxy.move(request, routed)
 	if number, found := view.index.ServiceIndex(request.service); found {
 		view.budgets[number].request()
 	}
+	if request.route.Kind == route.Download {
+		if !proxy.pass(request) {
+			proxy.refuse(request, http.StatusServiceUnavailable, wire.Busy)
+			return
+		}
+		defer func() {
+			proxy.gate.leave()
+			proxy.freed.Ring()
+		}()
+	}
 	proxy.carry(request)
 }
 
+// pass waits for a large answer's turn on the link; false when that is too late.
+func (proxy *Proxy) pass(request *request) bool {
+	until := request.begin.Add(min(time.Duration(max(request.route.TargetMs, 40))*time.Millisecond, request.limit.Sub(request.begin)) / gateShare)
+	for !proxy.gate.enter() {
+		now := proxy.clock()
+		if request.context.Err() != nil {
+			proxy.counts.Add("clients_gone", 1)
+			panic(http.ErrAbortHandler)
+		}
+		if !now.Before(until) {
+			proxy.counts.Add("link_full", 1)
+			return false
+		}
+		proxy.freed.Wait(proxy.freed.Count(), min(until.Sub(now), waitPace))
+	}
+	return true
+}
+
 // await holds a request for a short while until the first view is in force.
 func (proxy *Proxy) await(request *request) *View {
 	until := request.begin.Add(firstViewWait)
@@ -160,6 +193,7 @@
 		}
 	}
 	request.limit = request.begin.Add(patience)
+	proxy.inward.pass(int(max(source.ContentLength, 0)), request.begin)
 	most := config.Limits.BodyBytes
 	if most <= 0 {
 		most = bodiesMost
@@ -219,7 +253,7 @@
 			if how == noneLeft && len(request.tried) > 0 && !sentBefore && now.Before(waitUntil) {
 				request.tried = request.tried[:0]
 			}
-			if !now.Before(waitUntil) || !proxy.lines.enter(request.rank) {
+			if how == noneAllowed || !now.Before(waitUntil) || !proxy.lines.enter(request.rank) {
 				break
 			}
 			proxy.move(request, waiting)
@@ -349,9 +383,16 @@
 		header.Set("Content-Length", strconv.Itoa(size))
 	}
 	request.writer.WriteHeader(answer.response.StatusCode)
-	request.writer.Write(answer.body)
+	writer := &pacedWriter{to: request.writer, lane: proxy.outward, ctx: request.within, clock: proxy.clock, large: size > bulkLeast || answer.rest != nil}
+	if _, fault := writer.Write(answer.body); fault != nil {
+		if answer.rest != nil {
+			answer.release(false)
+		}
+		proxy.counts.Add("answers_cut_short", 1)
+		panic(http.ErrAbortHandler)
+	}
 	if answer.rest != nil {
-		copied, fault := io.Copy(request.writer, answer.rest)
+		copied, fault := io.Copy(writer, answer.rest)
 		size += int(copied)
 		whole := fault == nil && (answer.response.ContentLength < 0 || int64(size) == answer.response.ContentLength)
 		answer.release(whole && !answer.response.Close)
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	openPenalty  = 20.0
 	speedShare   = 0.1
 	failureShare = 0.15
 	othersShare  = 0.2
@@ -38,6 +39,7 @@
 	ejected    time.Time
 	backoff    time.Duration
 	reviving   bool
+	replaced   bool
 	roundTrip  time.Duration
 	warmup     Warmup
 	suspect    time.Time
@@ -83,6 +85,9 @@
 	slots := float64(max(target.backend.Slots, 1))
 	load, service := target.load(now), mean*target.speed
 	cost = service + far + float64(target.roundTrip.Milliseconds()) + 0.4*service*min(1, load/slots) + 4*mean*target.failing
+	if len(target.idle) == 0 {
+		cost += openPenalty + float64(target.roundTrip.Milliseconds())
+	}
 	if load >= slots {
 		cost += (load - slots + 1) / slots * service
 	}
@@ -193,7 +198,7 @@
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
 	target.failures, target.backoff = 0, 0
-	target.ejected = time.Time{}
+	target.ejected, target.replaced = time.Time{}, false
 	if !good {
 		target.failing += failureShare * (1 - target.failing)
 		return
@@ -218,11 +223,19 @@
 	}
 }
 
+// displace leaves the target out as long as can be: another life has its address,
+// and takes dials as well.
+func (target *target) displace(now time.Time) {
+	target.mutex.Lock()
+	target.replaced, target.backoff, target.ejected = true, ejectMost, now.Add(ejectMost)
+	target.mutex.Unlock()
+}
+
 // wakes is whether an ejected target should be dialled again; only one dial goes on.
 func (target *target) wakes(now time.Time) bool {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	if target.ejected.IsZero() || target.gone || target.reviving || now.Before(target.ejected.Add(-ejectFirst/2)) {
+	if target.ejected.IsZero() || target.gone || target.replaced || target.reviving || now.Before(target.ejected.Add(-ejectFirst/2)) {
 		return false
 	}
 	target.reviving = true
@@ -246,7 +259,9 @@
 // doubt makes the target count as cold until then.
 func (target *target) doubt(until time.Time) {
 	target.mutex.Lock()
-	target.suspect = until
+	if target.suspect.Before(until) {
+		target.suspect = until
+	}
 	target.mutex.Unlock()
 }
 
--- a/proxy/view.go
+++ b/proxy/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"orchidjunction/route"
 	"orchidjunction/wire"
@@ -81,6 +82,10 @@
 		evacuated[zone] = true
 	}
 	now, listed := proxy.clock(), map[string]bool{}
+	reopened := map[string]time.Duration{}
+	for _, one := range book.Reopened {
+		reopened[one.Zone] = proxy.place.doubtSpan() - time.Duration(proxy.now()-one.AtMs)*time.Millisecond
+	}
 	for _, backend := range table.Backends {
 		held := proxy.targets[backend.Name]
 		if held == nil {
@@ -90,6 +95,8 @@
 		listed[backend.Name] = true
 		if proxy.evacuated[backend.Zone] && !evacuated[backend.Zone] {
 			held.doubt(now.Add(proxy.place.doubtSpan()))
+		} else if left := reopened[backend.Zone]; left > 0 {
+			held.doubt(now.Add(min(left, proxy.place.doubtSpan())))
 		}
 		number, found := view.index.ServiceIndex(backend.Service)
 		if !found || backend.Leaving || evacuated[backend.Zone] {
@@ -97,7 +104,7 @@
 		}
 		service := view.index.Services[number]
 		view.services[number] = append(view.services[number], candidate{target: held, region: proxy.place.Regions[backend.Zone], far: proxy.place.distance(backend.Zone),
-			warmAt: backend.WarmAt, owned: led && owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
+			warmAt: backend.WarmAt, owned: led && (backend.WarmAt > 0 || held.doubted(now)) && owner(backend, proxies, proxy.place.Regions) == proxy.place.Name,
 			warming: warmupRate(service.WarmupRate, proxy.place.WarmupExcess, proxy.place.WarmupExtra)})
 	}
 	proxy.evacuated = evacuated
--- a/wire/member.go
+++ b/wire/member.go
@@ -51,7 +51,8 @@
 	Serial      uint64  `json:"serial"`
 }
 
-// Session is what a daemon tells its core, again and again.
+// Session is what a daemon tells its core, again and again. Windows say what changed
+// since the core's process that Upon names was told last; all, where it names none.
 type Session struct {
 	Member Member
 	Serial uint64
@@ -65,6 +66,7 @@
 	Windows []WindowCount
 	NowMs   int64
 	Gone    bool
+	Upon    uint64
 }
 
 func (session *Session) Check() *Mishap {
@@ -88,6 +90,7 @@
 
 	Routing uint64
 	NowMs   int64
+	Process uint64
 }
 
 // Count tells the leader at once how many tasks a process sent so far, by tenant.
@@ -156,11 +159,27 @@
 	Serial uint64
 	Parts  []Part
 	Table  *Table
+	Delta  *TableDelta
 
-	Routing     uint64
-	RoutingBody []byte
+	Routing       uint64
+	RoutingBody   []byte
+	RoutingPacked bool
+
+	sealed []byte
+}
+
+// Seal packs the answer once for all that get the same; it is not changed after.
+func (told *FetchTold) Seal() *Mishap {
+	body, fault := pack(told)
+	if fault != nil {
+		return AsMishap(fault)
+	}
+	told.sealed = body
+	return nil
 }
 
+func (told *FetchTold) body() []byte { return told.sealed }
+
 // Who asks any daemon for the leader.
 type Who struct{}
 
