No delta builds on a table of no leader

Cause: cores number the tables that they make before a leader each for itself, but deltas go by the mark alone. A daemon with another core's table of the same number laid the leader's changes into it and held, under the leader's mark, a table without some members, or with backends that had gone, until each of those changed.

--- a/sim/recovery_test.go
+++ b/sim/recovery_test.go
@@ -371,6 +371,61 @@
 	})
 }
 
+// sameTables judges that all who hold a leader's table hold the same under one mark.
+func (world *World) sameTables(contents map[wire.TableMark]string) {
+	for _, one := range world.Members {
+		table := one.Daemon.Version().Table
+		content := fmt.Sprint(table.Members, table.Backends)
+		if known, found := contents[table.Mark]; found && known != content && table.Mark.Ballot.Round > 0 {
+			world.broke("table %v is not the same at %s:\n%s\n%s", table.Mark, one.Name, known, content)
+		}
+		contents[table.Mark] = content
+	}
+}
+
+// Members start under cores that restart too and hold tables of no leader, each
+// core's another; under a leader's mark all hold the same nonetheless.
+func TestTablesOfNoLeaderAreNoGroundForChanges(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for range 3 {
+			world := NewFarWorld(seed, 3)
+			backends := []wire.Backend{}
+			world.Listed = func(string) control.Listing { return control.Listing{Backends: backends} }
+			for index := range 3 {
+				backends = append(backends, wire.Backend{Name: fmt.Sprint("b", index), Service: "desk", Address: "10.9.9.9:80", Slots: 4})
+			}
+			world.farUp(test, 6)
+			world.Rest(time.Second)
+			world.killAll(true, true)
+			world.coresApart(true)
+			for index, machine := range world.Cores {
+				for _, one := range world.Members {
+					world.Net.Cut(machine.Host, one.Host, one.Region != index)
+				}
+			}
+			world.startAll()
+			world.Rest(time.Duration(4500+seed%5*300) * time.Millisecond)
+			world.coresApart(false)
+			for _, machine := range world.Cores {
+				for _, one := range world.Members {
+					world.Net.Cut(machine.Host, one.Host, false)
+				}
+			}
+			contents := map[wire.TableMark]string{}
+			for until := time.Now().Add(6 * time.Second); time.Now().Before(until); world.Rest(20 * time.Millisecond) {
+				world.sameTables(contents)
+			}
+			for _, one := range world.Members {
+				if table := one.Daemon.Version().Table; table.Mark.Ballot.Round == 0 || len(table.Members) != 6 {
+					world.broke("%s holds %+v", one.Name, table)
+				}
+			}
+			world.report(test)
+			world.CloseFar()
+		}
+	})
+}
+
 // All cores restart under living members. A table from before a leader replaces
 // no leader's, and the next leader's keeps a member that can't speak just then.
 func TestTableBeforeALeaderIsTheOldest(test *testing.T) {
--- a/wire/table.go
+++ b/wire/table.go
@@ -112,9 +112,12 @@
 }
 
 // Since is what changed from a mark to the table laid down last; false when the
-// mark is not known any more.
+// mark is not known any more, or is no leader's: cores number those each for itself.
 func (log *TableLog) Since(mark TableMark, table *Table) (*TableDelta, bool) {
 	from, found := uint64(0), false
+	if mark.Ballot.Round == 0 {
+		return nil, false
+	}
 	for _, one := range log.marks {
 		if one.mark == mark {
 			from, found = one.count, true
