--- a/member/direct.go
+++ b/member/direct.go
@@ -73,11 +73,16 @@
 }
 
 // chooseCore is the leader, unless it is unknown or just fell silent; then it is
-// another core, one after the other.
+// another core, one after the other. A new leadership is heard whatever its core
+// did before.
 func (daemon *Daemon) chooseCore() string {
 	leader, cores := daemon.Finder.Leader(), daemon.Finder.Cores()
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
+	if leader.Known() && daemon.led.Less(leader.Ballot) {
+		daemon.led = leader.Ballot
+		delete(daemon.failed, leader.Address)
+	}
 	if leader.Known() && time.Since(daemon.failed[leader.Address]) > aloneSpan {
 		return leader.Address
 	}
@@ -115,13 +120,18 @@
 	}
 }
 
-// catchUp takes news from the core that told of it, where the wait for news did not.
+// catchUp takes news from the core that told of it, where the wait for news did
+// not; the session does not wait for that.
 func (daemon *Daemon) catchUp(core string) {
 	daemon.mutex.Lock()
 	late := !daemon.behind.IsZero() && time.Since(daemon.behind) > daemon.paces.Session/2
 	daemon.mutex.Unlock()
-	if late {
-		daemon.counts.Add("caught_up", 1)
-		daemon.fetch(context.Background(), core)
+	if !late || !daemon.catching.CompareAndSwap(false, true) {
+		return
 	}
+	daemon.counts.Add("caught_up", 1)
+	daemon.threads.Start(func() {
+		defer daemon.catching.Store(false)
+		daemon.fetch(context.Background(), core)
+	})
 }
