A table of no leader names no cold backend

Nobody may send to a cold backend before a leader makes owners, so such a table leaves it out. Ruled out: telling it as warm, which would flood it. The test passes unchanged.

--- a/control/table.go
+++ b/control/table.go
@@ -64,14 +64,21 @@
 }
 
 // buildFirst is what a core that heard of no leader since its start tells the
-// daemons that come to it. Every leader's table is newer.
+// daemons that come to it. Every leader's table is newer. It names no cold backend:
+// that has no owner yet, and cores differ on when it is warm.
 func (core *Core) buildFirst() {
 	before := core.Table()
 	backends, whole := core.platform.list()
 	if before.Mark.Ballot.Round > 0 || !whole {
 		return
 	}
-	next := &wire.Table{Mark: wire.TableMark{Number: before.Mark.Number + 1}, Backends: backends, Complete: true}
+	next := &wire.Table{Mark: wire.TableMark{Number: before.Mark.Number + 1}, Complete: true}
+	now := core.Now()
+	for _, backend := range backends {
+		if backend.WarmAt <= now {
+			next.Backends = append(next.Backends, backend)
+		}
+	}
 	for _, held := range core.sessions.standing(0) {
 		next.Members = append(next.Members, held.session.Member)
 	}
