--- /dev/null
+++ b/program/standing_test.go
@@ -0,0 +1,118 @@
+package program
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+)
+
+// slowListener's connections hold what they read back until they are let go.
+type slowListener struct {
+	net.Listener
+	held *sync.WaitGroup
+	read *sync.WaitGroup
+}
+
+func (listener slowListener) Accept() (net.Conn, error) {
+	conn, fault := listener.Listener.Accept()
+	if fault != nil {
+		return nil, fault
+	}
+	return &slowConn{Conn: conn, held: listener.held, read: listener.read}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	held  *sync.WaitGroup
+	read  *sync.WaitGroup
+	mutex sync.Mutex
+	reads int
+}
+
+func (conn *slowConn) Read(body []byte) (int, error) {
+	count, fault := conn.Conn.Read(body)
+	if count > 1 {
+		conn.mutex.Lock()
+		conn.reads++
+		second := conn.reads == 2
+		conn.mutex.Unlock()
+		if second {
+			conn.read.Done()
+			conn.held.Wait()
+		}
+	}
+	return count, fault
+}
+
+// A request that this process has read is served in a planned stop, also before the
+// server knows of it; an idle connection ends at once, and nothing new is taken.
+func TestDrainServesWhatWasRead(test *testing.T) {
+	open, fault := net.Listen("tcp", "127.0.0.1:0")
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	held, read := &sync.WaitGroup{}, &sync.WaitGroup{}
+	held.Add(1)
+	read.Add(1)
+	standing := newStanding()
+	listener := &Listener{open: slowListener{open, held, read}, standing: standing, server: &http.Server{ConnState: standing.turned,
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { io.WriteString(writer, "served") })}}
+	threads := run.NewThreads()
+	listener.Serve(threads)
+	ask := func(conn net.Conn) string {
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		return ""
+	}
+	answer := func(reader *bufio.Reader) string {
+		response, fault := http.ReadResponse(reader, nil)
+		if fault != nil {
+			return fault.Error()
+		}
+		body, _ := io.ReadAll(response.Body)
+		return string(body)
+	}
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, fault := net.Dial("tcp", open.Addr().String())
+		if fault != nil {
+			test.Fatal(fault)
+		}
+		ask(conn)
+		reader := bufio.NewReader(conn)
+		if got := answer(reader); got != "served" {
+			test.Fatal(got)
+		}
+		return conn, reader
+	}
+	_, idle := dial()
+	busy, reader := dial()
+	ask(busy)
+	read.Wait()
+	drained := make([]bool, 1)
+	ended := &sync.WaitGroup{}
+	ended.Add(1)
+	threads.Start(func() {
+		defer ended.Done()
+		drained[0] = listener.Drain(10 * time.Second)
+	})
+	if _, fault := idle.ReadByte(); fault == nil {
+		test.Error("the idle connection got something")
+	}
+	held.Done()
+	if got := answer(reader); got != "served" {
+		test.Errorf("the request that was read: %s", got)
+	}
+	ended.Wait()
+	if !drained[0] {
+		test.Error("not drained")
+	}
+	if conn, fault := net.Dial("tcp", open.Addr().String()); fault == nil {
+		conn.Close()
+		test.Error("taken after the stop began")
+	}
+}
