--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -30,6 +30,10 @@
 	seekPace    = 50 * time.Millisecond
 	graceRest   = 500 * time.Millisecond
 	reportRest  = 1100 * time.Millisecond
+
+	// replaceShare leaves most of the time in which a newcomer has to count for
+	// electing a leader, catching up and two rounds of the quorum.
+	replaceShare = 4
 )
 
 // listPace leaves the larger part of the time to leave a backend for the list's lag
@@ -49,10 +53,12 @@
 	}
 	line := wire.NewLine(program.FarTransport(userTimeout))
 	var core *control.Core
+	finder := member.NewFinder(line, node.threads, innerSeeds(settings)).Paced(member.Paces{Seek: seekPace})
 	client := platform.NewClient(settings.Platform.Address, program.FarTransport(userTimeout), func() int64 { return core.Now() })
 	place := control.Place{Name: settings.Name, Zone: settings.Zone, Wire: inner(settings, settings.Address), Seeds: innerSeeds(settings), Found: settings.First,
 		Least: 2*settings.Survive.Machines + 1, Beat: beat, Suspect: suspect, Seed: uint64(time.Now().UnixNano()), Direct: true, Table: tablePace,
-		SessionSpan: sessionSpan, Lister: client.List, ListPace: listPace(settings), GoneAfter: goneAfter}
+		SessionSpan: sessionSpan, Lister: client.List, ListPace: listPace(settings), GoneAfter: goneAfter,
+		ReplaceAfter: settings.Bounds.CatchUp / replaceShare, MembersChanged: finder.Learn}
 	if settings.Metered() {
 		place.Metering = control.Metering{Window: settings.Bounds.ReportWindow, Settle: settle, Latest: settings.Bounds.UsageDelay - reportRest, Quiet: settings.Bounds.Lease, Report: func(report control.WindowReport) control.ReportResult {
 			ctx, cancel := context.WithTimeout(context.Background(), callLimit)
@@ -69,7 +75,6 @@
 	}
 	door := wire.NewDoor(node.counts)
 	core.Register(door)
-	finder := member.NewFinder(line, node.threads, place.Seeds).Paced(member.Paces{Seek: seekPace})
 	hold := member.NewHold(finder, line, node.counts).Within(member.HoldLimits{Send: sendLimit})
 	hold.Follow(core.Leader)
 	orders := platform.NewControl(platform.NewLeaderOrders(hold), func() map[string]string { return node.source.Settings().Zones }, node.counts)
--- a/control/change.go
+++ b/control/change.go
@@ -105,7 +105,8 @@
 func (core *Core) onWho(*wire.Who) (*wire.WhoTold, *wire.Mishap) {
 	leads := core.leads()
 	core.mutex.Lock()
-	told := &wire.WhoTold{Duck: core.duck, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial, Table: core.table.Mark}
+	view := core.members()
+	told := &wire.WhoTold{Duck: core.duck, Cores: view.addresses(), Members: view.Mark, Routing: core.committed[wire.RoutingRegister].Value.Serial, Table: core.table.Mark}
 	leadership := core.leadership
 	if leads || time.Since(core.heard) < core.place.Suspect {
 		told.Leader = core.leader
--- a/control/claims.go
+++ b/control/claims.go
@@ -230,17 +230,20 @@
 }
 
 func (core *Core) onKeep(message *wire.Keep) (*wire.KeepTold, *wire.Mishap) {
+	if !core.members().votes() {
+		return nil, wire.New(wire.NotReady, "this core has no vote")
+	}
 	whole := core.claims.Whole()
 	wait := &keepWait{message: message}
 	if mishap := core.claims.put(wait); mishap != nil {
 		return nil, mishap
 	}
 	core.counts.Add("claims_kept", uint64(len(message.Claims)))
-	return &wire.KeepTold{Cores: len(core.roster().Peers) + 1, Whole: whole, Told: wait.told}, nil
+	return &wire.KeepTold{Cores: len(core.members().Peers) + 1, Whole: whole, Told: wait.told}, nil
 }
 
 func (core *Core) onPull(pull *wire.Pull) (*wire.PullTold, *wire.Mishap) {
-	told := &wire.PullTold{Cores: len(core.roster().Peers) + 1, Whole: core.claims.Whole()}
+	told := &wire.PullTold{Cores: len(core.members().Peers) + 1, Whole: core.claims.Whole()}
 	told.Claims, told.Last, told.Done = core.claims.book.Page(pull.After, claimsPage)
 	return told, nil
 }
@@ -254,22 +257,24 @@
 	if core.claims.Whole() || core.voter.Blank() {
 		return
 	}
-	got, _ := run.Gather(core.threads, len(core.roster().Peers), func(index int) (bool, error) {
-		return core.pullClaims(core.roster().Peers[index])
+	view := core.members()
+	if !view.votes() {
+		return
+	}
+	got, _ := run.Gather(core.threads, len(view.Peers), func(index int) (bool, error) {
+		return core.pullClaims(view.Peers[index])
 	}, func(map[int]bool, map[int]error) bool { return false })
-	wholes := 0
-	for _, whole := range got {
-		if whole {
-			wholes++
-		}
+	wholes := map[int]bool{}
+	for index, whole := range got {
+		wholes[view.Peers[index].ID] = whole
 	}
-	if wholes < core.roster().restorers() {
+	if !view.fencesWithout(view.ID, func(id int) bool { return wholes[id] }) {
 		core.counts.Add("claims_not_mended", 1)
 		return
 	}
 	if core.claims.put(&keepWait{message: &wire.Keep{}, whole: true}) == nil {
 		core.counts.Add("claims_mended", 1)
-		klog.Infof("core %d: claims are whole again, told by %d cores", core.roster().ID, wholes)
+		klog.Infof("core %d: claims are whole again, told by %d cores", view.ID, len(wholes))
 	}
 }
 
--- a/control/clock.go
+++ b/control/clock.go
@@ -26,6 +26,17 @@
 	clocks.held[core].Take(ahead, trip)
 }
 
+// retain forgets the clocks of cores that vote no more.
+func (clocks *Clocks) retain(voters []Peer) {
+	clocks.mutex.Lock()
+	defer clocks.mutex.Unlock()
+	for id := range clocks.held {
+		if !contains(voters, id) {
+			delete(clocks.held, id)
+		}
+	}
+}
+
 // trip is how long a message to a core and back takes.
 func (clocks *Clocks) trip(core int) time.Duration {
 	clocks.mutex.Lock()
@@ -61,7 +72,7 @@
 		core.clock.Lay(told.NowMs + half - anchored)
 	}
 	core.clocks.take(peer.ID, told.AnchorMs+half-anchored, trip)
-	if ahead, count := core.clocks.median(core.clock.Offset()); count >= core.roster().majority() {
+	if ahead, count := core.clocks.median(core.clock.Offset()); count >= core.members().needs() {
 		core.clock.Lay(ahead)
 	}
 }
--- a/control/core.go
+++ b/control/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,7 @@
 	random  *draws
 	clock   *run.Clock
 	clocks  *Clocks
-	known   atomic.Pointer[Roster]
+	known   atomic.Pointer[View]
 
 	sessions *Sessions
 	stirs    *Stirs
@@ -68,12 +69,13 @@
 	core.clock, core.clocks = run.NewClock(place.Wall), newClocks()
 	core.tableLog = wire.NewTableLog()
 	core.enlisted, core.meter = newEnlisted(place.Wire), newMeter()
-	core.known.Store(place.roster(store.State().Roster))
 	core.voter = NewVoter(store, core.diskFault, core.raised)
+	core.voter.learns = core.learnMembers
+	core.known.Store(place.view(core.voter.State().Voters()))
 	if core.claims, mishap = openClaimLog(disk, counts, core.diskFault); mishap != nil {
 		return nil, mishap
 	}
-	core.chart = &Chart{now: Blank, counts: counts, core: place.ID}
+	core.chart = &Chart{now: Blank, counts: counts, core: core.members().ID}
 	if !core.voter.Blank() {
 		core.chart.now = Following
 	}
@@ -101,6 +103,7 @@
 	core.threads.Beat(run.Each(2*core.place.Beat), core.tellSessions)
 	core.threads.Beat(run.Each(core.place.Table), core.buildTable)
 	core.threads.Beat(run.Each(core.place.Table), core.copyTable)
+	core.threads.Beat(core.paced(run.Each(core.place.Beat)), core.changeMembers)
 	if core.place.enlists() {
 		core.threads.Start(core.survey)
 	}
@@ -146,6 +149,7 @@
 	wire.Take(door, "routeread", answer(core.onRouteRead))
 	wire.Take(door, "evacuate", answer(core.onEvacuate))
 	wire.Take(door, "enlist", answer(core.onEnlist))
+	wire.Take(door, "leave", answer(core.onLeave))
 	wire.Take(door, "read", answer(core.onRead))
 	wire.Take(door, "status", answer(core.onStatus))
 	wire.Take(door, "count", answer(core.onCount))
@@ -164,75 +168,92 @@
 	}
 }
 
-// askPeers asks every other core at once until need of them agreed.
-func askPeers[Told any](core *Core, ask func(peer Peer) (*Told, error), agrees func(*Told) bool, need int) map[int]*Told {
-	peers := core.roster().Peers
-	got, _ := run.Gather(core.threads, len(peers), func(index int) (*Told, error) { return ask(peers[index]) },
-		func(got map[int]*Told, _ map[int]error) bool {
-			count := 0
-			for _, told := range got {
-				if agrees(told) {
-					count++
-				}
-			}
-			return count >= need
-		})
-	byID := map[int]*Told{}
-	for index, told := range got {
-		byID[peers[index].ID] = told
+// askPeers asks every other voter of a membership at once, until those that agreed
+// are enough.
+func askPeers[Told any](core *Core, view *View, ask func(peer Peer) (*Told, error), agrees func(*Told) bool, enough func(has func(id int) bool) bool) map[int]*Told {
+	byID := func(got map[int]*Told) map[int]*Told {
+		told := make(map[int]*Told, len(got))
+		for index, answer := range got {
+			told[view.Peers[index].ID] = answer
+		}
+		return told
 	}
-	return byID
+	got, _ := run.Gather(core.threads, len(view.Peers), func(index int) (*Told, error) { return ask(view.Peers[index]) },
+		func(got map[int]*Told, _ map[int]error) bool { return enough(agreed(byID(got), agrees)) })
+	return byID(got)
 }
 
-// pushValue sends the value to every core, this one too, until a majority took
-// it; a core gets the branches that it says it lacks.
-func (core *Core) pushValue(message *wire.Accept, texts wire.Texts) *wire.Mishap {
+// agreed is which voters gave an answer that agrees.
+func agreed[Told any](told map[int]*Told, agrees func(*Told) bool) func(id int) bool {
+	return func(id int) bool {
+		answer, found := told[id]
+		return found && agrees(answer)
+	}
+}
+
+// never waits for all that are asked.
+func never(func(id int) bool) bool { return false }
+
+// pushValue sends the value to every voter of a membership, this one too, until a
+// quorum took it; a core gets the branches that it says it lacks.
+func (core *Core) pushValue(view *View, message *wire.Accept, texts wire.Texts) *wire.Mishap {
 	until := time.Now().Add(core.place.writeLimit())
-	peers, need := core.roster().Peers, core.roster().majority()
-	count := len(peers) + 1
+	voters := append([]Peer{{ID: view.ID, Address: view.Wire}}, view.Peers...)
 	push := func(index int) (*wire.AcceptTold, error) {
-		if index == count-1 {
-			return offer(message, texts, func(message *wire.Accept) (*wire.AcceptTold, error) {
-				told, mishap := core.voter.Accept(message)
-				if mishap != nil {
-					return nil, mishap
-				}
-				return told, nil
-			})
+		if index == 0 {
+			return core.acceptHere(message, texts)
 		}
-		for {
-			told, fault := core.offerTo(peers[index], message, texts, time.Until(until))
-			if fault == nil || wire.KindOf(fault) != wire.Unreachable && wire.KindOf(fault) != wire.Unreached || time.Until(until) < core.place.Beat {
-				return told, fault
-			}
-			if !core.threads.Rest(core.place.Beat / 2) {
-				return nil, wire.New(wire.Stopping, "stopping")
-			}
+		return core.pushTo(voters[index], message, texts, until)
+	}
+	took := func(got map[int]*wire.AcceptTold) func(id int) bool {
+		return func(id int) bool {
+			told := got[slices.IndexFunc(voters, func(voter Peer) bool { return voter.ID == id })]
+			return told != nil && told.Taken
 		}
 	}
-	got, _ := run.Gather(core.threads, count, push, func(got map[int]*wire.AcceptTold, failed map[int]error) bool {
-		taken := 0
-		for _, told := range got {
-			if told.Taken {
-				taken++
-			}
+	got, _ := run.Gather(core.threads, len(voters), push, func(got map[int]*wire.AcceptTold, failed map[int]error) bool {
+		open := func(id int) bool {
+			index := slices.IndexFunc(voters, func(voter Peer) bool { return voter.ID == id })
+			told := got[index]
+			return failed[index] == nil && (told == nil || told.Taken)
 		}
-		return taken >= need || count-len(failed)-(len(got)-taken) < need || time.Until(until) <= 0
+		return view.quorum(took(got)) || !view.quorum(open) || time.Until(until) <= 0
 	})
-	taken := 0
 	for _, told := range got {
-		if told.Taken {
-			taken++
-		} else {
+		if !told.Taken {
 			core.sawRound(told.Promised.Round)
 		}
 	}
-	if taken < need {
-		return wire.New(wire.StaleBallot, "%d of %d took serial %d under %s", taken, need, message.Value.Serial, message.Ballot)
+	if !view.votes() || !view.quorum(took(got)) {
+		return wire.New(wire.StaleBallot, "no quorum of membership %d took serial %d under %s", view.Mark.Serial, message.Value.Serial, message.Ballot)
 	}
 	return nil
 }
 
+// acceptHere offers a value to this core's own replica.
+func (core *Core) acceptHere(message *wire.Accept, texts wire.Texts) (*wire.AcceptTold, error) {
+	return offer(message, texts, func(message *wire.Accept) (*wire.AcceptTold, error) {
+		told, mishap := core.voter.Accept(message)
+		if mishap != nil {
+			return nil, mishap
+		}
+		return told, nil
+	})
+}
+
+// pushTo offers a value to another core, again while that is out of reach.
+func (core *Core) pushTo(peer Peer, message *wire.Accept, texts wire.Texts, until time.Time) (*wire.AcceptTold, error) {
+	for {
+		told, fault := core.offerTo(peer, message, texts, time.Until(until))
+		if fault == nil || wire.KindOf(fault) != wire.Unreachable && wire.KindOf(fault) != wire.Unreached || time.Until(until) < core.place.Beat {
+			return told, fault
+		}
+		if !core.threads.Rest(core.place.Beat / 2) {
+			return nil, wire.New(wire.Stopping, "stopping")
+		}
+	}
+}
+
 // offer sends a value, and again with what is lacking.
 func offer(message *wire.Accept, texts wire.Texts, send func(*wire.Accept) (*wire.AcceptTold, error)) (*wire.AcceptTold, error) {
 	told, fault := send(message)
@@ -266,7 +287,7 @@
 	core.broken = mishap
 	core.mutex.Unlock()
 	if first {
-		klog.Errorf("core %d: store: %v", core.roster().ID, mishap)
+		klog.Errorf("core %d: store: %v", core.members().ID, mishap)
 		core.threads.Stop()
 	}
 }
@@ -369,7 +390,7 @@
 	defer core.mutex.Unlock()
 	if core.leadership == nil {
 		mishap := &wire.Mishap{Kind: wire.NotLeader, Cause: "another core leads or none"}
-		if core.leader.Known() && core.leader.Core != core.roster().ID {
+		if core.leader.Known() && core.leader.Core != core.members().ID {
 			mishap.Leader = core.leader.Address
 		}
 		return nil, mishap
--- a/control/election.go
+++ b/control/election.go
@@ -19,7 +19,7 @@
 	if !core.place.enlists() {
 		return core.nextPatience()
 	}
-	return firstStand + time.Duration(max(core.roster().ID-1, 0))*core.place.Suspect*3/5
+	return firstStand + time.Duration(core.members().rank())*core.place.Suspect*3/5
 }
 
 // cold is whether this core has heard of no leader since it started.
@@ -43,17 +43,20 @@
 		core.mutex.Unlock()
 		switch standing := core.chart.Now(); {
 		case standing == Retired || standing == Lameduck || leads:
-		case standing == Blank && !core.roster().known():
+		case !core.members().known():
 			core.enlist()
 			continue
-		case standing == Blank && core.roster().ID == 0:
-			core.spectate()
+		case !core.members().votes():
+			core.learn()
 			continue
-		case standing == Blank:
+		case core.voter.Blank():
+			core.chart.move(Blank)
 			core.restore()
+		case standing == Learner:
+			core.begin()
 		case passed != nil:
 			core.succeed(passed)
-		case silent > patience:
+		case silent > patience && core.members().mayLead(core.members().ID):
 			cold := core.cold()
 			core.mutex.Lock()
 			heard := core.heard
@@ -80,6 +83,9 @@
 	case Retired, Lameduck, Leading:
 		return core.place.Suspect
 	case Following:
+		if silent > patience {
+			return core.place.Beat
+		}
 		return max(patience-silent, time.Millisecond)
 	}
 	return core.place.Beat / 4
@@ -92,27 +98,31 @@
 	}
 	defer core.chart.moveBack()
 	core.counts.Add("prechecks", 1)
-	marks := core.voter.State().Marks()
-	told := askPeers(core, func(peer Peer) (*wire.PrecheckTold, error) {
-		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: core.roster().ID, Marks: marks})
-	}, func(told *wire.PrecheckTold) bool { return false }, len(core.roster().Peers))
-	willing, reach := 1, 1+len(told)
+	marks, view := core.voter.State().Marks(), core.members()
+	told := askPeers(core, view, func(peer Peer) (*wire.PrecheckTold, error) {
+		return wire.Ask[wire.Precheck, wire.PrecheckTold](core.line, peer.Address, "precheck", core.roundLimit()/2, &wire.Precheck{Core: view.ID, Marks: marks, Members: view.Mark})
+	}, func(*wire.PrecheckTold) bool { return true }, never)
+	reach := 1 + len(told)
 	for _, answer := range told {
 		core.sawRound(answer.Round)
+		core.learnMembers(answer.Members)
+	}
+	if core.members() != view {
+		core.counts.Add("prechecks_by_old_members", 1)
+		return false
+	}
+	for _, answer := range told {
 		if answer.Heard {
 			core.counts.Add("prechecks_leader_alive", 1)
 			return false
 		}
-		if answer.Willing {
-			willing++
-		}
 	}
-	if willing < core.roster().majority() {
+	if !view.decides(agreed(told, func(answer *wire.PrecheckTold) bool { return answer.Willing })) {
 		core.counts.Add("prechecks_short", 1)
 		return false
 	}
 	for id, answer := range told {
-		if !yielded && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, core.roster().ID) {
+		if !yielded && view.mayLead(id) && answer.Voter && fitter(answer.Marks, answer.Reach, id, marks, reach, view.ID) {
 			core.counts.Add("prechecks_yielded", 1)
 			return true
 		}
@@ -120,13 +130,13 @@
 	if !core.chart.move(Revoking) {
 		return false
 	}
-	ballot, revoked := core.nextBallot()
-	revocation, mishap := core.fence(ballot, revoked)
+	ballot, revoked := core.nextBallot(view)
+	revocation, mishap := core.fence(view, ballot, revoked)
 	if mishap != nil {
 		core.counts.Add("revocations_short", 1)
 		return false
 	}
-	core.found(ballot, revocation)
+	core.found(view, ballot, revocation)
 	return false
 }
 
@@ -136,30 +146,33 @@
 		return
 	}
 	defer core.chart.moveBack()
-	ballot, _ := core.nextBallot()
-	core.found(ballot, steppedDown(message))
+	view := core.members()
+	ballot, _ := core.nextBallot(view)
+	core.found(view, ballot, steppedDown(message))
 }
 
-func (core *Core) nextBallot() (wire.Ballot, wire.Ballot) {
+// nextBallot is a new ballot of this core's, and the one of the leader it knows.
+func (core *Core) nextBallot(view *View) (next, revoked wire.Ballot) {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	core.round++
-	return wire.Ballot{Round: core.round, Core: core.roster().ID}, core.leader.Ballot
+	return wire.Ballot{Round: core.round, Core: view.ID}, core.leader.Ballot
 }
 
-// found establishes under the ballot and takes the lead.
-func (core *Core) found(ballot wire.Ballot, revocation *Revocation) {
-	if !core.chart.move(Establishing) {
+// found establishes under the ballot, by the membership that its revocation counted
+// by, and takes the lead.
+func (core *Core) found(view *View, ballot wire.Ballot, revocation *Revocation) {
+	if !view.mayLead(view.ID) || !core.chart.move(Establishing) {
 		return
 	}
-	leadership, mishap := core.establish(ballot, revocation)
+	leadership, mishap := core.establish(view, ballot, revocation)
 	if mishap != nil {
 		core.counts.Add("establishments_short", 1)
 		return
 	}
 	core.mutex.Lock()
 	core.leadership = leadership
-	core.leader = core.roster().leader(ballot)
+	core.leader = core.members().leader(ballot)
 	core.duck, core.successor = false, wire.Leader{}
 	core.mutex.Unlock()
 	if core.voter.State().Promised != ballot || !core.chart.move(Leading) {
@@ -167,7 +180,7 @@
 		return
 	}
 	core.place.Observe(Leading, ballot)
-	klog.Infof("core %d: leads under %s, revoked %s by %s", core.roster().ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
+	klog.Infof("core %d: leads under %s, revoked %s by %s", core.members().ID, ballot, leadership.revocation.Revoked, leadership.revocation.Method)
 	for register := range wire.Registers {
 		core.commit(register, wire.Accepted{Ballot: ballot, Value: leadership.value(register)}, leadership.settings().texts)
 	}
@@ -203,8 +216,11 @@
 }
 
 func (core *Core) voterPromise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
+	if newer := core.newerMembers(message.Members); newer.Value.Serial > 0 {
+		return &wire.PromiseTold{Promised: core.voter.State().Promised, Members: newer}, nil
+	}
 	core.sawRound(message.Ballot.Round)
-	told, mishap := core.voter.Promise(message.Ballot)
+	told, mishap := core.voter.Promise(message)
 	if mishap == nil && told.Granted {
 		core.mutex.Lock()
 		core.heard = time.Now()
@@ -225,7 +241,7 @@
 	heard := core.leadership != nil || (core.leader.Known() && !core.duck && time.Since(core.heard) < core.place.Suspect)
 	round := max(core.round, state.Promised.Round)
 	core.mutex.Unlock()
-	return &wire.PrecheckTold{Willing: state.Founded && !heard, Heard: heard, Voter: state.Founded, Marks: state.Marks(), Reach: core.reach(), Round: round}, nil
+	return &wire.PrecheckTold{Willing: state.Founded && !heard, Heard: heard, Voter: state.Founded, Marks: state.Marks(), Reach: core.reach(), Round: round, Members: core.newerMembers(message.Members)}, nil
 }
 
 // reach is how many cores told something lately, this one included.
@@ -248,7 +264,7 @@
 		core.clock.Heard(message.NowMs)
 	}
 	if moved {
-		klog.Infof("core %d: follows core %d under %s", core.roster().ID, message.Leader.Core, message.Ballot)
+		klog.Infof("core %d: follows core %d under %s", core.members().ID, message.Leader.Core, message.Ballot)
 		core.news.Ring()
 	}
 	for register := range message.Committed {
--- /dev/null
+++ b/control/enlist.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+const (
+	foundersMost = 99
+	enlistPace   = 150 * time.Millisecond
+)
+
+// Enlisted are the cores that asked who votes before anybody did.
+type Enlisted struct {
+	mutex sync.Mutex
+	seen  map[string]bool
+	newer time.Time
+}
+
+func newEnlisted(wire string) *Enlisted {
+	return &Enlisted{seen: map[string]bool{wire: true}, newer: time.Now()}
+}
+
+func (enlisted *Enlisted) take(address string) {
+	enlisted.mutex.Lock()
+	defer enlisted.mutex.Unlock()
+	if !enlisted.seen[address] && len(enlisted.seen) < foundersMost {
+		enlisted.seen[address] = true
+		enlisted.newer = time.Now()
+	}
+}
+
+// complete gives the addresses once all seeds and at least so many are there,
+// and none came for a while.
+func (enlisted *Enlisted) complete(seeds []string, least int, quiet time.Duration) ([]string, bool) {
+	enlisted.mutex.Lock()
+	defer enlisted.mutex.Unlock()
+	if len(enlisted.seen) < least || time.Since(enlisted.newer) < quiet {
+		return nil, false
+	}
+	for _, seed := range seeds {
+		if !enlisted.seen[seed] {
+			return nil, false
+		}
+	}
+	addresses := []string{}
+	for address := range enlisted.seen {
+		addresses = append(addresses, address)
+	}
+	return addresses, true
+}
+
+// opening is whether this disk has been there since the system's first start:
+// only such a disk may become a voter without asking those that vote.
+func (core *Core) opening() bool { return core.place.Found || core.voter.State().Opening }
+
+// founder is the seed that says who votes at the first start.
+func (core *Core) founder() string {
+	return slices.MinFunc(core.place.Seeds, compareAddresses)
+}
+
+// enlist is the duty of a core that knows no membership: it asks the seeds for one
+// and, being the founder at the first start, makes it of all that asked.
+func (core *Core) enlist() {
+	if core.place.Found && !core.voter.State().Opening {
+		if core.voter.Open() != nil {
+			return
+		}
+	}
+	seeds := []string{}
+	for _, seed := range core.place.Seeds {
+		if seed != core.place.Wire {
+			seeds = append(seeds, seed)
+		}
+	}
+	message := &wire.Enlist{Address: core.place.Wire, Opening: core.opening()}
+	got, _ := run.Gather(core.threads, len(seeds), func(index int) (*wire.EnlistTold, error) {
+		return wire.Ask[wire.Enlist, wire.EnlistTold](core.line, seeds[index], "enlist", core.roundLimit(), message)
+	}, func(got map[int]*wire.EnlistTold, _ map[int]error) bool {
+		for _, told := range got {
+			if told.Members.Value.Serial > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	for _, told := range got {
+		if told.Members.Value.Serial > 0 {
+			core.join(told.Members)
+			return
+		}
+	}
+	if core.opening() && core.founder() == core.place.Wire {
+		if addresses, complete := core.enlisted.complete(core.place.Seeds, core.place.Least, core.place.Quiet); complete {
+			core.join(firstMembership(addresses).accepted())
+			return
+		}
+	}
+	core.threads.Rest(enlistPace)
+}
+
+// join takes the first membership that this core hears of. At the system's first
+// start it votes by it at once: a disk that has been there since then never voted.
+func (core *Core) join(accepted wire.Accepted) {
+	membership, mishap := membershipOf(accepted)
+	if mishap != nil || membership == nil {
+		return
+	}
+	view := viewOf(core.place.Wire, membership)
+	founds := core.opening() && view.votes()
+	if founds {
+		if mishap := core.voter.Enrol(accepted); mishap != nil {
+			return
+		}
+	}
+	core.learnMembers(accepted)
+	core.counts.Add("rosters_adopted", 1)
+	klog.Infof("core %d at %s: %d cores vote, a voter at once: %v", view.ID, view.Wire, len(membership.Voters), founds)
+	if founds {
+		core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
+		core.begin()
+	}
+}
+
+func (core *Core) onEnlist(message *wire.Enlist) (*wire.EnlistTold, *wire.Mishap) {
+	if !core.members().known() {
+		core.enlisted.take(message.Address)
+		return &wire.EnlistTold{}, nil
+	}
+	told := &wire.EnlistTold{}
+	if leadership, mishap := core.leading(); mishap == nil && !core.members().has(message.Address) {
+		told.Admitted = leadership.admit(message.Address)
+		told.Ballot = leadership.ballot
+	}
+	told.Members = core.newerMembers(message.Known)
+	leads := core.leads()
+	core.mutex.Lock()
+	if leads || time.Since(core.heard) < core.place.Suspect {
+		told.Leader = core.leader
+	}
+	core.mutex.Unlock()
+	return told, nil
+}
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -16,6 +16,7 @@
 // Establishment makes every condition of a leadership true, each round anew.
 type Establishment struct {
 	core       *Core
+	view       *View
 	ballot     wire.Ballot
 	revocation *Revocation
 	promises   map[int]*wire.PromiseTold
@@ -25,11 +26,11 @@
 	routing    *route.Book
 }
 
-func (core *Core) establish(ballot wire.Ballot, revocation *Revocation) (*Leadership, *wire.Mishap) {
+func (core *Core) establish(view *View, ballot wire.Ballot, revocation *Revocation) (*Leadership, *wire.Mishap) {
 	if !revocation.Complete {
 		return nil, wire.New(wire.StaleBallot, "revocation of %s is not complete", revocation.Revoked)
 	}
-	establishment := &Establishment{core: core, ballot: ballot, revocation: revocation}
+	establishment := &Establishment{core: core, view: view, ballot: ballot, revocation: revocation}
 	for _, step := range []func() *wire.Mishap{establishment.promised, establishment.revoked, establishment.rewritten} {
 		if mishap := step(); mishap != nil {
 			return nil, mishap
@@ -47,10 +48,10 @@
 	if establishment.revocation.Method == BallotFence && establishment.revocation.Ballot == establishment.ballot {
 		establishment.promises = establishment.revocation.Promises
 	}
-	if len(establishment.promises) >= establishment.core.roster().majority() {
+	if establishment.view.decides(agreed(establishment.promises, granted)) {
 		return nil
 	}
-	promises, mishap := establishment.core.pushBallot(establishment.ballot, establishment.core.roster().majority())
+	promises, mishap := establishment.core.pushBallot(establishment.view, establishment.ballot)
 	establishment.promises = promises
 	return mishap
 }
@@ -67,6 +68,9 @@
 	return nil
 }
 
+// rewritten writes the newest of all registers again under the ballot. None of those
+// that promised accepted a newer membership than the one that counted them: they
+// would have refused.
 func (establishment *Establishment) rewritten() *wire.Mishap {
 	core := establishment.core
 	for id, promise := range establishment.promises {
@@ -76,8 +80,9 @@
 			}
 		}
 	}
+	establishment.newest[wire.MembersRegister] = establishment.view.accepted()
 	settings := establishment.newest[wire.SettingsRegister].Value
-	texts, mishap := core.gatherTexts(core.roster().address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
+	texts, mishap := core.gatherTexts(establishment.view.address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
 	if mishap != nil {
 		return mishap
 	}
@@ -89,7 +94,7 @@
 	}
 	_, failed := run.Gather(core.threads, len(establishment.newest), func(register int) (bool, error) {
 		message := &wire.Accept{Ballot: establishment.ballot, Register: wire.Register(register), Value: establishment.newest[register].Value}
-		if mishap := core.pushValue(message, texts); mishap != nil {
+		if mishap := core.pushValue(establishment.view, message, texts); mishap != nil {
 			return false, mishap
 		}
 		return true, nil
--- a/control/lameduck.go
+++ b/control/lameduck.go
@@ -14,6 +14,7 @@
 	leadership, mishap := core.leading()
 	if mishap != nil || !core.chart.move(Lameduck) {
 		core.chart.move(Retired)
+		core.leave(until)
 		return
 	}
 	core.counts.Add("lameducks", 1)
@@ -30,6 +31,7 @@
 	}
 	core.revoke(leadership)
 	core.chart.move(Retired)
+	core.leave(until)
 }
 
 // handOver names the heir, lets the write in flight end and steps down; true
@@ -43,9 +45,9 @@
 	leadership.beat()
 	leadership.writes.Take()
 	defer leadership.writes.Give()
-	klog.Infof("core %d: lameduck, hands over to core %d", core.roster().ID, heir.ID)
+	klog.Infof("core %d: lameduck, hands over to core %d", core.members().ID, heir.ID)
 	told, fault := wire.Ask[wire.StepDown, wire.StepDownTold](core.line, heir.Address, "stepdown", core.roundLimit(),
-		&wire.StepDown{Ballot: leadership.ballot, From: core.roster().ID, Marks: core.voter.State().Marks()})
+		&wire.StepDown{Ballot: leadership.ballot, From: core.members().ID, Marks: core.voter.State().Marks()})
 	if fault != nil || !told.Taken {
 		core.counts.Add("handovers_refused", 1)
 		return false
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -34,11 +35,13 @@
 	confirmed *run.Bell
 	started   uint64
 	finished  uint64
+
+	succession *Succession
 }
 
 func newLeadership(core *Core, ballot wire.Ballot, establishment *Establishment) *Leadership {
 	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(), content: establishment.content, routing: establishment.routing,
-		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn()}
+		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn(), succession: newSuccession()}
 	for register := range establishment.newest {
 		leadership.values[register] = establishment.newest[register].Value
 		leadership.rewritten[register] = establishment.newest[register].Value.Serial
@@ -129,7 +132,7 @@
 		return 0, mishap
 	}
 	message := &wire.Accept{Ballot: leadership.ballot, Register: register, Value: *next, Texts: fresh(*next, current, texts)}
-	if mishap := leadership.core.pushValue(message, texts); mishap != nil {
+	if mishap := leadership.core.pushValue(leadership.core.members(), message, texts); mishap != nil {
 		leadership.core.counts.Add("write_unknown", 1)
 		leadership.core.revoke(leadership)
 		return 0, &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: mishap.Error()}
@@ -150,40 +153,23 @@
 	return leadership.duck
 }
 
-// beat tells every core once; true when a majority took it.
+// beat tells every voter and learner once; true when a quorum took it.
 func (leadership *Leadership) beat() bool {
-	begin, table := time.Now(), leadership.core.Table().Mark
-	leadership.mutex.Lock()
-	leadership.started++
-	number := leadership.started
-	message := &wire.Beat{Ballot: leadership.ballot, Leader: leadership.core.roster().leader(leadership.ballot), Duck: leadership.duck, Successor: leadership.successor,
-		Table: table}
-	for register := range leadership.values {
-		message.Committed[register] = wire.Mark{Ballot: leadership.ballot, Serial: leadership.values[register].Serial}
-	}
-	leadership.mutex.Unlock()
-	core := leadership.core
-	told := askPeers(core, func(peer Peer) (*wire.BeatTold, error) {
-		asked := time.Now()
-		told, fault := wire.Ask[wire.Beat, wire.BeatTold](core.line, peer.Address, "beat", core.roundLimit(), core.beatFor(peer, message))
-		if fault == nil {
-			core.sawClock(peer, told, time.Since(asked))
-			leadership.note(peer, told, message.Committed)
-		}
-		return told, fault
-	}, func(told *wire.BeatTold) bool { return told.Taken && told.Voter }, core.roster().majority()-1)
-	taken := 1
-	for _, answer := range told {
-		if answer.Taken && answer.Voter {
-			taken++
-		}
+	core, begin := leadership.core, time.Now()
+	view := core.members()
+	number, message := leadership.nextBeat(view)
+	peers := append(slices.Clone(view.Peers), leadership.succession.waiting(learnerSpan*core.place.Suspect, view)...)
+	got, _ := run.Gather(core.threads, len(peers), func(index int) (*wire.BeatTold, error) {
+		return leadership.beatTo(peers[index], message)
+	}, func(got map[int]*wire.BeatTold, _ map[int]error) bool { return view.decides(took(peers, got)) })
+	for _, answer := range got {
 		if leadership.ballot.Less(answer.Promised) {
 			core.sawRound(answer.Promised.Round)
 			core.revoke(leadership)
 			return false
 		}
 	}
-	if taken < core.roster().majority() || core.voter.State().Promised != leadership.ballot {
+	if !view.decides(took(peers, got)) || core.voter.State().Promised != leadership.ballot {
 		return false
 	}
 	leadership.mutex.Lock()
@@ -196,10 +182,48 @@
 	return true
 }
 
+// took is which voters took a heartbeat, of the answers by the peers' places.
+func took(peers []Peer, got map[int]*wire.BeatTold) func(id int) bool {
+	return func(id int) bool {
+		told := got[slices.IndexFunc(peers, func(peer Peer) bool { return peer.ID == id })]
+		return told != nil && told.Taken && told.Voter
+	}
+}
+
+// nextBeat is the next heartbeat and its number.
+func (leadership *Leadership) nextBeat(view *View) (uint64, *wire.Beat) {
+	table := leadership.core.Table().Mark
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	leadership.started++
+	message := &wire.Beat{Ballot: leadership.ballot, Leader: view.leader(leadership.ballot), Duck: leadership.duck, Successor: leadership.successor, Table: table}
+	for register := range leadership.values {
+		message.Committed[register] = wire.Mark{Ballot: leadership.ballot, Serial: leadership.values[register].Serial}
+	}
+	return leadership.started, message
+}
+
+// beatTo is one heartbeat to one core and what its answer tells.
+func (leadership *Leadership) beatTo(peer Peer, message *wire.Beat) (*wire.BeatTold, error) {
+	core, asked := leadership.core, time.Now()
+	told, fault := wire.Ask[wire.Beat, wire.BeatTold](core.line, peer.Address, "beat", core.roundLimit(), core.beatFor(peer, message))
+	if fault != nil {
+		return nil, fault
+	}
+	if peer.ID > 0 {
+		core.sawClock(peer, told, time.Since(asked))
+	}
+	leadership.note(peer, told, message.Committed)
+	return told, nil
+}
+
 // note keeps what a core told and sends it the values it lacks.
 func (leadership *Leadership) note(peer Peer, told *wire.BeatTold, committed wire.Marks) {
+	leadership.succession.heard(peer, told)
 	leadership.mutex.Lock()
-	leadership.reports[peer.ID] = told
+	if peer.ID > 0 {
+		leadership.reports[peer.ID] = told
+	}
 	values, now := leadership.values, leadership.content
 	leadership.mutex.Unlock()
 	if !told.Taken || !told.Voter {
@@ -241,9 +265,10 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	best, found := Peer{}, false
-	for _, peer := range leadership.core.roster().Peers {
+	view := leadership.core.members()
+	for _, peer := range view.Peers {
 		told := leadership.reports[peer.ID]
-		if told == nil || !told.Voter || !told.Taken || passed[peer.ID] {
+		if told == nil || !view.mayLead(peer.ID) || !told.Voter || !told.Taken || passed[peer.ID] {
 			continue
 		}
 		if !found || fitter(told.Marks, told.Reach, peer.ID, leadership.reports[best.ID].Marks, leadership.reports[best.ID].Reach, best.ID) {
--- /dev/null
+++ b/control/learner.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+// members is the newest membership that this core knows: accepted on its disk, or
+// heard of since.
+func (core *Core) members() *View { return core.known.Load() }
+
+// learnMembers takes a membership that is newer than the one known. It need not be
+// decided: who counts by it needs a quorum of it, which meets every quorum of the
+// version before it.
+func (core *Core) learnMembers(accepted wire.Accepted) {
+	membership, mishap := membershipOf(accepted)
+	if mishap != nil {
+		core.counts.Add("memberships_unreadable", 1)
+		return
+	}
+	if membership == nil {
+		return
+	}
+	for {
+		held := core.members()
+		if !held.Mark.Less(membership.Mark) {
+			return
+		}
+		view := viewOf(core.place.Wire, membership)
+		if core.known.CompareAndSwap(held, view) {
+			core.membersChanged(held, view)
+			return
+		}
+	}
+}
+
+// membersChanged tells those in this process that depend on who votes.
+func (core *Core) membersChanged(before, after *View) {
+	core.chart.name(after.ID)
+	core.clocks.retain(after.all())
+	core.place.MembersChanged(after.Mark, after.addresses())
+	if before.Mark.Serial != after.Mark.Serial {
+		klog.Infof("core %d at %s: membership %d: voters %v, next %v", after.ID, after.Wire, after.Mark.Serial, after.Voters, after.Next)
+		core.counts.Add("memberships_learned", 1)
+	}
+	core.prompt.Ring()
+}
+
+// newerMembers is the membership that this core knows where it is newer than the
+// one at the mark, and nothing otherwise.
+func (core *Core) newerMembers(known wire.Mark) wire.Accepted {
+	view := core.members()
+	if !view.known() || !known.Less(view.Mark) {
+		return wire.Accepted{}
+	}
+	return view.accepted()
+}
+
+// learn is the duty of a core without a vote: it enlists at the leader, or looks for
+// it among the voters and the seeds, and begins as an empty replica once a leader
+// admits it. The leader then brings it what it lacks, and its turn comes when a
+// voter is gone or leaves.
+func (core *Core) learn() {
+	core.chart.move(Learner)
+	address := core.enlistsAt()
+	message := &wire.Enlist{Address: core.place.Wire, Opening: core.opening(), Known: core.members().Mark}
+	told, fault := wire.Ask[wire.Enlist, wire.EnlistTold](core.line, address, "enlist", core.roundLimit(), message)
+	if fault != nil {
+		core.mutex.Lock()
+		core.asked++
+		core.mutex.Unlock()
+		core.threads.Rest(core.place.Beat)
+		return
+	}
+	core.learnMembers(told.Members)
+	if told.Admitted && core.voter.Blank() && !core.members().votes() {
+		core.beginEmpty(told.Ballot)
+	}
+	core.mutex.Lock()
+	if told.Leader.Known() {
+		if !told.Leader.Ballot.Less(core.leader.Ballot) {
+			core.leader = told.Leader
+		}
+		core.heard = time.Now()
+	}
+	found := told.Leader.Known() && told.Leader.Address != address
+	if !told.Admitted {
+		core.asked++
+	}
+	core.mutex.Unlock()
+	if !found {
+		core.threads.Rest(core.place.Suspect / 2)
+	}
+}
+
+// enlistsAt is the leader while it is heard of, and otherwise one voter or seed
+// after the other.
+func (core *Core) enlistsAt() string {
+	addresses := core.members().addresses()
+	for _, seed := range core.place.Seeds {
+		if seed != core.place.Wire {
+			addresses = append(addresses, seed)
+		}
+	}
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if core.leader.Known() && core.leader.Address != core.place.Wire && time.Since(core.heard) < core.place.Suspect {
+		return core.leader.Address
+	}
+	return addresses[core.asked%len(addresses)]
+}
+
+// beginEmpty makes a blank disk a replica that accepted nothing. It holds no vote
+// yet, and never held one: the leader was confirmed after this disk was found blank,
+// and the membership then did not count this core.
+func (core *Core) beginEmpty(ballot wire.Ballot) {
+	if mishap := core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil); mishap != nil {
+		return
+	}
+	core.counts.Add("learners_begun", 1)
+	klog.Infof("core at %s: learns from the leader under %s", core.place.Wire, ballot)
+}
--- a/control/metering.go
+++ b/control/metering.go
@@ -353,4 +353,4 @@
 }
 
 // fence is a number that rises with each leadership and that no two share.
-func fence(ballot wire.Ballot) uint64 { return ballot.Round*128 + uint64(ballot.Core) }
+func fence(ballot wire.Ballot) uint64 { return ballot.Round*(wire.PeerMost+1) + uint64(ballot.Core) }
--- a/control/place.go
+++ b/control/place.go
@@ -31,6 +31,11 @@
 	Observe  func(standing Standing, ballot wire.Ballot)
 	Wall     func() int64
 
+	// MembersChanged is told the addresses of the voters whenever they change.
+	MembersChanged func(version wire.Mark, addresses []string)
+	// ReplaceAfter is how long a voter is silent before a learner takes its place.
+	ReplaceAfter time.Duration
+
 	Direct      bool
 	Table       time.Duration
 	SessionSpan time.Duration
@@ -44,6 +49,7 @@
 	foundingQuiet = 700 * time.Millisecond
 	sessionSpan   = 1500 * time.Millisecond
 	writeLimit    = 600 * time.Millisecond
+	replaceAfter  = time.Second
 )
 
 // filled has the defaults of what was left open.
@@ -54,6 +60,12 @@
 	if place.Observe == nil {
 		place.Observe = func(Standing, wire.Ballot) {}
 	}
+	if place.MembersChanged == nil {
+		place.MembersChanged = func(wire.Mark, []string) {}
+	}
+	if place.ReplaceAfter == 0 {
+		place.ReplaceAfter = max(replaceAfter, 2*place.Suspect)
+	}
 	if place.Quiet == 0 {
 		place.Quiet = foundingQuiet
 	}
@@ -72,15 +84,23 @@
 	return place
 }
 
-// roster is the one that was given, or else the one that was kept.
-func (place *Place) roster(kept []Peer) *Roster {
+// view is the membership that was accepted last, or else the one that was given. As
+// long as no core was ever replaced, addresses are as they were given.
+func (place *Place) view(accepted *Membership) *View {
 	if place.enlists() {
-		return newRoster(place.Wire, kept)
+		return viewOf(place.Wire, accepted)
+	}
+	given := givenMembership(append([]Peer{{ID: place.ID, Address: place.Wire}}, place.Peers...))
+	if accepted != nil && accepted.Mark.Serial > given.Mark.Serial {
+		return viewOf(place.Wire, accepted)
+	}
+	if accepted != nil {
+		given.Mark = accepted.Mark
 	}
-	return &Roster{ID: place.ID, Wire: place.Wire, Peers: place.Peers}
+	return viewOf(place.Wire, given)
 }
 
-// enlists is whether this core learns who the others are from a roster.
+// enlists is whether this core learns who the others are from its seeds.
 func (place *Place) enlists() bool { return place.ID == 0 }
 
 // firstTable is how long a leader that nobody can tell a table waits for the
@@ -127,8 +147,8 @@
 	if len(place.Peers) > 0 {
 		return wire.New(wire.BadFlag, "--peer: goes with an id, not with seeds")
 	}
-	if place.Least < 1 || place.Least > rosterMost {
-		return wire.New(wire.BadFlag, "--least: %d is not in 1 to %d", place.Least, rosterMost)
+	if place.Least < 1 || place.Least > foundersMost {
+		return wire.New(wire.BadFlag, "--least: %d is not in 1 to %d", place.Least, foundersMost)
 	}
 	for _, seed := range place.Seeds {
 		if mishap := CheckAddress("--seed", seed); mishap != nil {
--- a/control/relayed_test.go
+++ b/control/relayed_test.go
@@ -28,7 +28,7 @@
 		}
 	}
 	next := newMeter()
-	for _, held := range core.sessions.own(core.roster().ID) {
+	for _, held := range core.sessions.own(core.members().ID) {
 		relayed := core.relayed(held)
 		next.take(&relayed)
 	}
@@ -57,7 +57,7 @@
 		test.Fatal(mishap)
 	}
 	next := newMeter()
-	for _, held := range core.sessions.own(core.roster().ID) {
+	for _, held := range core.sessions.own(core.members().ID) {
 		relayed := core.relayed(held)
 		next.take(&relayed)
 	}
--- a/control/restore.go
+++ b/control/restore.go
@@ -8,46 +8,39 @@
 )
 
 // restore makes a blank disk a voter again: by founding, when every core is new,
-// or by fencing so many others that no majority the lost disk helped to make is missed.
+// or by fencing so many others that no quorum the lost disk helped to make is missed.
 func (core *Core) restore() {
 	core.threads.Rest(core.random.span(core.place.Beat, 2*core.place.Beat))
-	told := askPeers(core, func(peer Peer) (*wire.RestoreTold, error) {
-		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: core.roster().ID})
-	}, func(*wire.RestoreTold) bool { return false }, len(core.roster().Peers))
-	voters, untouched := 0, len(told) == len(core.roster().Peers) && !core.place.enlists()
+	view := core.members()
+	told := askPeers(core, view, func(peer Peer) (*wire.RestoreTold, error) {
+		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: view.ID, Members: view.Mark})
+	}, func(answer *wire.RestoreTold) bool { return answer.Founded }, never)
+	untouched := len(told) == len(view.Peers) && !core.place.enlists()
 	for _, answer := range told {
 		core.sawRound(answer.Promised.Round)
-		if answer.Founded {
-			voters++
-		}
+		core.learnMembers(answer.Members)
 		if answer.Promised.Round > 0 || answer.Marks != (wire.Marks{}) {
 			untouched = false
 		}
 	}
 	if untouched && core.place.Found {
 		if mishap := core.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap == nil {
-			klog.Infof("core %d: founded", core.roster().ID)
+			klog.Infof("core %d: founded", view.ID)
 			core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
 			core.begin()
 		}
 		return
 	}
-	if voters < core.roster().restorers() {
+	if core.members() != view || !view.mayLead(view.ID) || !view.fencesWithout(view.ID, agreed(told, func(answer *wire.RestoreTold) bool { return answer.Founded })) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	ballot, revoked := core.nextBallot()
-	promises := askPeers(core, func(peer Peer) (*wire.PromiseTold, error) {
-		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot})
-	}, func(*wire.PromiseTold) bool { return false }, len(core.roster().Peers))
-	granted := map[int]*wire.PromiseTold{}
+	ballot, revoked := core.nextBallot(view)
+	promises := core.promisesOf(askPeers(core, view, func(peer Peer) (*wire.PromiseTold, error) {
+		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot, Members: view.Mark})
+	}, granted, never))
 	accepted, from := [wire.Registers]wire.Accepted{}, 0
 	for id, promise := range promises {
-		core.sawRound(promise.Promised.Round)
-		if !promise.Granted {
-			continue
-		}
-		granted[id] = promise
 		for register := range promise.Accepted {
 			if accepted[register].Mark().Less(promise.Accepted[register].Mark()) {
 				accepted[register] = promise.Accepted[register]
@@ -57,23 +50,24 @@
 			}
 		}
 	}
-	if len(granted) < core.roster().restorers() {
+	if !view.fencesWithout(view.ID, agreed(promises, granted)) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	texts, mishap := core.gatherTexts(core.roster().address(from), accepted[wire.SettingsRegister].Value, nil)
+	texts, mishap := core.gatherTexts(view.address(from), accepted[wire.SettingsRegister].Value, nil)
 	if mishap != nil {
 		core.counts.Add("restores_short", 1)
 		return
 	}
+	accepted[wire.MembersRegister] = view.accepted()
 	if mishap := core.voter.Found(ballot, accepted, texts); mishap != nil {
 		return
 	}
 	core.counts.Add("restores", 1)
-	klog.Infof("core %d: restored from %d cores under %s", core.roster().ID, len(granted), ballot)
-	granted[core.roster().ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: core.voter.State().Accepted}
+	klog.Infof("core %d: restored from %d cores under %s", view.ID, len(promises), ballot)
+	promises[view.ID] = &wire.PromiseTold{Granted: true, Promised: ballot, Accepted: core.voter.State().Accepted}
 	if core.chart.move(Revoking) {
-		core.found(ballot, &Revocation{Method: BallotFence, Ballot: ballot, Revoked: revoked, Promises: granted, Complete: true})
+		core.found(view, ballot, &Revocation{Method: BallotFence, Ballot: ballot, Revoked: revoked, Promises: promises, Complete: true})
 		core.chart.moveBack()
 	}
 }
@@ -86,7 +80,7 @@
 	core.chart.move(Following)
 }
 
-func (core *Core) onRestore(*wire.Restore) (*wire.RestoreTold, *wire.Mishap) {
+func (core *Core) onRestore(message *wire.Restore) (*wire.RestoreTold, *wire.Mishap) {
 	state := core.voter.State()
-	return &wire.RestoreTold{Voter: state.Founded, Founded: state.Founded, Promised: state.Promised, Marks: state.Marks()}, nil
+	return &wire.RestoreTold{Voter: state.Founded, Founded: state.Founded, Promised: state.Promised, Marks: state.Marks(), Members: core.newerMembers(message.Members)}, nil
 }
--- a/control/revocation.go
+++ b/control/revocation.go
@@ -24,8 +24,8 @@
 }
 
 // fence pushes the ballot until a majority holds no older one valid.
-func (core *Core) fence(ballot wire.Ballot, revoked wire.Ballot) (*Revocation, *wire.Mishap) {
-	promises, mishap := core.pushBallot(ballot, core.roster().majority())
+func (core *Core) fence(view *View, ballot wire.Ballot, revoked wire.Ballot) (*Revocation, *wire.Mishap) {
+	promises, mishap := core.pushBallot(view, ballot)
 	if mishap != nil {
 		return nil, mishap
 	}
@@ -55,9 +55,12 @@
 	return true
 }
 
-// pushBallot asks every core to promise, this one first and synced.
-func (core *Core) pushBallot(ballot wire.Ballot, need int) (map[int]*wire.PromiseTold, *wire.Mishap) {
-	own, mishap := core.voter.Promise(ballot)
+// pushBallot asks every voter to promise, this one first and synced, until a quorum
+// did. One that knows a newer membership refuses and tells it: the next attempt
+// counts by that.
+func (core *Core) pushBallot(view *View, ballot wire.Ballot) (map[int]*wire.PromiseTold, *wire.Mishap) {
+	message := &wire.Promise{Ballot: ballot, Members: view.Mark}
+	own, mishap := core.voter.Promise(message)
 	if mishap != nil {
 		return nil, mishap
 	}
@@ -65,21 +68,31 @@
 		core.sawRound(own.Promised.Round)
 		return nil, &wire.Mishap{Kind: wire.StaleBallot, Cause: "own promise " + own.Promised.String()}
 	}
-	promises := map[int]*wire.PromiseTold{core.roster().ID: own}
-	told := askPeers(core, func(peer Peer) (*wire.PromiseTold, error) {
-		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot})
-	}, func(told *wire.PromiseTold) bool { return told.Granted }, need-1)
+	told := askPeers(core, view, func(peer Peer) (*wire.PromiseTold, error) {
+		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), message)
+	}, granted, view.decides)
+	promises := core.promisesOf(told)
+	promises[view.ID] = own
+	if !view.decides(agreed(promises, granted)) {
+		return nil, wire.New(wire.StaleBallot, "%d cores and no quorum of membership %d promised %s", len(promises), view.Mark.Serial, ballot)
+	}
+	return promises, nil
+}
+
+func granted(told *wire.PromiseTold) bool { return told.Granted }
+
+// promisesOf are those that were granted; what the others know is learned.
+func (core *Core) promisesOf(told map[int]*wire.PromiseTold) map[int]*wire.PromiseTold {
+	promises := map[int]*wire.PromiseTold{}
 	for id, promise := range told {
 		if promise.Granted {
 			promises[id] = promise
-		} else {
-			core.sawRound(promise.Promised.Round)
+			continue
 		}
+		core.sawRound(promise.Promised.Round)
+		core.learnMembers(promise.Members)
 	}
-	if len(promises) < need {
-		return nil, wire.New(wire.StaleBallot, "%d of %d promised %s", len(promises), need, ballot)
-	}
-	return promises, nil
+	return promises
 }
 
 func (core *Core) roundLimit() time.Duration { return core.place.Suspect }
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -125,7 +125,7 @@
 
 func (core *Core) onSession(session *wire.Session) (*wire.SessionTold, *wire.Mishap) {
 	session.AgeMs = 0
-	core.sessions.take(*session, core.roster().ID)
+	core.sessions.take(*session, core.members().ID)
 	core.usage.take(session.Member.Incarnation, session.Usage)
 	core.stirs.take(session)
 	core.meter.take(session)
@@ -133,7 +133,8 @@
 	leads := core.leads()
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	told := &wire.SessionTold{Process: core.meter.process, Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: core.roster().addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
+	view := core.members()
+	told := &wire.SessionTold{Members: view.Mark, Process: core.meter.process, Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Cores: view.addresses(), Routing: core.committed[wire.RoutingRegister].Value.Serial}
 	if !core.duck && (leads || time.Since(core.heard) < core.place.Suspect) {
 		told.Leader, told.NowMs = core.leader, now
 	}
@@ -158,14 +159,18 @@
 		core.tellLeader()
 		return
 	}
-	tell := &wire.Tell{Core: core.roster().ID}
-	for _, held := range core.sessions.standing(core.roster().ID) {
+	view := core.members()
+	if !view.votes() {
+		return
+	}
+	tell := &wire.Tell{Core: view.ID}
+	for _, held := range core.sessions.standing(view.ID) {
 		held.session.AgeMs = time.Since(held.told).Milliseconds()
 		tell.Sessions = append(tell.Sessions, held.session)
 	}
-	askPeers(core, func(peer Peer) (*wire.TellTold, error) {
+	askPeers(core, view, func(peer Peer) (*wire.TellTold, error) {
 		return wire.Ask[wire.Tell, wire.TellTold](core.line, peer.Address, "tell", core.roundLimit(), tell)
-	}, func(*wire.TellTold) bool { return false }, len(core.roster().Peers))
+	}, func(*wire.TellTold) bool { return true }, never)
 }
 
 // relayed is a session as the leader gets it from this core: with all counts that
@@ -184,12 +189,12 @@
 	core.mutex.Lock()
 	leader, leads, since := core.leader, core.leadership != nil, core.toldLeader
 	core.mutex.Unlock()
-	if leads || !leader.Known() || core.roster().ID == 0 || leader.Core == core.roster().ID {
+	if leads || !leader.Known() || core.members().ID == 0 || leader.Core == core.members().ID {
 		return
 	}
 	begin := time.Now()
-	tell := &wire.Tell{Core: core.roster().ID}
-	for _, held := range core.sessions.own(core.roster().ID) {
+	tell := &wire.Tell{Core: core.members().ID}
+	for _, held := range core.sessions.own(core.members().ID) {
 		if held.told.After(since) {
 			tell.Sessions = append(tell.Sessions, core.relayed(held))
 		}
--- a/control/standing.go
+++ b/control/standing.go
@@ -12,6 +12,7 @@
 
 const (
 	Blank        Standing = "blank"
+	Learner      Standing = "learner"
 	Following    Standing = "following"
 	Prechecking  Standing = "prechecking"
 	Revoking     Standing = "revoking"
@@ -22,8 +23,9 @@
 )
 
 var standingChart = map[Standing][]Standing{
-	Blank:        {Following, Revoking, Retired},
-	Following:    {Prechecking, Revoking, Establishing, Retired},
+	Blank:        {Learner, Following, Revoking, Retired},
+	Learner:      {Following, Blank, Retired},
+	Following:    {Learner, Prechecking, Revoking, Establishing, Retired},
 	Prechecking:  {Following, Revoking, Retired},
 	Revoking:     {Following, Establishing, Retired},
 	Establishing: {Following, Leading, Retired},
--- a/control/status.go
+++ b/control/status.go
@@ -15,12 +15,12 @@
 	told.State = string(core.chart.Now())
 	told.Counts = core.counts.All()
 	state := core.voter.State()
-	told.Cores = []wire.CoreStatus{{Core: core.roster().ID, Address: core.place.Wire, Voter: state.Founded, Seen: true, Marks: state.Marks()}}
+	told.Cores = []wire.CoreStatus{{Core: core.members().ID, Address: core.place.Wire, Voter: state.Founded, Seen: true, Marks: state.Marks()}}
 	if leadership != nil {
 		told.Conditions = leadership.conditions()
 		told.Revocation = string(leadership.revocation.Method)
 		leadership.mutex.Lock()
-		for _, peer := range core.roster().Peers {
+		for _, peer := range core.members().Peers {
 			status := wire.CoreStatus{Core: peer.ID, Address: peer.Address}
 			if report := leadership.reports[peer.ID]; report != nil {
 				status.Voter, status.Seen, status.Marks = report.Voter, report.Taken, report.Marks
--- a/control/store.go
+++ b/control/store.go
@@ -12,7 +12,6 @@
 // State is all that a core must never forget.
 type State struct {
 	Opening  bool
-	Roster   []Peer
 	Founded  bool
 	Promised wire.Ballot
 	Accepted [wire.Registers]wire.Accepted
@@ -28,6 +27,15 @@
 	return accepted, mark.Serial > 0 && mark.Serial == accepted.Value.Serial && !accepted.Ballot.Less(mark.Ballot)
 }
 
+// Voters is the membership that was accepted last; nil where none was.
+func (state State) Voters() *Membership {
+	membership, mishap := membershipOf(state.Accepted[wire.MembersRegister])
+	if mishap != nil {
+		return nil
+	}
+	return membership
+}
+
 func (state State) Marks() wire.Marks {
 	marks := wire.Marks{}
 	for register := range marks {
@@ -39,7 +47,6 @@
 // record is one synced step; only what changed is set.
 type record struct {
 	Opening  bool
-	Roster   []Peer
 	Founded  bool
 	Promised *wire.Ballot
 	Register wire.Register
@@ -52,9 +59,6 @@
 
 func (state *State) lay(step record) {
 	state.Opening = state.Opening || step.Opening
-	if len(step.Roster) > 0 {
-		state.Roster = step.Roster
-	}
 	state.Founded = state.Founded || step.Founded
 	if step.Promised != nil {
 		state.Promised = *step.Promised
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -25,7 +25,7 @@
 		ballot.Round++
 		ballot.Core = 1
 		if random.IntN(2) == 0 {
-			voter.Promise(ballot)
+			voter.Promise(&wire.Promise{Ballot: ballot})
 			continue
 		}
 		voter.Accept(&wire.Accept{Ballot: ballot, Register: wire.Register(random.IntN(2)), Value: wire.Value{Serial: ballot.Round, Body: make([]byte, random.IntN(300_000))}})
--- a/control/survey.go
+++ b/control/survey.go
@@ -9,7 +9,7 @@
 // committed, and daemons may have it before anybody leads.
 func (core *Core) survey() {
 	for core.cold() && !core.threads.Stopping() {
-		if core.roster().ID > 0 && !core.voter.Blank() && core.surveyed() {
+		if core.members().votes() && !core.voter.Blank() && core.surveyed() {
 			return
 		}
 		if !core.threads.Rest(core.place.Beat) {
@@ -27,17 +27,14 @@
 	same := func(told *wire.RestoreTold) bool {
 		return told.Founded && told.Marks[wire.RoutingRegister] == accepted.Mark()
 	}
-	need := core.roster().majority()
-	told := askPeers(core, func(peer Peer) (*wire.RestoreTold, error) {
-		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: core.roster().ID})
-	}, same, need-1)
-	count := 1
+	view := core.members()
+	told := askPeers(core, view, func(peer Peer) (*wire.RestoreTold, error) {
+		return wire.Ask[wire.Restore, wire.RestoreTold](core.line, peer.Address, "restore", core.roundLimit(), &wire.Restore{Core: view.ID, Members: view.Mark})
+	}, same, view.decides)
 	for _, answer := range told {
-		if same(answer) {
-			count++
-		}
+		core.learnMembers(answer.Members)
 	}
-	if count < need {
+	if !view.decides(agreed(told, same)) || core.members() != view {
 		return false
 	}
 	core.counts.Add("surveys_proved", 1)
--- a/control/voter.go
+++ b/control/voter.go
@@ -15,10 +15,12 @@
 	synced atomic.Pointer[State]
 	fault  func(*wire.Mishap)
 	raised func(wire.Ballot)
+	learns func(wire.Accepted)
 }
 
+// NewVoter calls raised when the promise rises.
 func NewVoter(store *Store, fault func(*wire.Mishap), raised func(wire.Ballot)) *Voter {
-	voter := &Voter{turn: run.NewTurn(), store: store, fault: fault, raised: raised}
+	voter := &Voter{turn: run.NewTurn(), store: store, fault: fault, raised: raised, learns: func(wire.Accepted) {}}
 	voter.publish()
 	return voter
 }
@@ -34,7 +36,7 @@
 
 // keep appends within the turn and shows the new state.
 func (voter *Voter) keep(step record) *wire.Mishap {
-	before := voter.store.state.Promised
+	before, members := voter.store.state.Promised, voter.store.state.Accepted[wire.MembersRegister].Mark()
 	if mishap := voter.store.Append(step); mishap != nil {
 		voter.fault(mishap)
 		return mishap
@@ -43,16 +45,24 @@
 	if after := voter.store.state.Promised; before != after {
 		voter.raised(after)
 	}
+	if after := voter.store.state.Accepted[wire.MembersRegister]; after.Mark() != members {
+		voter.learns(after)
+	}
 	return nil
 }
 
-func (voter *Voter) Promise(ballot wire.Ballot) (*wire.PromiseTold, *wire.Mishap) {
+// Promise grants a ballot that is not older than those promised before, unless the
+// asker counts by an older membership than the one accepted here.
+func (voter *Voter) Promise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
 	voter.turn.Take()
 	defer voter.turn.Give()
-	state := &voter.store.state
+	state, ballot := &voter.store.state, message.Ballot
 	if !state.Founded {
 		return nil, wire.New(wire.Blank, "not restored yet")
 	}
+	if members := state.Accepted[wire.MembersRegister]; message.Members.Less(members.Mark()) {
+		return &wire.PromiseTold{Promised: state.Promised, Members: members}, nil
+	}
 	if ballot.Less(state.Promised) {
 		return &wire.PromiseTold{Promised: state.Promised}, nil
 	}
@@ -113,7 +123,7 @@
 		step.Promised = &promised
 	}
 	for register := range accepted {
-		if accepted[register].Ballot.Round > 0 {
+		if accepted[register].Ballot.Round > 0 || accepted[register].Value.Serial > 0 {
 			accepted[register].Ballot = promised
 			step.Then = append(step.Then, record{Register: wire.Register(register), Accepted: &accepted[register], Texts: texts})
 		}
@@ -128,14 +138,19 @@
 	return voter.keep(record{Opening: true})
 }
 
-// Enrol keeps who votes; the first roster stays for good.
-func (voter *Voter) Enrol(roster []Peer, founds bool) *wire.Mishap {
+// Enrol makes a disk of the system's first start a voter under the membership that
+// it was told.
+func (voter *Voter) Enrol(members wire.Accepted) *wire.Mishap {
 	voter.turn.Take()
 	defer voter.turn.Give()
-	if len(voter.store.state.Roster) > 0 {
-		return wire.New(wire.BadMessage, "a roster is there")
+	if voter.store.state.Founded {
+		return wire.New(wire.BadMessage, "votes already")
+	}
+	step := record{Founded: true, Register: wire.MembersRegister, Accepted: &members}
+	if members.Ballot.Round > 0 {
+		step.Promised = &members.Ballot
 	}
-	return voter.keep(record{Roster: roster, Founded: founds})
+	return voter.keep(step)
 }
 
 // Committed keeps that a register's accepted value is known to be committed, so
--- a/control/voter_test.go
+++ b/control/voter_test.go
@@ -40,7 +40,7 @@
 			case "found":
 				answer = fmt.Sprint(voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil) == nil)
 			case "promise":
-				if told, mishap := voter.Promise(ballot); mishap != nil {
+				if told, mishap := voter.Promise(&wire.Promise{Ballot: ballot}); mishap != nil {
 					answer = string(mishap.Kind)
 				} else {
 					answer = fmt.Sprintf("granted %v, promised %s, settings %d under %s", told.Granted, told.Promised, told.Accepted[0].Value.Serial, told.Accepted[0].Ballot)
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -318,7 +318,7 @@
 	}
 	daemon.mutex.Unlock()
 	daemon.note(told.Serial)
-	daemon.Finder.learn(told.Cores)
+	daemon.Finder.Learn(told.Members, told.Cores)
 	before := daemon.Finder.Leader().Ballot
 	daemon.Finder.Heard(told.Leader)
 	if told.NowMs > 0 {
--- a/member/finder.go
+++ b/member/finder.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,11 @@
 	paces   Paces
 	told    func(core string, told *wire.WhoTold)
 
+	seeds []string
+
 	mutex   sync.Mutex
 	cores   []string
+	members wire.Mark
 	leader  wire.Leader
 	dropped wire.Ballot
 	waiting int
@@ -29,7 +33,7 @@
 const finderIdle = time.Minute
 
 func NewFinder(line *wire.Line, threads *run.Threads, cores []string) *Finder {
-	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, cores: append([]string{}, cores...)}
+	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, seeds: slices.Clone(cores), cores: slices.Clone(cores)}
 }
 
 // Paced sets how often a leader is looked for.
@@ -127,7 +131,7 @@
 		if fault != nil {
 			return false, fault
 		}
-		finder.learn(told.Cores)
+		finder.Learn(told.Members, told.Cores)
 		finder.told(cores[index], told)
 		if !told.Duck {
 			finder.Heard(told.Leader)
@@ -136,16 +140,18 @@
 	}, func(map[int]bool, map[int]error) bool { return finder.Leader().Known() })
 }
 
-func (finder *Finder) learn(cores []string) {
+// Learn takes the addresses of the voting cores under a membership's mark, unless a
+// newer one is known. Seeds that vote no more are asked after all others.
+func (finder *Finder) Learn(members wire.Mark, cores []string) {
 	finder.mutex.Lock()
 	defer finder.mutex.Unlock()
-	for _, core := range cores {
-		known := false
-		for _, held := range finder.cores {
-			known = known || held == core
-		}
-		if !known && len(finder.cores) < 16 {
-			finder.cores = append(finder.cores, core)
+	if len(cores) == 0 || !finder.members.Less(members) {
+		return
+	}
+	finder.members, finder.cores = members, slices.Clone(cores)
+	for _, seed := range finder.seeds {
+		if !slices.Contains(finder.cores, seed) {
+			finder.cores = append(finder.cores, seed)
 		}
 	}
 }
--- a/sim/roster_test.go
+++ b/sim/roster_test.go
@@ -15,8 +15,8 @@
 	held := map[string]int{}
 	for _, machine := range world.Cores {
 		store, mishap := control.OpenStore(machine.Disk.Copy())
-		if mishap == nil && len(store.State().Roster) > 0 {
-			held[fmt.Sprint(store.State().Roster)]++
+		if mishap == nil && store.State().Voters() != nil {
+			held[fmt.Sprint(store.State().Voters().Voters)]++
 		}
 	}
 	return held
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -56,7 +56,7 @@
 		"no ballot":          pack(func(message map[string]any) { delete(message, "Ballot") }),
 		"round 0":            pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 0, "Core": 1} }),
 		"core 0":             pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 3, "Core": 0} }),
-		"core 100":           pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 3, "Core": 100} }),
+		"core too high":      pack(func(message map[string]any) { message["Ballot"] = map[string]any{"Round": 3, "Core": PeerMost + 1} }),
 		"truncated":          plain[:len(plain)-1],
 		"bytes behind":       append(append([]byte{}, plain...), 0),
 		"not msgpack":        []byte("{\"Ballot\":1}"),
--- a/wire/core.go
+++ b/wire/core.go
@@ -2,9 +2,12 @@
 
 // What cores say to each other.
 
+// Precheck asks whether a candidacy would find support, before any ballot is pushed.
+// Members is the newest membership that the candidate knows.
 type Precheck struct {
-	Core  int
-	Marks Marks
+	Core    int
+	Marks   Marks
+	Members Mark
 }
 
 type PrecheckTold struct {
@@ -14,16 +17,23 @@
 	Marks   Marks
 	Reach   int
 	Round   uint64
+	Members Accepted
 }
 
+// Promise asks a replica to take nothing under older ballots. It names the
+// membership by which the asker counts: a replica that knows a newer one refuses.
 type Promise struct {
-	Ballot Ballot
+	Ballot  Ballot
+	Members Mark
 }
 
+// PromiseTold holds all that was accepted where the promise was granted, and the
+// newer membership where it was refused for that.
 type PromiseTold struct {
 	Granted  bool
 	Promised Ballot
 	Accepted [Registers]Accepted
+	Members  Accepted
 }
 
 // Accept brings the branches that its sender thinks are new; the teller names
@@ -73,14 +83,17 @@
 
 // Restore asks a core what it holds, for one whose disk is blank.
 type Restore struct {
-	Core int
+	Core    int
+	Members Mark
 }
 
+// RestoreTold is what a replica holds, and the membership where it knows a newer one.
 type RestoreTold struct {
 	Voter    bool
 	Founded  bool
 	Promised Ballot
 	Marks    Marks
+	Members  Accepted
 }
 
 // Tell carries the sessions one core keeps to the others.
@@ -122,8 +135,8 @@
 }
 
 func checkCore(core int) *Mishap {
-	if core < 1 || core > 99 {
-		return New(BadMessage, "core id %d is not in 1 to 99", core)
+	if core < 1 || core > PeerMost {
+		return New(BadMessage, "core id %d is not in 1 to %d", core, PeerMost)
 	}
 	return nil
 }
--- a/wire/member.go
+++ b/wire/member.go
@@ -82,6 +82,7 @@
 	return nil
 }
 
+// SessionTold names the cores of the newest membership that the teller knows.
 type SessionTold struct {
 	Leader Leader
 	Serial uint64
@@ -91,6 +92,7 @@
 	Routing uint64
 	NowMs   int64
 	Process uint64
+	Members Mark
 }
 
 // Count tells the leader at once how many tasks a process sent so far, by tenant.
@@ -191,6 +193,7 @@
 
 	Routing uint64
 	Table   TableMark
+	Members Mark
 }
 
 // Confirm asks the leader for the newest serial, proved by a beat after the ask.
--- /dev/null
+++ b/wire/membership.go
@@ -0,0 +1,89 @@
+package wire
+
+import "net/netip"
+
+// Peer is one core machine that votes. Its ID is never given to another machine.
+type Peer struct {
+	ID      int    `json:"id"`
+	Address string `json:"address"`
+}
+
+// PeerMost bounds the IDs of cores; a replacement takes the next one.
+const PeerMost = 1<<20 - 1
+
+func (peer Peer) check() *Mishap {
+	if _, fault := netip.ParseAddrPort(peer.Address); fault != nil {
+		return New(BadMessage, "peer at %q: %v", peer.Address, fault)
+	}
+	return checkCore(peer.ID)
+}
+
+// Voters is the content of the membership register: which cores vote. While one of
+// them is being replaced Next holds the voters to come, and a decision takes a
+// majority of both groups. LastID is the highest ID that was ever given.
+type Voters struct {
+	Current []Peer
+	Next    []Peer
+	LastID  int
+}
+
+// Enlist asks a core who votes and who leads. A core without a part in the quorum
+// sends it again and again; at the leader it also asks to become a learner. Opening
+// is whether the asker's disk has been there since the system's first start.
+type Enlist struct {
+	Address string
+	Opening bool
+	Known   Mark
+}
+
+// EnlistTold brings the membership where it is newer than what the asker knows, and
+// the leader. Admitted is true only at a leader that has confirmed its lead after it
+// was asked and that does not count the asker as a voter: then an empty disk may
+// begin as a replica that has promised Ballot and accepted nothing.
+type EnlistTold struct {
+	Members  Accepted
+	Leader   Leader
+	Admitted bool
+	Ballot   Ballot
+}
+
+// Leave announces that a core ends for good, as far as it knows: a learner that
+// holds everything may take its place. The core asks until it has no part left.
+type Leave struct {
+	Core int
+}
+
+// LeaveTold tells a leaving core whether to wait for its place to be taken.
+type LeaveTold struct {
+	Wait    bool
+	Members Accepted
+}
+
+// Check refuses an address that is none.
+func (message *Enlist) Check() *Mishap {
+	return Peer{ID: 1, Address: message.Address}.check()
+}
+
+// Check refuses an ID out of range.
+func (message *Leave) Check() *Mishap { return checkCore(message.Core) }
+
+// Check refuses voters without a group, with an ID given twice within a group or
+// above LastID.
+func (voters *Voters) Check() *Mishap {
+	if len(voters.Current) == 0 {
+		return New(BadMessage, "membership without voters")
+	}
+	for _, group := range [][]Peer{voters.Current, voters.Next} {
+		seen := map[int]bool{}
+		for _, peer := range group {
+			if mishap := peer.check(); mishap != nil {
+				return mishap
+			}
+			if seen[peer.ID] || peer.ID > voters.LastID {
+				return New(BadMessage, "voter %d is there twice or above %d", peer.ID, voters.LastID)
+			}
+			seen[peer.ID] = true
+		}
+	}
+	return nil
+}
--- a/wire/register.go
+++ b/wire/register.go
@@ -7,6 +7,7 @@
 	SettingsRegister Register = iota
 	ReportsRegister
 	RoutingRegister
+	MembersRegister
 	Registers
 )
 
