--- a/control/election.go
+++ b/control/election.go
@@ -107,7 +107,7 @@
 		core.sawRound(answer.Round)
 		core.learnMembers(answer.Members)
 	}
-	if core.members() != view {
+	if !core.members().same(view) {
 		core.counts.Add("prechecks_by_old_members", 1)
 		return false
 	}
@@ -216,8 +216,8 @@
 }
 
 func (core *Core) voterPromise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
-	if newer := core.newerMembers(message.Members); newer.Value.Serial > 0 {
-		return &wire.PromiseTold{Promised: core.voter.State().Promised, Members: newer}, nil
+	if known := core.members().accepted(); supersedes(known, message.Members) {
+		return &wire.PromiseTold{Promised: core.voter.State().Promised, Members: known}, nil
 	}
 	core.sawRound(message.Ballot.Round)
 	told, mishap := core.voter.Promise(message)
--- a/control/membership.go
+++ b/control/membership.go
@@ -193,6 +193,11 @@
 	return view
 }
 
+// same is whether two views count by the same voters, whatever their marks.
+func (view *View) same(other *View) bool {
+	return view.LastID == other.LastID && slices.Equal(view.Voters, other.Voters) && slices.Equal(view.Next, other.Next)
+}
+
 // known is whether there is a membership at all.
 func (view *View) known() bool { return view.Mark.Serial > 0 }
 
--- a/control/restore.go
+++ b/control/restore.go
@@ -31,13 +31,13 @@
 		}
 		return
 	}
-	if core.members() != view || !view.mayLead(view.ID) || !view.fencesWithout(view.ID, agreed(told, func(answer *wire.RestoreTold) bool { return answer.Founded })) {
+	if !core.members().same(view) || !view.mayLead(view.ID) || !view.fencesWithout(view.ID, agreed(told, func(answer *wire.RestoreTold) bool { return answer.Founded })) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
 	ballot, revoked := core.nextBallot(view)
 	promises := core.promisesOf(askPeers(core, view, func(peer Peer) (*wire.PromiseTold, error) {
-		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot, Members: view.Mark})
+		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot, Members: view.accepted()})
 	}, granted, never))
 	accepted, from := [wire.Registers]wire.Accepted{}, 0
 	for id, promise := range promises {
--- a/control/revocation.go
+++ b/control/revocation.go
@@ -59,7 +59,7 @@
 // did. One that knows a newer membership refuses and tells it: the next attempt
 // counts by that.
 func (core *Core) pushBallot(view *View, ballot wire.Ballot) (map[int]*wire.PromiseTold, *wire.Mishap) {
-	message := &wire.Promise{Ballot: ballot, Members: view.Mark}
+	message := &wire.Promise{Ballot: ballot, Members: view.accepted()}
 	own, mishap := core.voter.Promise(message)
 	if mishap != nil {
 		return nil, mishap
--- a/control/survey.go
+++ b/control/survey.go
@@ -34,7 +34,7 @@
 	for _, answer := range told {
 		core.learnMembers(answer.Members)
 	}
-	if !view.decides(agreed(told, same)) || core.members() != view {
+	if !view.decides(agreed(told, same)) || !core.members().same(view) {
 		return false
 	}
 	core.counts.Add("surveys_proved", 1)
--- a/wire/core.go
+++ b/wire/core.go
@@ -21,10 +21,11 @@
 }
 
 // Promise asks a replica to take nothing under older ballots. It names the
-// membership by which the asker counts: a replica that knows a newer one refuses.
+// membership by which the asker counts: a replica that knows a newer one with other
+// voters refuses.
 type Promise struct {
 	Ballot  Ballot
-	Members Mark
+	Members Accepted
 }
 
 // PromiseTold holds all that was accepted where the promise was granted, and the
