--- a/control/election.go
+++ b/control/election.go
@@ -14,7 +14,7 @@
 }
 
 // firstPatience is that of a core that has heard of no leader since it started:
-// with a roster the cores stand one after the other, so that they don't race.
+// where cores know each other by a membership they stand one after the other, so that they don't race.
 func (core *Core) firstPatience() time.Duration {
 	if !core.place.enlists() {
 		return core.nextPatience()
--- a/control/enlist.go
+++ b/control/enlist.go
@@ -119,7 +119,7 @@
 		}
 	}
 	core.learnMembers(accepted)
-	core.counts.Add("rosters_adopted", 1)
+	core.counts.Add("memberships_joined", 1)
 	klog.Infof("core %d at %s: %d cores vote, a voter at once: %v", view.ID, view.Wire, len(membership.Voters), founds)
 	if founds {
 		core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -68,18 +68,25 @@
 	return nil
 }
 
+// newestOf is, for each register, the newest value that those that promised accepted,
+// and which of them it is from.
+func newestOf(promises map[int]*wire.PromiseTold) (newest [wire.Registers]wire.Accepted, from [wire.Registers]int) {
+	for id, promise := range promises {
+		for register := range promise.Accepted {
+			if newest[register].Mark().Less(promise.Accepted[register].Mark()) {
+				newest[register], from[register] = promise.Accepted[register], id
+			}
+		}
+	}
+	return newest, from
+}
+
 // rewritten writes the newest of all registers again under the ballot. None of those
 // that promised accepted a newer membership than the one that counted them: they
 // would have refused.
 func (establishment *Establishment) rewritten() *wire.Mishap {
 	core := establishment.core
-	for id, promise := range establishment.promises {
-		for register := range promise.Accepted {
-			if establishment.newest[register].Mark().Less(promise.Accepted[register].Mark()) {
-				establishment.newest[register], establishment.from[register] = promise.Accepted[register], id
-			}
-		}
-	}
+	establishment.newest, establishment.from = newestOf(establishment.promises)
 	establishment.newest[wire.MembersRegister] = establishment.view.accepted()
 	settings := establishment.newest[wire.SettingsRegister].Value
 	texts, mishap := core.gatherTexts(establishment.view.address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
--- a/control/restore.go
+++ b/control/restore.go
@@ -39,22 +39,12 @@
 	promises := core.promisesOf(askPeers(core, view, func(peer Peer) (*wire.PromiseTold, error) {
 		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot, Members: view.accepted()})
 	}, granted, never))
-	accepted, from := [wire.Registers]wire.Accepted{}, 0
-	for id, promise := range promises {
-		for register := range promise.Accepted {
-			if accepted[register].Mark().Less(promise.Accepted[register].Mark()) {
-				accepted[register] = promise.Accepted[register]
-				if wire.Register(register) == wire.SettingsRegister {
-					from = id
-				}
-			}
-		}
-	}
 	if !view.fencesWithout(view.ID, agreed(promises, granted)) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	texts, mishap := core.gatherTexts(view.address(from), accepted[wire.SettingsRegister].Value, nil)
+	accepted, from := newestOf(promises)
+	texts, mishap := core.gatherTexts(view.address(from[wire.SettingsRegister]), accepted[wire.SettingsRegister].Value, nil)
 	if mishap != nil {
 		core.counts.Add("restores_short", 1)
 		return
