A leader that steps down names the learners, so that its place is taken at once

Cause: the heir did not know who learns until a learner looked for it, so a leader that ended on SIGTERM was told not to wait, and left a quorum of its own short by one until its silence was noticed. Ruled out: waiting always (a rolling restart has no learner).

--- a/control/core.go
+++ b/control/core.go
@@ -399,7 +399,9 @@
 }
 
 // Sound is true while this core votes.
-func (core *Core) Sound() bool { return !core.voter.Blank() && core.members().votes() && core.Broken() == nil }
+func (core *Core) Sound() bool {
+	return !core.voter.Blank() && core.members().votes() && core.Broken() == nil
+}
 
 // Close lets go of the disk, after the threads ended.
 func (core *Core) Close() {
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -64,7 +64,7 @@
 	}
 	establishment.core.counts.Add("revocation_fell_back", 1)
 	establishment.revocation = &Revocation{Method: BallotFence, Ballot: establishment.ballot,
-		Revoked: establishment.revocation.Revoked, Promises: establishment.promises, Complete: true}
+		Revoked: establishment.revocation.Revoked, Promises: establishment.promises, Complete: true, Learners: establishment.revocation.Learners}
 	return nil
 }
 
--- a/control/lameduck.go
+++ b/control/lameduck.go
@@ -46,8 +46,11 @@
 	leadership.writes.Take()
 	defer leadership.writes.Give()
 	klog.Infof("core %d: lameduck, hands over to core %d", core.members().ID, heir.ID)
-	told, fault := wire.Ask[wire.StepDown, wire.StepDownTold](core.line, heir.Address, "stepdown", core.roundLimit(),
-		&wire.StepDown{Ballot: leadership.ballot, From: core.members().ID, Marks: core.voter.State().Marks()})
+	message := &wire.StepDown{Ballot: leadership.ballot, From: core.members().ID, Marks: core.voter.State().Marks()}
+	for _, waiting := range leadership.succession.waiting(learnerSpan*core.place.Suspect, core.members()) {
+		message.Learners = append(message.Learners, waiting.Address)
+	}
+	told, fault := wire.Ask[wire.StepDown, wire.StepDownTold](core.line, heir.Address, "stepdown", core.roundLimit(), message)
 	if fault != nil || !told.Taken {
 		core.counts.Add("handovers_refused", 1)
 		return false
--- a/control/replace.go
+++ b/control/replace.go
@@ -14,6 +14,8 @@
 	learnerSpan = 3
 	// leaveSpan is how long a voter's word that it ends is good for.
 	leaveSpan = time.Second
+	// leaveRetries bounds how long a voter that ends looks for a leader to tell.
+	leaveRetries = time.Second
 	// leaveLimit bounds how long a voter that ends waits for its successor.
 	leaveLimit = 3 * time.Second
 )
@@ -310,24 +312,29 @@
 // leave is the end of a voter that does not lead: it keeps voting until a learner,
 // where there is one, has taken its place.
 func (core *Core) leave(until time.Time) {
-	if limit := time.Now().Add(leaveLimit); limit.Before(until) {
+	begin := time.Now()
+	if limit := begin.Add(leaveLimit); limit.Before(until) {
 		until = limit
 	}
-	for time.Now().Before(until) && core.members().votes() {
-		core.mutex.Lock()
-		leader := core.leader
-		core.mutex.Unlock()
-		if !leader.Known() || leader.Address == core.place.Wire {
-			return
-		}
-		told, fault := wire.Ask[wire.Leave, wire.LeaveTold](core.line, leader.Address, "leave", core.roundLimit(), &wire.Leave{Core: core.members().ID})
-		if fault != nil {
-			return
+	for time.Now().Before(until) && core.members().votes() && len(core.members().Peers) > 0 {
+		told, fault := core.announceLeave()
+		if fault == nil {
+			core.learnMembers(told.Members)
 		}
-		core.learnMembers(told.Members)
-		if !told.Wait {
+		if fault == nil && !told.Wait || fault != nil && time.Since(begin) > leaveRetries {
 			return
 		}
 		core.threads.Rest(core.place.Beat / 2)
 	}
 }
+
+// announceLeave tells the leader that this voter ends.
+func (core *Core) announceLeave() (*wire.LeaveTold, error) {
+	core.mutex.Lock()
+	leader := core.leader
+	core.mutex.Unlock()
+	if !leader.Known() || leader.Address == core.place.Wire {
+		return nil, wire.New(wire.NoLeader, "nobody leads")
+	}
+	return wire.Ask[wire.Leave, wire.LeaveTold](core.line, leader.Address, "leave", core.roundLimit(), &wire.Leave{Core: core.members().ID})
+}
--- a/control/revocation.go
+++ b/control/revocation.go
@@ -21,6 +21,7 @@
 	Revoked  wire.Ballot
 	Promises map[int]*wire.PromiseTold
 	Complete bool
+	Learners []string
 }
 
 // fence pushes the ballot until a majority holds no older one valid.
@@ -34,7 +35,7 @@
 
 // steppedDown takes the leader's own word that it writes no more.
 func steppedDown(message *wire.StepDown) *Revocation {
-	return &Revocation{Method: SteppedDown, Revoked: message.Ballot, Complete: true}
+	return &Revocation{Method: SteppedDown, Revoked: message.Ballot, Complete: true, Learners: message.Learners}
 }
 
 // covers is false when a promise shows a leadership newer than the one revoked.
--- a/wire/core.go
+++ b/wire/core.go
@@ -72,10 +72,13 @@
 	NowMs    int64
 }
 
+// StepDown asks a core to take over the lead. It names the addresses of the learners,
+// so that one of them can take the place of a leader that ends.
 type StepDown struct {
-	Ballot Ballot
-	From   int
-	Marks  Marks
+	Ballot   Ballot
+	From     int
+	Marks    Marks
+	Learners []string
 }
 
 type StepDownTold struct {
@@ -115,8 +118,15 @@
 	}
 	return message.Ballot.check()
 }
-func (message *Beat) Check() *Mishap     { return message.Ballot.check() }
-func (message *StepDown) Check() *Mishap { return message.Ballot.check() }
+func (message *Beat) Check() *Mishap { return message.Ballot.check() }
+func (message *StepDown) Check() *Mishap {
+	for _, address := range message.Learners {
+		if mishap := (Peer{ID: 1, Address: address}).check(); mishap != nil {
+			return mishap
+		}
+	}
+	return message.Ballot.check()
+}
 func (message *Precheck) Check() *Mishap { return checkCore(message.Core) }
 func (message *Restore) Check() *Mishap  { return checkCore(message.Core) }
 func (message *Tell) Check() *Mishap {
