--- /dev/null
+++ b/control/membership_test.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidjunction/wire"
+)
+
+func foundedBy(count int) *Membership {
+	addresses := []string{}
+	for index := range count {
+		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:41", index+1))
+	}
+	return firstMembership(addresses)
+}
+
+// subsets calls visit with every set of the voters of some memberships.
+func subsets(memberships []*Membership, visit func(has func(id int) bool)) {
+	ids := map[int]int{}
+	for _, membership := range memberships {
+		for _, peer := range membership.all() {
+			if _, found := ids[peer.ID]; !found {
+				ids[peer.ID] = len(ids)
+			}
+		}
+	}
+	for set := range 1 << len(ids) {
+		visit(func(id int) bool {
+			place, found := ids[id]
+			return found && set>>place&1 == 1
+		})
+	}
+}
+
+// Whatever decides by one version meets whatever decides by the next one: the
+// complement of a quorum of the one is never a quorum of the other.
+func TestQuorumsOfConsecutiveMembershipsMeet(test *testing.T) {
+	for count := 1; count <= 9; count++ {
+		before := foundedBy(count)
+		step := before.replaced(count, "10.9.0.1:41")
+		after := step.settled()
+		for _, pair := range [][2]*Membership{{before, before}, {before, step}, {step, step}, {step, after}, {after, after}} {
+			subsets(pair[:], func(has func(id int) bool) {
+				if pair[0].quorum(has) && pair[1].quorum(func(id int) bool { return !has(id) }) {
+					test.Fatalf("%d cores: disjoint quorums of %v->%v and %v->%v", count, pair[0].Voters, pair[0].Next, pair[1].Voters, pair[1].Next)
+				}
+			})
+		}
+		if before.changing() || !step.changing() || after.changing() || len(after.Voters) != count || after.Mark.Serial != 3 || after.LastID != count+1 {
+			test.Fatalf("%d cores: %+v, %+v, %+v", count, before, step, after)
+		}
+		if step.mayLead(step.LastID) || !after.mayLead(step.LastID) || after.mayLead(count) {
+			test.Fatalf("%d cores: who joins leads, or who left", count)
+		}
+	}
+}
+
+// Without the step between them, majorities of the former and of the following
+// voters need not meet: the reason for the step.
+func TestReplacementWithoutStepIsUnsafe(test *testing.T) {
+	before := foundedBy(3)
+	after := before.replaced(3, "10.9.0.1:41").settled()
+	disjoint := false
+	subsets([]*Membership{before, after}, func(has func(id int) bool) {
+		disjoint = disjoint || before.quorum(has) && after.quorum(func(id int) bool { return !has(id) })
+	})
+	if !disjoint {
+		test.Error("majorities of {1,2,3} and {1,2,4} always met")
+	}
+}
+
+// Those that a blank voter fences meet every quorum that it took part in, without
+// its help.
+func TestFenceOfBlankVoterMeetsItsQuorums(test *testing.T) {
+	for count := 1; count <= 7; count++ {
+		before := foundedBy(count)
+		step := before.replaced(count, "10.9.0.1:41")
+		for _, membership := range []*Membership{before, step, step.settled()} {
+			for _, lost := range membership.all() {
+				subsets([]*Membership{membership}, func(has func(id int) bool) {
+					others := func(id int) bool { return id != lost.ID && !has(id) }
+					if membership.fencesWithout(lost.ID, has) && membership.quorum(func(id int) bool { return id == lost.ID || others(id) }) {
+						test.Fatalf("%d cores: a fence without %d misses a quorum of %v -> %v", count, lost.ID, membership.Voters, membership.Next)
+					}
+				})
+			}
+		}
+	}
+}
+
+// One field of a membership's message changed at a time: what can't be one is refused.
+func TestMembershipIsCheckedByField(test *testing.T) {
+	good := wire.Voters{Current: []Peer{{ID: 1, Address: "10.0.0.1:41"}, {ID: 2, Address: "10.0.0.2:41"}}, LastID: 2}
+	read := func(voters wire.Voters) *wire.Mishap {
+		body, _ := wire.Pack(&voters)
+		_, mishap := membershipOf(wire.Accepted{Value: wire.Value{Serial: 1, Body: body}})
+		return mishap
+	}
+	if mishap := read(good); mishap != nil {
+		test.Fatal(mishap)
+	}
+	for name, change := range map[string]func(voters *wire.Voters){
+		"no voters":      func(voters *wire.Voters) { voters.Current = nil },
+		"ID 0":           func(voters *wire.Voters) { voters.Current = []Peer{{ID: 0, Address: "10.0.0.1:41"}} },
+		"ID above last":  func(voters *wire.Voters) { voters.LastID = 1 },
+		"ID twice":       func(voters *wire.Voters) { voters.Current = []Peer{good.Current[0], good.Current[0]} },
+		"no address":     func(voters *wire.Voters) { voters.Current = []Peer{{ID: 1, Address: "core-1"}} },
+		"next ID twice":  func(voters *wire.Voters) { voters.Next = []Peer{good.Current[1], good.Current[1]} },
+		"next above all": func(voters *wire.Voters) { voters.Next = []Peer{{ID: 3, Address: "10.0.0.3:41"}} },
+	} {
+		changed := good
+		change(&changed)
+		if read(changed) == nil {
+			test.Errorf("%s is taken", name)
+		}
+	}
+	if _, mishap := membershipOf(wire.Accepted{Value: wire.Value{Serial: 1, Body: []byte{0xc1}}}); mishap == nil {
+		test.Error("bytes that are no membership are taken")
+	}
+	if membership, mishap := membershipOf(wire.Accepted{}); membership != nil || mishap != nil {
+		test.Errorf("no value: %v, %v", membership, mishap)
+	}
+}
+
+// A view from an address that doesn't vote decides nothing and counts every voter
+// as another core; a membership survives being written and read.
+func TestViewOfMembership(test *testing.T) {
+	step := foundedBy(3).replaced(1, "10.9.0.1:41")
+	step.Mark.Ballot = wire.Ballot{Round: 4, Core: 2}
+	read, mishap := membershipOf(step.accepted())
+	if mishap != nil || !viewOf("", read).same(viewOf("", step)) || read.Mark != step.Mark {
+		test.Fatalf("%v: %+v", mishap, read)
+	}
+	outside := viewOf("10.8.0.1:41", step)
+	if outside.votes() || len(outside.Peers) != 4 || outside.decides(func(int) bool { return true }) {
+		test.Errorf("outside: %+v", outside)
+	}
+	joining := viewOf("10.9.0.1:41", step)
+	if joining.ID != 4 || joining.mayLead(joining.ID) || len(joining.Peers) != 3 {
+		test.Errorf("joining: %+v", joining)
+	}
+	if !joining.decides(func(id int) bool { return id == 2 || id == 3 }) || joining.decides(func(id int) bool { return id == 2 }) {
+		test.Error("a step decides by both groups")
+	}
+}
