The loser of a race is told 412, also where its number is not above the winner's

Cause: decide looked at the number before the base, so an order on a base no longer current got 400 (stale_version) where its number was not above the winner's, and was priced as a valid configuration refused. Ruled out: a change of the status alone, since 400 is right for a number not above the current one on the current base. Before: TestDecideNamesTheStaleBaseFirst fails twice (stale_version, want stale_base), which is the code's state before and so the mutation (cases swapped). After: it passes.

--- /dev/null
+++ b/control/decide_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+func configOf(version uint64) *route.Config {
+	return &route.Config{Version: version, Services: []route.Service{{Name: "desk"}},
+		Routes: []route.Route{{Name: "desk", Host: "a.example", Prefix: "/a/", Service: "desk", Attempts: 1, TimeoutMs: 2000}}}
+}
+
+func changeOf(version, base uint64, text string) *route.Change {
+	return &route.Change{Version: version, Base: base, Digest: text, Whole: configOf(version)}
+}
+
+// grown is a book after many orders, each on top of the one before.
+func grown(test *testing.T, orders int) *route.Book {
+	test.Helper()
+	book := &route.Book{}
+	for number := range uint64(orders) {
+		next, again, mishap := decide(book, changeOf(number*3+3, number*3, fmt.Sprint("order ", number)))
+		if mishap != nil || again {
+			test.Fatalf("order %d: again %v, %v", number, again, mishap)
+		}
+		book = next
+	}
+	return book
+}
+
+// A base that is no longer current comes before everything else that may be wrong
+// with an order, so that who lost a race is not told that its order was invalid.
+func TestDecideNamesTheStaleBaseFirst(test *testing.T) {
+	book := grown(test, 3)
+	invalid := changeOf(13, 6, "invalid")
+	invalid.Whole.Routes[0].Service = "nobody"
+	for name, one := range map[string]struct {
+		change *route.Change
+		want   wire.Kind
+	}{
+		"lost a race with a lower number":     {changeOf(8, 6, "lower"), wire.StaleBase},
+		"lost a race with the same number":    {changeOf(9, 6, "same"), wire.StaleBase},
+		"lost a race with a higher number":    {changeOf(12, 6, "higher"), wire.StaleBase},
+		"lost a race, invalid too":            {invalid, wire.StaleBase},
+		"base of the future":                  {changeOf(14, 12, "future"), wire.StaleBase},
+		"number of the current one, on it":    {changeOf(9, 9, "equal"), wire.StaleVersion},
+		"number below the current one, on it": {changeOf(8, 9, "below"), wire.StaleVersion},
+	} {
+		if next, again, mishap := decide(book, one.change); next != nil || again || mishap == nil || mishap.Kind != one.want {
+			test.Errorf("%s: again %v, %v, want %s", name, again, mishap, one.want)
+		}
+	}
+}
+
+// An order that was taken is known as such after thousands of others, and nothing
+// else passes for it.
+func TestDecideKnowsARepeatAfterThousandsOfChanges(test *testing.T) {
+	const orders = 2000
+	book := grown(test, orders)
+	for number := range uint64(orders) {
+		if _, again, mishap := decide(book, changeOf(number*3+3, number*3, fmt.Sprint("order ", number))); !again {
+			test.Fatalf("order %d of %d sent again: %v", number, orders, mishap)
+		}
+	}
+	for name, change := range map[string]*route.Change{"another text": changeOf(300, 297, "order 98"), "another number": changeOf(301, 297, "order 99")} {
+		if _, again, mishap := decide(book, change); again || mishap == nil || mishap.Kind != wire.StaleBase {
+			test.Errorf("%s: again %v, %v", name, again, mishap)
+		}
+	}
+}
--- a/control/routing.go
+++ b/control/routing.go
@@ -53,7 +53,9 @@
 	return value.Serial, book
 }
 
-// decide is the book after a change, or the change's serial when it was taken before.
+// decide is the book after a change, or that the change was taken before. A base
+// that is no longer current is named before all else that may be wrong: who lost a
+// race sent a valid configuration.
 func decide(book *route.Book, change *route.Change) (next *route.Book, again bool, mishap *wire.Mishap) {
 	for _, applied := range book.Trail {
 		if applied.Version == change.Version && applied.Digest == change.Digest {
@@ -61,10 +63,10 @@
 		}
 	}
 	switch {
-	case change.Version <= book.Config.Version:
-		return nil, false, &wire.Mishap{Kind: wire.StaleVersion, Cause: "a version as high is in place", Serial: book.Config.Version}
 	case change.Base != book.Config.Version:
 		return nil, false, &wire.Mishap{Kind: wire.StaleBase, Cause: "another version is in place", Serial: book.Config.Version}
+	case change.Version <= book.Config.Version:
+		return nil, false, &wire.Mishap{Kind: wire.StaleVersion, Cause: "a version as high is in place", Serial: book.Config.Version}
 	}
 	config := book.Config
 	switch {
