A re-sent order is known after 4,096 others, not 256; older ones get no clear answer

Cause: the routing register kept the last 256 orders with 64 letters of digest each; an order whose acknowledgement was lost was refused (stale_version, 400) once 256 others had been taken. Now route.Trail keeps a distance of versions and 8 bytes of digest an order: 2,343 bytes at 256 orders instead of 23,299, 18,039 at 2,000, 36,903 at most (measured by packing both). Versions are used once, so 8 bytes only tell apart the few orders under one number. What is older than all kept is order_forgotten (503), never a 4xx. Ruled out: the settings register's branches, which need changes of establishment, restore and mending and aren't smaller below 2,600 orders. Also: a new configuration dropped from the book when zones had been taken back (Reopened), so that proxies took their cold backends for warm again within the minute. An old disk's register can't be read (the trail's form changed).

--- a/control/decide_test.go
+++ b/control/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"orchidjunction/route"
@@ -71,3 +72,31 @@
 		}
 	}
 }
+
+// Whether an order was taken that is older than all that is remembered is not
+// known, so it is neither acknowledged nor refused for good.
+func TestDecideRefusesNothingThatItForgot(test *testing.T) {
+	book := grown(test, 3)
+	book.Config.Version += 3 * route.TrailMost
+	for number := range uint64(route.TrailMost) {
+		book.Trail = book.Trail.With(12+number*3, "other")
+	}
+	for number, want := range map[uint64]wire.Kind{0: wire.Forgotten, 2: wire.Forgotten, 3: wire.StaleBase} {
+		if _, again, mishap := decide(book, changeOf(number*3+3, number*3, fmt.Sprint("order ", number))); again || mishap == nil || mishap.Kind != want {
+			test.Errorf("order %d: again %v, %v, want %s", number, again, mishap, want)
+		}
+	}
+	if _, _, mishap := decide(book, changeOf(book.Config.Version, book.Config.Version, "not above")); mishap == nil || mishap.Kind != wire.StaleVersion {
+		test.Errorf("a number not above the current one, on it: %v", mishap)
+	}
+}
+
+// A new configuration leaves everything else in the book as it is.
+func TestDecideKeepsTheZones(test *testing.T) {
+	book := grown(test, 1)
+	book.Evacuated, book.Reopened = []string{"a"}, []route.Reopened{{Zone: "b", AtMs: 7}}
+	next, _, mishap := decide(book, changeOf(6, 3, "more"))
+	if mishap != nil || !slices.Equal(next.Evacuated, book.Evacuated) || !slices.Equal(next.Reopened, book.Reopened) {
+		test.Errorf("%+v, %v", next, mishap)
+	}
+}
--- a/control/routing.go
+++ b/control/routing.go
@@ -9,10 +9,7 @@
 	"orchidjunction/wire"
 )
 
-const (
-	routingTrail  = 256
-	reopenedStays = time.Minute
-)
+const reopenedStays = time.Minute
 
 // routedBody is a committed routing as daemons get it, packed once.
 type routedBody struct {
@@ -32,7 +29,7 @@
 	if mishap != nil {
 		return nil, mishap
 	}
-	book.Trail = nil
+	book.Trail = route.Trail{}
 	body, fault := wire.Pack(book)
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
@@ -55,14 +52,14 @@
 
 // decide is the book after a change, or that the change was taken before. A base
 // that is no longer current is named before all else that may be wrong: who lost a
-// race sent a valid configuration.
+// race sent a valid configuration. Whether a very old order was taken is not known.
 func decide(book *route.Book, change *route.Change) (next *route.Book, again bool, mishap *wire.Mishap) {
-	for _, applied := range book.Trail {
-		if applied.Version == change.Version && applied.Digest == change.Digest {
-			return nil, true, nil
-		}
+	if book.Trail.Holds(change.Version, change.Digest) {
+		return nil, true, nil
 	}
 	switch {
+	case change.Base != book.Config.Version && book.Trail.Forgets(change.Version):
+		return nil, false, &wire.Mishap{Kind: wire.Forgotten, Cause: "too long ago to know whether it was taken", Serial: book.Config.Version}
 	case change.Base != book.Config.Version:
 		return nil, false, &wire.Mishap{Kind: wire.StaleBase, Cause: "another version is in place", Serial: book.Config.Version}
 	case change.Version <= book.Config.Version:
@@ -83,11 +80,9 @@
 	if mishap := config.Check(); mishap != nil {
 		return nil, false, mishap
 	}
-	trail := append(slices.Clone(book.Trail), route.Applied{Version: change.Version, Digest: change.Digest})
-	if len(trail) > routingTrail {
-		trail = trail[len(trail)-routingTrail:]
-	}
-	return &route.Book{Config: config, Evacuated: book.Evacuated, Trail: trail}, false, nil
+	changed := *book
+	changed.Config, changed.Trail = config, book.Trail.With(change.Version, change.Digest)
+	return &changed, false, nil
 }
 
 // evacuate is the book after an order on a zone, nil when the order changes nothing.
--- a/route/config.go
+++ b/route/config.go
@@ -109,18 +109,12 @@
 	Patch   *Patch
 }
 
-// Applied is a change that was taken.
-type Applied struct {
-	Version uint64
-	Digest  string
-}
-
 // Book is the content of the routing register.
 type Book struct {
 	Config    Config
 	Evacuated []string
 	Reopened  []Reopened
-	Trail     []Applied
+	Trail     Trail
 }
 
 // Reopened is when a zone was last taken back, in milliseconds of true time: its
--- /dev/null
+++ b/route/trail_test.go
@@ -0,0 +1,51 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidjunction/wire"
+)
+
+// A trail knows the newest orders exactly, says what it forgot, and stays short.
+func TestTrailKnowsTheNewestAndWhatItForgot(test *testing.T) {
+	const more = 100
+	trail, version := Trail{}, uint64(0)
+	versions := []uint64{}
+	for number := range TrailMost + more {
+		version += uint64(1 + number%7)
+		versions = append(versions, version)
+		trail = trail.With(version, fmt.Sprint(number))
+	}
+	for number, version := range versions {
+		known := number >= more
+		if trail.Holds(version, fmt.Sprint(number)) != known || trail.Holds(version, "another") || trail.Forgets(version) == known {
+			test.Fatalf("order %d of %d: held %v, forgotten %v", number, len(versions), trail.Holds(version, fmt.Sprint(number)), trail.Forgets(version))
+		}
+	}
+	entries := trail.Entries()
+	if len(entries) != TrailMost || entries[0].Version != versions[more] || entries[TrailMost-1].Version != version {
+		test.Errorf("%d entries, from %d to %d", len(entries), entries[0].Version, entries[len(entries)-1].Version)
+	}
+	if len(trail.Packed) > TrailMost*(digestBytes+1) {
+		test.Errorf("%d bytes", len(trail.Packed))
+	}
+}
+
+// A trail that was packed, read and continued is the same; one that was read keeps
+// its own bytes though two longer ones were made of it.
+func TestTrailLastsAndIsNotShared(test *testing.T) {
+	trail := Trail{}.With(300, "a").With(70000, "b")
+	body, fault := wire.Pack(&Book{Trail: trail})
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	book, mishap := BookOf(body)
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	left, right := book.Trail.With(70001, "left"), book.Trail.With(70002, "right")
+	if !left.Holds(70001, "left") || !right.Holds(70002, "right") || !left.Holds(300, "a") || !right.Holds(70000, "b") || book.Trail.Holds(70001, "left") {
+		test.Errorf("%+v, %+v of %+v", left.Entries(), right.Entries(), book.Trail.Entries())
+	}
+}
--- a/sim/control_test.go
+++ b/sim/control_test.go
@@ -479,8 +479,8 @@
 	if mishap != nil {
 		test.Fatal(mishap)
 	}
-	applied, orders, bases, zones := map[uint64]bool{1: true}, map[string]bool{}, map[uint64]uint64{}, map[string]*answered{}
-	for _, one := range book.Trail {
+	applied, orders, bases, zones := map[uint64]bool{1: true}, map[route.ShortDigest]bool{}, map[uint64]uint64{}, map[string]*answered{}
+	for _, one := range book.Trail.Entries() {
 		applied[one.Version], orders[one.Digest] = true, true
 	}
 	side.mutex.Lock()
@@ -501,7 +501,7 @@
 			zones[order.what] = order
 			continue
 		}
-		taken := orders[fmt.Sprintf("%d on %d", order.version, order.base)]
+		taken := orders[route.DigestOf(fmt.Sprintf("%d on %d", order.version, order.base))]
 		if order.mishap != nil {
 			if taken && order.mishap.Retry == 0 {
 				world.broke("%d on %d was refused and is in the trail: %v", order.version, order.base, order.mishap)
@@ -527,8 +527,8 @@
 			world.broke("%d was in force as serial %d and is not in the trail", version, serial)
 		}
 	}
-	if len(book.Trail) >= 250 || acknowledged < 15 {
-		world.broke("%d routings acknowledged, %d in the trail", acknowledged, len(book.Trail))
+	if book.Trail.Forgotten > 0 || acknowledged < 15 {
+		world.broke("%d routings acknowledged, %d in the trail", acknowledged, book.Trail.Count)
 	}
 	if held := world.rosters(); len(held) != 1 {
 		world.broke("%v", held)
--- a/sim/far_test.go
+++ b/sim/far_test.go
@@ -119,7 +119,7 @@
 			test.Fatal(mishap)
 		}
 		applied, bases := map[uint64]bool{}, map[uint64]uint64{}
-		for _, one := range book.Trail {
+		for _, one := range book.Trail.Entries() {
 			applied[one.Version] = true
 		}
 		for version, base := range racers.acked {
--- a/sim/routing_test.go
+++ b/sim/routing_test.go
@@ -146,7 +146,7 @@
 		}
 		if took, whole := world.reached(2, time.Second); !whole {
 			world.broke("not everywhere after %v", took)
-		} else if held := world.Members[0].Daemon.Version().Book; fmt.Sprint(held.Evacuated) != "[z1]" || len(held.Trail) > 0 {
+		} else if held := world.Members[0].Daemon.Version().Book; fmt.Sprint(held.Evacuated) != "[z1]" || held.Trail.Count > 0 {
 			world.broke("a member holds %+v", held)
 		}
 		world.report(test)
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -23,6 +23,7 @@
 	ChangeReused   Kind = "change_id_reused"
 	OutcomeUnknown Kind = "outcome_unknown"
 	NotStarted     Kind = "not_started"
+	Forgotten      Kind = "order_forgotten"
 	HoldFull       Kind = "hold_full"
 	BadMessage     Kind = "bad_message"
 	UnknownMessage Kind = "unknown_message"
