Repeats and refusals are told only after a beat that a majority took since the question

Cause: a leader out of touch went on for a suspicion span (750 ms) to refuse orders (stale base, stale version, invalid, a used id) and to acknowledge repeats by what it knew, and the settings register refused a base newer than all it knew (409) though a next leader might lead already: cores that restart stand 30 ms later, well inside the old leader's span. For routing only a base newer than known was confirmed. Now both registers tell what needed no write only after leadership.proven. Ruled out: shortening the span; a frozen process has no clock to go by. Mutations seen failing: proven by holds() instead of confirm, confirm with a beat begun before the question.

--- a/control/change.go
+++ b/control/change.go
@@ -15,7 +15,8 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// onChange puts an operator's change in force at the leader, or says why not.
+// onChange puts an operator's change in force at the leader, or says why not; a
+// repeat or a refusal is told only by who still leads.
 func (core *Core) onChange(change *wire.Change) (*wire.ChangeTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
 	if mishap != nil {
@@ -26,11 +27,14 @@
 	var sown *conf.Tree
 	if now := leadership.settings(); change.Kind == "whole" && change.Base == now.serial {
 		if sown, mishap = conf.Sow(change.Body, now.tree); mishap != nil {
+			mishap = leadership.proven(mishap)
 			core.counts.Add("changes_"+string(mishap.Kind), 1)
 			return nil, mishap
 		}
 	}
+	decided := false
 	serial, mishap := leadership.change(func(now *content) (*content, *wire.Mishap) {
+		decided = true
 		for _, entry := range now.trail {
 			if entry.Change != change.ID {
 				continue
@@ -55,8 +59,12 @@
 		if mishap != nil {
 			return nil, mishap
 		}
+		decided = false
 		return now.next(tree, wire.Entry{Serial: now.serial + 1, Change: change.ID, Digest: mark, Kind: change.Kind, Operator: change.Operator, AtMs: core.place.Wall()}), nil
 	})
+	if decided {
+		mishap = leadership.proven(mishap)
+	}
 	if mishap != nil {
 		core.counts.Add("changes_"+string(mishap.Kind), 1)
 		return nil, mishap
--- a/control/routing.go
+++ b/control/routing.go
@@ -136,8 +136,8 @@
 }
 
 // onRouteChange puts an operator's routing in force at the leader, or says why not.
-// A base that is newer than all this core knows is refused only by who still leads:
-// the next leader may have taken the order.
+// What needs no write, a repeat or a refusal, is told only by who still leads: the
+// next leader may have taken the order, or others.
 func (core *Core) onRouteChange(message *wire.RouteChange) (*wire.RouteChangeTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
 	if mishap != nil {
@@ -147,16 +147,14 @@
 	if fault := wire.Unpack(message.Body, change); fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	told, newer := &wire.RouteChangeTold{}, false
+	told, decided := &wire.RouteChangeTold{}, false
 	told.Serial, mishap = leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
-		next, again, mishap := decide(book, change)
-		told.Again, newer = again, change.Base > book.Config.Version
-		return next, mishap
+		next, again, refusal := decide(book, change)
+		told.Again, decided = again, next == nil
+		return next, refusal
 	})
-	if mishap != nil && mishap.Kind == wire.StaleBase && newer {
-		if unsure := leadership.confirm(core.roundLimit()); unsure != nil {
-			mishap = unsure
-		}
+	if decided {
+		mishap = leadership.proven(mishap)
 	}
 	if mishap != nil {
 		core.counts.Add("routings_"+string(mishap.Kind), 1)
@@ -166,6 +164,15 @@
 	return told, nil
 }
 
+// proven is what a caller is told of a decision that needed no write: the decision,
+// once a majority took a beat that was begun after it, and else why there was none.
+func (leadership *Leadership) proven(decision *wire.Mishap) *wire.Mishap {
+	if unsure := leadership.confirm(leadership.core.roundLimit()); unsure != nil {
+		return unsure
+	}
+	return decision
+}
+
 // onEvacuate takes a zone's backends out of use, or back into it.
 func (core *Core) onEvacuate(order *wire.Evacuate) (*wire.EvacuateTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
@@ -179,7 +186,7 @@
 		return next, nil
 	})
 	if mishap == nil && !changed {
-		mishap = leadership.confirm(core.roundLimit())
+		mishap = leadership.proven(nil)
 	}
 	if mishap != nil {
 		core.counts.Add("evacuations_"+string(mishap.Kind), 1)
--- /dev/null
+++ b/sim/orders_test.go
@@ -0,0 +1,150 @@
+package sim
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// call is one message to a core, by its name.
+type call struct {
+	name string
+	ask  func(line *wire.Line, address string, limit time.Duration) error
+}
+
+func callOf[Asked, Told any](name, message string, asked *Asked) call {
+	return call{name: name, ask: func(line *wire.Line, address string, limit time.Duration) error {
+		_, fault := wire.Ask[Asked, Told](line, address, message, limit, asked)
+		return fault
+	}}
+}
+
+// leaderCalls are the calls whose clear answers only a leader may give: repeats, true
+// and untrue refusals, what changes nothing, and reads. Version 1 is in force.
+func leaderCalls() []call {
+	invalid := Routing(2)
+	invalid.Routes[0].Service = "nobody"
+	broken, _ := wire.Pack(&route.Change{Version: 2, Base: 1, Digest: "invalid", Whole: invalid})
+	dangling, _ := wire.Pack(&route.Change{Version: 2, Base: 1, Digest: "dangling", Patch: &route.Patch{RemoveServices: []string{"desk"}}})
+	low, _ := wire.Pack(&route.Change{Version: 1, Base: 1, Digest: "low", Whole: Routing(1)})
+	return []call{
+		callOf[wire.RouteChange, wire.RouteChangeTold]("repeat", "routechange", Whole(1, 0)),
+		callOf[wire.RouteChange, wire.RouteChangeTold]("stale base", "routechange", Whole(9, 0)),
+		callOf[wire.RouteChange, wire.RouteChangeTold]("newer base", "routechange", Whole(9, 3)),
+		callOf[wire.RouteChange, wire.RouteChangeTold]("stale version", "routechange", &wire.RouteChange{Body: low}),
+		callOf[wire.RouteChange, wire.RouteChangeTold]("invalid", "routechange", &wire.RouteChange{Body: broken}),
+		callOf[wire.RouteChange, wire.RouteChangeTold]("invalid patch", "routechange", &wire.RouteChange{Body: dangling}),
+		callOf[wire.Evacuate, wire.EvacuateTold]("evacuated before", "evacuate", &wire.Evacuate{Zone: "z1", Begin: true}),
+		callOf[wire.Evacuate, wire.EvacuateTold]("never evacuated", "evacuate", &wire.Evacuate{Zone: "z2", Begin: false}),
+		callOf[wire.RouteRead, wire.RouteReadTold]("read", "routeread", &wire.RouteRead{}),
+		callOf[wire.Read, wire.ReadTold]("settings", "read", &wire.Read{}),
+		callOf[wire.Confirm, wire.ConfirmTold]("confirm", "confirm", &wire.Confirm{}),
+		callOf[wire.Change, wire.ChangeTold]("settings repeat", "change", &wire.Change{ID: "first", Kind: "whole", Body: Settings(1000)}),
+		callOf[wire.Change, wire.ChangeTold]("settings stale base", "change", &wire.Change{ID: "other", Base: 7, Kind: "whole", Body: Settings(900)}),
+		callOf[wire.Change, wire.ChangeTold]("settings id reused", "change", &wire.Change{ID: "first", Kind: "whole", Body: Settings(900)}),
+		callOf[wire.Change, wire.ChangeTold]("settings invalid", "change", &wire.Change{ID: "third", Base: 1, Kind: "partial", Body: []byte(`{"ack_ms":-4}`)}),
+	}
+}
+
+// unclear is whether an answer lets its caller move on: it neither acknowledges nor
+// refuses anything.
+func unclear(fault error) bool {
+	if fault == nil {
+		return false
+	}
+	switch wire.KindOf(fault) {
+	case wire.NotLeader, wire.NoLeader, wire.Lameduck, wire.OutcomeUnknown, wire.NotStarted, wire.Unreachable, wire.Unreached:
+		return true
+	}
+	return false
+}
+
+// lose puts a core out of touch with the others: both ways, one way, or frozen.
+func (world *World) lose(index int, kind string, lost bool) {
+	host := world.Cores[index].Host
+	for other := range world.Cores {
+		if other == index {
+			continue
+		}
+		if kind == "cut" || kind == "mute" {
+			world.Net.CutOneWay(host, world.Cores[other].Host, lost)
+		}
+		if kind == "cut" || kind == "deaf" {
+			world.Net.CutOneWay(world.Cores[other].Host, host, lost)
+		}
+	}
+	if kind == "frozen" {
+		world.Net.Freeze(host, lost)
+	}
+}
+
+// withSettings puts the first settings, a zone's evacuation and routing 1 in force.
+func (world *World) withSettings(test *testing.T) {
+	test.Helper()
+	world.farUp(test, 3)
+	if mishap := world.Evacuate("z1", true); mishap != nil {
+		test.Fatal(mishap)
+	}
+	if _, mishap := order[wire.Change, wire.ChangeTold](world, world.holds(), "change", &wire.Change{ID: "first", Kind: "whole", Body: Settings(1000)}); mishap != nil {
+		test.Fatal(mishap)
+	}
+}
+
+// A leader that lost touch with the others gives no clear answer from that moment
+// on, to whatever it is asked; others may lead at once, having been restarted. The
+// same calls have clear answers at who leads.
+func TestLeaderOutOfTouchAnswersNothingClear(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for _, kind := range []string{"cut", "mute", "deaf", "frozen"} {
+			for _, restarted := range []bool{false, true} {
+				world := NewFarWorld(seed, 3+2*int(seed%2))
+				world.withSettings(test)
+				leader := world.calm(test)
+				line := wire.NewLine(world.Net.Transport(world.Members[0].Host))
+				for _, one := range leaderCalls() {
+					if fault := one.ask(line, world.Cores[leader].Wire, time.Second); unclear(fault) {
+						world.broke("in touch, %s: %v", one.name, fault)
+					}
+				}
+				world.lose(leader, kind, true)
+				for index := range world.Cores {
+					if restarted && index != leader {
+						world.KillCore(index, true)
+						world.StartCore(index)
+					}
+				}
+				begin, mutex, open := time.Now(), sync.Mutex{}, 0
+				for time.Since(begin) < 20*time.Second {
+					for _, one := range leaderCalls() {
+						mutex.Lock()
+						open++
+						mutex.Unlock()
+						asked := time.Since(begin)
+						world.threads.Start(func() {
+							if fault := one.ask(line, world.Cores[leader].Wire, 30*time.Second); !unclear(fault) {
+								world.broke("%s, restarted %v, %s asked after %v: %v", kind, restarted, one.name, asked, fault)
+							}
+							mutex.Lock()
+							open--
+							mutex.Unlock()
+						})
+					}
+					world.Rest(time.Duration(50+seed*13%50) * time.Millisecond)
+					if time.Since(begin) > time.Second {
+						world.Rest(3 * time.Second)
+					}
+				}
+				world.lose(leader, kind, false)
+				if !world.Until(40*time.Second, func() bool { mutex.Lock(); defer mutex.Unlock(); return open == 0 }) {
+					world.broke("%s: %d calls open", kind, open)
+				}
+				line.Close()
+				world.report(test)
+				world.CloseFar()
+			}
+		}
+	})
+}
