An evacuation that was long under way no longer undoes what was acknowledged since

Cause: orders on zones have no name, and whatever copy reached the leader was carried out: one doubled on its way, one that its entry point gave up on behind a cut, one read from the socket of a core that had stood still. A take-back that came late reopened a zone whose evacuation had been acknowledged since, and the other way round. Now the entry point asks the leader how often the zone changed and the order is carried out only upon that number (route.Book.Zones); an order that finds the zone as wanted is still acknowledged, and one whose caller has hung up isn't started. A mismatch is zone_changed (503). Ruled out: names given at the entry point (another entry point's copy has another), ages by the clock, and serials of the entry point's own copy (stale when it thaws).

--- a/control/routing.go
+++ b/control/routing.go
@@ -1,16 +1,12 @@
 package control
 
 import (
-	"slices"
 	"sync"
-	"time"
 
 	"orchidjunction/route"
 	"orchidjunction/wire"
 )
 
-const reopenedStays = time.Minute
-
 // routedBody is a committed routing as daemons get it, packed once.
 type routedBody struct {
 	mutex  sync.Mutex
@@ -18,7 +14,7 @@
 	body   []byte
 }
 
-// of packs a book without its trail, and squeezes it.
+// of packs a book as daemons need it, and squeezes it.
 func (routed *routedBody) of(value wire.Value) ([]byte, *wire.Mishap) {
 	routed.mutex.Lock()
 	defer routed.mutex.Unlock()
@@ -29,8 +25,7 @@
 	if mishap != nil {
 		return nil, mishap
 	}
-	book.Trail = route.Trail{}
-	body, fault := wire.Pack(book)
+	body, fault := wire.Pack(book.Bare())
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
@@ -85,25 +80,6 @@
 	return &changed, false, nil
 }
 
-// evacuate is the book after an order on a zone, nil when the order changes nothing.
-func evacuate(book *route.Book, order *wire.Evacuate, now int64) *route.Book {
-	index, found := slices.BinarySearch(book.Evacuated, order.Zone)
-	if found == order.Begin {
-		return nil
-	}
-	next := *book
-	if order.Begin {
-		next.Evacuated = slices.Insert(slices.Clone(book.Evacuated), index, order.Zone)
-	} else {
-		next.Evacuated = slices.Delete(slices.Clone(book.Evacuated), index, index+1)
-		next.Reopened = slices.DeleteFunc(slices.Clone(book.Reopened), func(one route.Reopened) bool {
-			return one.Zone == order.Zone || now-one.AtMs > reopenedStays.Milliseconds()
-		})
-		next.Reopened = append(next.Reopened, route.Reopened{Zone: order.Zone, AtMs: now})
-	}
-	return &next
-}
-
 // writeRouting writes the book that build makes of the current one, and gives
 // the serial that holds it; none made leaves the current serial.
 func (leadership *Leadership) writeRouting(build func(book *route.Book) (*route.Book, *wire.Mishap)) (uint64, *wire.Mishap) {
@@ -173,28 +149,6 @@
 	return decision
 }
 
-// onEvacuate takes a zone's backends out of use, or back into it.
-func (core *Core) onEvacuate(order *wire.Evacuate) (*wire.EvacuateTold, *wire.Mishap) {
-	leadership, mishap := core.leading()
-	if mishap != nil {
-		return nil, mishap
-	}
-	changed := false
-	serial, mishap := leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
-		next := evacuate(book, order, core.Now())
-		changed = next != nil
-		return next, nil
-	})
-	if mishap == nil && !changed {
-		mishap = leadership.proven(nil)
-	}
-	if mishap != nil {
-		core.counts.Add("evacuations_"+string(mishap.Kind), 1)
-		return nil, mishap
-	}
-	return &wire.EvacuateTold{Serial: serial}, nil
-}
-
 func (core *Core) onRouteRead(*wire.RouteRead) (*wire.RouteReadTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
 	if mishap != nil {
--- a/member/hold.go
+++ b/member/hold.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -15,7 +16,6 @@
 	line   *wire.Line
 	counts *run.Counts
 	depth  int
-	span   time.Duration
 	limit  time.Duration
 	send   time.Duration
 	known  func() wire.Leader
@@ -40,13 +40,13 @@
 )
 
 func NewHold(finder *Finder, line *wire.Line, counts *run.Counts) *Hold {
-	return &Hold{finder: finder, line: line, counts: counts, depth: holdDepth, span: answerLimit - holdRest, limit: answerLimit, send: sendLimit}
+	return &Hold{finder: finder, line: line, counts: counts, depth: holdDepth, limit: answerLimit, send: sendLimit}
 }
 
 // Within sets other limits than the defaults.
 func (hold *Hold) Within(limits HoldLimits) *Hold {
 	if limits.Answer > 0 {
-		hold.span, hold.limit = limits.Answer-holdRest, limits.Answer
+		hold.limit = limits.Answer
 	}
 	if limits.Send > 0 {
 		hold.send = limits.Send
@@ -88,45 +88,44 @@
 
 // Send brings one message to the leader, whoever that becomes within the limit.
 func Send[Asked, Told any](hold *Hold, name string, asked *Asked) (*Told, *wire.Mishap) {
-	begin := time.Now()
+	return SendIn[Asked, Told](context.Background(), hold, name, asked)
+}
+
+// SendIn is a Send that ends with its context, too.
+func SendIn[Asked, Told any](ctx context.Context, hold *Hold, name string, asked *Asked) (*Told, *wire.Mishap) {
 	sent, holding := false, false
 	defer func() {
 		if holding {
 			hold.leave()
 		}
 	}()
-	final := func() *wire.Mishap {
-		if sent {
-			return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: "the leader fell silent; send the same change id again", Retry: comeBack}
-		}
-		return &wire.Mishap{Kind: wire.NotStarted, Cause: "no leader within the hold; nothing was started", Retry: comeBack}
-	}
+	until := hold.until(ctx)
 	hold.catchUp()
-	for {
+	for ctx.Err() == nil {
 		leader := hold.finder.Leader()
 		if !leader.Known() {
-			if !holding {
-				if !hold.enter() {
-					hold.counts.Add("hold_full", 1)
-					if sent {
-						return nil, final()
-					}
-					return nil, &wire.Mishap{Kind: wire.HoldFull, Cause: "too much waits for a leader", Retry: comeBack}
+			if !holding && !hold.enter() {
+				hold.counts.Add("hold_full", 1)
+				if sent {
+					return nil, givenUp(sent)
 				}
+				return nil, &wire.Mishap{Kind: wire.HoldFull, Cause: "too much waits for a leader", Retry: comeBack}
+			}
+			if !holding {
 				holding = true
 				hold.counts.Add("held", 1)
 			}
-			leader = hold.finder.Wait(min(hold.span, hold.limit) - time.Since(begin))
+			leader = hold.finder.Wait(time.Until(until) - holdRest)
 			if !leader.Known() {
 				hold.counts.Add("hold_given_up", 1)
-				return nil, final()
+				return nil, givenUp(sent)
 			}
 		}
-		rest := hold.limit - time.Since(begin)
+		rest := time.Until(until)
 		if rest <= 0 {
-			return nil, final()
+			break
 		}
-		told, fault := wire.Ask[Asked, Told](hold.line, leader.Address, name, min(rest, hold.send), asked)
+		told, fault := wire.AskIn[Asked, Told](ctx, hold.line, leader.Address, name, min(rest, hold.send), asked)
 		if fault == nil {
 			if holding {
 				hold.counts.Add("held_flushed", 1)
@@ -144,8 +143,26 @@
 		default:
 			return nil, mishap
 		}
-		if time.Since(begin) < hold.limit {
+		if time.Now().Before(until) {
 			hold.finder.threads.Rest(hold.finder.paces.Seek / 4)
 		}
 	}
+	return nil, givenUp(sent)
+}
+
+// until is when a message must have its answer that is sent now.
+func (hold *Hold) until(ctx context.Context) time.Time {
+	until := time.Now().Add(hold.limit)
+	if deadline, given := ctx.Deadline(); given && deadline.Before(until) {
+		return deadline
+	}
+	return until
+}
+
+// givenUp is the answer to a message that found no leader in time.
+func givenUp(sent bool) *wire.Mishap {
+	if sent {
+		return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: "the leader fell silent; send the same change id again", Retry: comeBack}
+	}
+	return &wire.Mishap{Kind: wire.NotStarted, Cause: "no leader within the hold; nothing was started", Retry: comeBack}
 }
--- a/route/config.go
+++ b/route/config.go
@@ -2,7 +2,12 @@
 // routes to them, the tenants that may use them, and the zones to keep clear.
 package route
 
-import "orchidjunction/wire"
+import (
+	"slices"
+	"strings"
+
+	"orchidjunction/wire"
+)
 
 // Kind says how often a request of a route may run.
 type Kind uint8
@@ -115,6 +120,44 @@
 	Evacuated []string
 	Reopened  []Reopened
 	Trail     Trail
+	Zones     []ZoneChanges
+}
+
+// ZoneChanges is how often a zone was evacuated and taken back.
+type ZoneChanges struct {
+	Zone  string
+	Count uint64
+}
+
+// Changes is how often a zone was evacuated and taken back.
+func (book *Book) Changes(zone string) uint64 {
+	index, found := book.findZone(zone)
+	if !found {
+		return 0
+	}
+	return book.Zones[index].Count
+}
+
+// Changed are the zones' changes with one more of a zone.
+func (book *Book) Changed(zone string) []ZoneChanges {
+	index, found := book.findZone(zone)
+	zones := slices.Clone(book.Zones)
+	if !found {
+		zones = slices.Insert(zones, index, ZoneChanges{Zone: zone})
+	}
+	zones[index].Count++
+	return zones
+}
+
+func (book *Book) findZone(zone string) (int, bool) {
+	return slices.BinarySearchFunc(book.Zones, zone, func(one ZoneChanges, zone string) int { return strings.Compare(one.Zone, zone) })
+}
+
+// Bare is the book as daemons need it, without what only orders are judged by.
+func (book *Book) Bare() *Book {
+	bare := *book
+	bare.Trail, bare.Zones = Trail{}, nil
+	return &bare
 }
 
 // Reopened is when a zone was last taken back, in milliseconds of true time: its
--- a/sim/control_test.go
+++ b/sim/control_test.go
@@ -385,7 +385,7 @@
 		}
 		begin = !begin
 		one := side.begun(&answered{what: zone, emptied: begin})
-		told, mishap := order[wire.Evacuate, wire.EvacuateTold](side.world, holds, "evacuate", &wire.Evacuate{Zone: zone, Begin: begin})
+		told, mishap := side.world.evacuateBy(holds, zone, begin)
 		if mishap != nil {
 			side.note(one, 0, mishap)
 			return true
--- a/sim/far.go
+++ b/sim/far.go
@@ -148,8 +148,13 @@
 
 // order sends an order by some holds in turn until it has an answer that ends it.
 func order[Asked, Told any](world *World, holds []*member.Hold, name string, asked *Asked) (*Told, *wire.Mishap) {
+	return again(world, holds, func(hold *member.Hold) (*Told, *wire.Mishap) { return member.Send[Asked, Told](hold, name, asked) })
+}
+
+// again sends by some holds in turn until there is an answer that ends it.
+func again[Told any](world *World, holds []*member.Hold, send func(*member.Hold) (*Told, *wire.Mishap)) (*Told, *wire.Mishap) {
 	for try := 0; ; try++ {
-		told, mishap := member.Send[Asked, Told](holds[try%len(holds)], name, asked)
+		told, mishap := send(holds[try%len(holds)])
 		if mishap == nil || mishap.Retry == 0 || try > 20 {
 			return told, mishap
 		}
@@ -173,11 +178,18 @@
 	return mishap
 }
 
+// Evacuate sends an order on a zone until it is acknowledged or refused.
 func (world *World) Evacuate(zone string, begin bool) *wire.Mishap {
-	_, mishap := order[wire.Evacuate, wire.EvacuateTold](world, world.holds(), "evacuate", &wire.Evacuate{Zone: zone, Begin: begin})
+	_, mishap := world.evacuateBy(world.holds(), zone, begin)
 	return mishap
 }
 
+func (world *World) evacuateBy(holds []*member.Hold, zone string, begin bool) (*wire.EvacuateTold, *wire.Mishap) {
+	return again(world, holds, func(hold *member.Hold) (*wire.EvacuateTold, *wire.Mishap) {
+		return member.Evacuate(context.Background(), hold, zone, begin)
+	})
+}
+
 // Book reads the confirmed routing back.
 func (world *World) Book() (*route.Book, *wire.Mishap) {
 	told, mishap := order[wire.RouteRead, wire.RouteReadTold](world, world.holds(), "routeread", &wire.RouteRead{})
--- a/sim/far_test.go
+++ b/sim/far_test.go
@@ -45,7 +45,7 @@
 		world.Rest(time.Duration(random.IntN(300)) * time.Millisecond)
 		if random.IntN(4) == 0 {
 			begin := random.IntN(2) == 0
-			_, mishap := order[wire.Evacuate, wire.EvacuateTold](world, holds(), "evacuate", &wire.Evacuate{Zone: zone, Begin: begin})
+			_, mishap := world.evacuateBy(holds(), zone, begin)
 			racer.mutex.Lock()
 			racer.zones[zone], racer.unsure[zone] = begin, mishap != nil
 			racer.mutex.Unlock()
--- /dev/null
+++ b/sim/operator_test.go
@@ -0,0 +1,170 @@
+package sim
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"orchidjunction/platform"
+	"orchidjunction/run"
+)
+
+// callerSilence is after how long a platform's operator leaves a daemon that says nothing.
+const callerSilence = time.Second
+
+// operatorCaller is the platform's operator at the cores' doors.
+type operatorCaller struct {
+	world  *World
+	client *http.Client
+}
+
+// operatorCaller opens the platform's side of every living core.
+func (world *World) operatorCaller() *operatorCaller {
+	for _, machine := range world.Cores {
+		if core := machine.life(world); core != nil {
+			machine.Hold.Follow(core.Leader)
+			control := platform.NewControl(platform.NewLeaderOrders(machine.Hold), func() map[string]string { return nil }, run.NewCounts())
+			machine.servers = append(machine.servers, world.serve(machine.threads, machine.Host+":43", control))
+		}
+	}
+	transport := &http.Transport{DialContext: world.Net.Dialer("10.8.0.1"), DisableKeepAlives: true}
+	return &operatorCaller{world: world, client: &http.Client{Transport: transport}}
+}
+
+// call asks one core once and gives the status; 0 means that no answer came in time.
+func (caller *operatorCaller) call(index int, method, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerSilence)
+	defer cancel()
+	request, fault := http.NewRequestWithContext(ctx, method, "http://"+caller.world.Cores[index].Host+":43"+path, strings.NewReader(body))
+	if fault != nil {
+		return 0, fault.Error()
+	}
+	response, fault := caller.client.Do(request)
+	if fault != nil {
+		return 0, fault.Error()
+	}
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(answer)
+}
+
+// until calls some cores in turn until one acknowledges.
+func (caller *operatorCaller) until(test *testing.T, cores []int, method, path, body string) {
+	test.Helper()
+	for try := range 40 {
+		code, answer := caller.call(cores[try%len(cores)], method, path, body)
+		if code == http.StatusOK {
+			return
+		}
+		if code >= 400 && code < 500 {
+			test.Fatalf("%s %s: %d %s", method, path, code, answer)
+		}
+		caller.world.Rest(200 * time.Millisecond)
+	}
+	test.Fatalf("%s %s: never acknowledged", method, path)
+}
+
+// zoned breaks unless a zone is as it was acknowledged last.
+func (world *World) zoned(test *testing.T, zone string, evacuated bool, when string) {
+	test.Helper()
+	book, mishap := world.Book()
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	if slices.Contains(book.Evacuated, zone) != evacuated {
+		world.broke("%s: %s was acknowledged evacuated %v, is %v", when, zone, evacuated, !evacuated)
+	}
+}
+
+// followers are the cores that do not lead.
+func (world *World) followers(leader int) []int {
+	others := []int{}
+	for index := range world.Cores {
+		if index != leader {
+			others = append(others, index)
+		}
+	}
+	return others
+}
+
+// Messages between cores come a second time, late, after the contrary order was
+// acknowledged: that one stays in force.
+func TestDoubledEvacuationDoesNotComeBack(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 1)
+		operator := world.operatorCaller()
+		world.calm(test)
+		world.Net.Faults(Faults{Twice: 1000})
+		for round := range 16 {
+			first, second, begin := http.MethodPost, http.MethodDelete, false
+			if round%2 == 1 {
+				first, second, begin = second, first, true
+			}
+			leader := world.calm(test)
+			entries := append([]int{leader}, world.followers(leader)...)
+			operator.until(test, entries, first, "/evacuate/z1", "")
+			operator.until(test, entries, second, "/evacuate/z1", "")
+			for until := time.Now().Add(time.Second); time.Now().Before(until); world.Rest(10 * time.Millisecond) {
+				if _, book := world.Cores[leader].Core.Routing(); world.Leader() == leader && slices.Contains(book.Evacuated, "z1") != begin {
+					test.Fatalf("round %d: acknowledged evacuated %v, then committed %v", round, begin, !begin)
+				}
+			}
+			world.zoned(test, "z1", begin, "doubled")
+		}
+		world.report(test)
+	})
+}
+
+// The entry point that was asked first loses its way to the leader, or stands still,
+// with the order under way. The operator goes elsewhere, and on to the contrary order.
+// What was under way comes through long after and changes nothing.
+func TestLateEvacuationDoesNotComeBack(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for _, kind := range []string{"way to the leader cut", "way from the operator cut", "entry frozen"} {
+			for _, begin := range []bool{true, false} {
+				for _, wait := range []time.Duration{0, 20 * time.Millisecond, 80 * time.Millisecond, 180 * time.Millisecond} {
+					world := NewFarWorld(seed, 3)
+					world.farUp(test, 1)
+					operator := world.operatorCaller()
+					leader := world.calm(test)
+					others := world.followers(leader)
+					entry, elsewhere := others[int(seed)%2], []int{others[1-int(seed)%2], leader}
+					first, second := http.MethodPost, http.MethodDelete
+					if !begin {
+						operator.until(test, elsewhere, first, "/evacuate/z1", "")
+						first, second = second, first
+					}
+					lose := func(lost bool) {
+						switch kind {
+						case "way to the leader cut":
+							world.Net.CutOneWay(world.Cores[entry].Host, world.Cores[leader].Host, lost)
+						case "way from the operator cut":
+							world.Net.CutOneWay("10.8.0.1", world.Cores[entry].Host, lost)
+						case "entry frozen":
+							world.Net.Freeze(world.Cores[entry].Host, lost)
+						}
+					}
+					world.threads.Start(func() {
+						world.Rest(wait)
+						lose(true)
+					})
+					operator.call(entry, first, "/evacuate/z1", "")
+					operator.until(test, elsewhere, first, "/evacuate/z1", "")
+					operator.until(test, elsewhere, second, "/evacuate/z1", "")
+					world.Rest(3 * time.Second)
+					lose(false)
+					world.Rest(4 * time.Second)
+					world.zoned(test, "z1", !begin, kind+" after "+wait.String())
+					world.report(test)
+					world.CloseFar()
+				}
+			}
+		}
+	})
+}
--- a/sim/routing_test.go
+++ b/sim/routing_test.go
@@ -274,7 +274,7 @@
 			case "cut":
 				world.isolate(leader, false)
 			case "planned":
-				if _, mishap := order[wire.Evacuate, wire.EvacuateTold](world, holds[:1], "evacuate", &wire.Evacuate{Zone: "z", Begin: true}); mishap != nil {
+				if _, mishap := world.evacuateBy(holds[:1], "z", true); mishap != nil {
 					world.broke("a retired core does not forward: %v", mishap)
 				}
 				world.KillCore(leader, false)
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -24,6 +24,7 @@
 	OutcomeUnknown Kind = "outcome_unknown"
 	NotStarted     Kind = "not_started"
 	Forgotten      Kind = "order_forgotten"
+	ZoneChanged    Kind = "zone_changed"
 	HoldFull       Kind = "hold_full"
 	BadMessage     Kind = "bad_message"
 	UnknownMessage Kind = "unknown_message"
--- a/wire/routing.go
+++ b/wire/routing.go
@@ -20,13 +20,19 @@
 }
 
 // Evacuate asks that nothing be sent to the backends of a zone, or takes it back.
+// Upon is how often the zone was evacuated and taken back so far, as an earlier
+// answer told, without which the order is not carried out: it may have been on its
+// way for long. With Ask nothing changes and only that number is told.
 type Evacuate struct {
 	Zone  string
 	Begin bool
+	Ask   bool
+	Upon  uint64
 }
 
 type EvacuateTold struct {
-	Serial uint64
+	Serial  uint64
+	Changes uint64
 }
 
 func (message *Evacuate) Check() *Mishap {
