Cut off for 20 s at the operators' side: every core sends its callers on within a second

A valid order asked of a deaf leader may be taken by the next one, which the test allows: it was given no clear answer.

--- a/sim/operator_test.go
+++ b/sim/operator_test.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"orchidjunction/platform"
+	"orchidjunction/route"
 	"orchidjunction/run"
 )
 
@@ -37,7 +39,11 @@
 
 // call asks one core once and gives the status; 0 means that no answer came in time.
 func (caller *operatorCaller) call(index int, method, path, body string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerSilence)
+	return caller.within(callerSilence, index, method, path, body)
+}
+
+func (caller *operatorCaller) within(limit time.Duration, index int, method, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	request, fault := http.NewRequestWithContext(ctx, method, "http://"+caller.world.Cores[index].Host+":43"+path, strings.NewReader(body))
 	if fault != nil {
@@ -91,6 +97,80 @@
 	return others
 }
 
+// wholeBody is an operator's text of the routing that Routing makes.
+func wholeBody(version, base uint64) string {
+	return string(platform.WriteOrder(&route.Change{Version: version, Base: base, Whole: Routing(version)}))
+}
+
+// invalidPatch leaves a route without its service.
+func invalidPatch(version, base uint64) string {
+	return string(platform.WriteOrder(&route.Change{Version: version, Base: base, Patch: &route.Patch{RemoveServices: []string{"desk"}}}))
+}
+
+// A core is cut off from the others for 20 s, both ways or one way, whether it leads
+// or not. Whatever it is asked then, it says within the second that an operator waits
+// that the call is to go elsewhere; there all is acknowledged, and afterwards here.
+func TestCutOffEntryPointSendsItsCallersOn(test *testing.T) {
+	const answered = callerSilence + 2*farWay
+	each(test, func(test *testing.T, seed uint64) {
+		for _, kind := range []string{"cut", "mute", "deaf"} {
+			for _, leads := range []bool{true, false} {
+				world := NewFarWorld(seed, 3)
+				world.farUp(test, 3)
+				operator := world.operatorCaller()
+				lost := world.calm(test)
+				if !leads {
+					lost = world.followers(lost)[int(seed)%2]
+				}
+				others := world.followers(lost)
+				first := wholeBody(5, 1)
+				operator.until(test, others, http.MethodPut, "/config", first)
+				world.lose(lost, kind, true)
+				begin, mutex, open := time.Now(), sync.Mutex{}, 0
+				for time.Since(begin) < 20*time.Second {
+					for _, one := range []struct{ method, path, body string }{{"GET", "/config", ""}, {"PUT", "/config", first}, {"PUT", "/config", wholeBody(9, 1)}, {"PUT", "/config", wholeBody(7, 5)}, {"PUT", "/config", wholeBody(99, 98)},
+						{"PATCH", "/config", invalidPatch(8, 5)}, {"POST", "/evacuate/z1", ""}, {"DELETE", "/evacuate/z2", ""}} {
+						asked := time.Since(begin)
+						mutex.Lock()
+						open++
+						mutex.Unlock()
+						world.threads.Start(func() {
+							code, answer := operator.within(answered, lost, one.method, one.path, one.body)
+							if code != http.StatusServiceUnavailable && code != http.StatusRequestTimeout {
+								world.broke("%s, leads %v: %s %s asked after %v: %d %.100s", kind, leads, one.method, one.path, asked, code, answer)
+							}
+							mutex.Lock()
+							open--
+							mutex.Unlock()
+						})
+					}
+					world.Rest(time.Duration(300+seed*131%400) * time.Millisecond)
+				}
+				operator.until(test, others, http.MethodPut, "/config", first)
+				book, mishap := world.Book()
+				if mishap != nil {
+					test.Fatal(mishap)
+				}
+				last := wholeBody(10, book.Config.Version)
+				operator.until(test, others, http.MethodPut, "/config", last)
+				operator.until(test, others, http.MethodPost, "/evacuate/z1", "")
+				world.Until(5*time.Second, func() bool { mutex.Lock(); defer mutex.Unlock(); return open == 0 })
+				world.lose(lost, kind, false)
+				world.calm(test)
+				for _, body := range []string{first, last} {
+					operator.until(test, []int{lost}, http.MethodPut, "/config", body)
+				}
+				if code, answer := operator.within(answered, lost, http.MethodPut, "/config", wholeBody(6, 5)); code != http.StatusPreconditionFailed {
+					world.broke("%s: back in touch, the loser of a race: %d %s", kind, code, answer)
+				}
+				world.zoned(test, "z1", true, kind)
+				world.report(test)
+				world.CloseFar()
+			}
+		}
+	})
+}
+
 // Messages between cores come a second time, late, after the contrary order was
 // acknowledged: that one stays in force.
 func TestDoubledEvacuationDoesNotComeBack(test *testing.T) {
