Usage is reported only after a beat that a majority took since

Cause: before each report the holder looked at its own clock only, so a leader out of touch reported for up to 750 ms, while cores that had restarted might have put another in its place. The platform's fence makes a late report with a lower one harmless where it is in force and a higher one was seen; where not, two holders' reports may cross. What is left: a process that stands still between the beat and its call; only the platform's fence ends that. Mutation: holds() instead of confirm, seen failing.

--- a/control/metering.go
+++ b/control/metering.go
@@ -314,7 +314,8 @@
 	return ended >= max(duty.Latest, duty.Settle+meterSilent) && time.Since(leadership.since) >= meterTaken
 }
 
-// reportWindows is the leader's duty to report what is sealed, oldest first.
+// reportWindows is the leader's duty to report what is sealed, oldest first, each
+// only after a beat that a majority took since: another core may hold the duty.
 func (core *Core) reportWindows() {
 	leadership, book := core.metered()
 	if book == nil || !core.quiet(leadership) {
@@ -325,7 +326,7 @@
 		if sealed.Reported || sealed.Window < oldest || core.meter.sent(sealed.Window) {
 			continue
 		}
-		if leadership.holds() != nil {
+		if leadership.confirm(core.roundLimit()) != nil {
 			return
 		}
 		result := core.place.Metering.Report(WindowReport{Window: sealed.Window, Tenants: maps.Clone(sealed.Tenants), Holder: core.place.Name, Fence: fence(leadership.ballot)})
