--- a/sim/operator_test.go
+++ b/sim/operator_test.go
@@ -26,17 +26,23 @@
 
 // operatorCaller opens the platform's side of every living core.
 func (world *World) operatorCaller() *operatorCaller {
-	for _, machine := range world.Cores {
-		if core := machine.life(world); core != nil {
-			machine.Hold.Follow(core.Leader)
-			control := platform.NewControl(platform.NewLeaderOrders(machine.Hold), func() map[string]string { return nil }, run.NewCounts())
-			machine.servers = append(machine.servers, world.serve(machine.threads, machine.Host+":43", control))
+	for index, machine := range world.Cores {
+		if machine.life(world) != nil {
+			world.openOperators(index)
 		}
 	}
 	transport := &http.Transport{DialContext: world.Net.Dialer("10.8.0.1"), DisableKeepAlives: true}
 	return &operatorCaller{world: world, client: &http.Client{Transport: transport}}
 }
 
+// openOperators opens the platform's side of a core that was started.
+func (world *World) openOperators(index int) {
+	machine := world.Cores[index]
+	machine.Hold.Follow(machine.Core.Leader)
+	control := platform.NewControl(platform.NewLeaderOrders(machine.Hold), func() map[string]string { return nil }, run.NewCounts())
+	machine.servers = append(machine.servers, world.serve(machine.threads, machine.Host+":43", control))
+}
+
 // call asks one core once and gives the status; 0 means that no answer came in time.
 func (caller *operatorCaller) call(index int, method, path, body string) (int, string) {
 	return caller.within(callerSilence, index, method, path, body)
