--- a/control/routing.go
+++ b/control/routing.go
@@ -1,19 +1,12 @@
 package control
 
 import (
-	"slices"
 	"sync"
-	"time"
 
 	"orchidjunction/route"
 	"orchidjunction/wire"
 )
 
-const (
-	routingTrail  = 256
-	reopenedStays = time.Minute
-)
-
 // routedBody is a committed routing as daemons get it, packed once.
 type routedBody struct {
 	mutex  sync.Mutex
@@ -21,7 +14,7 @@
 	body   []byte
 }
 
-// of packs a book without its trail, and squeezes it.
+// of packs a book as daemons need it, and squeezes it.
 func (routed *routedBody) of(value wire.Value) ([]byte, *wire.Mishap) {
 	routed.mutex.Lock()
 	defer routed.mutex.Unlock()
@@ -32,8 +25,7 @@
 	if mishap != nil {
 		return nil, mishap
 	}
-	book.Trail = nil
-	body, fault := wire.Pack(book)
+	body, fault := wire.Pack(book.Bare())
 	if fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
@@ -53,18 +45,20 @@
 	return value.Serial, book
 }
 
-// decide is the book after a change, or the change's serial when it was taken before.
+// decide is the book after a change, or that the change was taken before. A base
+// that is no longer current is named before all else that may be wrong: who lost a
+// race sent a valid configuration. Whether a very old order was taken is not known.
 func decide(book *route.Book, change *route.Change) (next *route.Book, again bool, mishap *wire.Mishap) {
-	for _, applied := range book.Trail {
-		if applied.Version == change.Version && applied.Digest == change.Digest {
-			return nil, true, nil
-		}
+	if book.Trail.Holds(change.Version, change.Digest) {
+		return nil, true, nil
 	}
 	switch {
-	case change.Version <= book.Config.Version:
-		return nil, false, &wire.Mishap{Kind: wire.StaleVersion, Cause: "a version as high is in place", Serial: book.Config.Version}
+	case change.Base != book.Config.Version && book.Trail.Forgets(change.Version):
+		return nil, false, &wire.Mishap{Kind: wire.Forgotten, Cause: "too long ago to know whether it was taken", Serial: book.Config.Version}
 	case change.Base != book.Config.Version:
 		return nil, false, &wire.Mishap{Kind: wire.StaleBase, Cause: "another version is in place", Serial: book.Config.Version}
+	case change.Version <= book.Config.Version:
+		return nil, false, &wire.Mishap{Kind: wire.StaleVersion, Cause: "a version as high is in place", Serial: book.Config.Version}
 	}
 	config := book.Config
 	switch {
@@ -81,30 +75,9 @@
 	if mishap := config.Check(); mishap != nil {
 		return nil, false, mishap
 	}
-	trail := append(slices.Clone(book.Trail), route.Applied{Version: change.Version, Digest: change.Digest})
-	if len(trail) > routingTrail {
-		trail = trail[len(trail)-routingTrail:]
-	}
-	return &route.Book{Config: config, Evacuated: book.Evacuated, Trail: trail}, false, nil
-}
-
-// evacuate is the book after an order on a zone, nil when the order changes nothing.
-func evacuate(book *route.Book, order *wire.Evacuate, now int64) *route.Book {
-	index, found := slices.BinarySearch(book.Evacuated, order.Zone)
-	if found == order.Begin {
-		return nil
-	}
-	next := *book
-	if order.Begin {
-		next.Evacuated = slices.Insert(slices.Clone(book.Evacuated), index, order.Zone)
-	} else {
-		next.Evacuated = slices.Delete(slices.Clone(book.Evacuated), index, index+1)
-		next.Reopened = slices.DeleteFunc(slices.Clone(book.Reopened), func(one route.Reopened) bool {
-			return one.Zone == order.Zone || now-one.AtMs > reopenedStays.Milliseconds()
-		})
-		next.Reopened = append(next.Reopened, route.Reopened{Zone: order.Zone, AtMs: now})
-	}
-	return &next
+	changed := *book
+	changed.Config, changed.Trail = config, book.Trail.With(change.Version, change.Digest)
+	return &changed, false, nil
 }
 
 // writeRouting writes the book that build makes of the current one, and gives
@@ -139,8 +112,8 @@
 }
 
 // onRouteChange puts an operator's routing in force at the leader, or says why not.
-// A base that is newer than all this core knows is refused only by who still leads:
-// the next leader may have taken the order.
+// What needs no write, a repeat or a refusal, is told only by who still leads: the
+// next leader may have taken the order, or others.
 func (core *Core) onRouteChange(message *wire.RouteChange) (*wire.RouteChangeTold, *wire.Mishap) {
 	leadership, mishap := core.leading()
 	if mishap != nil {
@@ -150,16 +123,14 @@
 	if fault := wire.Unpack(message.Body, change); fault != nil {
 		return nil, wire.AsMishap(fault)
 	}
-	told, newer := &wire.RouteChangeTold{}, false
+	told, decided := &wire.RouteChangeTold{}, false
 	told.Serial, mishap = leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
-		next, again, mishap := decide(book, change)
-		told.Again, newer = again, change.Base > book.Config.Version
-		return next, mishap
+		next, again, refusal := decide(book, change)
+		told.Again, decided = again, next == nil
+		return next, refusal
 	})
-	if mishap != nil && mishap.Kind == wire.StaleBase && newer {
-		if unsure := leadership.confirm(core.roundLimit()); unsure != nil {
-			mishap = unsure
-		}
+	if decided {
+		mishap = leadership.proven(mishap)
 	}
 	if mishap != nil {
 		core.counts.Add("routings_"+string(mishap.Kind), 1)
@@ -169,26 +140,13 @@
 	return told, nil
 }
 
-// onEvacuate takes a zone's backends out of use, or back into it.
-func (core *Core) onEvacuate(order *wire.Evacuate) (*wire.EvacuateTold, *wire.Mishap) {
-	leadership, mishap := core.leading()
-	if mishap != nil {
-		return nil, mishap
-	}
-	changed := false
-	serial, mishap := leadership.writeRouting(func(book *route.Book) (*route.Book, *wire.Mishap) {
-		next := evacuate(book, order, core.Now())
-		changed = next != nil
-		return next, nil
-	})
-	if mishap == nil && !changed {
-		mishap = leadership.confirm(core.roundLimit())
-	}
-	if mishap != nil {
-		core.counts.Add("evacuations_"+string(mishap.Kind), 1)
-		return nil, mishap
+// proven is what a caller is told of a decision that needed no write: the decision,
+// once a majority took a beat that was begun after it, and else why there was none.
+func (leadership *Leadership) proven(decision *wire.Mishap) *wire.Mishap {
+	if unsure := leadership.confirm(leadership.core.roundLimit()); unsure != nil {
+		return unsure
 	}
-	return &wire.EvacuateTold{Serial: serial}, nil
+	return decision
 }
 
 func (core *Core) onRouteRead(*wire.RouteRead) (*wire.RouteReadTold, *wire.Mishap) {
