--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -144,7 +144,9 @@
 func show(document any) {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
-	encoder.Encode(document)
+	if fault := encoder.Encode(document); fault != nil {
+		end(wire.New(wire.OutcomeUnknown, "output: %v", fault))
+	}
 }
 
 func (command *errand) check() *wire.Mishap {
@@ -179,7 +181,9 @@
 		return nil
 	}
 	routes := []conf.Effective{}
-	json.Unmarshal(settings.Effective, &routes)
+	if fault := json.Unmarshal(settings.Effective, &routes); fault != nil {
+		return wire.New(wire.BadMessage, "effective routes: %v", fault)
+	}
 	fmt.Printf("serial %d\n", settings.Serial)
 	for _, route := range routes {
 		fmt.Printf("%s %s/%s: %s %s\n", route.Class, route.Service, route.Route, route.Method, route.Path)
--- a/cmd/ojorigin/main.go
+++ b/cmd/ojorigin/main.go
@@ -37,5 +37,7 @@
 	threads.Stop()
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
-	encoder.Encode(report)
+	if fault := encoder.Encode(report); fault != nil {
+		flags.Exit(wire.New(wire.DiskFault, "output: %v", fault))
+	}
 }
--- a/cmd/ojplan/main.go
+++ b/cmd/ojplan/main.go
@@ -77,7 +77,9 @@
 	if asJSON {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
-		encoder.Encode(forecast)
+		if fault := encoder.Encode(forecast); fault != nil {
+			flags.Exit(wire.New(wire.DiskFault, "output: %v", fault))
+		}
 	} else {
 		show(forecast)
 	}
--- a/conf/patch.go
+++ b/conf/patch.go
@@ -57,12 +57,13 @@
 	case jx.Object:
 		reader.each(decoder, path, func(decoder *jx.Decoder, _, inner string) { reader.once(decoder, inner) })
 	case jx.Array:
-		reader.syntax(path, decoder.Arr(func(decoder *jx.Decoder) error {
+		fault := decoder.Arr(func(decoder *jx.Decoder) error {
 			reader.once(decoder, path)
 			return reader.broken
-		}))
+		})
+		_ = reader.syntax(path, fault) // kept in reader.broken
 	default:
-		reader.syntax(path, decoder.Skip())
+		reader.skip(decoder, path)
 	}
 }
 
--- a/conf/read.go
+++ b/conf/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/go-faster/jx"
 	"orchidjunction/wire"
@@ -18,6 +19,9 @@
 	badSyntax    = "bad_syntax"
 )
 
+// nameLetters are the characters that names of settings are made of.
+const nameLetters = "abcdefghijklmnopqrstuvwxyz0123456789-_"
+
 // Read takes the tree field by field and names everything wrong in it.
 func Read(body []byte) (*Settings, *wire.Mishap) {
 	reader := &reader{}
@@ -50,7 +54,8 @@
 	reader.details = append(reader.details, wire.Detail{Path: path, Kind: kind, Cause: fmt.Sprintf(format, values...)})
 }
 
-// syntax keeps the first fault of the text itself and ends the reading.
+// syntax keeps the first syntax error of the text, which ends the reading, and
+// returns the one kept.
 func (reader *reader) syntax(path string, fault error) error {
 	if fault != nil && reader.broken == nil {
 		reader.broken = fault
@@ -59,6 +64,11 @@
 	return reader.broken
 }
 
+// skip passes over the next value.
+func (reader *reader) skip(decoder *jx.Decoder, path string) {
+	_ = reader.syntax(path, decoder.Skip()) // kept in reader.broken
+}
+
 type fields map[string]func(decoder *jx.Decoder, path string)
 
 func (reader *reader) expect(decoder *jx.Decoder, path string, want jx.Type) bool {
@@ -72,7 +82,7 @@
 	if got != jx.Invalid {
 		reader.wrong(path, wrongType, "want %s, got %s", want, got)
 	}
-	reader.syntax(path, decoder.Skip())
+	reader.skip(decoder, path)
 	return false
 }
 
@@ -82,7 +92,7 @@
 		read, found := known[key]
 		if !found {
 			reader.wrong(inner, unknownField, "no such field")
-			reader.syntax(inner, decoder.Skip())
+			reader.skip(decoder, inner)
 			return
 		}
 		read(decoder, inner)
@@ -133,12 +143,7 @@
 	if len(name) < 1 || len(name) > 64 {
 		return false
 	}
-	for _, letter := range name {
-		if !(letter >= 'a' && letter <= 'z' || letter >= '0' && letter <= '9' || letter == '-' || letter == '_') {
-			return false
-		}
-	}
-	return true
+	return !strings.ContainsFunc(name, func(letter rune) bool { return !strings.ContainsRune(nameLetters, letter) })
 }
 
 func join(path, name string) string {
@@ -213,8 +218,9 @@
 			return
 		}
 		value, fault := decoder.Bool()
-		reader.syntax(path, fault)
-		*into = value
+		if reader.syntax(path, fault) == nil {
+			*into = value
+		}
 	}
 }
 
--- a/data/identity.go
+++ b/data/identity.go
@@ -28,8 +28,10 @@
 
 // ask reads the identity on the pipe itself, before anything else goes over it.
 func (identity *Identity) ask(pipe net.Conn, host string, limit time.Time) *wire.Mishap {
-	pipe.SetDeadline(limit)
-	defer pipe.SetDeadline(time.Time{})
+	if fault := pipe.SetDeadline(limit); fault != nil {
+		return wire.New(wire.PipeBroken, "identity: %v", fault)
+	}
+	defer func() { _ = pipe.SetDeadline(time.Time{}) }() // the next use meets a closed connection anyway
 	if _, fault := io.WriteString(pipe, "GET /oj/identity HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"); fault != nil {
 		return wire.New(wire.PipeBroken, "identity: %v", fault)
 	}
--- a/data/pipe.go
+++ b/data/pipe.go
@@ -97,4 +97,4 @@
 
 func (pipe *Pipe) sound() bool { return pipe.client.Err() == nil && pipe.client.Available() == 1 }
 
-func (pipe *Pipe) close() { pipe.client.Close() }
+func (pipe *Pipe) close() { _ = pipe.client.Close() } // given up in any case
--- a/data/task.go
+++ b/data/task.go
@@ -182,9 +182,10 @@
 	if task.request.ContentLength > most {
 		return wire.New(wire.TooLarge, "%d bytes, allowed %d", task.request.ContentLength, most)
 	}
-	http.NewResponseController(writer).SetReadDeadline(task.limit)
+	controller := http.NewResponseController(writer)
+	_ = controller.SetReadDeadline(task.limit) // a writer without deadlines is read to its end
 	body, fault := io.ReadAll(http.MaxBytesReader(writer, task.request.Body, most))
-	http.NewResponseController(writer).SetReadDeadline(time.Time{})
+	_ = controller.SetReadDeadline(time.Time{})
 	if fault != nil {
 		if int64(len(body)) >= most {
 			return wire.New(wire.TooLarge, "allowed %d bytes", most)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,8 +81,7 @@
 		}
 	}
 	sort.Strings(fleet.services)
-	fleet.lay()
-	return fleet, nil
+	return fleet, fleet.lay()
 }
 
 // Lend gives the first proxies a second place at the other partner.
@@ -124,7 +123,7 @@
 }
 
 // lay decides every process's place and command line.
-func (fleet *Fleet) lay() {
+func (fleet *Fleet) lay() *wire.Mishap {
 	platform := fleet.address()
 	for index := range fleet.Spec.Backends {
 		process := fleet.process(fmt.Sprintf("back-%02d", index), "ojback")
@@ -135,7 +134,9 @@
 	}
 	list := filepath.Join(fleet.Spec.Folder, "backends.json")
 	body, _ := json.Marshal(fleet.listed)
-	os.WriteFile(list, body, 0o600)
+	if fault := os.WriteFile(list, body, 0o600); fault != nil {
+		return wire.New(wire.DiskFault, "%v", fault)
+	}
 	fleet.Platform = fleet.process("platform", "ojplat", "--listen", platform, "--backends", list, "--lag-ms", fmt.Sprint(fleet.Spec.LagMs))
 	fleet.Platform.Outer = platform
 	for index := range fleet.Spec.Cores {
@@ -167,6 +168,7 @@
 			*side.into = append(*side.into, process)
 		}
 	}
+	return nil
 }
 
 func (fleet *Fleet) backArguments(process *Process, coldMs int) []string {
--- a/fleet/harms.go
+++ b/fleet/harms.go
@@ -29,6 +29,11 @@
 		fleet.codes = append(fleet.codes, fmt.Sprintf("%s exit %d", process.Name, code))
 	}
 	fleet.threads.Rest(away)
+	fleet.start(process)
+}
+
+// start starts a process again; one that doesn't start counts as a wrong exit.
+func (fleet *Fleet) start(process *Process) {
 	if mishap := process.Start(); mishap != nil {
 		fleet.codes = append(fleet.codes, mishap.Error())
 	}
@@ -89,7 +94,7 @@
 	process.Wait(time.Second)
 	other := fleet.services[len(fleet.services)-1]
 	process.arguments = []string{"--listen", process.Outer, "--service", other, "--instance", "stranger", "--journal", filepath.Join(fleet.Spec.Folder, "stranger"+journalEnd)}
-	process.Start()
+	fleet.start(process)
 }
 
 func backendDrained(fleet *Fleet) {
@@ -248,7 +253,7 @@
 	fleet.threads.Rest(500 * time.Millisecond)
 	for _, process := range herd {
 		process.Wait(time.Second)
-		process.Start()
+		fleet.start(process)
 	}
 	fleet.stop(fleet.Proxies[1], syscall.SIGKILL, 300*time.Millisecond)
 	fleet.stop(fleet.Proxies[2], syscall.SIGTERM, 300*time.Millisecond)
@@ -271,7 +276,7 @@
 	fleet.rest(0.1)
 	for _, process := range herd {
 		process.Wait(time.Second)
-		process.Start()
+		fleet.start(process)
 	}
 }
 
@@ -299,8 +304,10 @@
 	for _, process := range fleet.Cores {
 		process.Signal(syscall.SIGKILL)
 		process.Wait(time.Second)
-		os.RemoveAll(filepath.Join(fleet.Spec.Folder, process.Name))
-		process.Start()
+		if fault := os.RemoveAll(filepath.Join(fleet.Spec.Folder, process.Name)); fault != nil {
+			fleet.codes = append(fleet.codes, fault.Error())
+		}
+		fleet.start(process)
 		fleet.rest(0.2)
 	}
 }
@@ -313,7 +320,7 @@
 	fleet.rest(0.4)
 	for _, process := range fleet.Cores {
 		process.Wait(time.Second)
-		process.Start()
+		fleet.start(process)
 	}
 }
 
@@ -342,7 +349,7 @@
 	fleet.rest(0.3)
 	for _, process := range lost {
 		process.Wait(time.Second)
-		process.Start()
+		fleet.start(process)
 	}
 }
 
@@ -358,7 +365,7 @@
 	}
 	begin := time.Now()
 	for _, process := range ours {
-		process.Start()
+		fleet.start(process)
 	}
 	if mishap := fleet.ready(begin.Add(15 * time.Second)); mishap != nil {
 		fleet.codes = append(fleet.codes, "not back in 15 s: "+mishap.Error())
@@ -440,8 +447,12 @@
 			continue
 		}
 		placement := place.Placement{}
-		json.NewDecoder(response.Body).Decode(&placement)
+		fault = json.NewDecoder(response.Body).Decode(&placement)
 		response.Body.Close()
+		if fault != nil {
+			fleet.codes = append(fleet.codes, fmt.Sprintf("placement of %s: %v", move.Tenant, fault))
+			continue
+		}
 		got := []string{}
 		for _, front := range placement.Fronts {
 			got = append(got, front.Name)
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -47,13 +47,13 @@
 	command := exec.Command(process.path, process.arguments...)
 	command.Stdout, command.Stderr = log, log
 	if fault := command.Start(); fault != nil {
-		log.Close()
+		_ = log.Close() // nothing was written
 		return wire.New(wire.BadFlag, "%s: %v", process.Name, fault)
 	}
 	process.command, process.alive = command, true
 	process.threads.Start(func() {
-		command.Wait()
-		log.Close()
+		_ = command.Wait() // its exit code is read below
+		_ = log.Close()    // the process wrote through a descriptor of its own
 		process.mutex.Lock()
 		process.alive, process.code = false, command.ProcessState.ExitCode()
 		process.wake.Broadcast()
@@ -66,7 +66,7 @@
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	if process.alive {
-		process.command.Process.Signal(signal)
+		_ = process.command.Process.Signal(signal) // one that just ended needs none
 	}
 }
 
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -75,7 +75,7 @@
 			fleet.codes = append(fleet.codes, fmt.Sprintf("%s exit %d", leader.Name, code))
 		}
 		fleet.rest(0.1)
-		leader.Start()
+		fleet.start(leader)
 	}
 }
 
@@ -110,7 +110,9 @@
 		return nil, mishap
 	}
 	if body, fault := os.ReadFile(filepath.Join(fleet.Spec.Folder, "origin.log")); fault == nil {
-		os.WriteFile(filepath.Join(fleet.Spec.Folder, "callers.json"), body, 0o600)
+		if fault := os.WriteFile(filepath.Join(fleet.Spec.Folder, "callers.json"), body, 0o600); fault != nil {
+			return nil, wire.New(wire.DiskFault, "%v", fault)
+		}
 	}
 	fleet.threads.Rest(1500 * time.Millisecond)
 	fleet.threads.Rest(4500 * time.Millisecond)
--- a/judge/evidence.go
+++ b/judge/evidence.go
@@ -152,7 +152,7 @@
 			word = "FAILS"
 			all = all && untimed && verdict.Timed
 		}
-		fmt.Fprintf(writer, "%s  %-50s %s\n", word, verdict.Name, verdict.Detail)
+		_, _ = fmt.Fprintf(writer, "%s  %-50s %s\n", word, verdict.Name, verdict.Detail)
 	}
 	return all
 }
--- a/judge/ledger.go
+++ b/judge/ledger.go
@@ -142,7 +142,7 @@
 		change.Settings = held(settings.Settings, 1000+random.IntN(2000))
 		send = func(client *operator.Client) (*operator.Outcome, *wire.Mishap) { return client.Put(change) }
 	}
-	ledger.Make(change, client, random, send)
+	_ = ledger.Make(change, client, random, send) // kept in the ledger
 }
 
 // held is the whole tree with another hold.
--- a/judge/usage.go
+++ b/judge/usage.go
@@ -32,7 +32,10 @@
 	reported := map[string][][2]int64{}
 	for id, bodies := range evidence.Reports {
 		report := usageReport{}
-		json.Unmarshal([]byte(bodies[0]), &report)
+		if fault := json.Unmarshal([]byte(bodies[0]), &report); fault != nil {
+			bad = append(bad, fmt.Sprintf("%s: %v", id, fault))
+			continue
+		}
 		told[report.Tenant] += report.Tasks
 		if periods[report.Tenant] == nil {
 			periods[report.Tenant] = map[uint64]bool{}
--- a/scale/page_test.go
+++ b/scale/page_test.go
@@ -23,7 +23,7 @@
 func TestWritePageFillsItsPlaceOnly(test *testing.T) {
 	folder := test.TempDir()
 	page := filepath.Join(folder, "page.md")
-	os.WriteFile(page, []byte("before\n"+pageBegin+"\nold\n"+pageEnd+"\nafter\n"), 0o600)
+	writeText(test, page, "before\n"+pageBegin+"\nold\n"+pageEnd+"\nafter\n")
 	if mishap := write(folder, "daemons", linear(0.001)); mishap != nil {
 		test.Fatal(mishap)
 	}
@@ -49,7 +49,7 @@
 	if _, fault := os.Stat(filepath.Join(folder, "daemons.png")); fault != nil {
 		test.Error(fault)
 	}
-	os.WriteFile(page, []byte("no place"), 0o600)
+	writeText(test, page, "no place")
 	if mishap := WritePage(page, folder); mishap == nil || mishap.Kind != wire.BadFlag {
 		test.Errorf("%v for a page without a place", mishap)
 	}
@@ -101,3 +101,10 @@
 		test.Error("a storm is not shown")
 	}
 }
+
+func writeText(test *testing.T, path, text string) {
+	test.Helper()
+	if fault := os.WriteFile(path, []byte(text), 0o600); fault != nil {
+		test.Fatal(fault)
+	}
+}
--- a/scale/point.go
+++ b/scale/point.go
@@ -135,7 +135,7 @@
 	if fault != nil {
 		return wire.New(wire.DiskFault, "%v", fault)
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // the process writes through a descriptor of its own
 	command := exec.Command("/proc/self/exe", kind, "--spec", string(body))
 	command.Stdout, command.Stderr = log, log
 	command.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(processors))
@@ -157,14 +157,16 @@
 		one.end(syscall.SIGKILL)
 	}
 	bench.threads.Stop()
-	os.RemoveAll(bench.folder)
+	if fault := os.RemoveAll(bench.folder); fault != nil {
+		bench.result.Failed = append(bench.result.Failed, fault.Error())
+	}
 }
 
 func (child *child) end(signal syscall.Signal) {
 	if !child.dead {
 		child.dead = true
-		child.command.Process.Signal(signal)
-		child.command.Wait()
+		_ = child.command.Process.Signal(signal) // one that just ended needs none
+		_ = child.command.Wait()                 // it ends by the signal, which is an error here
 	}
 }
 
--- a/scale/point_test.go
+++ b/scale/point_test.go
@@ -16,12 +16,16 @@
 		begun := map[string]func() *wire.Mishap{
 			"scale-core": func() *wire.Mishap {
 				spec := CoreSpec{}
-				json.Unmarshal([]byte(os.Args[3]), &spec)
+				if fault := json.Unmarshal([]byte(os.Args[3]), &spec); fault != nil {
+					return wire.New(wire.BadFlag, "%v", fault)
+				}
 				return RunCore(spec)
 			},
 			"scale-hollow": func() *wire.Mishap {
 				spec := HollowSpec{}
-				json.Unmarshal([]byte(os.Args[3]), &spec)
+				if fault := json.Unmarshal([]byte(os.Args[3]), &spec); fault != nil {
+					return wire.New(wire.BadFlag, "%v", fault)
+				}
 				return RunHollow(spec)
 			},
 		}[os.Args[1]]
--- a/scale/state.go
+++ b/scale/state.go
@@ -54,7 +54,7 @@
 				return mishap
 			}
 			all.Results = append(all.Results, *state)
-			fmt.Fprintf(progress, "%s %d: %+v\n", kind, size, *state)
+			_, _ = fmt.Fprintf(progress, "%s %d: %+v\n", kind, size, *state)
 		}
 	}
 	return write(folder, "state", all)
@@ -130,6 +130,6 @@
 // processorMs is the processor time of this process so far, its collector's too.
 func processorMs() float64 {
 	usage := syscall.Rusage{}
-	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // fails for wrong arguments only
 	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e6
 }
--- a/scale/sweep.go
+++ b/scale/sweep.go
@@ -64,7 +64,7 @@
 	for _, point := range sweep.Points {
 		result := Measure(point, port, threads)
 		played.Results = append(played.Results, result)
-		fmt.Fprintf(progress, "%s %v: leader %.3f, follower %.3f, daemon %.5f of a core; daemon %.0f bytes/s in, %.0f out; changes %v; failed %v\n", sweep.Name, point.Size(sweep.Along),
+		_, _ = fmt.Fprintf(progress, "%s %v: leader %.3f, follower %.3f, daemon %.5f of a core; daemon %.0f bytes/s in, %.0f out; changes %v; failed %v\n", sweep.Name, point.Size(sweep.Along),
 			result.Steady[leaderRole].Processor, result.Steady[followerRole].Processor, result.Steady[daemonRole].Processor,
 			result.Steady[daemonRole].BytesIn, result.Steady[daemonRole].BytesOut, result.Changes, result.Failed)
 		if mishap := write(folder, sweep.Name, played); mishap != nil {
--- a/scale/tap.go
+++ b/scale/tap.go
@@ -110,8 +110,8 @@
 		tap.message(request.URL.Path)
 		handler.ServeHTTP(writer, request)
 	}), IdleTimeout: time.Minute}
-	threads.Start(func() { server.Serve(tappedListener{open, tap}) })
-	threads.OnStop(func() { server.Close() })
+	threads.Start(func() { _ = server.Serve(tappedListener{open, tap}) }) // ends by Close
+	threads.OnStop(func() { _ = server.Close() })
 	return nil
 }
 
@@ -134,7 +134,7 @@
 
 func (tap *Tap) read() Reading {
 	usage := syscall.Rusage{}
-	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // fails for wrong arguments only
 	reading := Reading{AtUs: time.Now().UnixMicro(), ProcessorUs: usage.Utime.Nano()/1000 + usage.Stime.Nano()/1000,
 		BytesIn: tap.in.Load(), BytesOut: tap.out.Load(), Messages: tap.counted()}
 	if entries, fault := os.ReadDir("/proc/self/fd"); fault == nil {
@@ -157,7 +157,7 @@
 
 func writeJSON(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(writer).Encode(value)
+	_ = json.NewEncoder(writer).Encode(value) // the client is gone
 }
 
 func getJSON(address, path string, value any) *wire.Mishap {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // BackendPlace is what a backend stand-in is.
@@ -59,7 +61,9 @@
 func (backend *Backend) write(line journalLine) {
 	if backend.journal != nil {
 		body, _ := json.Marshal(line)
-		backend.journal.Write(append(body, '\n'))
+		if _, fault := backend.journal.Write(append(body, '\n')); fault != nil {
+			klog.Errorf("journal: %v", fault)
+		}
 	}
 }
 
@@ -95,12 +99,12 @@
 }
 
 func (backend *Backend) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	switch {
-	case request.URL.Path == "/oj/identity":
+	switch request.URL.Path {
+	case "/oj/identity":
 		backend.identity(writer)
-	case request.URL.Path == "/stand/leave":
+	case "/stand/leave":
 		backend.Leave()
-	case request.URL.Path == "/stand/fault":
+	case "/stand/fault":
 		count, _ := strconv.Atoi(request.URL.Query().Get("count"))
 		backend.Misbehave(request.URL.Query().Get("mode"), count)
 	default:
@@ -238,6 +242,6 @@
 	if fault != nil {
 		panic(http.ErrAbortHandler)
 	}
-	io.WriteString(conn, text)
+	_, _ = io.WriteString(conn, text) // the caller is gone
 	conn.Close()
 }
--- a/stand/origin.go
+++ b/stand/origin.go
@@ -252,7 +252,7 @@
 		}
 		if seen.Outcome != "not_run" && seen.Status != 409 {
 			unknown = true
-			if call.Money && origin.plan.Eager == 0 && !(seen.Retry && origin.plan.Patient) {
+			if call.Money && origin.plan.Eager == 0 && (!seen.Retry || !origin.plan.Patient) {
 				break
 			}
 		}
@@ -365,7 +365,7 @@
 		Outcome string `json:"outcome"`
 		Cause   string `json:"cause"`
 	}{}
-	json.Unmarshal(body, &mishap)
+	_ = json.Unmarshal(body, &mishap) // any other body leaves all fields empty
 	try.Code, try.Outcome, try.Cause = mishap.Code, mishap.Outcome, mishap.Cause
 }
 
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -115,7 +115,7 @@
 	case "/stand/reports":
 		platform.mutex.Lock()
 		defer platform.mutex.Unlock()
-		json.NewEncoder(writer).Encode(map[string]any{"reports": platform.Reports, "at_ms": platform.ReportAt, "limited": platform.Limited})
+		_ = json.NewEncoder(writer).Encode(map[string]any{"reports": platform.Reports, "at_ms": platform.ReportAt, "limited": platform.Limited})
 	default:
 		http.NotFound(writer, request)
 	}
@@ -144,7 +144,7 @@
 		next = strconv.Itoa(end)
 	}
 	writer.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(writer).Encode(map[string]any{"items": items[start:end], "next": next})
+	_ = json.NewEncoder(writer).Encode(map[string]any{"items": items[start:end], "next": next})
 }
 
 // usage keeps every body that came for a report's id, so that differing ones show.
