--- a/aims/aims.go
+++ b/aims/aims.go
@@ -1,4 +1,6 @@
-// Package aims reads service-level aims and reports against them.
+// Package aims reads service-level objectives in a subset of OpenSLO v1 and reports
+// how the counters of the daemons stand against them. Read gives Documents; Against
+// turns them and the summed counters into Reports.
 package aims
 
 import (
@@ -10,7 +12,8 @@
 	"orchidjunction/wire"
 )
 
-// Document is one aim in the form of OpenSLO v1, as far as it is used here.
+// Document is one service-level objective in the form of OpenSLO v1, as far as it
+// is used here.
 type Document struct {
 	APIVersion string `yaml:"apiVersion"`
 	Kind       string `yaml:"kind"`
@@ -27,7 +30,7 @@
 	} `yaml:"spec"`
 }
 
-// Indicator is the part of good events among all.
+// Indicator is the ratio of good events to all events.
 type Indicator struct {
 	Metadata struct {
 		Name string `yaml:"name"`
@@ -51,6 +54,7 @@
 	} `yaml:"metricSource"`
 }
 
+// Objective is the least ratio of good events that is aimed at, between 0 and 1.
 type Objective struct {
 	DisplayName string  `yaml:"displayName"`
 	Target      float64 `yaml:"target"`
@@ -58,7 +62,8 @@
 
 const source = "orchidjunction"
 
-// Read takes one or more documents; a field nobody knows is refused.
+// Read decodes one or more YAML documents. It returns wire.BadRequest for an
+// unknown field, a form that is not supported, or no document.
 func Read(body []byte) ([]Document, *wire.Mishap) {
 	decoder := yaml.NewDecoder(bytes.NewReader(body))
 	decoder.KnownFields(true)
@@ -108,7 +113,8 @@
 	return nil
 }
 
-// Report is how one aim stands.
+// Report is one objective with what was counted. Left is the part of the error
+// budget that is left; it is negative once the budget is spent.
 type Report struct {
 	Name   string  `json:"name"`
 	Target float64 `json:"target"`
@@ -119,7 +125,8 @@
 	Left   float64 `json:"budget_left"`
 }
 
-// Against sets the aims against the sums of all daemons' counters.
+// Against compares the objectives with counters summed over all daemons. Without
+// any event an objective counts as met.
 func Against(documents []Document, counts map[string]uint64) []Report {
 	sum := func(metric *Metric) uint64 {
 		total := uint64(0)
--- a/cmd/ojback/main.go
+++ b/cmd/ojback/main.go
@@ -1,4 +1,4 @@
-// ojback stands in for a partner's backend.
+// Command ojback is a stand-in for a backend of a partner.
 package main
 
 import (
--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -1,4 +1,5 @@
-// ojcore is a core machine: it votes, and leads when its turn comes.
+// Command ojcore is a core: it votes in elections, leads when it is elected, and
+// keeps settings, usage reports and idempotency keys on its disk.
 package main
 
 import (
--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -1,4 +1,6 @@
-// ojctl is the operators' command.
+// Command ojctl is the operators' command: it reads and changes settings, drains
+// zones and backends, and reports status and service-level objectives. Exit codes:
+// 0 done, 1 refused, 2 wrong use, 3 outcome unknown, 4 no daemon answers.
 package main
 
 import (
--- a/cmd/ojdir/main.go
+++ b/cmd/ojdir/main.go
@@ -1,4 +1,4 @@
-// ojdir tells callers which front machines to use.
+// Command ojdir is a directory node: it tells callers which proxies to use.
 package main
 
 import (
--- a/cmd/ojfleet/main.go
+++ b/cmd/ojfleet/main.go
@@ -1,4 +1,6 @@
-// ojfleet runs and harms a fleet of real processes on this machine.
+// Command ojfleet runs a deployment of real processes on this machine, injects the
+// faults of a scenario and prints the verdicts. It also measures how the system
+// scales.
 package main
 
 import (
--- a/cmd/ojorigin/main.go
+++ b/cmd/ojorigin/main.go
@@ -1,4 +1,5 @@
-// ojorigin stands in for callers: it asks where to go and sends tasks there.
+// Command ojorigin is a stand-in for callers: it asks directories for proxies,
+// sends requests to them and prints what they saw as JSON.
 package main
 
 import (
--- a/cmd/ojplan/main.go
+++ b/cmd/ojplan/main.go
@@ -1,4 +1,4 @@
-// ojplan shows what a change would move, before it is made.
+// Command ojplan forecasts what a change of settings would move before it is made.
 package main
 
 import (
--- a/cmd/ojplat/main.go
+++ b/cmd/ojplat/main.go
@@ -1,4 +1,5 @@
-// ojplat stands in for the platform: its list of backends and its billing.
+// Command ojplat is a stand-in for the platform: its list of backends and its
+// billing.
 package main
 
 import (
--- a/cmd/ojproxy/main.go
+++ b/cmd/ojproxy/main.go
@@ -1,4 +1,4 @@
-// ojproxy carries callers' tasks to backends.
+// Command ojproxy is a proxy: it carries callers' requests to backends.
 package main
 
 import (
--- a/conf/effective.go
+++ b/conf/effective.go
@@ -2,13 +2,13 @@
 
 import "reflect"
 
-// Source is an effective value and the branch that gave it.
+// Source is an effective value and the level that gave it.
 type Source struct {
 	Value any    `json:"value"`
 	From  string `json:"from"`
 }
 
-// Effective is a route with everything it inherits.
+// Effective is a route with every value that it has or inherits, by field name.
 type Effective struct {
 	Class   string            `json:"class"`
 	Service string            `json:"service"`
@@ -20,11 +20,13 @@
 	Values  map[string]Source `json:"values"`
 }
 
+// Whole returns an integer value, 0 if there is none.
 func (effective *Effective) Whole(name string) int {
 	value, _ := effective.Values[name].Value.(int)
 	return value
 }
 
+// ForbidRegions returns the regions that the route must not be served in.
 func (effective *Effective) ForbidRegions() []string {
 	value, _ := effective.Values["forbid_regions"].Value.([]string)
 	return value
@@ -44,7 +46,8 @@
 	}
 }
 
-// Resolve lays partner, class, service and route over one another.
+// Resolve returns every route with its inherited values, ordered by class, service
+// and route.
 func (settings *Settings) Resolve() []Effective {
 	all := []Effective{}
 	for _, className := range sortedNames(settings.Classes) {
@@ -66,10 +69,13 @@
 	return all
 }
 
-// Same compares two effective values.
+// Same reports whether two effective values are equal.
 func Same(left, right any) bool { return reflect.DeepEqual(left, right) }
 
-// Flat is a route as the data plane uses it: values without where they came from.
+// Flat is a route with its effective values, as the data plane uses it. LimitMs is
+// the longest time that a request may take, in milliseconds; Sends the number of
+// tries; BodyBytes and ReceiptBytes bound request and response bodies; Pipes the
+// idle connections per backend.
 type Flat struct {
 	Class         string
 	Service       string
@@ -102,7 +108,7 @@
 	return flat
 }
 
-// Inherited is what the routes of a service inherit.
+// Inherited returns the values that the routes of a service inherit.
 func (settings *Settings) Inherited(className, serviceName string) Flat {
 	class := settings.Classes[className]
 	ofClass := class.Rule.over(settings.Rule.over(Flat{}))
@@ -113,7 +119,7 @@
 	return ofService
 }
 
-// Flatten resolves the routes of one service, by name.
+// Flatten returns the routes of one service in the order of their names.
 func (service *Service) Flatten(inherited Flat) []Flat {
 	all := make([]Flat, 0, len(service.Routes))
 	for _, name := range sortedNames(service.Routes) {
@@ -125,7 +131,7 @@
 	return all
 }
 
-// Flatten resolves every route, in the order of Resolve.
+// Flatten returns all routes in the order of Resolve.
 func (settings *Settings) Flatten() []Flat {
 	all := []Flat{}
 	for _, className := range sortedNames(settings.Classes) {
--- a/conf/patch.go
+++ b/conf/patch.go
@@ -8,7 +8,9 @@
 	"orchidjunction/wire"
 )
 
-// Patch lays a partial tree over a whole one: objects merge, null removes.
+// Patch merges a partial tree into a whole one (JSON merge patch, RFC 7396):
+// objects merge, null removes. The result is not checked; a partial tree that is no
+// object or names a field twice is wire.Invalid.
 func Patch(base, partial []byte) ([]byte, *wire.Mishap) {
 	part, mishap := readPartial(partial)
 	if mishap != nil {
--- a/conf/read.go
+++ b/conf/read.go
@@ -22,7 +22,8 @@
 // nameLetters are the characters that names of settings are made of.
 const nameLetters = "abcdefghijklmnopqrstuvwxyz0123456789-_"
 
-// Read takes the tree field by field and names everything wrong in it.
+// Read decodes and checks whole settings. The error is of kind wire.Invalid and
+// names every field that is wrong, not only the first.
 func Read(body []byte) (*Settings, *wire.Mishap) {
 	reader := &reader{}
 	settings := reader.settings(jx.DecodeBytes(body))
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -1,4 +1,11 @@
-// Package conf reads, checks and resolves the operators' tree of settings.
+// Package conf is the settings that operators write: it reads and checks them
+// (Read), resolves what routes inherit (Settings.Resolve for operators,
+// Settings.Flatten for the data plane), merges partial changes (Patch), and splits
+// a version into content-addressed branches (Tree) so that only branches that
+// changed are sent and read.
+//
+// Text flows in as JSON; out come immutable Settings, or a wire.Mishap of kind
+// wire.Invalid that names every field that is wrong.
 package conf
 
 import (
@@ -9,7 +16,10 @@
 	"orchidjunction/keep"
 )
 
-// Rule is what every branch may override; nil fields are inherited.
+// Rule is the values that each level of the settings may override: partner, class,
+// service, route. A nil field is inherited from the level above. Times are
+// milliseconds, sizes bytes; Sends is the number of tries, Fronts the number of
+// proxies per tenant, Pipes the number of idle connections per backend.
 type Rule struct {
 	LimitMs       *int     `json:"limit_ms,omitempty"`
 	Sends         *int     `json:"sends,omitempty"`
@@ -21,29 +31,38 @@
 	ForbidRegions []string `json:"forbid_regions,omitempty"`
 }
 
+// Region is a group of zones.
 type Region struct {
 	Zones []string `json:"zones"`
 }
 
+// Tenant is a customer: the SHA-256 digests of its keys, its relative Share of
+// traffic, and the regions that its traffic must not enter.
 type Tenant struct {
 	Keys          []string `json:"keys"`
 	Share         int      `json:"share"`
 	ForbidRegions []string `json:"forbid_regions,omitempty"`
 }
 
+// Route is a method and path of a service. A path may end with * to match by
+// prefix.
 type Route struct {
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Rule   Rule   `json:"rule"`
 }
 
-// Service has a digest of all that it holds, when it was read from branches.
+// Service is a group of routes that the same backends serve. Digest covers all that
+// it holds if it was read from branches, else it is empty.
 type Service struct {
 	Rule   Rule             `json:"rule"`
 	Routes map[string]Route `json:"routes"`
 	Digest string           `json:"-"`
 }
 
+// Class is a priority class of services. Rank 1 is the most urgent; FloorRps
+// requests a second are always admitted, BorrowRps more while backends are idle.
+// Requests of a class with Money run at most once per idempotency key.
 type Class struct {
 	Rank      int                `json:"rank"`
 	Money     bool               `json:"money"`
@@ -53,23 +72,28 @@
 	Services  map[string]Service `json:"services"`
 }
 
+// Retry is the retry budget: retries may be Fraction of first sends plus Floor per
+// SpanMs milliseconds, over all proxies together.
 type Retry struct {
 	Fraction float64 `json:"fraction"`
 	Floor    int     `json:"floor"`
 	SpanMs   int     `json:"span_ms"`
 }
 
-// Money is how long keys of money tasks are remembered.
+// Money is how long idempotency keys are remembered, in seconds; 0 means the
+// default.
 type Money struct {
 	RememberS int `json:"remember_s,omitempty"`
 }
 
+// Drained is the zones and backends that get no new requests.
 type Drained struct {
 	Zones    []string `json:"zones,omitempty"`
 	Backends []string `json:"backends,omitempty"`
 }
 
-// Settings is the whole tree of one partner.
+// Settings is the whole settings of one partner. It is not changed once read, and
+// versions may share parts.
 type Settings struct {
 	Format   int               `json:"format"`
 	Partner  string            `json:"partner"`
@@ -86,7 +110,7 @@
 	tenantsDigest string
 }
 
-// Remember is how long keys of money tasks are remembered.
+// Remember returns how long idempotency keys are remembered.
 func (settings *Settings) Remember() time.Duration {
 	if settings.Money.RememberS == 0 {
 		return keep.FirstSpan
@@ -96,7 +120,7 @@
 
 func sortedNames[T any](named map[string]T) []string { return slices.Sorted(maps.Keys(named)) }
 
-// Open is whether neither the zone nor the backend is drained.
+// Open reports whether neither the zone nor the backend is drained.
 func (settings *Settings) Open(zone, backend string) bool {
 	for _, drained := range settings.Drained.Zones {
 		if drained == zone {
--- a/data/budget.go
+++ b/data/budget.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Budget lets resends be a part of the first sends plus this proxy's share of
-// the fleet's floor. Tokens come from first sends and, slowly, from the floor;
-// what is kept at most is half the floor, so that kept and coming tokens
-// together never pass the floor in any ten seconds.
+// Budget is a retry budget as a token bucket: retries may be a fraction of first
+// sends plus this proxy's share of a floor for the whole fleet. At most half of the
+// floor is kept, so that kept and new tokens together never exceed the floor in any
+// span.
 type Budget struct {
 	mutex    sync.Mutex
 	span     time.Duration
@@ -26,12 +26,13 @@
 	until time.Time
 }
 
+// NewBudget returns a budget that allows no retry until Rule.
 func NewBudget() *Budget {
 	now := time.Now()
 	return &Budget{span: 10 * time.Second, begun: now, last: now, shares: []budgetShare{{count: 1, until: now}}}
 }
 
-// Share says among how many proxies the fleet's floor is split now.
+// Share sets the number of proxies that share the floor.
 func (budget *Budget) Share(count int) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
@@ -42,7 +43,7 @@
 	budget.shares[len(budget.shares)-1].until = time.Now()
 }
 
-// Rule sets what operators allow.
+// Rule sets the tokens per first send and the floor per span over all proxies.
 func (budget *Budget) Rule(fraction float64, floor int) {
 	budget.mutex.Lock()
 	budget.fill()
@@ -79,7 +80,7 @@
 
 func (budget *Budget) most() float64 { return max(budget.floor/2/budget.among(), 1) }
 
-// First counts a task's first send.
+// First adds the tokens of a request's first send.
 func (budget *Budget) First() {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
@@ -87,7 +88,7 @@
 	budget.tokens = min(budget.tokens+budget.fraction, budget.most())
 }
 
-// Take grants one resend.
+// Take reports whether a retry is allowed, and takes its token.
 func (budget *Budget) Take() bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
--- a/data/claims.go
+++ b/data/claims.go
@@ -23,8 +23,9 @@
 	replayBytes = 4 << 10
 )
 
-// Claims let a money key through once in the whole fleet: a send needs the
-// grant of a quorum of keepers in different regions.
+// Claims runs a request with an idempotency key at most once in the whole fleet:
+// its send needs grants by a quorum of proxies that keep the key, and is recorded
+// by a majority of cores while they can be reached.
 type Claims struct {
 	proxy  *Proxy
 	keeper *keep.Book
@@ -77,7 +78,7 @@
 	return claim.Table.Less(ring.mark) && time.Since(ring.at) > jointSpan
 }
 
-// Register opens the proxy's side of the wire.
+// Register adds the messages between proxies about idempotency keys to the server.
 func (proxy *Proxy) Register(door *wire.Door) {
 	claims := proxy.claims
 	wire.Take(door, "claim", func(_ context.Context, claim *wire.Claim) (*wire.ClaimTold, error) {
@@ -119,7 +120,8 @@
 	return told
 }
 
-// Whole is whether this proxy's memory is known to lack nothing it should hold.
+// Whole reports whether this proxy holds every key that it should, so that its
+// grant counts without the cores.
 func (claims *Claims) Whole() bool {
 	claims.mutex.Lock()
 	defer claims.mutex.Unlock()
@@ -131,6 +133,8 @@
 	return claims.proxy.daemon.Name() + "/" + claims.proxy.daemon.Incarnation()
 }
 
+// Grown reports whether this proxy has joined the keepers of keys and may grant
+// claims.
 func (claims *Claims) Grown() bool {
 	claims.mutex.Lock()
 	defer claims.mutex.Unlock()
--- a/data/doors.go
+++ b/data/doors.go
@@ -11,8 +11,8 @@
 // door is what a task knocks at within a service.
 type door struct{ method, path string }
 
-// Doors are the routes of one service in one class, as one version has them;
-// the next version shares them while nothing of theirs changed.
+// Doors is the routes of one service in one class, indexed by method and path. It
+// is immutable; the next version shares it while nothing in it changed.
 type Doors struct {
 	digest    string
 	inherited conf.Flat
--- a/data/identity.go
+++ b/data/identity.go
@@ -14,7 +14,9 @@
 
 const identityBytes = 16 << 10
 
-// Identity is what a backend says of itself on each new pipe.
+// Identity is what a backend says about itself: on each new connection, and partly
+// in the headers of each response. Usage is its load as a part of its capacity,
+// GentleRate the requests a second that it takes while it is cold.
 type Identity struct {
 	Service     string  `json:"service"`
 	Instance    string  `json:"instance"`
--- a/data/keepers.go
+++ b/data/keepers.go
@@ -9,7 +9,8 @@
 
 const keepersMost = 5
 
-// Keepers is the ring of proxies that may keep claims, as one table gives it.
+// Keepers is the set of proxies that keep idempotency keys, as one version of the
+// table names them.
 type Keepers struct {
 	members []wire.Member
 	regions map[string]string
@@ -49,7 +50,8 @@
 	return chosen
 }
 
-// Rank scores a name for a subject, alike in every process.
+// Rank returns the weight of a name for a subject for rendezvous hashing, the same
+// in every process.
 func Rank(subject, name string) uint64 {
 	sum := fnv.New64a()
 	sum.Write([]byte(subject + "\x00" + name))
--- a/data/lend.go
+++ b/data/lend.go
@@ -10,9 +10,9 @@
 
 const pressedSpan = time.Second
 
-// Lend is the room that a proxy's owner lends to the other partner: up to a
-// rate, up to a count at once, and nothing while the owner's own classes are
-// above their floors or were refused. Only the owner sets it.
+// Lend limits what a proxy carries for the other partner: a rate, a number in
+// flight, and nothing while the classes of its owner are above their floors or were
+// refused.
 type Lend struct {
 	owner *Proxy
 	rate  *rate.Limiter
@@ -22,11 +22,14 @@
 	inFlight int
 }
 
+// NewLend returns the limit for requests that other proxies in this process carry
+// on the owner's behalf: perSecond requests a second, most at once.
 func NewLend(owner *Proxy, perSecond float64, most int) *Lend {
 	return &Lend{owner: owner, rate: rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond/4), 1)), most: most}
 }
 
-// Take lets one of the other partner's tasks in.
+// Take admits one request of the other partner; the error is wire.Busy. Each
+// admitted request must be given back by Give.
 func (lend *Lend) Take() *wire.Mishap {
 	lend.mutex.Lock()
 	defer lend.mutex.Unlock()
@@ -39,11 +42,12 @@
 	return nil
 }
 
+// Give ends a request that Take admitted.
 func (lend *Lend) Give() {
 	lend.mutex.Lock()
 	lend.inFlight--
 	lend.mutex.Unlock()
 }
 
-// Borrow makes this proxy a guest on another partner's machine.
+// Borrow makes this proxy a guest on another partner's machine, bound by the limit.
 func (proxy *Proxy) Borrow(lend *Lend) { proxy.lend = lend }
--- a/data/pipe.go
+++ b/data/pipe.go
@@ -43,14 +43,14 @@
 	return conn.written
 }
 
-// Pipe is one connection to one incarnation of a backend.
+// Pipe is one HTTP/1.1 connection to one incarnation of a backend.
 type Pipe struct {
 	conn   *countedConn
 	client *http.ClientConn
 	used   time.Time
 }
 
-// Dialer opens a raw connection; the simulator brings its own.
+// Dialer opens a connection; the simulator brings its own.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
 // openPipe dials and learns who is there before net/http gets the connection.
--- a/data/proxy.go
+++ b/data/proxy.go
@@ -12,7 +12,9 @@
 	"orchidjunction/wire"
 )
 
-// Proxy lives as long as the process and swaps its plan with each version.
+// Proxy is the HTTP handler that carries requests of the settings' routes to
+// backends. It lives as long as the process and replaces its plan with each
+// version.
 type Proxy struct {
 	daemon  *member.Daemon
 	threads *run.Threads
@@ -42,6 +44,8 @@
 	proxies  int
 }
 
+// NewProxy returns a proxy without a version; it refuses requests until Apply. It
+// registers its usage, demand and readiness with the daemon.
 func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
 	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(), usage: run.NewCounts(), room: NewRoom(), quick: NewQuick(),
 		targets: map[string]*Target{}, prefix: member.NewID()[:10]}
@@ -54,7 +58,7 @@
 	return proxy
 }
 
-// Run starts the proxy's duties.
+// Run starts the proxy's background duties.
 func (proxy *Proxy) Run() {
 	proxy.threads.Beat(run.Each(growPace), proxy.claims.grow)
 	proxy.threads.Start(proxy.claims.vault.tell)
@@ -66,7 +70,7 @@
 	})
 }
 
-// Apply makes the plan of a version.
+// Apply puts a version in force; one without settings is ignored.
 func (proxy *Proxy) Apply(version *member.Version) {
 	if version.Settings == nil {
 		return
@@ -201,7 +205,8 @@
 	}
 }
 
-// Probes tell the cores what this proxy found.
+// Probes returns what this proxy knows of each backend's health, for its report to
+// the cores.
 func (proxy *Proxy) Probes() []wire.Probe {
 	plan := proxy.plan.Load()
 	if plan == nil {
--- a/data/quick.go
+++ b/data/quick.go
@@ -11,14 +11,15 @@
 	quickCount = 100_000
 )
 
-// Quick knows the tasks that were just refused, so that a caller's own quick
-// retry is counted among the resends.
+// Quick detects retries of callers: requests that repeat one which failed here
+// within the last second count against the retry budget.
 type Quick struct {
 	mutex sync.Mutex
 	seen  map[uint64]time.Time
 	swept time.Time
 }
 
+// NewQuick returns a Quick that has seen nothing.
 func NewQuick() *Quick { return &Quick{seen: map[uint64]time.Time{}} }
 
 // fingerprint names a task by who asks for what.
@@ -31,8 +32,8 @@
 	return sum.Sum64()
 }
 
-// Failed notes a task that reached a backend and ended without a receipt; one
-// that was turned away before is no retry when it comes again.
+// Failed records the fingerprint of a request that reached a backend and got no
+// response. A request that was refused before is no retry when it comes again.
 func (quick *Quick) Failed(mark uint64) {
 	quick.mutex.Lock()
 	defer quick.mutex.Unlock()
@@ -50,7 +51,8 @@
 	}
 }
 
-// Again is whether the same task just failed here.
+// Again reports whether a request with this fingerprint failed within the last
+// second.
 func (quick *Quick) Again(mark uint64) bool {
 	quick.mutex.Lock()
 	defer quick.mutex.Unlock()
--- a/data/receipt.go
+++ b/data/receipt.go
@@ -12,8 +12,8 @@
 
 const wholeBytes = 1 << 20
 
-// Receipt is a backend's answer; body holds all of it, or its beginning with
-// the rest still to come.
+// Receipt is a backend's response: body is all of it, or its beginning while rest
+// is still to be streamed. length is the body's size in bytes, -1 if it is unknown.
 type Receipt struct {
 	status int
 	header http.Header
--- a/data/room.go
+++ b/data/room.go
@@ -27,9 +27,9 @@
 	demandSpan  = 2 * time.Second
 )
 
-// Room is what this proxy may send for each class: its share of the floor
-// always, and beyond it a share of what may be borrowed while backends are idle
-// enough; the lower the class, the sooner it gives room back.
+// Room is admission control by class: a class may use its floor at any time and
+// borrow more while backends are idle. The lower its rank, the sooner it gives
+// borrowed capacity back.
 type Room struct {
 	mutex   sync.Mutex
 	classes map[string]*classRoom
@@ -48,10 +48,12 @@
 	paced  time.Time
 }
 
+// NewRoom returns a Room without classes, which admits everything.
 func NewRoom() *Room { return &Room{classes: map[string]*classRoom{}, since: time.Now()} }
 
-// Apply splits floors and borrowing among the proxies by their demand, a part
-// of it evenly; all read the same table, so the shares add up to the whole.
+// Apply sets floors and borrowing to this proxy's share of the settings. The share
+// follows demand, a part of it is even; all proxies compute it from the same table,
+// so that the shares add up to the whole.
 func (room *Room) Apply(settings *conf.Settings, table *wire.Table, name string) {
 	part := partOf(table, name)
 	room.mutex.Lock()
@@ -122,7 +124,8 @@
 	}
 }
 
-// Take lets one task of a class in, or says that it borrows too much now.
+// Take admits one request of a class, given the mean usage of the backends. The
+// error is wire.Busy.
 func (room *Room) Take(class string, usage float64) *wire.Mishap {
 	room.mutex.Lock()
 	room.tasks++
@@ -170,16 +173,16 @@
 	resize(held.borrow, held.pace, borrowBurst)
 }
 
-// Pressed is whether a class above its floor was refused just now, or the
-// backends were not idle any more.
+// Pressed reports whether borrowing was refused or backends were not idle within
+// the last second.
 func (room *Room) Pressed() bool {
 	room.mutex.Lock()
 	defer room.mutex.Unlock()
 	return time.Since(room.pressed) < pressedSpan
 }
 
-// Demand is the tasks a second asked of this proxy, in coarse steps, so that
-// the table changes seldom.
+// Demand returns the requests a second that this proxy was asked for, in coarse
+// steps, so that the table changes seldom.
 func (room *Room) Demand() float64 {
 	room.mutex.Lock()
 	defer room.mutex.Unlock()
--- a/data/routes.go
+++ b/data/routes.go
@@ -10,7 +10,8 @@
 
 const sharePerFront = 4
 
-// Routes is a version's settings with names turned into indices, never changed once made.
+// Routes is the settings of one version with names resolved to indices. It is
+// immutable; versions share what did not change.
 type Routes struct {
 	Serial   uint64
 	settings *conf.Settings
@@ -28,7 +29,7 @@
 	share   int
 }
 
-// NewRoutes makes a version's routes; the version before lends what is the same.
+// NewRoutes builds the routes of a version; before may be nil.
 func NewRoutes(serial uint64, settings *conf.Settings, before *Routes) *Routes {
 	routes := &Routes{Serial: serial, settings: settings, byKey: map[string]int{}, doors: map[string][]*Doors{}, drained: map[string]bool{}, gone: map[string]bool{}, regions: map[string]string{}}
 	for name, tenant := range settings.Tenants {
@@ -57,19 +58,21 @@
 	return routes
 }
 
-// Tenant finds who holds the key; only digests are kept in settings.
+// Tenant returns the index of the tenant that holds the key. Only digests of keys
+// are kept.
 func (routes *Routes) Tenant(key string) (int, bool) {
 	sum := sha256.Sum256([]byte(key))
 	index, found := routes.byKey["sha256:"+hex.EncodeToString(sum[:])]
 	return index, found
 }
 
-// Fronts is over how many machines a tenant is spread; large ones over more.
+// Fronts returns the number of proxies that a tenant is spread over; large tenants
+// get more.
 func (routes *Routes) Fronts(tenant int) int {
 	return *routes.settings.Rule.Fronts + (routes.tenants[tenant].share-1)/sharePerFront
 }
 
-// TenantNamed finds a tenant by name.
+// TenantNamed returns the index of a tenant by name.
 func (routes *Routes) TenantNamed(name string) (int, bool) {
 	for index := range routes.tenants {
 		if routes.tenants[index].name == name {
@@ -79,6 +82,7 @@
 	return 0, false
 }
 
+// TenantName returns the name of the tenant with this index.
 func (routes *Routes) TenantName(index int) string { return routes.tenants[index].name }
 
 func (routes *Routes) doorsOf(class, service string) *Doors {
@@ -93,7 +97,9 @@
 	return nil
 }
 
-// Route finds the route of a method and path within a service, whatever its class.
+// Route returns the route of a method and path within a service, in whatever class:
+// exact paths first, then the longest prefix. otherMethod says that only the method
+// does not match.
 func (routes *Routes) Route(service, method, path string) (found *conf.Flat, otherMethod bool) {
 	best := 0
 	for _, doors := range routes.doors[service] {
@@ -122,13 +128,13 @@
 	return true
 }
 
-// Drained is whether a zone was emptied.
+// Drained reports whether a zone is drained.
 func (routes *Routes) Drained(zone string) bool { return routes.drained[zone] }
 
-// Settings is the tree these routes were made of.
+// Settings returns the settings that these routes were built from.
 func (routes *Routes) Settings() *conf.Settings { return routes.settings }
 
-// ZoneAllowed is whether a tenant's traffic may enter a zone at all.
+// ZoneAllowed reports whether a tenant's traffic may enter a zone.
 func (routes *Routes) ZoneAllowed(zone string, tenant int) bool {
 	for _, forbidden := range routes.tenants[tenant].forbids {
 		if routes.regions[zone] == forbidden {
--- a/data/state.go
+++ b/data/state.go
@@ -1,11 +1,21 @@
-// Package data carries callers' tasks to backends.
+// Package data is the data plane of the product's own interface: it carries
+// callers' requests to backends as the settings say. (Host routes are carried by
+// package proxy.)
+//
+// Versions of settings, members and backends come in through Proxy.Apply. A request
+// comes in through Proxy.ServeHTTP as a task: it is authenticated, matched to a
+// route, admitted (Room), for requests that may run only once claimed by
+// idempotency key (Claims), and sent to a backend (Target) over a Pipe, again
+// within the retry Budget if that is safe. Health of backends goes out through
+// Proxy.Probes.
 package data
 
 import "orchidjunction/run"
 
-// State is where a task stands on its way through a proxy.
+// State is where a request stands on its way through a proxy.
 type State string
 
+// The states of a request. Those from Answered on are final.
 const (
 	Arrived   State = "arrived"
 	Known     State = "known"
@@ -31,8 +41,8 @@
 	Receiving: {Answered, Drawn, Refused, Unknown, Broken},
 }
 
-// Walk is a task's way over the chart; a step that the chart lacks is counted
-// as a defect and ends the task refused.
+// Walk is the state machine of one request; a transition that is not allowed is
+// counted as a defect.
 type Walk struct {
 	now    State
 	counts *run.Counts
--- a/data/target.go
+++ b/data/target.go
@@ -21,8 +21,9 @@
 	coldSenders  = 2
 )
 
-// Target is one listed backend as this proxy knows it; its pipes belong to the
-// incarnation that opened them.
+// Target is one backend as this proxy knows it: its listing, its health by probes
+// and responses, and idle connections, which belong to the incarnation that opened
+// them.
 type Target struct {
 	listing atomic.Pointer[wire.Backend]
 	dial    Dialer
--- a/data/vault.go
+++ b/data/vault.go
@@ -16,7 +16,8 @@
 	awaySpan   = time.Second
 )
 
-// Vault is the cores' side of claims: what lasts when every proxy is gone.
+// Vault is the client of the cores' store of idempotency keys, which outlasts a
+// loss of all proxies.
 type Vault struct {
 	proxy *Proxy
 	ring  *run.Ring[owed]
@@ -37,7 +38,8 @@
 	return &Vault{proxy: proxy, ring: run.NewRing[owed](vaultRing)}
 }
 
-// Away is whether no majority of cores kept a claim lately.
+// Away reports whether no majority of cores recorded a claim within the last
+// second.
 func (vault *Vault) Away() bool {
 	vault.mutex.Lock()
 	defer vault.mutex.Unlock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,7 +20,7 @@
 	"orchidjunction/wire"
 )
 
-// Fleet is every process of one run.
+// Fleet is the processes of one run and what is recorded about them.
 type Fleet struct {
 	Spec     Spec
 	settings *conf.Settings
@@ -50,6 +50,8 @@
 	judged bool
 }
 
+// NewFleet decides names, addresses and command lines of all processes; it starts
+// none.
 func NewFleet(spec Spec, threads *run.Threads) (*Fleet, *wire.Mishap) {
 	settings, body, mishap := spec.Check()
 	if mishap != nil {
@@ -84,7 +86,7 @@
 	return fleet, fleet.lay()
 }
 
-// Lend gives the first proxies a second place at the other partner.
+// Lend makes the first proxies guests of the other partner's fleet too.
 func (fleet *Fleet) Lend(peer *Fleet) {
 	fleet.peer = peer
 	for index, process := range fleet.Proxies[:min(fleet.Spec.Guests, len(fleet.Proxies))] {
@@ -185,7 +187,8 @@
 	return append(append([]*Process{}, fleet.Directories...), fleet.Proxies...)
 }
 
-// Operator asks some daemons on the operators' side, this one first.
+// Operator returns a client that calls all daemons in turn, beginning with the one
+// of this index.
 func (fleet *Fleet) Operator(first int) *operator.Client {
 	doors := []string{}
 	daemons := append(fleet.daemons(), fleet.Cores...)
@@ -195,7 +198,8 @@
 	return operator.NewClient(doors, &http.Transport{DisableKeepAlives: true})
 }
 
-// Up starts all and puts the first settings in force.
+// Up starts all processes, puts the first settings in force and waits until every
+// daemon is ready.
 func (fleet *Fleet) Up() *wire.Mishap {
 	for _, process := range fleet.all() {
 		if mishap := process.Start(); mishap != nil {
@@ -233,7 +237,8 @@
 	return body
 }
 
-// Serials asks every daemon what it has in force; those that are not ready give 0.
+// Serials returns the serial in force at every daemon, 0 for those that are not
+// ready.
 func (fleet *Fleet) Serials() []uint64 {
 	daemons := fleet.daemons()
 	got, _ := run.Gather(fleet.threads, len(daemons), func(index int) (uint64, error) {
@@ -319,7 +324,7 @@
 	return true
 }
 
-// Leader is the core that leads now, by the cores' own word.
+// Leader returns the core that leads, nil if none is known.
 func (fleet *Fleet) Leader() *Process {
 	status, mishap := fleet.Operator(0).Status()
 	if mishap != nil {
@@ -333,7 +338,7 @@
 	return nil
 }
 
-// Call starts the callers with the fleet's mix.
+// Call starts the callers.
 func (fleet *Fleet) Call() *wire.Mishap {
 	plan := stand.OriginPlan{PerSecond: fleet.Spec.Rate, Seconds: fleet.Spec.Seconds + 3600, Tries: fleet.Spec.Tries, Seed: fleet.Spec.Seed, Patient: true}
 	for _, directory := range fleet.Directories {
@@ -385,7 +390,8 @@
 	return fleet.origin.Start()
 }
 
-// Callers lets callers call for at least the run's span, ends them and gives what they saw.
+// Callers waits until the load has lasted as long as the Spec says, stops the
+// callers and returns their report.
 func (fleet *Fleet) Callers() (*stand.OriginReport, *wire.Mishap) {
 	fleet.threads.Rest(time.Until(fleet.called.Add(time.Duration(fleet.Spec.Seconds * float64(time.Second)))))
 	fleet.origin.Signal(syscall.SIGTERM)
@@ -403,7 +409,7 @@
 
 const journalEnd = ".journal"
 
-// Seen gathers what every backend wrote down, the dead ones too.
+// Seen returns the records of all backends, of those that were killed too.
 func (fleet *Fleet) Seen() []stand.Witness {
 	all := []stand.Witness{}
 	journals, _ := filepath.Glob(filepath.Join(fleet.Spec.Folder, "*"+journalEnd))
@@ -413,7 +419,7 @@
 	return all
 }
 
-// Zones says where backends, by name, and fronts, by address, stand.
+// Zones returns the zones of backends by name and of proxies by address.
 func (fleet *Fleet) Zones() map[string]string {
 	zones := map[string]string{}
 	for _, process := range fleet.Backends {
@@ -428,7 +434,7 @@
 	return zones
 }
 
-// Doors are the operators' doors of all that live.
+// Doors returns the operators' addresses of all processes that run.
 func (fleet *Fleet) Doors() []string {
 	doors := []string{}
 	for _, process := range append(fleet.daemons(), fleet.Cores...) {
@@ -439,14 +445,18 @@
 	return doors
 }
 
+// Client returns a client of the process with this operators' address.
 func (fleet *Fleet) Client(door string) *operator.Client {
 	return operator.NewClient([]string{door}, nil)
 }
 
+// Rest sleeps; it returns false once the run is stopped.
 func (fleet *Fleet) Rest(span time.Duration) bool { return fleet.threads.Rest(span) }
-func (fleet *Fleet) Start(duty func())            { fleet.threads.Start(duty) }
 
-// Down stops all in order; exit codes other than 0 are noted.
+// Start runs duty in a goroutine of the run.
+func (fleet *Fleet) Start(duty func()) { fleet.threads.Start(duty) }
+
+// Down stops all processes in order and records exit codes other than 0.
 func (fleet *Fleet) Down() {
 	for _, process := range fleet.all() {
 		process.Signal(syscall.SIGCONT)
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -1,4 +1,7 @@
-// Package fleet runs and harms a whole fleet of real processes on one machine.
+// Package fleet runs a whole deployment of real processes on one machine and
+// injects faults into it. A Spec says its size, a Fleet starts its Processes, a
+// Scenario injects faults while callers and operators work, and Fleet.Play returns
+// the verdicts of package judge.
 package fleet
 
 import (
@@ -13,7 +16,9 @@
 	"orchidjunction/wire"
 )
 
-// Process is one program of the fleet, and can be started again.
+// Process is one program of the fleet; it can be started again after it ended.
+// Outer, Wire and Operate are the addresses (host:port) at which it serves callers,
+// other daemons and operators.
 type Process struct {
 	Name      string
 	Kind      string
@@ -34,6 +39,7 @@
 	code    int
 }
 
+// Start starts the process unless it runs. Its output is appended to its log file.
 func (process *Process) Start() *wire.Mishap {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
@@ -62,6 +68,7 @@
 	return nil
 }
 
+// Signal sends a signal to the process if it runs.
 func (process *Process) Signal(signal syscall.Signal) {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
@@ -70,13 +77,15 @@
 	}
 }
 
+// Alive reports whether the process runs.
 func (process *Process) Alive() bool {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	return process.alive
 }
 
-// Wait gives the exit code once the process has ended, or kills it at the limit.
+// Wait returns the exit code once the process has ended; it kills the process after
+// the limit.
 func (process *Process) Wait(limit time.Duration) int {
 	beat := time.AfterFunc(limit, func() { process.Signal(syscall.SIGKILL) })
 	defer beat.Stop()
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -15,14 +15,15 @@
 	"orchidjunction/wire"
 )
 
-// Scenario harms a running fleet in a named way.
+// Scenario injects faults into a running fleet. Planned says that it does nothing
+// but planned work, under which the strictest guarantees hold.
 type Scenario struct {
 	About   string
 	Planned bool
 	Harm    func(fleet *Fleet)
 }
 
-// Scenarios is the catalogue.
+// Scenarios are all scenarios by name.
 var Scenarios = map[string]Scenario{
 	"calm":           {About: "nothing is harmed", Planned: true, Harm: func(*Fleet) {}},
 	"compare":        {About: "a backend asked directly and through a proxy, in turns", Planned: true, Harm: compare},
@@ -52,6 +53,7 @@
 	"leader-changes": {About: "the leader is stopped once by SIGTERM, once by SIGKILL", Planned: true, Harm: leaderChanges},
 }
 
+// Names returns the names of all scenarios in order.
 func Names() []string {
 	names := []string{}
 	for name := range Scenarios {
@@ -84,7 +86,7 @@
 	fleet.threads.Rest(time.Duration(part * fleet.Spec.Seconds * float64(time.Second)))
 }
 
-// Play runs a scenario from start to verdict.
+// Play runs a scenario from the start of the fleet to the verdicts.
 func (fleet *Fleet) Play(scenario Scenario) ([]judge.Verdict, *wire.Mishap) {
 	defer fleet.Down()
 	defer fleet.wait()
@@ -159,7 +161,8 @@
 	return verdicts
 }
 
-// PlayBoth runs a scenario on both partners at once.
+// PlayBoth runs a scenario on several fleets at once and returns the verdicts of
+// each.
 func PlayBoth(fleets []*Fleet, scenario Scenario, threads *run.Threads) ([][]judge.Verdict, *wire.Mishap) {
 	got, failed := run.Gather(threads, len(fleets), func(index int) ([]judge.Verdict, error) {
 		verdicts, mishap := fleets[index].Play(scenario)
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -10,7 +10,10 @@
 	"orchidjunction/wire"
 )
 
-// Spec is the fleet to bring up.
+// Spec is the size of a fleet and its load: Rate requests a second for Seconds,
+// MoneyPart percent of them with an idempotency key, about Changes changes of
+// settings a second. Ports are taken from BasePort on. LagMs is how late the
+// platform's list is.
 type Spec struct {
 	Settings    string
 	Bin         string
@@ -31,25 +34,26 @@
 	Guests      int
 }
 
-// Sizes are the fleets that have a name; both partners together are Both.
+// Sizes are the fleets that have a name.
 var Sizes = map[string]Spec{
 	"small":  {Settings: "small", Cores: 3, Directories: 2, Proxies: 4, Backends: 6, Rate: 60, MoneyPart: 25},
 	"volta":  {Settings: "volta", Cores: 3, Directories: 2, Proxies: 9, Backends: 33, Rate: 220, MoneyPart: 25},
 	"saqtau": {Settings: "saqtau", Cores: 3, Directories: 2, Proxies: 10, Backends: 36, Rate: 460, MoneyPart: 25},
 }
 
-// Both is the size of the two partners in one run, lending to each other.
+// Both is the size of the two partners' fleets in one run, lending to each other.
 const Both = "both"
 
 // outgoingPorts begin here; a daemon that restarts could find its own taken.
 const outgoingPorts = 32768
 
-// Ports is how many ports the fleet takes from its base on.
+// Ports returns the number of ports that the fleet takes.
 func (spec *Spec) Ports() int {
 	return 2*spec.Cores + 3*(spec.Directories+spec.Proxies+spec.Guests) + spec.Backends + 1
 }
 
-// Check refuses what could not run, before anything starts.
+// Check reads the settings and returns wire.BadFlag or wire.Invalid for what could
+// not run, before anything starts.
 func (spec *Spec) Check() (*conf.Settings, []byte, *wire.Mishap) {
 	if spec.Cores%2 == 0 || spec.Cores < 1 || spec.Cores > 7 || spec.Directories < 1 || spec.Proxies < 1 || spec.Proxies > 64 || spec.Backends < 1 || spec.Backends > 256 {
 		return nil, nil, wire.New(wire.BadFlag, "impossible size: %d cores, %d directories, %d proxies, %d backends", spec.Cores, spec.Directories, spec.Proxies, spec.Backends)
--- a/judge/evidence.go
+++ b/judge/evidence.go
@@ -1,5 +1,7 @@
-// Package judge makes verdicts of what callers, backends, the platform and
-// operators saw, alike for the simulator and for real processes.
+// Package judge checks the guarantees of the system against what callers, backends,
+// the platform and operators recorded. The simulator and the fleet runner collect
+// Evidence, partly by a Ledger that makes changes of settings while they run;
+// Evidence.Judge turns it into Verdicts.
 package judge
 
 import (
@@ -12,8 +14,8 @@
 	"orchidjunction/wire"
 )
 
-// Verdict is one line of what must never happen. A timed one could fail on a
-// slow machine alone.
+// Verdict is whether one guarantee held. A Timed one can fail on a slow machine
+// alone.
 type Verdict struct {
 	Name   string `json:"name"`
 	Timed  bool   `json:"timed"`
@@ -21,7 +23,8 @@
 	Detail string `json:"detail"`
 }
 
-// Window is a span in which a backend, a front or a tenant must not be served.
+// Window is a span in which a backend, a proxy ("front") or a tenant must not be
+// served, in milliseconds since the Unix epoch. Until is 0 while the span is open.
 type Window struct {
 	Kind    string
 	Subject string
@@ -29,7 +32,8 @@
 	Until   int64
 }
 
-// Evidence is all that verdicts are made of.
+// Evidence is the records of one run. Planned says that only planned work was done,
+// Jumps that clocks were stepped; Codes are processes that ended in a wrong way.
 type Evidence struct {
 	Callers  []stand.OriginReport
 	Backends []stand.Witness
@@ -52,7 +56,7 @@
 // lateMs is when what was told must be in force, with a little for the way there.
 const lateMs = 4500
 
-// Judge gives one verdict a line.
+// Judge returns one verdict for each guarantee.
 func (evidence *Evidence) Judge() []Verdict {
 	evidence.gather()
 	verdicts := []Verdict{}
@@ -132,7 +136,8 @@
 	return fmt.Sprintf("%d sends seen", count)
 }
 
-// Part is the value below which that part of all lies.
+// Part returns the quantile of the values, 0 without values; part is between 0 and
+// 1.
 func Part(values []float64, part float64) float64 {
 	if len(values) == 0 {
 		return 0
@@ -142,8 +147,8 @@
 	return sorted[min(int(part*float64(len(sorted))), len(sorted)-1)]
 }
 
-// Print shows the verdicts; true when all hold. Untimed, those that a slow
-// machine alone could fail are shown but do not count.
+// Print writes one line for each verdict and returns whether all hold. With
+// untimed, failed verdicts that are Timed are printed but not counted.
 func Print(writer io.Writer, verdicts []Verdict, untimed bool) bool {
 	all := true
 	for _, verdict := range verdicts {
--- a/judge/ledger.go
+++ b/judge/ledger.go
@@ -12,7 +12,7 @@
 	"orchidjunction/wire"
 )
 
-// Ground is the fleet that operators work on, real or simulated.
+// Ground is the system that operators work on, real or simulated.
 type Ground interface {
 	Doors() []string
 	Client(door string) *operator.Client
@@ -21,14 +21,15 @@
 	Start(duty func())
 }
 
-// Ack is an acknowledged change.
+// Ack is an acknowledged change; AtMs is when, in milliseconds since the Unix
+// epoch.
 type Ack struct {
 	Serial uint64
 	Base   uint64
 	AtMs   int64
 }
 
-// Ledger is what operators were told of every change they made.
+// Ledger makes changes as operators do and records what they were told.
 type Ledger struct {
 	ground Ground
 	seed   uint64
@@ -53,12 +54,15 @@
 	wholeMost  = 100_000
 )
 
+// NewLedger returns a Ledger that changes the settings of ground, with decisions
+// drawn from seed.
 func NewLedger(ground Ground, seed uint64) *Ledger {
 	return &Ledger{ground: ground, seed: seed, Acked: map[string]Ack{}, Refused: map[string]wire.Kind{}, Unknown: map[string]bool{}, lastAck: time.Now()}
 }
 
-// Operate lets operators change settings, now and then on the same base, some
-// of them invalid; a change whose outcome is unknown is sent again as it was.
+// Operate starts operators that each change settings at the mean pace. Some changes
+// are invalid, some race on the same base; a change whose outcome is unknown is
+// sent again unchanged.
 func (ledger *Ledger) Operate(operators int, pace time.Duration) {
 	for number := range operators {
 		ledger.mutex.Lock()
@@ -82,7 +86,7 @@
 	return ledger.stopped
 }
 
-// Stop waits for the operators' last calls.
+// Stop ends the operators and waits for their last calls.
 func (ledger *Ledger) Stop() {
 	ledger.mutex.Lock()
 	ledger.stopped = true
@@ -158,7 +162,8 @@
 	return body
 }
 
-// Make sends one change, again while its outcome is unknown, and keeps what was told.
+// Make sends one change, again while its outcome is unknown, records the outcome
+// and returns it.
 func (ledger *Ledger) Make(change operator.Change, client *operator.Client, random *rand.Rand, send func(*operator.Client) (*operator.Outcome, *wire.Mishap)) *wire.Mishap {
 	var outcome *operator.Outcome
 	mishap := ledger.timed(change.Change, func() (mishap *wire.Mishap) { outcome, mishap = send(client); return })
@@ -214,7 +219,7 @@
 	ledger.mutex.Unlock()
 }
 
-// Newest is the highest serial acknowledged so far.
+// Newest returns the highest serial acknowledged so far.
 func (ledger *Ledger) Newest() uint64 {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
@@ -225,7 +230,8 @@
 	return newest
 }
 
-// Trail asks for the changes that the cores kept.
+// Trail reads the history of changes from the cores, from any that answers within
+// the limit.
 func (ledger *Ledger) Trail(limit time.Duration) ([]wire.Entry, *wire.Mishap) {
 	trail := struct {
 		Changes []wire.Entry `json:"changes"`
--- a/keep/book.go
+++ b/keep/book.go
@@ -1,4 +1,6 @@
-// Package keep remembers money keys, alike at proxies and at cores.
+// Package keep is the bounded, in-memory store of idempotency keys that proxies and
+// cores share. A Book grants a key to its first claim, remembers how the request
+// ended, and forgets keys after a span that the settings give.
 package keep
 
 import (
@@ -17,7 +19,8 @@
 	bookMost = 2_000_000
 )
 
-// Book remembers claims for a span that settings give.
+// Book is a store of claims on idempotency keys, in the order in which they came.
+// It is safe for concurrent use.
 type Book struct {
 	mutex  sync.Mutex
 	claims map[wire.ClaimKey]keptClaim
@@ -38,15 +41,17 @@
 	number uint64
 }
 
+// NewBook returns an empty Book that remembers keys for FirstSpan.
 func NewBook() *Book { return &Book{claims: map[wire.ClaimKey]keptClaim{}, span: FirstSpan} }
 
-// Remember sets how long keys are remembered.
+// Remember sets how long keys are remembered from now on.
 func (book *Book) Remember(span time.Duration) {
 	book.mutex.Lock()
 	book.span = span
 	book.mutex.Unlock()
 }
 
+// Span returns how long keys are remembered.
 func (book *Book) Span() time.Duration {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -80,7 +85,9 @@
 	book.claims[claimed.Key] = keptClaim{Claimed: claimed, at: time.Now().Add(-time.Duration(claimed.AgeMs) * time.Millisecond), number: book.number}
 }
 
-// Claim holds the key for the first that asks; the same claim again is granted again.
+// Claim grants the key to the first claim, and to the same claim again. A claim
+// that names the running one in Instead replaces it. A refusal holds the claim that
+// has the key, or nothing if the store is full.
 func (book *Book) Claim(claim *wire.Claim) *wire.ClaimTold {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -98,9 +105,9 @@
 	return &wire.ClaimTold{Granted: true, Held: claim.Claimed}
 }
 
-// Settle keeps how the task ended, or frees the key of a task that surely did
-// not run. Who settles was granted a quorum, so a claim of somebody else here
-// is one that will be given back, and gives way.
+// Settle records how the request of a claim ended, or frees the key of one that
+// surely did not run. Whoever settles was granted a quorum, so a claim of another
+// that is held here will be given back and is replaced.
 func (book *Book) Settle(settle *wire.Settle) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -113,6 +120,7 @@
 	book.put(settle.Claimed)
 }
 
+// Held returns the claim that has the key.
 func (book *Book) Held(key wire.ClaimKey) (wire.Claimed, bool) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -120,7 +128,8 @@
 	return held.Claimed, found
 }
 
-// Retell takes claims that others remember; what is settled wins over what runs.
+// Retell merges claims that other stores hold; a settled claim replaces the same
+// one that still runs.
 func (book *Book) Retell(claims []wire.Claimed) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -132,8 +141,8 @@
 	}
 }
 
-// Page gives claims put after a number, with their ages, at most so many; the
-// last number given, and whether none is left.
+// Page returns at most so many claims put after a sequence number, with their ages,
+// the last sequence number looked at, and whether none is left.
 func (book *Book) Page(after uint64, most int) (claims []wire.Claimed, last uint64, done bool) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -153,7 +162,7 @@
 	return claims, last, true
 }
 
-// Count is how many keys are remembered.
+// Count returns the number of keys that are held.
 func (book *Book) Count() int {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,4 +1,6 @@
-// Package operator is the client side of the operators' door.
+// Package operator is the client of the HTTP interface that daemons and cores offer
+// to operators: it reads settings and status and sends changes. It is used by
+// ojctl, ojplan, the simulator and the fleet runner.
 package operator
 
 import (
@@ -11,17 +13,24 @@
 	"orchidjunction/wire"
 )
 
-// Client asks daemons in turn; silence of one moves it to the next.
+// Client sends each call to the daemons in their order and goes on to the next one
+// after a transport error, a 503 or an unknown outcome. It is safe for concurrent
+// use.
 type Client struct {
 	daemons []string
 	client  *http.Client
 }
 
+// NewClient returns a client of the daemons at these addresses (host:port). A nil
+// transport means http.DefaultTransport. Each call to a daemon may take a second.
 func NewClient(daemons []string, transport http.RoundTripper) *Client {
 	return &Client{daemons: daemons, client: &http.Client{Transport: transport, Timeout: time.Second}}
 }
 
-// Ask sends one call; a change that may have been taken is sent on with its own id.
+// Ask sends one call and decodes a 200 answer's JSON body into into. Any daemon may
+// be sent the same body again, so that a change must carry its own id. It returns
+// the refusal of a daemon, wire.Unreachable if none answered, or wire.BadMessage
+// for an answer that can't be decoded.
 func (client *Client) Ask(method, path string, body []byte, into any) *wire.Mishap {
 	last := wire.New(wire.Unreachable, "no daemon given")
 	for _, daemon := range client.daemons {
@@ -59,7 +68,9 @@
 	return last
 }
 
-// Settings is what is in force.
+// Settings is the answer to Read: the settings in force at the daemon that
+// answered. Confirmed says that a leader in contact with a majority confirmed the
+// serial.
 type Settings struct {
 	Serial    uint64          `json:"serial"`
 	Confirmed bool            `json:"confirmed"`
@@ -67,7 +78,9 @@
 	Effective json.RawMessage `json:"effective,omitempty"`
 }
 
-// Change is a new whole or partial version on a base.
+// Change is a whole (Put) or partial (Patch) version of the settings, built on the
+// serial Base. Change is its id: one that was taken is acknowledged again when it
+// is sent again.
 type Change struct {
 	Base     uint64          `json:"base"`
 	Change   string          `json:"change"`
@@ -75,13 +88,16 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// Outcome is a change in force.
+// Outcome is an acknowledged change with its serial. Again says that it had been
+// taken before this call.
 type Outcome struct {
 	Serial uint64 `json:"serial"`
 	Change string `json:"change"`
 	Again  bool   `json:"again,omitempty"`
 }
 
+// Read returns the settings in force, with the resolved values of every route if
+// effective is set.
 func (client *Client) Read(effective bool) (*Settings, *wire.Mishap) {
 	path := "/v1/settings"
 	if effective {
@@ -91,11 +107,12 @@
 	return settings, client.Ask(http.MethodGet, path, nil, settings)
 }
 
-// Put sends a whole version, Patch a partial one.
+// Put replaces the whole settings.
 func (client *Client) Put(change Change) (*Outcome, *wire.Mishap) {
 	return client.change(http.MethodPut, change)
 }
 
+// Patch merges a partial tree into the settings; null removes a field.
 func (client *Client) Patch(change Change) (*Outcome, *wire.Mishap) {
 	return client.change(http.MethodPatch, change)
 }
@@ -109,6 +126,7 @@
 	return outcome, client.Ask(method, "/v1/settings", body, outcome)
 }
 
+// Status returns the leader, the members and the backends as the cores know them.
 func (client *Client) Status() (*wire.StatusTold, *wire.Mishap) {
 	status := &wire.StatusTold{}
 	return status, client.Ask(http.MethodGet, "/v1/status", nil, status)
--- a/place/directory.go
+++ b/place/directory.go
@@ -1,4 +1,6 @@
-// Package place tells callers where to go.
+// Package place is the directory service: it tells callers which proxies to use and
+// for how long. Versions of settings and members come in through Directory.Apply,
+// which swaps in an immutable view; ServeHTTP answers callers from it.
 package place
 
 import (
@@ -19,28 +21,30 @@
 	fullPart = 0.8
 )
 
-// Directory answers callers from one immutable map per version.
+// Directory answers callers from one immutable view per version.
 type Directory struct {
 	daemon *member.Daemon
 	counts *run.Counts
 	chart  atomic.Pointer[Chart]
 }
 
-// Chart is one version as a directory uses it.
+// Chart is the immutable view of one version: its routes and the proxies that
+// callers may be sent to.
 type Chart struct {
 	routes *data.Routes
 	fronts []wire.Member
 	guests []wire.Member
 }
 
-// Front is one machine a caller may use.
+// Front is one proxy that a caller may use; Address is host:port.
 type Front struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 }
 
-// Placement is the answer, good for hold_ms.
+// Placement is the answer to a caller. It is valid for HoldMs milliseconds; the
+// proxies are in the order of preference.
 type Placement struct {
 	Serial uint64  `json:"serial"`
 	Tenant string  `json:"tenant"`
@@ -48,15 +52,19 @@
 	Fronts []Front `json:"fronts"`
 }
 
+// NewDirectory returns a directory without a version; it refuses callers until
+// Apply.
 func NewDirectory(daemon *member.Daemon, counts *run.Counts) *Directory {
 	return &Directory{daemon: daemon, counts: counts}
 }
 
-// Register and Run are for planes that talk to their like; a directory does not.
+// Register does nothing: directories don't call each other.
 func (directory *Directory) Register(*wire.Door) {}
-func (directory *Directory) Run()                {}
 
-// Apply swaps in the map of a version.
+// Run does nothing: a directory has no duties of its own.
+func (directory *Directory) Run() {}
+
+// Apply puts a version in force; one without settings is ignored.
 func (directory *Directory) Apply(version *member.Version) {
 	if version.Settings == nil {
 		return
@@ -71,8 +79,9 @@
 	directory.chart.Store(NewChart(routes, version.Table.Members))
 }
 
-// NewChart takes the proxies that may be given to callers; those on the other
-// partner's machines only while the own ones are too few or nearly full.
+// NewChart selects the proxies that callers may be sent to: those ready and not
+// leaving. Proxies lent by the other partner are used only while the own ones are
+// too few or nearly full.
 func NewChart(routes *data.Routes, members []wire.Member) *Chart {
 	next, demand := &Chart{routes: routes}, 0.0
 	for _, known := range members {
@@ -95,6 +104,8 @@
 	return next
 }
 
+// ServeHTTP answers GET /v1/place with a Placement for the tenant of the bearer
+// key.
 func (directory *Directory) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if _, leaving := directory.daemon.Stays(); leaving {
 		writer.Header().Set("Connection", "close")
@@ -128,8 +139,9 @@
 	return chart.Place(tenant, request.URL.Query().Get("zone"))
 }
 
-// Place ranks the fronts by the tenant's own order, near ones first, and
-// spreads the answer over zones before it takes a second one of any.
+// Place returns the proxies for a tenant by rendezvous hashing, those in the zone
+// near first, spread over zones before a second one of any zone is taken. It
+// returns wire.NoBackend if no proxy may serve the tenant.
 func (chart *Chart) Place(tenant int, near string) (*Placement, *wire.Mishap) {
 	settings := chart.routes.Settings()
 	name := chart.routes.TenantName(tenant)
--- a/plan/forecast.go
+++ b/plan/forecast.go
@@ -1,4 +1,6 @@
-// Package plan shows what a change would move before it is made.
+// Package plan forecasts what a change of settings would do before it is made. Look
+// takes the fleet as it is and the next settings and returns a Forecast; ojplan
+// prints it.
 package plan
 
 import (
@@ -10,7 +12,8 @@
 	"orchidjunction/wire"
 )
 
-// Fleet is what a forecast starts from.
+// Fleet is the state that a forecast starts from. Capacity is the requests a second
+// that one backend carries.
 type Fleet struct {
 	Serial   uint64
 	Settings *conf.Settings
@@ -19,7 +22,8 @@
 	Capacity float64
 }
 
-// Move is a tenant whose front machines change.
+// Move is a tenant whose proxies would change, with the names that it would lose
+// and gain.
 type Move struct {
 	Tenant string   `json:"tenant"`
 	From   []string `json:"from"`
@@ -28,7 +32,7 @@
 	Joined []string `json:"joined"`
 }
 
-// Room is what a service has to run on.
+// Room is the number of backends of a service before and after the change.
 type Room struct {
 	Service string         `json:"service"`
 	Before  int            `json:"before"`
@@ -36,14 +40,15 @@
 	ByZone  map[string]int `json:"after_by_zone"`
 }
 
-// Short is a floor that the backends left could not carry.
+// Short is a service whose guaranteed rate the backends left could not carry, in
+// requests a second.
 type Short struct {
 	Service  string  `json:"service"`
 	Floor    int     `json:"floor_rps"`
 	Capacity float64 `json:"capacity_rps"`
 }
 
-// Change is a setting of a route that would differ.
+// Change is an effective value of a route that would differ.
 type Change struct {
 	Route  string `json:"route"`
 	Field  string `json:"field"`
@@ -51,7 +56,7 @@
 	After  any    `json:"after"`
 }
 
-// Forecast is all that would move.
+// Forecast is all that the change would move.
 type Forecast struct {
 	Tenants int      `json:"tenants"`
 	Moves   []Move   `json:"moves"`
@@ -60,7 +65,7 @@
 	Changes []Change `json:"changes"`
 }
 
-// Moving is whether anything would.
+// Moving reports whether the change would move anything.
 func (forecast *Forecast) Moving() bool {
 	if len(forecast.Moves)+len(forecast.Changes) > 0 {
 		return true
@@ -73,7 +78,7 @@
 	return false
 }
 
-// Look lays the new settings over the same machines and compares.
+// Look compares the fleet under its settings with the same fleet under next.
 func Look(fleet Fleet, next *conf.Settings) *Forecast {
 	forecast := &Forecast{Moves: []Move{}, Rooms: []Room{}, Shorts: []Short{}, Changes: []Change{}}
 	before, after := data.NewRoutes(fleet.Serial, fleet.Settings, nil), data.NewRoutes(fleet.Serial+1, next, nil)
--- a/run/clock.go
+++ b/run/clock.go
@@ -12,9 +12,9 @@
 	clockLeap = 1000
 )
 
-// Clock is the time of day in milliseconds, anchored once at its start: what
-// the wall clock does later moves nothing. Samples of a better clock lay an
-// offset on it.
+// Clock is the time of day in milliseconds since the Unix epoch. It reads the wall
+// clock once, at its start, and the monotonic clock from then on, so that a step of
+// the wall clock moves nothing. An offset estimated from other clocks is added.
 type Clock struct {
 	begin time.Time
 	wall  int64
@@ -25,27 +25,33 @@
 	samples Samples
 }
 
+// NewClock returns a Clock that starts at what wall returns now, in milliseconds
+// since the Unix epoch.
 func NewClock(wall func() int64) *Clock { return &Clock{begin: time.Now(), wall: wall()} }
 
-// Anchored is the time without any offset.
+// Anchored returns the time without the offset, in milliseconds since the Unix
+// epoch.
 func (clock *Clock) Anchored() int64 { return clock.wall + time.Since(clock.begin).Milliseconds() }
 
+// Now returns the time with the offset, in milliseconds since the Unix epoch.
 func (clock *Clock) Now() int64 { return clock.Anchored() + clock.Offset() }
 
+// Offset returns the offset in force, in milliseconds.
 func (clock *Clock) Offset() int64 {
 	clock.mutex.Lock()
 	defer clock.mutex.Unlock()
 	return clock.offset
 }
 
-// Laid is whether a better clock was heard at all.
+// Laid reports whether an offset was ever set.
 func (clock *Clock) Laid() bool {
 	clock.mutex.Lock()
 	defer clock.mutex.Unlock()
 	return clock.laid
 }
 
-// Lay sets the offset, unless the one there is nearly the same.
+// Lay sets the offset in milliseconds, unless the one in force differs by no more
+// than the slip that is tolerated.
 func (clock *Clock) Lay(offset int64) {
 	clock.mutex.Lock()
 	defer clock.mutex.Unlock()
@@ -59,7 +65,9 @@
 	}
 }
 
-// Told takes what another clock answered to a question, by its round trip.
+// Told takes the time that another clock returned, in milliseconds since the Unix
+// epoch, and the round trip of the call, and updates the offset. Calls with long
+// round trips are ignored.
 func (clock *Clock) Told(now int64, trip time.Duration) {
 	if trip.Milliseconds() > clockLeap {
 		return
@@ -70,7 +78,9 @@
 	clock.lay(clock.samples.Best())
 }
 
-// Heard takes what another clock said of itself; what came quickest is furthest ahead.
+// Heard takes the time that a one-way message from another clock carried, in
+// milliseconds since the Unix epoch. As its delay is unknown, the sample furthest
+// ahead counts.
 func (clock *Clock) Heard(now int64) {
 	clock.mutex.Lock()
 	defer clock.mutex.Unlock()
@@ -79,7 +89,8 @@
 	clock.lay(clock.samples.Best())
 }
 
-// Samples are offsets seen lately; that of the quickest round trip counts.
+// Samples estimates the offset between two clocks by the recent sample with the
+// shortest round trip, as NTP does.
 type Samples struct {
 	held []sample
 }
@@ -90,8 +101,9 @@
 	at     time.Time
 }
 
-// Take keeps a sample and drops those that it outdoes. One that no delay
-// explains tells of a clock that was set, and stands alone.
+// Take adds an offset in milliseconds with its round trip, and drops samples that
+// are old or have a longer one. An offset that no delay explains means that a clock
+// was set, and replaces all others.
 func (samples *Samples) Take(offset int64, trip time.Duration) {
 	kept := []sample{}
 	if best := samples.Best(); offset < best+clockLeap && offset > best-clockLeap {
@@ -104,7 +116,8 @@
 	samples.held = append(kept, sample{offset: offset, trip: trip, at: time.Now()})
 }
 
-// Best is the offset of the quickest sample.
+// Best returns the offset of the sample with the shortest round trip in
+// milliseconds, 0 without samples.
 func (samples *Samples) Best() int64 {
 	if len(samples.held) == 0 {
 		return 0
@@ -112,7 +125,7 @@
 	return samples.held[0].offset
 }
 
-// Trip is the quickest sample's round trip.
+// Trip returns the shortest round trip, 0 without samples.
 func (samples *Samples) Trip() time.Duration {
 	if len(samples.held) == 0 {
 		return 0
@@ -120,8 +133,8 @@
 	return samples.held[0].trip
 }
 
-// Median is the middle of some numbers; where the middle two of an even count
-// lie far apart, it is the one nearer to what was held before.
+// Median returns the median of at least one number. Where the middle two of an even
+// count lie more than a second apart, it returns the one nearer to before.
 func Median(numbers []int64, before int64) int64 {
 	sorted := append([]int64{}, numbers...)
 	sort.Slice(sorted, func(left, right int) bool { return sorted[left] < sorted[right] })
--- a/run/gather.go
+++ b/run/gather.go
@@ -2,8 +2,9 @@
 
 import "sync"
 
-// Gather asks all at once and returns as soon as enough says so or all have
-// answered; those still under way are left to end by their own limits.
+// Gather calls ask for each index from 0 to count-1 concurrently. It returns the
+// results and the errors by index as soon as enough returns true or all calls have
+// ended. Calls still under way are not cancelled; they end by their own deadlines.
 func Gather[T any](threads *Threads, count int, ask func(index int) (T, error), enough func(got map[int]T, failed map[int]error) bool) (map[int]T, map[int]error) {
 	var mutex sync.Mutex
 	wake := sync.NewCond(&mutex)
--- a/run/ring.go
+++ b/run/ring.go
@@ -2,7 +2,8 @@
 
 import "sync"
 
-// Ring joins duties: bounded, many put, one takes.
+// Ring is a bounded queue between goroutines: any number put items in, one takes
+// them out in batches.
 type Ring[T any] struct {
 	mutex  sync.Mutex
 	wake   *sync.Cond
@@ -12,13 +13,15 @@
 	closed bool
 }
 
+// NewRing returns a Ring that holds at most so many items.
 func NewRing[T any](most int) *Ring[T] {
 	ring := &Ring[T]{items: make([]T, most)}
 	ring.wake = sync.NewCond(&ring.mutex)
 	return ring
 }
 
-// Put is false when the ring is full or closed.
+// Put appends an item; it returns false, without waiting, if the ring is full or
+// closed.
 func (ring *Ring[T]) Put(item T) bool {
 	ring.mutex.Lock()
 	defer ring.mutex.Unlock()
@@ -31,7 +34,8 @@
 	return true
 }
 
-// Take waits for items and gives all there are, at most so many; none once closed.
+// Take waits for an item and returns all that are queued, at most so many, in
+// order. It returns nil once the ring is closed, also if items are left.
 func (ring *Ring[T]) Take(most int) []T {
 	ring.mutex.Lock()
 	defer ring.mutex.Unlock()
@@ -52,6 +56,7 @@
 	return taken
 }
 
+// Close ends all waits; items that are left are lost.
 func (ring *Ring[T]) Close() {
 	ring.mutex.Lock()
 	ring.closed = true
--- a/run/turn.go
+++ b/run/turn.go
@@ -2,19 +2,22 @@
 
 import "sync"
 
-// Turn lets one holder in at a time, for as long as it needs, also over waits.
+// Turn is a mutual exclusion lock that may be held over waits. A waiter blocks on a
+// condition, not on a sync.Mutex, so that virtual time can advance.
 type Turn struct {
 	mutex sync.Mutex
 	wake  *sync.Cond
 	taken bool
 }
 
+// NewTurn returns an unlocked Turn.
 func NewTurn() *Turn {
 	turn := &Turn{}
 	turn.wake = sync.NewCond(&turn.mutex)
 	return turn
 }
 
+// Take locks the turn and waits while another holds it.
 func (turn *Turn) Take() {
 	turn.mutex.Lock()
 	for turn.taken {
@@ -24,6 +27,7 @@
 	turn.mutex.Unlock()
 }
 
+// Give unlocks the turn.
 func (turn *Turn) Give() {
 	turn.mutex.Lock()
 	turn.taken = false
--- a/scale/core.go
+++ b/scale/core.go
@@ -30,8 +30,8 @@
 	meterQuiet  = 3 * time.Second
 )
 
-// CoreSpec is one core process. SlowUs is processor time that it burns on each
-// session, so that a run can be seen to notice it.
+// CoreSpec is the configuration of one core process, passed as JSON on its command
+// line. SlowUs is processor time in microseconds that it wastes on each session.
 type CoreSpec struct {
 	Name     string
 	Zone     string
@@ -59,7 +59,8 @@
 	})
 }
 
-// RunCore is the life of a core process.
+// RunCore is the main function of a core process; it returns when the process is
+// stopped.
 func RunCore(spec CoreSpec) *wire.Mishap {
 	threads, counts, tap := run.NewThreads(), run.NewCounts(), newTap()
 	line := wire.NewLine(tap.transport())
--- a/scale/fit.go
+++ b/scale/fit.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// Fit is a line by least squares with the standard error of its slope and the
-// root mean square of what is left over, as a part of the largest value.
+// Fit is a least-squares line: its intercept and slope, the standard error of the
+// slope, and the root mean square of the residuals as a part of the largest value.
 type Fit struct {
 	Base       float64
 	Slope      float64
@@ -12,7 +12,7 @@
 	Points     int
 }
 
-// FitLine lays a line through at least two points.
+// FitLine fits a line to at least two points; with fewer the fit is zero.
 func FitLine(sizes, values []float64) Fit {
 	count := float64(len(sizes))
 	fit := Fit{Points: len(sizes)}
@@ -49,5 +49,5 @@
 	return fit
 }
 
-// At is the line's value at a size.
+// At returns the line's value at a size.
 func (fit Fit) At(size float64) float64 { return fit.Base + fit.Slope*size }
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -45,8 +45,9 @@
 	return all
 }
 
-// HollowSpec is a process of hollow daemons; Active is how many tenants each
-// of them counts in a window.
+// HollowSpec is the configuration of a process of hollow daemons, passed as JSON on
+// its command line. Active is the number of tenants that each of them counts in a
+// window.
 type HollowSpec struct {
 	First   int
 	Daemons int
@@ -146,7 +147,8 @@
 	one.line.Close()
 }
 
-// RunHollow is the life of a process of hollow daemons.
+// RunHollow is the main function of a process of hollow daemons; it returns when
+// the process is stopped.
 func RunHollow(spec HollowSpec) *wire.Mishap {
 	threads, tap := run.NewThreads(), newTap()
 	all := &hollows{spec: spec, tap: tap, applied: map[uint64][]int64{}}
--- a/scale/page.go
+++ b/scale/page.go
@@ -177,7 +177,8 @@
 	table.row(slices.Repeat([]string{"---"}, len(cells))...)
 }
 
-// WritePage puts the tables and plots of the results into their places.
+// WritePage writes the tables and plots of the results in a folder into their
+// marked places of the page.
 func WritePage(page, results string) *wire.Mishap {
 	found, mishap := readEvidence(results)
 	if mishap != nil {
--- a/scale/point.go
+++ b/scale/point.go
@@ -21,7 +21,10 @@
 	"orchidjunction/wire"
 )
 
-// Point is one size at which the fleet is measured.
+// Point is one size at which a deployment is measured. Seconds is the length of
+// each phase; Active the tenants that a daemon counts in a window; SlowUs processor
+// time, in microseconds, that a core wastes on each session, so that a run can be
+// seen to notice it.
 type Point struct {
 	Cores    int
 	Daemons  int
@@ -36,8 +39,8 @@
 	SlowUs   int
 }
 
-// Rates are what one process of a role used and passed on in a second; those
-// of a daemon are its part of the shared process.
+// Rates are what one process of a role used in a second: Processor in cores,
+// messages and bytes. Those of a daemon are its part of the process that it shares.
 type Rates struct {
 	Processor   float64
 	Messages    float64
@@ -47,7 +50,8 @@
 	Descriptors float64
 }
 
-// Spread is in how many milliseconds a change was in force at parts of the daemons.
+// Spread is the milliseconds until a change was in force at half, at 99 in 100 and
+// at all of the daemons.
 type Spread struct {
 	Half float64
 	Most float64
@@ -104,7 +108,8 @@
 	dead    bool
 }
 
-// Measure runs a fleet of a size on ports from a first one on, and gives what it cost.
+// Measure runs a deployment of a size on ports from port on, through all phases.
+// Result.Failed says what went wrong.
 func Measure(point Point, port int, threads *run.Threads) *Result {
 	bench := &bench{point: point, port: port, threads: run.NewThreads(), result: &Result{Point: point, AtMs: time.Now().UnixMilli(), LoadBefore: load(),
 		Steady: map[string]Rates{}, Changing: map[string]Rates{}, Restarting: map[string]Rates{}}}
@@ -494,5 +499,6 @@
 	return mishap
 }
 
-// Processors is how many this machine has; a run uses about four of them.
+// Processors returns the number of cores of this machine; a run uses about four of
+// them.
 func Processors() int { return runtime.NumCPU() }
--- a/scale/state.go
+++ b/scale/state.go
@@ -14,8 +14,8 @@
 	"orchidjunction/wire"
 )
 
-// State is what one size of one kind of state costs a process, without any
-// other; milliseconds are of processor time.
+// State is what one size of one kind of state costs a process that holds nothing
+// else; milliseconds are of processor time.
 type State struct {
 	Kind     string
 	Size     int
@@ -26,7 +26,7 @@
 	HeldMB   float64
 }
 
-// States are those that were measured, in sizes from small to large.
+// States are the states that were measured, in sizes from small to large.
 type States struct {
 	Results []State
 }
@@ -43,8 +43,9 @@
 
 const ownersBackends = 1000
 
-// PlayStates measures books and tables as a daemon takes them: unpacked from
-// the wire, then applied to a proxy. Owners are members beside 1,000 backends.
+// PlayStates measures configurations and tables as a daemon takes them: decoded
+// from a message, then applied to a proxy. The kind "owners" is members beside
+// 1,000 backends.
 func PlayStates(folder string, progress io.Writer) *wire.Mishap {
 	all := &States{}
 	for _, kind := range stateKinds {
--- a/scale/sweep.go
+++ b/scale/sweep.go
@@ -11,14 +11,14 @@
 	"orchidjunction/wire"
 )
 
-// Sweep is a set of points along one size, the others standing still.
+// Sweep is a set of points that differ in one size.
 type Sweep struct {
 	Name   string
 	Along  string
 	Points []Point
 }
 
-// Run is a sweep that was measured.
+// Run is a sweep with its results.
 type Run struct {
 	Name       string
 	Along      string
@@ -39,7 +39,7 @@
 	return points
 }
 
-// Sweeps are those that the page's tables are made of.
+// Sweeps are those that the tables of the page are made from.
 var Sweeps = []Sweep{
 	{"daemons", "Daemons", along(func(point *Point, size int) { point.Daemons, point.Apply = size, ApplyIndex }, 12, 48, 192, 768)},
 	{"daemons-slowed", "Daemons", along(func(point *Point, size int) {
@@ -53,12 +53,12 @@
 	{"cores", "Cores", along(func(point *Point, size int) { point.Cores, point.Daemons = size, 48 }, 3, 5, 7, 9)},
 }
 
-// Size is the point's value along a sweep.
+// Size returns the size that a sweep varies.
 func (point *Point) Size(along string) float64 {
 	return float64(map[string]int{"Daemons": point.Daemons, "Backends": point.Backends, "Routes": point.Routes, "Tenants": point.Tenants, "Active": point.Active, "Cores": point.Cores}[along])
 }
 
-// Play measures a sweep and keeps what it found after each point.
+// Play measures a sweep and writes the results to the folder after each point.
 func (sweep *Sweep) Play(folder string, port int, threads *run.Threads, progress io.Writer) *wire.Mishap {
 	played := &Run{Name: sweep.Name, Along: sweep.Along, Machine: "shared with benchmarks and builds while this ran", Processors: Processors()}
 	for _, point := range sweep.Points {
--- a/scale/tap.go
+++ b/scale/tap.go
@@ -1,5 +1,8 @@
-// Package scale measures what each role costs as the fleet grows: real cores in
-// processes of their own, and hollow daemons that share a process.
+// Package scale measures what each role costs as a deployment grows. A Sweep varies
+// one size over Points; Measure runs real cores in processes of their own (RunCore)
+// and many hollow daemons, which carry no requests, in shared ones (RunHollow), and
+// reads what each process used through a Tap. PlayStates measures the state alone.
+// WritePage fits lines to the results and writes the tables of docs/measure.
 package scale
 
 import (
@@ -20,8 +23,8 @@
 	"orchidjunction/wire"
 )
 
-// Tap counts the bytes and messages that pass one process's edge; headers of
-// HTTP are in the bytes, those of TCP are not.
+// Tap counts the bytes and messages that pass one process's listeners and
+// connections. Headers of HTTP are in the bytes, those of TCP are not.
 type Tap struct {
 	in, out  atomic.Uint64
 	mutex    sync.Mutex
@@ -115,7 +118,8 @@
 	return nil
 }
 
-// Reading is what one process has used and passed on since its start.
+// Reading is what one process has used and passed on since its start. Times are
+// microseconds.
 type Reading struct {
 	AtUs        int64
 	ProcessorUs int64
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -1,5 +1,7 @@
-// Package stand holds the stand-ins for all that is outside: backends, the
-// platform and the callers. What they saw is what verdicts are made of.
+// Package stand holds stand-ins for what is outside the system, for the simulator
+// and for real processes: backends (Backend), the platform (Platform) and callers
+// (Origin). Each follows its side of the interface, can be told to misbehave, and
+// records what it saw for package judge.
 package stand
 
 import (
@@ -18,7 +20,11 @@
 	"k8s.io/klog/v2"
 )
 
-// BackendPlace is what a backend stand-in is.
+// BackendPlace is the identity and behaviour of a Backend. WorkMs is the time that
+// a request takes, ColdMs how long the backend is slow after its start, both in
+// milliseconds; GentleRate is the requests a second that it takes meanwhile, Room
+// the requests that it takes at once. Journal, if set, is the file that records are
+// appended to.
 type BackendPlace struct {
 	Service     string
 	Instance    string
@@ -30,7 +36,7 @@
 	Journal     string
 }
 
-// Backend answers by the contract, remembers all, and can be told to misbehave.
+// Backend is an HTTP handler that behaves as a backend and records each request.
 type Backend struct {
 	place BackendPlace
 	since time.Time
@@ -45,6 +51,8 @@
 	journal  *os.File
 }
 
+// NewBackend returns a backend that starts now. The error is that of opening its
+// journal.
 func NewBackend(place BackendPlace) (*Backend, error) {
 	backend := &Backend{place: place, since: time.Now(), seen: Witness{Instance: place.Instance, Service: place.Service, Gentle: place.GentleRate}}
 	if place.Journal == "" {
@@ -67,13 +75,14 @@
 	}
 }
 
+// Place returns the identity and behaviour that the backend was made with.
 func (backend *Backend) Place() BackendPlace { return backend.place }
 
 func (backend *Backend) cold() bool {
 	return time.Since(backend.since) < time.Duration(backend.place.ColdMs)*time.Millisecond
 }
 
-// Leave marks the backend as leaving, as a warned machine does.
+// Leave marks the backend as leaving, as a machine does that was told to stop.
 func (backend *Backend) Leave() {
 	backend.mutex.Lock()
 	if backend.leaving.IsZero() {
@@ -82,14 +91,14 @@
 	backend.mutex.Unlock()
 }
 
-// Misbehave makes the next count tasks end in the named way.
+// Misbehave makes the next count requests end with the named fault.
 func (backend *Backend) Misbehave(fault string, count int) {
 	backend.mutex.Lock()
 	backend.fault, backend.faults = fault, count
 	backend.mutex.Unlock()
 }
 
-// Seen is what this incarnation saw so far.
+// Seen returns what this incarnation has recorded so far.
 func (backend *Backend) Seen() Witness {
 	backend.mutex.Lock()
 	defer backend.mutex.Unlock()
@@ -98,6 +107,8 @@
 	return seen
 }
 
+// ServeHTTP answers identity requests, the commands under /stand/ and requests of
+// callers.
 func (backend *Backend) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	switch request.URL.Path {
 	case "/oj/identity":
--- a/stand/origin.go
+++ b/stand/origin.go
@@ -16,7 +16,8 @@
 	"time"
 )
 
-// Call is one kind of task that callers send.
+// Call is one kind of request that callers send: Body bytes long, LimitMs
+// milliseconds at most. Money says that it carries an idempotency key.
 type Call struct {
 	Weight  int    `json:"weight"`
 	Method  string `json:"method"`
@@ -27,14 +28,17 @@
 	Class   string `json:"class"`
 }
 
-// Caller is one tenant's callers.
+// Caller is the callers of one tenant, with its key and its part of the load.
 type Caller struct {
 	Tenant string `json:"tenant"`
 	Key    string `json:"key"`
 	Weight int    `json:"weight"`
 }
 
-// OriginPlan is what the callers do.
+// OriginPlan is the load: who calls what, PerSecond times a second for Seconds.
+// Tries bounds the tries for one request. Patient callers wait when they are told
+// to retry, Hasty ones never pause, and Eager percent of the requests with a key
+// are sent twice at once.
 type OriginPlan struct {
 	Directories []string `json:"directories"`
 	Callers     []Caller `json:"callers"`
@@ -50,7 +54,9 @@
 	Hasty       bool     `json:"hasty"`
 }
 
-// Try is one of a caller's tries and what it was told.
+// Try is one attempt of a request as its caller saw it; times are milliseconds
+// since the Unix epoch. Mangled says that the body was damaged, Foreign that it was
+// meant for another request.
 type Try struct {
 	ID      string `json:"id"`
 	Task    string `json:"task"`
@@ -72,14 +78,14 @@
 	Replay  bool   `json:"replay,omitempty"`
 }
 
-// Placed is one placement that a directory gave.
+// Placed is one placement that a directory gave, with the serial of its settings.
 type Placed struct {
 	AtMs      int64  `json:"at"`
 	Directory string `json:"directory"`
 	Serial    uint64 `json:"serial"`
 }
 
-// OriginReport is what the callers saw.
+// OriginReport is what all callers saw.
 type OriginReport struct {
 	Asked     int                `json:"asked"`
 	Served    int                `json:"served"`
@@ -93,7 +99,7 @@
 	GapMs     int64              `json:"longest_gap_ms"`
 }
 
-// Origin plays the callers.
+// Origin generates the load of an OriginPlan and records every try.
 type Origin struct {
 	plan   OriginPlan
 	client *http.Client
@@ -114,6 +120,7 @@
 	until  time.Time
 }
 
+// NewOrigin returns an Origin that sends by client and starts goroutines by start.
 func NewOrigin(plan OriginPlan, client *http.Client, start func(func())) *Origin {
 	origin := &Origin{plan: plan, client: client, start: start, random: rand.New(rand.NewPCG(plan.Seed, 7)), fronts: map[string]heldFronts{}}
 	origin.report = OriginReport{Statuses: map[string]int{}, LatencyMs: map[string]float64{}}
@@ -121,7 +128,8 @@
 	return origin
 }
 
-// Run sends at the planned pace and returns what the callers saw.
+// Run sends the planned load, waits for the last answers and returns the report. It
+// ends early once rest returns false.
 func (origin *Origin) Run(rest func(time.Duration) bool) OriginReport {
 	begin := time.Now()
 	origin.lastGood = begin
@@ -297,7 +305,7 @@
 	})
 }
 
-// Once makes one try and keeps its record.
+// Once makes one try at one proxy, records it and returns it.
 func (origin *Origin) Once(caller Caller, call Call, key, id, front string) Try {
 	path, _, _ := strings.Cut(call.Path, "?")
 	try := Try{ID: id, Task: key, Tenant: caller.Tenant, Class: call.Class, Method: call.Method, Path: path, Front: front, AtMs: time.Now().UnixMilli()}
@@ -316,7 +324,7 @@
 	return try
 }
 
-// Tries are those recorded so far.
+// Tries returns the tries recorded so far.
 func (origin *Origin) Tries() []Try {
 	origin.mutex.Lock()
 	defer origin.mutex.Unlock()
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 )
 
-// Listed is one backend as the platform lists it.
+// Listed is one backend in the platform's list.
 type Listed struct {
 	Name    string `json:"name"`
 	Service string `json:"service"`
@@ -20,7 +20,8 @@
 	Leaving bool   `json:"leaving"`
 }
 
-// Platform lists backends in pages, late and rate-limited, and takes reports.
+// Platform is an HTTP handler that behaves as the platform: it lists backends in
+// pages, late and rate-limited, and takes usage reports.
 type Platform struct {
 	page    int
 	lag     time.Duration
@@ -41,13 +42,15 @@
 	items []Listed
 }
 
+// NewPlatform returns a platform that lists items, page entries a page, late by
+// lag, and takes perSecond calls a second.
 func NewPlatform(page int, lag time.Duration, perSecond float64, items []Listed) *Platform {
 	return &Platform{page: max(page, 1), lag: lag, limiter: rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1)),
 		lists: []datedList{{items: items}}, Reports: map[string][]string{}, ReportAt: map[string]int64{}}
 }
 
-// Misbehave makes the platform refuse, vanish or shift its pages for a while, or
-// its usage side refuse, answer slowly, or answer once its caller gave up.
+// Misbehave injects the named fault for a while: the platform refuses, vanishes or
+// shifts its pages, or its usage side refuses, answers slowly or too late.
 func (platform *Platform) Misbehave(mode string, span time.Duration) {
 	platform.mutex.Lock()
 	platform.mode, platform.until = mode, time.Now().Add(span)
@@ -63,14 +66,14 @@
 	return platform.mode
 }
 
-// SetLag is how late the list is from now on.
+// SetLag sets how late the list is.
 func (platform *Platform) SetLag(lag time.Duration) {
 	platform.mutex.Lock()
 	platform.lag = lag
 	platform.mutex.Unlock()
 }
 
-// Set takes effect once the lag is over.
+// Set replaces the list; callers see it once the lag is over.
 func (platform *Platform) Set(items []Listed) {
 	platform.mutex.Lock()
 	platform.lists = append(platform.lists, datedList{at: time.Now(), items: items})
@@ -84,6 +87,8 @@
 	return platform.lists[0].items
 }
 
+// ServeHTTP answers calls for the list, usage reports, and the commands under
+// /stand/.
 func (platform *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	switch mode := platform.now(); {
 	case mode == "gone" || mode == "usage-gone" && request.URL.Path == "/v1/usage":
@@ -166,7 +171,8 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// Told is every body sent for each report, and when the first came.
+// Told returns the bodies sent for each usage report, by report id, and when the
+// first one came, in milliseconds since the Unix epoch.
 func (platform *Platform) Told() (map[string][]string, map[string]int64) {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
--- a/stand/witness.go
+++ b/stand/witness.go
@@ -7,7 +7,7 @@
 	"os"
 )
 
-// Witness is what one incarnation of a backend saw.
+// Witness is what one incarnation of a backend recorded.
 type Witness struct {
 	Instance string    `json:"instance"`
 	Service  string    `json:"service"`
@@ -15,7 +15,8 @@
 	Arrivals []Arrival `json:"arrivals,omitempty"`
 }
 
-// Arrival is one send as a backend saw it.
+// Arrival is one request as a backend saw it; times are milliseconds since the Unix
+// epoch, 0 for what did not happen.
 type Arrival struct {
 	AtMs      int64  `json:"at"`
 	Try       string `json:"try,omitempty"`
@@ -39,8 +40,9 @@
 	Number  int      `json:"number,omitempty"`
 }
 
-// ReadWitnesses gives what every incarnation that wrote to a journal saw; the
-// last line may be cut off.
+// ReadWitnesses reads the records of all incarnations from a journal. Lines that
+// can't be decoded are skipped, as the last one may be torn; a missing file has no
+// records.
 func ReadWitnesses(path string) []Witness {
 	body, _ := os.ReadFile(path)
 	all := []Witness{}
