--- /dev/null
+++ b/data/claim_rings.go
@@ -0,0 +1,145 @@
+package data
+
+import (
+	"slices"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// heldRing is a ring and, once another replaced it, how long a quorum of it is still asked for.
+type heldRing struct {
+	keepers *Keepers
+	mark    wire.TableMark
+	at      time.Time
+	until   time.Time
+}
+
+// goneKeepers is how many left a ring at once, and when.
+type goneKeepers struct {
+	count int
+	at    time.Time
+}
+
+// current drops the rings that are out of use and gives the newest.
+func (claims *Claims) current() *heldRing {
+	kept := claims.rings[:0]
+	for index, ring := range claims.rings {
+		if index == len(claims.rings)-1 || time.Now().Before(ring.until) {
+			kept = append(kept, ring)
+		}
+	}
+	claims.rings = kept
+	return &claims.rings[len(claims.rings)-1]
+}
+
+// outdated is whether a claim comes from a proxy that does not know this ring
+// though it stands for longer than the former one is still asked.
+func (claims *Claims) outdated(claim *wire.Claim) bool {
+	claims.mutex.Lock()
+	defer claims.mutex.Unlock()
+	ring := claims.current()
+	return claim.Table.Less(ring.mark) && time.Since(ring.at) > jointSpan
+}
+
+// apply takes a new ring and tells new keepers what they lack; the former ring
+// is asked too for a while.
+func (claims *Claims) apply(next *Keepers, mark wire.TableMark) {
+	claims.mutex.Lock()
+	before := claims.current()
+	former := before.keepers
+	if sameMembers(former.members, next.members) {
+		claims.mutex.Unlock()
+		return
+	}
+	now := time.Now()
+	before.until = now.Add(jointSpan)
+	if len(former.members) == 0 {
+		before.until = now
+	}
+	claims.left(former.members, next.members, now)
+	claims.rings = append(claims.rings, heldRing{keepers: next, mark: mark, at: now})
+	claims.mutex.Unlock()
+	claims.proxy.threads.Start(func() { claims.retell(former, next) })
+}
+
+// left doubts this memory when so many keepers are gone within a short time
+// that all who granted a key may be among them.
+func (claims *Claims) left(former, next []wire.Member, now time.Time) {
+	gone := goneKeepers{at: now}
+	for _, member := range former {
+		if !slices.ContainsFunc(next, func(other wire.Member) bool { return holderName(other) == holderName(member) }) {
+			gone.count++
+		}
+	}
+	claims.gone = append(claims.gone, gone)
+	lost := 0
+	for _, one := range claims.gone {
+		if now.Sub(one.at) < goneSpan {
+			lost += one.count
+		}
+	}
+	for now.Sub(claims.gone[0].at) > goneSpan {
+		claims.gone = claims.gone[1:]
+	}
+	if lost >= quorum(min(keepersMost, len(former)+lost-gone.count)) && claims.whole {
+		claims.whole = false
+		claims.proxy.counts.Add("claims_doubted", 1)
+	}
+}
+
+func sameMembers(left, right []wire.Member) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for index := range left {
+		if left[index].Name != right[index].Name || left[index].Incarnation != right[index].Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+func (claims *Claims) retell(before, next *Keepers) {
+	batches := map[string][]wire.Claimed{}
+	for after, done := uint64(0), false; !done; {
+		var page []wire.Claimed
+		page, after, done = claims.keeper.Page(after, pullPage)
+		for _, held := range page {
+			former := before.of(held.Key)
+			for _, keeper := range next.of(held.Key) {
+				if !among(former, keeper.Name) && keeper.Name != claims.proxy.daemon.Name() {
+					batches[keeper.Wire] = append(batches[keeper.Wire], held)
+				}
+			}
+		}
+	}
+	for address, batch := range batches {
+		for len(batch) > 0 {
+			count := min(len(batch), 2000)
+			if _, fault := wire.Ask[wire.Retell, wire.RetellTold](claims.proxy.daemon.Line(), address, "retell", pullLimit, &wire.Retell{Claims: batch[:count]}); fault != nil {
+				claims.proxy.counts.Add("claims_not_retold", uint64(count))
+			}
+			batch = batch[count:]
+		}
+	}
+}
+
+// askable gives every ring in use for a key, and all their members once.
+func (claims *Claims) askable(key wire.ClaimKey) ([][]wire.Member, []wire.Member, wire.TableMark) {
+	claims.mutex.Lock()
+	mark := claims.current().mark
+	held := append([]heldRing{}, claims.rings...)
+	claims.mutex.Unlock()
+	rings, all := [][]wire.Member{}, []wire.Member{}
+	for _, one := range held {
+		ring := one.keepers.of(key)
+		rings = append(rings, ring)
+		for _, keeper := range ring {
+			if !among(all, keeper.Name) {
+				all = append(all, keeper)
+			}
+		}
+	}
+	return rings, all, mark
+}
--- a/data/claims.go
+++ b/data/claims.go
@@ -1,8 +1,6 @@
 package data
 
 import (
-	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -39,87 +37,10 @@
 	running map[wire.ClaimKey]string
 }
 
-// heldRing is a ring and, once another replaced it, how long a quorum of it is still asked for.
-type heldRing struct {
-	keepers *Keepers
-	mark    wire.TableMark
-	at      time.Time
-	until   time.Time
-}
-
-// goneKeepers is how many left a ring at once, and when.
-type goneKeepers struct {
-	count int
-	at    time.Time
-}
-
 func newClaims(proxy *Proxy) *Claims {
 	return &Claims{proxy: proxy, keeper: keep.NewBook(), vault: newVault(proxy), rings: []heldRing{{keepers: &Keepers{}}}, running: map[wire.ClaimKey]string{}}
 }
 
-// current drops the rings that are out of use and gives the newest.
-func (claims *Claims) current() *heldRing {
-	kept := claims.rings[:0]
-	for index, ring := range claims.rings {
-		if index == len(claims.rings)-1 || time.Now().Before(ring.until) {
-			kept = append(kept, ring)
-		}
-	}
-	claims.rings = kept
-	return &claims.rings[len(claims.rings)-1]
-}
-
-// outdated is whether a claim comes from a proxy that does not know this ring
-// though it stands for longer than the former one is still asked.
-func (claims *Claims) outdated(claim *wire.Claim) bool {
-	claims.mutex.Lock()
-	defer claims.mutex.Unlock()
-	ring := claims.current()
-	return claim.Table.Less(ring.mark) && time.Since(ring.at) > jointSpan
-}
-
-// Register adds the messages between proxies about idempotency keys to the server.
-func (proxy *Proxy) Register(door *wire.Door) {
-	claims := proxy.claims
-	wire.Take(door, "claim", func(_ context.Context, claim *wire.Claim) (*wire.ClaimTold, error) {
-		if !claims.Grown() {
-			return nil, wire.New(wire.NotReady, "not a keeper yet")
-		}
-		if claims.outdated(claim) {
-			claims.proxy.counts.Add("claims_outdated", 1)
-			return nil, wire.New(wire.OldSerial, "the ring of keepers changed")
-		}
-		return claims.grant(claim), nil
-	})
-	wire.Take(door, "settle", func(_ context.Context, settle *wire.Settle) (*wire.SettleTold, error) {
-		claims.keeper.Settle(settle)
-		return &wire.SettleTold{}, nil
-	})
-	wire.Take(door, "holds", func(_ context.Context, holds *wire.Holds) (*wire.HoldsTold, error) {
-		if holds.Holder != claims.holder() {
-			return nil, wire.New(wire.WrongIdentity, "%s is gone", holds.Holder)
-		}
-		return claims.onHolds(holds), nil
-	})
-	wire.Take(door, "retell", func(_ context.Context, retell *wire.Retell) (*wire.RetellTold, error) {
-		claims.keeper.Retell(retell.Claims)
-		return &wire.RetellTold{}, nil
-	})
-	wire.Take(door, "pull", func(_ context.Context, pull *wire.Pull) (*wire.PullTold, error) {
-		told := &wire.PullTold{Grown: claims.Grown(), Whole: claims.Whole()}
-		told.Claims, told.Last, told.Done = claims.keeper.Page(pull.After, pullPage)
-		return told, nil
-	})
-}
-
-// grant is this proxy's own answer as a keeper.
-func (claims *Claims) grant(claim *wire.Claim) *wire.ClaimTold {
-	whole := claims.Whole()
-	told := claims.keeper.Claim(claim)
-	told.Whole = whole
-	return told
-}
-
 // Whole reports whether this proxy holds every key that it should, so that its
 // grant counts without the cores.
 func (claims *Claims) Whole() bool {
@@ -141,100 +62,6 @@
 	return claims.grown
 }
 
-// onHolds is the holder's word: a claim that neither runs nor was settled here was given back.
-func (claims *Claims) onHolds(holds *wire.Holds) *wire.HoldsTold {
-	claims.mutex.Lock()
-	runs := claims.running[holds.Key] == holds.ID
-	claims.mutex.Unlock()
-	if held, found := claims.keeper.Held(holds.Key); found && held.ID == holds.ID && held.Stage != wire.ClaimRunning {
-		return &wire.HoldsTold{Known: true, Held: held}
-	}
-	return &wire.HoldsTold{Known: runs, Held: wire.Claimed{Key: holds.Key, ID: holds.ID, Stage: wire.ClaimRunning}}
-}
-
-// apply takes a new ring and tells new keepers what they lack; the former ring
-// is asked too for a while.
-func (claims *Claims) apply(next *Keepers, mark wire.TableMark) {
-	claims.mutex.Lock()
-	before := claims.current()
-	former := before.keepers
-	if sameMembers(former.members, next.members) {
-		claims.mutex.Unlock()
-		return
-	}
-	now := time.Now()
-	before.until = now.Add(jointSpan)
-	if len(former.members) == 0 {
-		before.until = now
-	}
-	claims.left(former.members, next.members, now)
-	claims.rings = append(claims.rings, heldRing{keepers: next, mark: mark, at: now})
-	claims.mutex.Unlock()
-	claims.proxy.threads.Start(func() { claims.retell(former, next) })
-}
-
-// left doubts this memory when so many keepers are gone within a short time
-// that all who granted a key may be among them.
-func (claims *Claims) left(former, next []wire.Member, now time.Time) {
-	gone := goneKeepers{at: now}
-	for _, member := range former {
-		if !slices.ContainsFunc(next, func(other wire.Member) bool { return holderName(other) == holderName(member) }) {
-			gone.count++
-		}
-	}
-	claims.gone = append(claims.gone, gone)
-	lost := 0
-	for _, one := range claims.gone {
-		if now.Sub(one.at) < goneSpan {
-			lost += one.count
-		}
-	}
-	for now.Sub(claims.gone[0].at) > goneSpan {
-		claims.gone = claims.gone[1:]
-	}
-	if lost >= quorum(min(keepersMost, len(former)+lost-gone.count)) && claims.whole {
-		claims.whole = false
-		claims.proxy.counts.Add("claims_doubted", 1)
-	}
-}
-
-func sameMembers(left, right []wire.Member) bool {
-	if len(left) != len(right) {
-		return false
-	}
-	for index := range left {
-		if left[index].Name != right[index].Name || left[index].Incarnation != right[index].Incarnation {
-			return false
-		}
-	}
-	return true
-}
-
-func (claims *Claims) retell(before, next *Keepers) {
-	batches := map[string][]wire.Claimed{}
-	for after, done := uint64(0), false; !done; {
-		var page []wire.Claimed
-		page, after, done = claims.keeper.Page(after, pullPage)
-		for _, held := range page {
-			former := before.of(held.Key)
-			for _, keeper := range next.of(held.Key) {
-				if !among(former, keeper.Name) && keeper.Name != claims.proxy.daemon.Name() {
-					batches[keeper.Wire] = append(batches[keeper.Wire], held)
-				}
-			}
-		}
-	}
-	for address, batch := range batches {
-		for len(batch) > 0 {
-			count := min(len(batch), 2000)
-			if _, fault := wire.Ask[wire.Retell, wire.RetellTold](claims.proxy.daemon.Line(), address, "retell", pullLimit, &wire.Retell{Claims: batch[:count]}); fault != nil {
-				claims.proxy.counts.Add("claims_not_retold", uint64(count))
-			}
-			batch = batch[count:]
-		}
-	}
-}
-
 // grow makes this proxy a keeper once it knows what the others keep, or when
 // no keeper is known to anybody.
 func (claims *Claims) grow() {
@@ -337,165 +164,10 @@
 	return nil, keyBusy()
 }
 
-// askable gives every ring in use for a key, and all their members once.
-func (claims *Claims) askable(key wire.ClaimKey) ([][]wire.Member, []wire.Member, wire.TableMark) {
-	claims.mutex.Lock()
-	mark := claims.current().mark
-	held := append([]heldRing{}, claims.rings...)
-	claims.mutex.Unlock()
-	rings, all := [][]wire.Member{}, []wire.Member{}
-	for _, one := range held {
-		ring := one.keepers.of(key)
-		rings = append(rings, ring)
-		for _, keeper := range ring {
-			if !among(all, keeper.Name) {
-				all = append(all, keeper)
-			}
-		}
-	}
-	return rings, all, mark
-}
-
-// enough is whether the granting members make a quorum of every ring.
-func enough(rings [][]wire.Member, granting []wire.Member) bool {
-	for _, ring := range rings {
-		count := 0
-		for _, keeper := range ring {
-			if among(granting, keeper.Name) {
-				count++
-			}
-		}
-		if len(ring) == 0 || count < quorum(len(ring)) {
-			return false
-		}
-	}
-	return len(rings) > 0
-}
-
 func keyBusy() *wire.Mishap {
 	return &wire.Mishap{Kind: wire.KeyBusy, Cause: "another send of this key runs; ask again for its outcome", Retry: comeBack, Outcome: wire.MayHaveRun}
 }
 
-// claimAnswer is a keeper's or a core's.
-type claimAnswer struct {
-	keeper *wire.ClaimTold
-	core   *wire.KeepTold
-}
-
-func (answer claimAnswer) told() *wire.ClaimTold {
-	if answer.keeper != nil {
-		return answer.keeper
-	}
-	if len(answer.core.Told) == 1 {
-		return &answer.core.Told[0]
-	}
-	return &wire.ClaimTold{}
-}
-
-// poll is one round of asking for a claim.
-type poll struct {
-	rings   [][]wire.Member
-	members []wire.Member
-	got     map[int]claimAnswer
-}
-
-// refused is what somebody holds of the key; what is settled tells most.
-func (poll *poll) refused() (refusal *wire.Claimed) {
-	for _, answer := range poll.got {
-		if told := answer.told(); !told.Granted && told.Held.ID != "" && (refusal == nil || refusal.Stage == wire.ClaimRunning) {
-			refusal = &told.Held
-		}
-	}
-	return refusal
-}
-
-// kept is whether a majority of cores keep the claim, and whether so many of
-// them are whole that nothing kept before was missed.
-func (poll *poll) kept() (lasting, whole bool) {
-	granted, wholes, need := 0, 0, 1
-	for _, answer := range poll.got {
-		if answer.core == nil {
-			continue
-		}
-		need = max(need, answer.core.Cores/2+1)
-		if answer.told().Granted {
-			granted++
-			if answer.core.Whole {
-				wholes++
-			}
-		}
-	}
-	return granted >= need, wholes >= need
-}
-
-// quorums is whether the keepers that granted make a quorum of every ring; with
-// wholes, only those whose memory is whole count.
-func (poll *poll) quorums(wholes bool) bool {
-	granting := []wire.Member{}
-	for index, answer := range poll.got {
-		if answer.keeper != nil && answer.keeper.Granted && (answer.keeper.Whole || !wholes) {
-			granting = append(granting, poll.members[index])
-		}
-	}
-	return enough(poll.rings, granting)
-}
-
-// ask sends the claim to all keepers and cores; one refusal is enough to stop.
-// A grant needs the keepers' quorum and lasts at a majority of cores. While the
-// cores are away, keepers whose memory is whole go on alone.
-func (claims *Claims) ask(rings [][]wire.Member, members []wire.Member, claim *wire.Claim) (*wire.Claimed, bool) {
-	cores := claims.proxy.daemon.Finder.Cores()
-	away := claims.vault.Away()
-	got, _ := run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
-		if index >= len(members) {
-			told, fault := claims.vault.ask(cores[index-len(members)], &wire.Keep{Claims: []wire.Claim{*claim}}, vaultLimit)
-			return claimAnswer{core: told}, fault
-		}
-		if members[index].Name == claims.proxy.daemon.Name() {
-			return claimAnswer{keeper: claims.grant(claim)}, nil
-		}
-		told, fault := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
-		return claimAnswer{keeper: told}, fault
-	}, func(got map[int]claimAnswer, _ map[int]error) bool {
-		poll := &poll{rings: rings, members: members, got: got}
-		if poll.refused() != nil {
-			return true
-		}
-		lasting, whole := poll.kept()
-		return lasting && poll.quorums(!whole) || away && poll.quorums(true)
-	})
-	poll := &poll{rings: rings, members: members, got: got}
-	if refusal := poll.refused(); refusal != nil {
-		return refusal, false
-	}
-	lasting, whole := poll.kept()
-	claims.vault.found(lasting)
-	if lasting {
-		return nil, poll.quorums(!whole)
-	}
-	if !poll.quorums(true) {
-		return nil, false
-	}
-	claims.proxy.counts.Add("claims_without_core", 1)
-	claims.vault.owe(owed{retold: &claim.Claimed})
-	return nil, true
-}
-
-// askHolder asks the proxy that claimed a key; nil and not known when it is silent or gone.
-func (claims *Claims) askHolder(claimed *wire.Claimed) (*wire.Claimed, bool) {
-	for _, known := range claims.proxy.daemon.Version().Table.Members {
-		if holderName(known) != claimed.Holder {
-			continue
-		}
-		told, fault := wire.Ask[wire.Holds, wire.HoldsTold](claims.proxy.daemon.Line(), known.Wire, "holds", claimLimit, &wire.Holds{Holder: claimed.Holder, Key: claimed.Key, ID: claimed.ID})
-		if fault != nil {
-			return nil, false
-		}
-		return &told.Held, told.Known
-	}
-	return nil, false
-}
-
 func holderName(member wire.Member) string { return member.Name + "/" + member.Incarnation }
 
 // free gives the key back at every keeper: this claim's task was never sent.
@@ -531,18 +203,3 @@
 	claims.mutex.Unlock()
 	claims.tell(ring, &wire.Settle{Claimed: claimed})
 }
-
-func (claims *Claims) tell(ring []wire.Member, settle *wire.Settle) {
-	claims.vault.owe(owed{settle: settle})
-	for _, keeper := range ring {
-		if keeper.Name == claims.proxy.daemon.Name() {
-			claims.keeper.Settle(settle)
-			continue
-		}
-		claims.proxy.threads.Start(func() {
-			if _, fault := wire.Ask[wire.Settle, wire.SettleTold](claims.proxy.daemon.Line(), keeper.Wire, "settle", settleLimit, settle); fault != nil {
-				claims.proxy.counts.Add("claims_not_settled", 1)
-			}
-		})
-	}
-}
--- /dev/null
+++ b/fleet/comparison.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"orchidjunction/conf"
+	"orchidjunction/judge"
+	"orchidjunction/place"
+	"orchidjunction/plan"
+)
+
+// compare asks a backend directly and through a proxy, in turns.
+func compare(fleet *Fleet) {
+	fleet.rest(0.2)
+	backend, proxy := fleet.Backends[0], fleet.Proxies[0]
+	var path string
+	for _, route := range fleet.settings.Resolve() {
+		if route.Service == backend.Service && route.Method == http.MethodGet && route.Whole("receipt_bytes") <= 1<<20 {
+			path = strings.Replace(route.Path, "*", "7?bytes=2000", 1)
+		}
+	}
+	tenant := sortedKeys(fleet.settings.Tenants)[0]
+	times := map[string][]float64{}
+	for number := range 400 {
+		for name, address := range map[string]string{"direct": backend.Outer + path, "through": proxy.Outer + "/" + backend.Service + path} {
+			request, _ := http.NewRequest(http.MethodGet, "http://"+address, nil)
+			request.Header.Set("Authorization", "Bearer key-of-"+tenant)
+			request.Header.Set("Oj-Service", backend.Service)
+			request.Header.Set("Oj-Task", fmt.Sprintf("compare-%d", number))
+			begin := time.Now()
+			response, fault := fleet.client.Do(request)
+			if fault != nil {
+				continue
+			}
+			buffer := make([]byte, 4096)
+			for fault == nil {
+				_, fault = response.Body.Read(buffer)
+			}
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				times[name] = append(times[name], float64(time.Since(begin).Microseconds())/1000)
+			}
+		}
+	}
+	fmt.Printf("compare: direct p50 %.2f ms p99 %.2f ms, through p50 %.2f ms p99 %.2f ms, ratio of p50 %.2f, of %d and %d\n", judge.Part(times["direct"], 0.5), judge.Part(times["direct"], 0.99),
+		judge.Part(times["through"], 0.5), judge.Part(times["through"], 0.99), judge.Part(times["through"], 0.5)/judge.Part(times["direct"], 0.5), len(times["direct"]), len(times["through"]))
+}
+
+// forecast is what the planner says of emptying a zone.
+func (fleet *Fleet) forecast(zone string) *plan.Forecast {
+	held, mishap := fleet.Operator(0).Read(false)
+	status, silent := fleet.Operator(0).Status()
+	if mishap != nil || silent != nil {
+		return nil
+	}
+	before, mishap := conf.Read(held.Settings)
+	if mishap != nil {
+		return nil
+	}
+	after := *before
+	after.Drained.Zones = []string{zone}
+	look := plan.Fleet{Serial: held.Serial, Settings: before, Backends: status.Backends, Capacity: 30}
+	for _, known := range status.Members {
+		look.Members = append(look.Members, known.Member)
+	}
+	return plan.Look(look, &after)
+}
+
+// compareForecast asks a directory where tenants go now and sets it against the forecast.
+func (fleet *Fleet) compareForecast(forecast *plan.Forecast) {
+	if forecast == nil {
+		fleet.codes = append(fleet.codes, "no forecast")
+		return
+	}
+	right := 0
+	for _, move := range forecast.Moves {
+		request, _ := http.NewRequest(http.MethodGet, "http://"+fleet.Directories[0].Outer+"/v1/place", nil)
+		request.Header.Set("Authorization", "Bearer key-of-"+move.Tenant)
+		response, fault := fleet.client.Do(request)
+		if fault != nil {
+			continue
+		}
+		placement := place.Placement{}
+		fault = json.NewDecoder(response.Body).Decode(&placement)
+		response.Body.Close()
+		if fault != nil {
+			fleet.codes = append(fleet.codes, fmt.Sprintf("placement of %s: %v", move.Tenant, fault))
+			continue
+		}
+		got := []string{}
+		for _, front := range placement.Fronts {
+			got = append(got, front.Name)
+		}
+		sort.Strings(got)
+		if strings.Join(got, " ") == strings.Join(move.To, " ") {
+			right++
+		} else {
+			fleet.codes = append(fleet.codes, fmt.Sprintf("%s forecast at %v, found at %v", move.Tenant, move.To, got))
+		}
+	}
+	fmt.Printf("%s: forecast: %d of %d tenants would move, %d moved as said\n", fleet.name, len(forecast.Moves), forecast.Tenants, right)
+}
--- /dev/null
+++ b/fleet/load.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"orchidjunction/stand"
+	"orchidjunction/wire"
+)
+
+// Call starts the callers.
+func (fleet *Fleet) Call() *wire.Mishap {
+	plan := stand.OriginPlan{PerSecond: fleet.Spec.Rate, Seconds: fleet.Spec.Seconds + 3600, Tries: fleet.Spec.Tries, Seed: fleet.Spec.Seed, Patient: true}
+	for _, directory := range fleet.Directories {
+		plan.Directories = append(plan.Directories, directory.Outer)
+	}
+	for name, tenant := range fleet.settings.Tenants {
+		plan.Callers = append(plan.Callers, stand.Caller{Tenant: name, Key: "key-of-" + name, Weight: tenant.Share})
+	}
+	sort.Slice(plan.Callers, func(left, right int) bool { return plan.Callers[left].Tenant < plan.Callers[right].Tenant })
+	money, other := []stand.Call{}, []stand.Call{}
+	for _, route := range fleet.settings.Resolve() {
+		call := stand.Call{Class: route.Class, Method: route.Method, Path: "/" + route.Service + strings.Replace(route.Path, "*", "7?bytes=2000", 1), Money: route.Money, LimitMs: route.Whole("limit_ms"), Body: 100}
+		if route.Method == http.MethodGet {
+			call.Body = 0
+		}
+		if route.Whole("receipt_bytes") > 1<<20 {
+			call.Path = strings.Replace(call.Path, "bytes=2000", "bytes=1500000", 1)
+		}
+		if route.Money {
+			money = append(money, call)
+		} else {
+			other = append(other, call)
+		}
+	}
+	large := 0
+	for _, call := range other {
+		if strings.Contains(call.Path, "1500000") {
+			large++
+		}
+	}
+	for _, call := range money {
+		call.Weight = 100 * fleet.Spec.MoneyPart / len(money)
+		plan.Calls = append(plan.Calls, call)
+	}
+	for _, call := range other {
+		call.Weight = (100*(100-fleet.Spec.MoneyPart) - 20*large) / max(len(other)-large, 1)
+		if strings.Contains(call.Path, "1500000") {
+			call.Weight = 20
+		}
+		plan.Calls = append(plan.Calls, call)
+	}
+	path := filepath.Join(fleet.Spec.Folder, "origin.json")
+	body, _ := json.Marshal(plan)
+	if fault := os.WriteFile(path, body, 0o600); fault != nil {
+		return wire.New(wire.DiskFault, "%v", fault)
+	}
+	fleet.called = time.Now()
+	fleet.origin = fleet.process("origin", "ojorigin", "--plan", path)
+	return fleet.origin.Start()
+}
+
+// Callers waits until the load has lasted as long as the Spec says, stops the
+// callers and returns their report.
+func (fleet *Fleet) Callers() (*stand.OriginReport, *wire.Mishap) {
+	fleet.threads.Rest(time.Until(fleet.called.Add(time.Duration(fleet.Spec.Seconds * float64(time.Second)))))
+	fleet.origin.Signal(syscall.SIGTERM)
+	fleet.origin.Wait(60 * time.Second)
+	body, fault := os.ReadFile(fleet.origin.log)
+	report := &stand.OriginReport{}
+	if fault == nil {
+		fault = json.Unmarshal(body, report)
+	}
+	if fault != nil {
+		return nil, wire.New(wire.BadMessage, "callers' report: %v", fault)
+	}
+	return report, nil
+}
--- /dev/null
+++ b/scale/bench.go
@@ -0,0 +1,181 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"orchidjunction/member"
+	"orchidjunction/program"
+	"orchidjunction/route"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+type bench struct {
+	point   Point
+	port    int
+	folder  string
+	threads *run.Threads
+	cores   []*child
+	hollows []*child
+	hold    *member.Hold
+	result  *Result
+	version uint64
+}
+
+// Measure runs a deployment of a size on ports from port on, through all phases.
+// Result.Failed says what went wrong.
+func Measure(point Point, port int, threads *run.Threads) *Result {
+	bench := &bench{point: point, port: port, threads: run.NewThreads(), result: &Result{Point: point, AtMs: time.Now().UnixMilli(), LoadBefore: load(),
+		Steady: map[string]Rates{}, Changing: map[string]Rates{}, Restarting: map[string]Rates{}}}
+	defer bench.down()
+	threads.OnStop(bench.threads.Stop)
+	for _, phase := range []func() *wire.Mishap{bench.up, bench.steady, bench.change, bench.restart, bench.kill} {
+		if mishap := phase(); mishap != nil {
+			bench.result.Failed = append(bench.result.Failed, mishap.Error())
+			break
+		}
+	}
+	return bench.result
+}
+
+func load() float64 {
+	body, _ := os.ReadFile("/proc/loadavg")
+	first, _, _ := strings.Cut(string(body), " ")
+	value, _ := strconv.ParseFloat(first, 64)
+	return value
+}
+
+func (bench *bench) down() {
+	for _, one := range append(append([]*child{}, bench.cores...), bench.hollows...) {
+		one.end(syscall.SIGKILL)
+	}
+	bench.threads.Stop()
+	if fault := os.RemoveAll(bench.folder); fault != nil {
+		bench.result.Failed = append(bench.result.Failed, fault.Error())
+	}
+}
+
+// until asks again and again, at most so long.
+func (bench *bench) until(limit time.Duration, what string, done func() bool) *wire.Mishap {
+	for end := time.Now().Add(limit); !done(); {
+		if time.Now().After(end) || !bench.threads.Rest(50*time.Millisecond) {
+			return wire.New(wire.NotReady, "%s not within %v", what, limit)
+		}
+	}
+	return nil
+}
+
+func (bench *bench) up() *wire.Mishap {
+	begin, point := time.Now(), bench.point
+	folder, fault := os.MkdirTemp("", "ojfleet-scale-")
+	if fault != nil {
+		return wire.New(wire.DiskFault, "%v", fault)
+	}
+	bench.folder = folder
+	list := fmt.Sprintf("127.0.0.1:%d", bench.port)
+	if mishap := newTap().serve(list, listOf(backends(point.Backends, point.Services)), bench.threads); mishap != nil {
+		return mishap
+	}
+	seeds := []string{}
+	for number := range min(point.Cores, seedMost) {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep))
+	}
+	for number := range point.Cores {
+		address, report := fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep), fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep+1)
+		data := filepath.Join(folder, fmt.Sprintf("core-%d", number))
+		if fault := os.MkdirAll(data, 0o700); fault != nil {
+			return wire.New(wire.DiskFault, "%v", fault)
+		}
+		spec := CoreSpec{Name: fmt.Sprintf("core-%02d", number), Zone: zoneName(number), Wire: address, Report: report, Seeds: seeds, Folder: data, Cores: point.Cores,
+			Platform: list, Metered: true, SlowUs: point.SlowUs}
+		if mishap := bench.begin("scale-core", spec, report, address, 2); mishap != nil {
+			return mishap
+		}
+	}
+	if mishap := bench.until(30*time.Second, "a leader", func() bool { return bench.leader() != nil }); mishap != nil {
+		return mishap
+	}
+	line := wire.NewLine(program.FarTransport(userTimeout))
+	finder := member.NewFinder(line, bench.threads, seeds).Paced(member.Paces{Seek: seekPace})
+	finder.Run()
+	bench.hold = member.NewHold(finder, line, run.NewCounts()).Within(member.HoldLimits{Answer: 20 * time.Second, Send: 15 * time.Second})
+	whole := config(1, point.Routes, point.Services, point.Tenants)
+	if body, fault := wire.Pack(whole); fault == nil {
+		bench.result.ConfigKB = float64(len(body)) / 1024
+	}
+	if _, mishap := bench.order(&route.Change{Version: 1, Digest: "1", Whole: whole}); mishap != nil {
+		return mishap
+	}
+	for first := 0; first < point.Daemons; first += hollowMost {
+		port := bench.port + 1000 + len(bench.hollows)*portStep
+		spec := HollowSpec{First: first, Daemons: min(hollowMost, point.Daemons-first), Wire: fmt.Sprintf("127.0.0.1:%d", port), Report: fmt.Sprintf("127.0.0.1:%d", port+1),
+			Seeds: seeds, Apply: point.Apply, Active: point.Active, Tenants: point.Tenants}
+		if mishap := bench.begin("scale-hollow", spec, spec.Report, spec.Wire, 4); mishap != nil {
+			return mishap
+		}
+	}
+	mishap := bench.until(90*time.Second, "readiness of all daemons", bench.ready)
+	bench.result.StartMs = float64(time.Since(begin).Milliseconds())
+	return mishap
+}
+
+func (bench *bench) order(change *route.Change) (uint64, *wire.Mishap) {
+	body, fault := wire.Pack(change)
+	if fault != nil {
+		return 0, wire.AsMishap(fault)
+	}
+	told, mishap := member.Send[wire.RouteChange, wire.RouteChangeTold](bench.hold, "routechange", &wire.RouteChange{Body: body})
+	if mishap != nil {
+		return 0, mishap
+	}
+	bench.version = change.Version
+	return told.Serial, nil
+}
+
+func (bench *bench) ready() bool {
+	count := 0
+	for _, one := range bench.hollows {
+		reading := Reading{}
+		if getJSON(one.report, "/reading", &reading) != nil {
+			return false
+		}
+		count += reading.Ready
+	}
+	return count == bench.point.Daemons
+}
+
+func (bench *bench) leader() *child {
+	for _, one := range bench.cores {
+		reading := Reading{}
+		if !one.dead && getJSON(one.report, "/reading", &reading) == nil && reading.Leads {
+			return one
+		}
+	}
+	return nil
+}
+
+// over measures what goes on during a duty.
+func (bench *bench) over(duty func() *wire.Mishap) (map[string]Rates, *wire.Mishap) {
+	before, mishap := bench.readings()
+	if mishap != nil {
+		return nil, mishap
+	}
+	if mishap := duty(); mishap != nil {
+		return nil, mishap
+	}
+	after, mishap := bench.readings()
+	if mishap != nil {
+		return nil, mishap
+	}
+	return bench.rates(before, after), nil
+}
+
+func (bench *bench) span() time.Duration {
+	return time.Duration(bench.point.Seconds * float64(time.Second))
+}
--- /dev/null
+++ b/scale/child.go
@@ -0,0 +1,54 @@
+package scale
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"orchidjunction/wire"
+)
+
+type child struct {
+	command *exec.Cmd
+	report  string
+	wire    string
+	dead    bool
+}
+
+func (bench *bench) begin(kind string, spec any, report, address string, processors int) *wire.Mishap {
+	body, fault := json.Marshal(spec)
+	if fault != nil {
+		return wire.New(wire.BadFlag, "%v", fault)
+	}
+	log, fault := os.Create(filepath.Join(bench.folder, kind+"-"+strings.ReplaceAll(address, ":", "-")+".log"))
+	if fault != nil {
+		return wire.New(wire.DiskFault, "%v", fault)
+	}
+	defer func() { _ = log.Close() }() // the process writes through a descriptor of its own
+	command := exec.Command("/proc/self/exe", kind, "--spec", string(body))
+	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(processors))
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if fault := command.Start(); fault != nil {
+		return wire.New(wire.BadFlag, "%v", fault)
+	}
+	begun := &child{command: command, report: report, wire: address}
+	if kind == "scale-core" {
+		bench.cores = append(bench.cores, begun)
+	} else {
+		bench.hollows = append(bench.hollows, begun)
+	}
+	return nil
+}
+
+func (child *child) end(signal syscall.Signal) {
+	if !child.dead {
+		child.dead = true
+		_ = child.command.Process.Signal(signal) // one that just ended needs none
+		_ = child.command.Wait()                 // it ends by the signal, which is an error here
+	}
+}
--- /dev/null
+++ b/scale/phases.go
@@ -0,0 +1,135 @@
+package scale
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"syscall"
+	"time"
+
+	"orchidjunction/route"
+	"orchidjunction/wire"
+)
+
+// settle waits until no table was made for a while, or at most so long that a
+// storm is measured as one.
+func (bench *bench) settle() {
+	tables, since := uint64(0), time.Now()
+	for end := since.Add(settleMost); time.Since(since) < settleQuiet && time.Now().Before(end); {
+		made := uint64(0)
+		for _, one := range bench.cores {
+			reading := Reading{}
+			if getJSON(one.report, "/reading", &reading) == nil {
+				made += reading.Counts["tables"]
+			}
+		}
+		if made != tables {
+			tables, since = made, time.Now()
+		}
+		if !bench.threads.Rest(200 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (bench *bench) steady() (mishap *wire.Mishap) {
+	bench.settle()
+	bench.result.Steady, mishap = bench.over(func() *wire.Mishap {
+		bench.threads.Rest(bench.span())
+		return nil
+	})
+	return mishap
+}
+
+// change sends small patches, one a second, and waits until each is in force.
+func (bench *bench) change() (mishap *wire.Mishap) {
+	bench.result.Changing, mishap = bench.over(func() *wire.Mishap {
+		for range bench.point.Changes {
+			begin := time.Now()
+			spread, mishap := bench.patch()
+			if mishap != nil {
+				return mishap
+			}
+			bench.result.Changes = append(bench.result.Changes, spread)
+			bench.threads.Rest(time.Second - time.Since(begin))
+		}
+		return nil
+	})
+	return mishap
+}
+
+func (bench *bench) patch() (Spread, *wire.Mishap) {
+	changed := routeOf(int(bench.version)%bench.point.Routes, bench.point.Services)
+	changed.TimeoutMs += int(bench.version)
+	begin := time.Now()
+	serial, mishap := bench.order(&route.Change{Version: bench.version + 1, Base: bench.version, Digest: strconv.FormatUint(bench.version+1, 10), Patch: &route.Patch{Routes: []route.Route{changed}}})
+	if mishap != nil {
+		return Spread{}, mishap
+	}
+	times := []int64{}
+	mishap = bench.until(30*time.Second, fmt.Sprintf("serial %d in force everywhere", serial), func() bool {
+		times = bench.applied(serial)
+		return len(times) >= bench.point.Daemons
+	})
+	if mishap != nil {
+		mishap.Cause += fmt.Sprintf(", at %d of %d", len(times), bench.point.Daemons)
+		return Spread{}, mishap
+	}
+	return spreadOf(times, begin), nil
+}
+
+func spreadOf(times []int64, begin time.Time) Spread {
+	at := func(part float64) float64 {
+		return float64(times[min(len(times)-1, int(part*float64(len(times))))]-begin.UnixMicro()) / 1000
+	}
+	return Spread{Half: at(0.5), Most: at(0.99), All: at(1)}
+}
+
+func (bench *bench) applied(serial uint64) []int64 {
+	all := []int64{}
+	for _, one := range bench.hollows {
+		times := []int64{}
+		if getJSON(one.report, "/applied?serial="+strconv.FormatUint(serial, 10), &times) != nil {
+			return nil
+		}
+		all = append(all, times...)
+	}
+	sort.Slice(all, func(left, right int) bool { return all[left] < all[right] })
+	return all
+}
+
+// restart ends a tenth of the daemons at once and starts them anew.
+func (bench *bench) restart() (mishap *wire.Mishap) {
+	bench.result.Restarting, mishap = bench.over(func() *wire.Mishap {
+		begin := time.Now()
+		for _, one := range bench.hollows {
+			count := max(1, bench.point.Daemons/len(bench.hollows)/10)
+			bench.result.Restarted += count
+			done := false
+			if mishap := getJSON(one.report, "/restart?count="+strconv.Itoa(count), &done); mishap != nil {
+				return mishap
+			}
+		}
+		if mishap := bench.until(60*time.Second, "readiness after restarts", bench.ready); mishap != nil {
+			return mishap
+		}
+		bench.result.ReadyMs = float64(time.Since(begin).Microseconds()) / 1000
+		bench.threads.Rest(3*time.Second - time.Since(begin))
+		return nil
+	})
+	return mishap
+}
+
+// kill ends the leader, and sends a change as soon as another one takes it.
+func (bench *bench) kill() *wire.Mishap {
+	leader := bench.leader()
+	if leader == nil {
+		return wire.New(wire.NoLeader, "nobody to kill")
+	}
+	begin := time.Now()
+	leader.end(syscall.SIGKILL)
+	spread, mishap := bench.patch()
+	bench.result.Killed = spread
+	bench.result.KilledMs = float64(time.Since(begin).Milliseconds())
+	return mishap
+}
