--- a/cmd/ojfleet/main.go
+++ b/cmd/ojfleet/main.go
@@ -18,13 +18,13 @@
 )
 
 func main() {
-	flags := program.NewFlags("ojfleet", "runs and harms a fleet of orchidjunction's processes; scenarios: "+strings.Join(fleet.Names(), ", "))
+	flags := program.NewFlags("ojfleet", "runs a deployment of orchidjunction's processes and injects faults; scenarios: "+strings.Join(fleet.Names(), ", "))
 	size, scenario, examples, settings := "small", "calm", "examples", ""
 	bin, folder := "bin", ""
 	spec := fleet.Spec{BasePort: 21000, Seconds: 20, Seed: 1, LagMs: 1000, Changes: 2, Tries: 4}
 	rate, seed, untimed := 0, 1, false
 	flags.Parser.String(&size, "", "size", "small, volta, saqtau, or both partners together, lending to each other")
-	flags.Parser.String(&scenario, "", "scenario", "what is harmed")
+	flags.Parser.String(&scenario, "", "scenario", "the faults to inject")
 	flags.Parser.String(&examples, "", "examples", "folder with the sizes' settings files")
 	flags.Parser.String(&settings, "", "settings", "settings file, when not that of the size")
 	flags.Parser.String(&bin, "", "bin", "folder with the programs")
@@ -41,7 +41,7 @@
 	if measured.play(flags) {
 		return
 	}
-	harm, found := fleet.Scenarios[scenario]
+	chosen, found := fleet.Scenarios[scenario]
 	if !found {
 		flags.Exit(wire.New(wire.BadFlag, "--scenario: no scenario %q; there are %s", scenario, strings.Join(fleet.Names(), ", ")))
 	}
@@ -89,7 +89,7 @@
 	}
 	program.OnTerm(threads, threads.Stop)
 	begin := time.Now()
-	verdicts, mishap := fleet.PlayBoth(fleets, harm, threads)
+	verdicts, mishap := fleet.PlayBoth(fleets, chosen, threads)
 	threads.Stop()
 	if mishap != nil {
 		fmt.Fprintf(os.Stderr, "ojfleet: %v\n", mishap)
--- a/data/room.go
+++ b/data/admission.go
@@ -27,19 +27,19 @@
 	demandSpan  = 2 * time.Second
 )
 
-// Room is admission control by class: a class may use its floor at any time and
+// Admission is admission control by class: a class may use its floor at any time and
 // borrow more while backends are idle. The lower its rank, the sooner it gives
 // borrowed capacity back.
-type Room struct {
-	mutex   sync.Mutex
-	classes map[string]*classRoom
-	since   time.Time
-	tasks   float64
-	demand  float64
-	pressed time.Time
+type Admission struct {
+	mutex      sync.Mutex
+	classes    map[string]*classLimits
+	since      time.Time
+	tasks      float64
+	demand     float64
+	overloaded time.Time
 }
 
-type classRoom struct {
+type classLimits struct {
 	rank   int
 	floor  *rate.Limiter
 	borrow *rate.Limiter
@@ -48,21 +48,23 @@
 	paced  time.Time
 }
 
-// NewRoom returns a Room without classes, which admits everything.
-func NewRoom() *Room { return &Room{classes: map[string]*classRoom{}, since: time.Now()} }
+// NewAdmission returns an Admission without classes, which admits everything.
+func NewAdmission() *Admission {
+	return &Admission{classes: map[string]*classLimits{}, since: time.Now()}
+}
 
 // Apply sets floors and borrowing to this proxy's share of the settings. The share
 // follows demand, a part of it is even; all proxies compute it from the same table,
 // so that the shares add up to the whole.
-func (room *Room) Apply(settings *conf.Settings, table *wire.Table, name string) {
+func (admission *Admission) Apply(settings *conf.Settings, table *wire.Table, name string) {
 	part := partOf(table, name)
-	room.mutex.Lock()
-	defer room.mutex.Unlock()
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
 	for className, class := range settings.Classes {
-		held := room.classes[className]
+		held := admission.classes[className]
 		if held == nil {
-			held = &classRoom{floor: rate.NewLimiter(0, 0), borrow: rate.NewLimiter(0, 0)}
-			room.classes[className] = held
+			held = &classLimits{floor: rate.NewLimiter(0, 0), borrow: rate.NewLimiter(0, 0)}
+			admission.classes[className] = held
 		}
 		held.rank = class.Rank
 		resize(held.floor, float64(class.FloorRps)*part, floorBurst)
@@ -76,9 +78,9 @@
 		held.pace = min(max(held.pace, held.share*slowestPace), held.share)
 		resize(held.borrow, held.pace, borrowBurst)
 	}
-	for className := range room.classes {
+	for className := range admission.classes {
 		if _, found := settings.Classes[className]; !found {
-			delete(room.classes, className)
+			delete(admission.classes, className)
 		}
 	}
 }
@@ -124,24 +126,24 @@
 	}
 }
 
-// Take admits one request of a class, given the mean usage of the backends. The
+// Admit admits one request of a class, given the mean usage of the backends. The
 // error is wire.Busy.
-func (room *Room) Take(class string, usage float64) *wire.Mishap {
-	room.mutex.Lock()
-	room.tasks++
-	held := room.classes[class]
-	room.mutex.Unlock()
+func (admission *Admission) Admit(class string, usage float64) *wire.Mishap {
+	admission.mutex.Lock()
+	admission.tasks++
+	held := admission.classes[class]
+	admission.mutex.Unlock()
 	if held == nil || held.floor.Allow() {
 		return nil
 	}
 	most := max(fullUsage-rankUsage*float64(held.rank-1), leastUsage)
 	full, idle := usage > most, usage < most/idlePart
-	room.repace(held, full, idle)
+	admission.repace(held, full, idle)
 	allowed := !full && held.borrow.Allow()
 	if !idle || !allowed {
-		room.mutex.Lock()
-		room.pressed = time.Now()
-		room.mutex.Unlock()
+		admission.mutex.Lock()
+		admission.overloaded = time.Now()
+		admission.mutex.Unlock()
 	}
 	if full {
 		return &wire.Mishap{Kind: wire.Busy, Cause: "class " + class + " is above its floor and backends have no room to lend", Retry: comeBack, Outcome: wire.NotRun}
@@ -154,9 +156,9 @@
 
 // repace lets borrowing grow by little while there is room and shrink by much
 // when there is none: what backends report is always a little old.
-func (room *Room) repace(held *classRoom, full, idle bool) {
-	room.mutex.Lock()
-	defer room.mutex.Unlock()
+func (admission *Admission) repace(held *classLimits, full, idle bool) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
 	if time.Since(held.paced) < paceSpan {
 		return
 	}
@@ -173,25 +175,25 @@
 	resize(held.borrow, held.pace, borrowBurst)
 }
 
-// Pressed reports whether borrowing was refused or backends were not idle within
+// Overloaded reports whether borrowing was refused or backends were not idle within
 // the last second.
-func (room *Room) Pressed() bool {
-	room.mutex.Lock()
-	defer room.mutex.Unlock()
-	return time.Since(room.pressed) < pressedSpan
+func (admission *Admission) Overloaded() bool {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	return time.Since(admission.overloaded) < overloadedSpan
 }
 
 // Demand returns the requests a second that this proxy was asked for, in coarse
 // steps, so that the table changes seldom.
-func (room *Room) Demand() float64 {
-	room.mutex.Lock()
-	defer room.mutex.Unlock()
-	if span := time.Since(room.since); span >= demandSpan {
-		now := room.tasks / span.Seconds()
-		if step := math.Pow(1.5, math.Round(math.Log(max(now, 1))/math.Log(1.5))); room.demand == 0 || math.Abs(now-room.demand) > 0.4*room.demand {
-			room.demand = step
+func (admission *Admission) Demand() float64 {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	if span := time.Since(admission.since); span >= demandSpan {
+		now := admission.tasks / span.Seconds()
+		if step := math.Pow(1.5, math.Round(math.Log(max(now, 1))/math.Log(1.5))); admission.demand == 0 || math.Abs(now-admission.demand) > 0.4*admission.demand {
+			admission.demand = step
 		}
-		room.tasks, room.since = 0, time.Now()
+		admission.tasks, admission.since = 0, time.Now()
 	}
-	return room.demand
+	return admission.demand
 }
--- a/data/claim_messages.go
+++ b/data/claim_messages.go
@@ -7,9 +7,9 @@
 )
 
 // Register adds the messages between proxies about idempotency keys to the server.
-func (proxy *Proxy) Register(door *wire.Door) {
+func (proxy *Proxy) Register(server *wire.Door) {
 	claims := proxy.claims
-	wire.Take(door, "claim", func(_ context.Context, claim *wire.Claim) (*wire.ClaimTold, error) {
+	wire.Take(server, "claim", func(_ context.Context, claim *wire.Claim) (*wire.ClaimTold, error) {
 		if !claims.Grown() {
 			return nil, wire.New(wire.NotReady, "not a keeper yet")
 		}
@@ -19,21 +19,21 @@
 		}
 		return claims.grant(claim), nil
 	})
-	wire.Take(door, "settle", func(_ context.Context, settle *wire.Settle) (*wire.SettleTold, error) {
+	wire.Take(server, "settle", func(_ context.Context, settle *wire.Settle) (*wire.SettleTold, error) {
 		claims.keeper.Settle(settle)
 		return &wire.SettleTold{}, nil
 	})
-	wire.Take(door, "holds", func(_ context.Context, holds *wire.Holds) (*wire.HoldsTold, error) {
+	wire.Take(server, "holds", func(_ context.Context, holds *wire.Holds) (*wire.HoldsTold, error) {
 		if holds.Holder != claims.holder() {
 			return nil, wire.New(wire.WrongIdentity, "%s is gone", holds.Holder)
 		}
 		return claims.onHolds(holds), nil
 	})
-	wire.Take(door, "retell", func(_ context.Context, retell *wire.Retell) (*wire.RetellTold, error) {
+	wire.Take(server, "retell", func(_ context.Context, retell *wire.Retell) (*wire.RetellTold, error) {
 		claims.keeper.Retell(retell.Claims)
 		return &wire.RetellTold{}, nil
 	})
-	wire.Take(door, "pull", func(_ context.Context, pull *wire.Pull) (*wire.PullTold, error) {
+	wire.Take(server, "pull", func(_ context.Context, pull *wire.Pull) (*wire.PullTold, error) {
 		told := &wire.PullTold{Grown: claims.Grown(), Whole: claims.Whole()}
 		told.Claims, told.Last, told.Done = claims.keeper.Page(pull.After, pullPage)
 		return told, nil
@@ -75,7 +75,7 @@
 }
 
 func (claims *Claims) tell(ring []wire.Member, settle *wire.Settle) {
-	claims.vault.owe(owed{settle: settle})
+	claims.coreStore.enqueue(pendingUpdate{settle: settle})
 	for _, keeper := range ring {
 		if keeper.Name == claims.proxy.daemon.Name() {
 			claims.keeper.Settle(settle)
--- a/data/claim_poll.go
+++ b/data/claim_poll.go
@@ -90,10 +90,10 @@
 // cores are away, keepers whose memory is whole go on alone.
 func (claims *Claims) ask(rings [][]wire.Member, members []wire.Member, claim *wire.Claim) (*wire.Claimed, bool) {
 	cores := claims.proxy.daemon.Finder.Cores()
-	away := claims.vault.Away()
+	away := claims.coreStore.unavailable()
 	got, _ := run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
 		if index >= len(members) {
-			told, fault := claims.vault.ask(cores[index-len(members)], &wire.Keep{Claims: []wire.Claim{*claim}}, vaultLimit)
+			told, fault := claims.coreStore.ask(cores[index-len(members)], &wire.Keep{Claims: []wire.Claim{*claim}}, coreStoreLimit)
 			return claimAnswer{core: told}, fault
 		}
 		if members[index].Name == claims.proxy.daemon.Name() {
@@ -114,7 +114,7 @@
 		return refusal, false
 	}
 	lasting, whole := poll.kept()
-	claims.vault.found(lasting)
+	claims.coreStore.recordContact(lasting)
 	if lasting {
 		return nil, poll.quorums(!whole)
 	}
@@ -122,6 +122,6 @@
 		return nil, false
 	}
 	claims.proxy.counts.Add("claims_without_core", 1)
-	claims.vault.owe(owed{retold: &claim.Claimed})
+	claims.coreStore.enqueue(pendingUpdate{retold: &claim.Claimed})
 	return nil, true
 }
--- a/data/claims.go
+++ b/data/claims.go
@@ -25,9 +25,9 @@
 // its send needs grants by a quorum of proxies that keep the key, and is recorded
 // by a majority of cores while they can be reached.
 type Claims struct {
-	proxy  *Proxy
-	keeper *keep.Book
-	vault  *Vault
+	proxy     *Proxy
+	keeper    *keep.Book
+	coreStore *coreStore
 
 	mutex   sync.Mutex
 	grown   bool
@@ -38,7 +38,7 @@
 }
 
 func newClaims(proxy *Proxy) *Claims {
-	return &Claims{proxy: proxy, keeper: keep.NewBook(), vault: newVault(proxy), rings: []heldRing{{keepers: &Keepers{}}}, running: map[wire.ClaimKey]string{}}
+	return &Claims{proxy: proxy, keeper: keep.NewBook(), coreStore: newCoreStore(proxy), rings: []heldRing{{keepers: &Keepers{}}}, running: map[wire.ClaimKey]string{}}
 }
 
 // Whole reports whether this proxy holds every key that it should, so that its
@@ -65,7 +65,7 @@
 // grow makes this proxy a keeper once it knows what the others keep, or when
 // no keeper is known to anybody.
 func (claims *Claims) grow() {
-	if claims.Grown() && !claims.Whole() && claims.vault.recall(claims.keeper.Retell) {
+	if claims.Grown() && !claims.Whole() && claims.coreStore.restore(claims.keeper.Retell) {
 		claims.mutex.Lock()
 		claims.whole = true
 		claims.mutex.Unlock()
--- a/data/lend.go
+++ b/data/lend.go
@@ -8,7 +8,7 @@
 	"orchidjunction/wire"
 )
 
-const pressedSpan = time.Second
+const overloadedSpan = time.Second
 
 // Lend limits what a proxy carries for the other partner: a rate, a number in
 // flight, and nothing while the classes of its owner are above their floors or were
@@ -33,7 +33,7 @@
 func (lend *Lend) Take() *wire.Mishap {
 	lend.mutex.Lock()
 	defer lend.mutex.Unlock()
-	if lend.owner.room.Pressed() || lend.inFlight >= lend.most || !lend.rate.Allow() {
+	if lend.owner.admission.Overloaded() || lend.inFlight >= lend.most || !lend.rate.Allow() {
 		lend.owner.counts.Add("lending_refused", 1)
 		return &wire.Mishap{Kind: wire.Busy, Cause: "the lender needs its room", Retry: comeBack, Outcome: wire.NotRun}
 	}
--- a/data/proxy.go
+++ b/data/proxy.go
@@ -16,22 +16,22 @@
 // backends. It lives as long as the process and replaces its plan with each
 // version.
 type Proxy struct {
-	daemon  *member.Daemon
-	threads *run.Threads
-	counts  *run.Counts
-	dial    Dialer
-	budget  *Budget
-	claims  *Claims
-	usage   *run.Counts
-	room    *Room
-	quick   *Quick
-	lend    *Lend
-	warmed  atomic.Bool
-	plan    atomic.Pointer[plan]
-	mutex   sync.Mutex
-	targets map[string]*Target
-	taskIDs atomic.Uint64
-	prefix  string
+	daemon    *member.Daemon
+	threads   *run.Threads
+	counts    *run.Counts
+	dial      Dialer
+	budget    *retryBudget
+	claims    *Claims
+	usage     *run.Counts
+	admission *Admission
+	retries   *retryDetector
+	lend      *Lend
+	warmed    atomic.Bool
+	plan      atomic.Pointer[plan]
+	mutex     sync.Mutex
+	targets   map[string]*Target
+	taskIDs   atomic.Uint64
+	prefix    string
 }
 
 // plan is one version as this proxy uses it: whole, and never changed.
@@ -47,23 +47,23 @@
 // NewProxy returns a proxy without a version; it refuses requests until Apply. It
 // registers its usage, demand and readiness with the daemon.
 func NewProxy(daemon *member.Daemon, threads *run.Threads, counts *run.Counts, dial Dialer) *Proxy {
-	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: NewBudget(), usage: run.NewCounts(), room: NewRoom(), quick: NewQuick(),
+	proxy := &Proxy{daemon: daemon, threads: threads, counts: counts, dial: dial, budget: newRetryBudget(), usage: run.NewCounts(), admission: NewAdmission(), retries: newRetryDetector(),
 		targets: map[string]*Target{}, prefix: member.NewID()[:10]}
 	proxy.claims = newClaims(proxy)
 	daemon.Keep(proxy.claims.Grown)
 	daemon.Warm(proxy.warm)
 	daemon.Count(proxy.usage.All)
-	daemon.Ask(proxy.room.Demand)
-	daemon.Finish(proxy.claims.vault.finish)
+	daemon.Ask(proxy.admission.Demand)
+	daemon.Finish(proxy.claims.coreStore.flush)
 	return proxy
 }
 
 // Run starts the proxy's background duties.
 func (proxy *Proxy) Run() {
 	proxy.threads.Beat(run.Each(growPace), proxy.claims.grow)
-	proxy.threads.Start(proxy.claims.vault.tell)
+	proxy.threads.Start(proxy.claims.coreStore.deliver)
 	proxy.threads.OnStop(func() {
-		proxy.claims.vault.ring.Close()
+		proxy.claims.coreStore.ring.Close()
 		for _, target := range proxy.plan.Load().targets() {
 			target.stirred.Ring()
 		}
@@ -82,10 +82,10 @@
 		}
 	}
 	shares = max(shares, 1)
-	proxy.budget.Share(shares)
-	proxy.budget.Rule(version.Settings.Retry.Fraction, version.Settings.Retry.Floor)
+	proxy.budget.setProxies(shares)
+	proxy.budget.setLimits(version.Settings.Retry.Fraction, version.Settings.Retry.Floor)
 	proxy.claims.keeper.Remember(version.Settings.Remember())
-	proxy.room.Apply(version.Settings, version.Table, proxy.daemon.Name())
+	proxy.admission.Apply(version.Settings, version.Table, proxy.daemon.Name())
 	next := &plan{services: map[string][]*Target{}, complete: version.Table.Complete, proxies: shares}
 	next.routes = proxy.plan.Load().next(version)
 	proxy.mutex.Lock()
@@ -214,13 +214,14 @@
 	}
 	probes := make([]wire.Probe, 0, len(plan.all))
 	for _, target := range plan.all {
-		probes = append(probes, target.told())
+		probes = append(probes, target.report())
 	}
 	return probes
 }
 
-// draw takes the less loaded of two among those a task may go to.
-func (plan *plan) draw(route *conf.Flat, tenant int, tried map[*Target]bool) (*Target, bool) {
+// pickBackend returns the less loaded of two random backends that the request may go
+// to, and takes a place there.
+func (plan *plan) pickBackend(route *conf.Flat, tenant int, tried map[*Target]bool) (*Target, bool) {
 	type choice struct {
 		target *Target
 		usage  float64
--- a/data/budget.go
+++ b/data/retry_budget.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Budget is a retry budget as a token bucket: retries may be a fraction of first
+// retryBudget is a retry budget as a token bucket: retries may be a fraction of first
 // sends plus this proxy's share of a floor for the whole fleet. At most half of the
 // floor is kept, so that kept and new tokens together never exceed the floor in any
 // span.
-type Budget struct {
+type retryBudget struct {
 	mutex    sync.Mutex
 	span     time.Duration
 	begun    time.Time
@@ -26,14 +26,14 @@
 	until time.Time
 }
 
-// NewBudget returns a budget that allows no retry until Rule.
-func NewBudget() *Budget {
+// newRetryBudget returns a budget that allows no retry until setLimits.
+func newRetryBudget() *retryBudget {
 	now := time.Now()
-	return &Budget{span: 10 * time.Second, begun: now, last: now, shares: []budgetShare{{count: 1, until: now}}}
+	return &retryBudget{span: 10 * time.Second, begun: now, last: now, shares: []budgetShare{{count: 1, until: now}}}
 }
 
-// Share sets the number of proxies that share the floor.
-func (budget *Budget) Share(count int) {
+// setProxies sets the number of proxies that share the floor.
+func (budget *retryBudget) setProxies(count int) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.fill()
@@ -43,8 +43,8 @@
 	budget.shares[len(budget.shares)-1].until = time.Now()
 }
 
-// Rule sets the tokens per first send and the floor per span over all proxies.
-func (budget *Budget) Rule(fraction float64, floor int) {
+// setLimits sets the tokens per first send and the floor per span over all proxies.
+func (budget *retryBudget) setLimits(fraction float64, floor int) {
 	budget.mutex.Lock()
 	budget.fill()
 	budget.fraction, budget.floor = fraction, float64(floor)
@@ -53,7 +53,7 @@
 
 // among is the largest split of the last span: proxies that left may still
 // have used their share.
-func (budget *Budget) among() float64 {
+func (budget *retryBudget) among() float64 {
 	now := time.Now()
 	budget.shares[len(budget.shares)-1].until = now
 	for len(budget.shares) > 1 && now.Sub(budget.shares[0].until) > budget.span {
@@ -68,7 +68,7 @@
 
 // fill brings the floor's tokens; a proxy that has just started gets none
 // until the others surely split with it.
-func (budget *Budget) fill() {
+func (budget *retryBudget) fill() {
 	now := time.Now()
 	half := budget.floor / 2 / budget.among()
 	if now.Sub(budget.begun) > budget.span {
@@ -78,18 +78,18 @@
 	budget.last = now
 }
 
-func (budget *Budget) most() float64 { return max(budget.floor/2/budget.among(), 1) }
+func (budget *retryBudget) most() float64 { return max(budget.floor/2/budget.among(), 1) }
 
-// First adds the tokens of a request's first send.
-func (budget *Budget) First() {
+// recordSend adds the tokens of a request's first send.
+func (budget *retryBudget) recordSend() {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.fill()
 	budget.tokens = min(budget.tokens+budget.fraction, budget.most())
 }
 
-// Take reports whether a retry is allowed, and takes its token.
-func (budget *Budget) Take() bool {
+// allow reports whether a retry is allowed, and takes its token.
+func (budget *retryBudget) allow() bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.fill()
--- a/data/budget_test.go
+++ b/data/retry_budget_test.go
@@ -13,9 +13,9 @@
 	for seed := range uint64(5) {
 		synctest.Test(test, func(test *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 3))
-			budget := NewBudget()
-			budget.Share(3)
-			budget.Rule(0.2, 60)
+			budget := newRetryBudget()
+			budget.setProxies(3)
+			budget.setLimits(0.2, 60)
 			type event struct {
 				at    time.Time
 				again bool
@@ -29,9 +29,9 @@
 				}
 				time.Sleep(pace)
 				if random.IntN(2) == 0 {
-					budget.First()
+					budget.recordSend()
 					events = append(events, event{time.Now(), false})
-				} else if budget.Take() {
+				} else if budget.allow() {
 					granted++
 					events = append(events, event{time.Now(), true})
 				}
--- /dev/null
+++ b/data/retry_detector.go
@@ -0,0 +1,61 @@
+package data
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+)
+
+const (
+	retrySpan  = time.Second
+	retryCount = 100_000
+)
+
+// retryDetector detects retries of callers: requests that repeat one which failed here
+// within the last second count against the retry budget.
+type retryDetector struct {
+	mutex sync.Mutex
+	seen  map[uint64]time.Time
+	swept time.Time
+}
+
+// newRetryDetector returns a retryDetector that has seen nothing.
+func newRetryDetector() *retryDetector { return &retryDetector{seen: map[uint64]time.Time{}} }
+
+// fingerprint identifies a request by its caller and content.
+func fingerprint(tenant, key, method, url string, body []byte) uint64 {
+	sum := fnv.New64a()
+	for _, part := range []string{tenant, key, method, url} {
+		sum.Write([]byte(part + "\x00"))
+	}
+	sum.Write(body)
+	return sum.Sum64()
+}
+
+// recordFailure records the fingerprint of a request that reached a backend and got no
+// response. A request that was refused before is no retry when it comes again.
+func (retries *retryDetector) recordFailure(mark uint64) {
+	retries.mutex.Lock()
+	defer retries.mutex.Unlock()
+	now := time.Now()
+	if now.Sub(retries.swept) > retrySpan || len(retries.seen) > retryCount {
+		for old, at := range retries.seen {
+			if now.Sub(at) > retrySpan {
+				delete(retries.seen, old)
+			}
+		}
+		retries.swept = now
+	}
+	if len(retries.seen) < retryCount {
+		retries.seen[mark] = now
+	}
+}
+
+// isRetry reports whether a request with this fingerprint failed within the last
+// second.
+func (retries *retryDetector) isRetry(mark uint64) bool {
+	retries.mutex.Lock()
+	defer retries.mutex.Unlock()
+	at, found := retries.seen[mark]
+	return found && time.Since(at) < retrySpan
+}
--- /dev/null
+++ b/data/route_table.go
@@ -0,0 +1,63 @@
+package data
+
+import (
+	"reflect"
+	"sort"
+	"strings"
+
+	"orchidjunction/conf"
+)
+
+// routeKey is the exact method and path of a route within a service.
+type routeKey struct{ method, path string }
+
+// routeTable is the routes of one service in one class, indexed by method and path. It
+// is immutable; the next version shares it while nothing in it changed.
+type routeTable struct {
+	digest    string
+	inherited conf.Flat
+	routes    []conf.Flat
+	exact     map[routeKey]int
+	open      []int
+	paths     map[string]bool
+}
+
+func newRouteTable(service conf.Service, inherited conf.Flat, before *routeTable) *routeTable {
+	if before != nil && service.Digest != "" && before.digest == service.Digest && reflect.DeepEqual(before.inherited, inherited) {
+		return before
+	}
+	table := &routeTable{digest: service.Digest, inherited: inherited, routes: service.Flatten(inherited), exact: make(map[routeKey]int, len(service.Routes)), paths: make(map[string]bool, len(service.Routes))}
+	for index := range table.routes {
+		route := &table.routes[index]
+		if strings.HasSuffix(route.Path, "*") {
+			table.open = append(table.open, index)
+			continue
+		}
+		table.exact[routeKey{route.Method, route.Path}] = index
+		table.paths[route.Path] = true
+	}
+	sort.Slice(table.open, func(left, right int) bool {
+		return len(table.routes[table.open[left]].Path) > len(table.routes[table.open[right]].Path)
+	})
+	return table
+}
+
+// find gives the route of a method and path and how exactly it fits; exact paths
+// go first, then the longest prefix.
+func (table *routeTable) find(method, path string) (found *conf.Flat, fit int, otherMethod bool) {
+	if index, known := table.exact[routeKey{method, path}]; known {
+		return &table.routes[index], len(path) + 1, false
+	}
+	otherMethod = table.paths[path]
+	for _, index := range table.open {
+		route := &table.routes[index]
+		if !strings.HasPrefix(path, strings.TrimSuffix(route.Path, "*")) {
+			continue
+		}
+		if route.Method == method {
+			return route, len(route.Path) - 1, otherMethod
+		}
+		otherMethod = true
+	}
+	return nil, 0, otherMethod
+}
--- a/data/routes.go
+++ b/data/routes.go
@@ -17,7 +17,7 @@
 	settings *conf.Settings
 	tenants  []tenantEntry
 	byKey    map[string]int
-	doors    map[string][]*Doors
+	tables   map[string][]*routeTable
 	drained  map[string]bool
 	gone     map[string]bool
 	regions  map[string]string
@@ -31,7 +31,7 @@
 
 // NewRoutes builds the routes of a version; before may be nil.
 func NewRoutes(serial uint64, settings *conf.Settings, before *Routes) *Routes {
-	routes := &Routes{Serial: serial, settings: settings, byKey: map[string]int{}, doors: map[string][]*Doors{}, drained: map[string]bool{}, gone: map[string]bool{}, regions: map[string]string{}}
+	routes := &Routes{Serial: serial, settings: settings, byKey: map[string]int{}, tables: map[string][]*routeTable{}, drained: map[string]bool{}, gone: map[string]bool{}, regions: map[string]string{}}
 	for name, tenant := range settings.Tenants {
 		index := len(routes.tenants)
 		routes.tenants = append(routes.tenants, tenantEntry{name: name, forbids: tenant.ForbidRegions, share: tenant.Share})
@@ -41,7 +41,7 @@
 	}
 	for className, class := range settings.Classes {
 		for name, service := range class.Services {
-			routes.doors[name] = append(routes.doors[name], newDoors(service, settings.Inherited(className, name), before.doorsOf(className, name)))
+			routes.tables[name] = append(routes.tables[name], newRouteTable(service, settings.Inherited(className, name), before.tableOf(className, name)))
 		}
 	}
 	for _, zone := range settings.Drained.Zones {
@@ -85,13 +85,13 @@
 // TenantName returns the name of the tenant with this index.
 func (routes *Routes) TenantName(index int) string { return routes.tenants[index].name }
 
-func (routes *Routes) doorsOf(class, service string) *Doors {
+func (routes *Routes) tableOf(class, service string) *routeTable {
 	if routes == nil {
 		return nil
 	}
-	for _, doors := range routes.doors[service] {
-		if doors.inherited.Class == class {
-			return doors
+	for _, table := range routes.tables[service] {
+		if table.inherited.Class == class {
+			return table
 		}
 	}
 	return nil
@@ -102,8 +102,8 @@
 // does not match.
 func (routes *Routes) Route(service, method, path string) (found *conf.Flat, otherMethod bool) {
 	best := 0
-	for _, doors := range routes.doors[service] {
-		route, fit, other := doors.find(method, path)
+	for _, table := range routes.tables[service] {
+		route, fit, other := table.find(method, path)
 		if route != nil && fit > best {
 			found, best = route, fit
 		}
--- a/data/target.go
+++ b/data/target.go
@@ -225,7 +225,7 @@
 	return identity.Serial, nil
 }
 
-func (target *Target) told() wire.Probe {
+func (target *Target) report() wire.Probe {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
 	return wire.Probe{Backend: target.backend().Name, Incarnation: target.identity.Incarnation, Healthy: target.healthy(), Leaving: target.identity.Leaving,
--- a/data/task.go
+++ b/data/task.go
@@ -26,11 +26,11 @@
 	emptiedGrace = 3 * time.Second
 )
 
-// task lives for one request of a caller.
+// task is one request of a caller on its way through the proxy.
 type task struct {
 	proxy    *Proxy
 	plan     *plan
-	walk     *Walk
+	state    *stateMachine
 	id       string
 	request  *http.Request
 	tenant   int
@@ -46,9 +46,9 @@
 	sent     bool
 }
 
-// ServeHTTP takes a caller's request through the chart.
+// ServeHTTP carries a caller's request to a backend and the response back.
 func (proxy *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	task := &task{proxy: proxy, walk: newWalk(proxy.counts), request: request, tried: map[*Target]bool{}, finish: func() {},
+	task := &task{proxy: proxy, state: newStateMachine(proxy.counts), request: request, tried: map[*Target]bool{}, finish: func() {},
 		id: proxy.prefix + "-" + strconv.FormatUint(proxy.taskIDs.Add(1), 36)}
 	defer func() { task.finish() }()
 	writer.Header().Set("Oj-Task", task.id)
@@ -64,12 +64,12 @@
 		mishap.Outcome = wire.NotRun
 	}
 	if mishap.Outcome == wire.NotRun {
-		task.walk.step(Refused)
+		task.state.advance(Refused)
 	} else {
-		task.walk.step(Unknown)
+		task.state.advance(Unknown)
 	}
 	if task.sent {
-		proxy.quick.Failed(task.mark)
+		proxy.retries.recordFailure(task.mark)
 	}
 	proxy.counts.Add("refused_"+string(mishap.Kind), 1)
 	member.Refuse(writer, mishap)
@@ -77,23 +77,23 @@
 
 func (task *task) deliver(writer http.ResponseWriter) {
 	if fault := task.receipt.write(writer, task.rule.ReceiptBytes, task.replayed); fault != nil {
-		task.walk.step(Broken)
+		task.state.advance(Aborted)
 		panic(http.ErrAbortHandler)
 	}
 	if !task.replayed {
-		task.walk.step(Answered)
+		task.state.advance(Answered)
 	}
 }
 
 func (task *task) serve(writer http.ResponseWriter) *wire.Mishap {
 	task.plan = task.proxy.plan.Load()
 	if task.plan == nil || !task.proxy.daemon.Ready() {
-		return task.away(wire.NotReady, "no confirmed settings in force here")
+		return task.redirect(wire.NotReady, "no confirmed settings in force here")
 	}
 	if task.emptied() {
 		writer.Header().Set("Connection", "close")
 	}
-	for _, step := range []func() *wire.Mishap{task.know, task.find, func() *wire.Mishap { return task.load(writer) }} {
+	for _, step := range []func() *wire.Mishap{task.authenticate, task.matchRoute, func() *wire.Mishap { return task.readBody(writer) }} {
 		if mishap := step(); mishap != nil {
 			return mishap
 		}
@@ -111,9 +111,9 @@
 	return !task.plan.emptied.IsZero() && time.Since(task.plan.emptied) > emptiedGrace
 }
 
-// stays refuses what should go elsewhere: nothing is sent from an emptied zone,
-// nor what might not end before this process does.
-func (task *task) stays() *wire.Mishap {
+// checkLeaving refuses a request that should go elsewhere: any in a drained zone, and
+// one that might not end before this process stops.
+func (task *task) checkLeaving() *wire.Mishap {
 	if task.emptied() {
 		return &wire.Mishap{Kind: wire.ZoneEmptied, Cause: "this zone is emptied; ask a directory where to go", Retry: comeBack, Outcome: wire.NotRun}
 	}
@@ -123,16 +123,17 @@
 	return nil
 }
 
-// away sends a caller elsewhere; of a money key this proxy cannot say whether
-// it ran before.
-func (task *task) away(kind wire.Kind, cause string) *wire.Mishap {
+// redirect refuses a request that another proxy may serve. Whether an idempotency key
+// was used before is not known here, so that its outcome is unknown.
+func (task *task) redirect(kind wire.Kind, cause string) *wire.Mishap {
 	if task.request.Header.Get(moneyHeader) != "" {
 		return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: cause + "; send the key again there", Retry: comeBack, Outcome: wire.MayHaveRun}
 	}
 	return &wire.Mishap{Kind: kind, Cause: cause, Retry: comeBack}
 }
 
-func (task *task) know() *wire.Mishap {
+// authenticate finds the tenant of the bearer key.
+func (task *task) authenticate() *wire.Mishap {
 	key, bearer := strings.CutPrefix(task.request.Header.Get("Authorization"), "Bearer ")
 	if !bearer || key == "" {
 		return wire.New(wire.UnknownKey, "want Authorization: Bearer and a tenant's key")
@@ -145,11 +146,12 @@
 		return wire.New(wire.WrongTenant, "the key is not that of %q", named)
 	}
 	task.tenant = tenant
-	task.walk.step(Known)
+	task.state.advance(Authenticated)
 	return nil
 }
 
-func (task *task) find() *wire.Mishap {
+// matchRoute finds the route and the deadline.
+func (task *task) matchRoute() *wire.Mishap {
 	service, path, _ := strings.Cut(strings.TrimPrefix(task.request.URL.Path, "/"), "/")
 	task.path = "/" + path
 	route, otherMethod := task.plan.routes.Route(service, task.request.Method, task.path)
@@ -172,12 +174,12 @@
 		span = min(span, time.Duration(own)*time.Millisecond)
 	}
 	task.limit = time.Now().Add(span)
-	task.walk.step(Routed)
+	task.state.advance(Routed)
 	return nil
 }
 
-// load takes the body whole, so that a broken caller starts nothing.
-func (task *task) load(writer http.ResponseWriter) *wire.Mishap {
+// readBody reads the whole body, so that a broken caller starts nothing.
+func (task *task) readBody(writer http.ResponseWriter) *wire.Mishap {
 	most := int64(task.rule.BodyBytes)
 	if task.request.ContentLength > most {
 		return wire.New(wire.TooLarge, "%d bytes, allowed %d", task.request.ContentLength, most)
@@ -196,7 +198,7 @@
 	return nil
 }
 
-// sendOnce lets a money key through once; later ones get what the first got.
+// sendOnce sends a request once for its idempotency key; later ones get its response.
 func (task *task) sendOnce() *wire.Mishap {
 	key := task.request.Header.Get(moneyHeader)
 	if key == "" || len(key) > 200 {
@@ -209,7 +211,7 @@
 	if mishap != nil {
 		return mishap
 	}
-	task.walk.step(Claimed)
+	task.state.advance(Claimed)
 	if held != nil {
 		return task.replay(held)
 	}
@@ -218,7 +220,7 @@
 	return mishap
 }
 
-// replay gives what became of the key's one send.
+// replay returns the recorded response of the key's one send.
 func (task *task) replay(held *wire.Claimed) *wire.Mishap {
 	if held.Stage != wire.ClaimRan || held.Status == 0 {
 		return &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: "this key was sent before and its answer is not here", Outcome: wire.MayHaveRun}
@@ -228,14 +230,14 @@
 		task.receipt.header.Set(name, value)
 	}
 	task.proxy.counts.Add("replays", 1)
-	task.walk.step(Replayed)
+	task.state.advance(Replayed)
 	return nil
 }
 
-// send draws and sends until a receipt is whole, or what is left is unsafe,
+// send picks a backend and sends until a receipt is whole, or what is left is unsafe,
 // out of budget or out of time.
 func (task *task) send() *wire.Mishap {
-	if mishap := task.stays(); mishap != nil {
+	if mishap := task.checkLeaving(); mishap != nil {
 		return mishap
 	}
 	if lend := task.proxy.lend; lend != nil {
@@ -244,28 +246,28 @@
 		}
 		defer lend.Give()
 	}
-	if mishap := task.proxy.room.Take(task.rule.Class, task.plan.usage(task.rule.Service)); mishap != nil {
+	if mishap := task.proxy.admission.Admit(task.rule.Class, task.plan.usage(task.rule.Service)); mishap != nil {
 		return mishap
 	}
-	if task.proxy.quick.Again(task.mark) && !task.proxy.budget.Take() {
+	if task.proxy.retries.isRetry(task.mark) && !task.proxy.budget.allow() {
 		task.proxy.counts.Add("quick_retries_refused", 1)
 		return &wire.Mishap{Kind: wire.Busy, Cause: "this task just failed here and the budget for retries is used up", Retry: comeBack, Outcome: wire.NotRun}
 	}
 	last := &wire.Mishap{Kind: wire.NoBackend, Cause: "no backend can take this now", Retry: comeBack, Outcome: wire.NotRun}
 	mayRun := false
 	for sends := 0; sends < task.rule.Sends; sends++ {
-		if sends > 0 && !task.proxy.budget.Take() {
+		if sends > 0 && !task.proxy.budget.allow() {
 			task.proxy.counts.Add("resends_refused", 1)
 			break
 		}
-		target, found := task.plan.draw(task.rule, task.tenant, task.tried)
+		target, found := task.plan.pickBackend(task.rule, task.tenant, task.tried)
 		if !found {
 			break
 		}
 		task.tried[target] = true
-		task.walk.step(Drawn)
+		task.state.advance(Assigned)
 		if sends == 0 {
-			task.proxy.budget.First()
+			task.proxy.budget.recordSend()
 		} else {
 			task.proxy.counts.Add("resends", 1)
 		}
@@ -333,7 +335,7 @@
 		target.giveBack(pipe, incarnation, task.rule.Pipes)
 		return nil, false, wire.New(wire.BadRequest, "%v", fault)
 	}
-	task.walk.step(Sent)
+	task.state.advance(Sent)
 	response, ran, fault := pipe.send(request)
 	if fault != nil {
 		cancel()
@@ -349,7 +351,7 @@
 		}
 		return nil, ran, wire.New(wire.LimitPassed, "no answer within the limit")
 	}
-	task.walk.step(Receiving)
+	task.state.advance(Receiving)
 	target.learnReceipt(incarnation, func(identity *Identity) { identity.fromReceipt(response.Header) })
 	if serial, fault := strconv.ParseUint(response.Header.Get("Oj-Serial"), 10, 64); fault == nil {
 		task.proxy.daemon.Seen(serial)
--- a/fleet/daemon_faults.go
+++ b/fleet/daemon_faults.go
@@ -30,8 +30,8 @@
 
 func (fleet *Fleet) random() *rand.Rand { return rand.New(rand.NewPCG(fleet.Spec.Seed, 41)) }
 
-// lendingHarmed presses and ends what is lent between the partners.
-func lendingHarmed(fleet *Fleet) {
+// lendingFaults presses and ends what is lent between the partners.
+func lendingFaults(fleet *Fleet) {
 	lender := fleet.Proxies[0]
 	fleet.rest(0.2)
 	fleet.stop(lender, syscall.SIGKILL, 500*time.Millisecond)
@@ -70,7 +70,7 @@
 	}
 }
 
-func herdKilled(fleet *Fleet) {
+func manyKilled(fleet *Fleet) {
 	fleet.rest(0.2)
 	herd := append(append([]*Process{}, fleet.Proxies[:len(fleet.Proxies)/2]...), fleet.Directories[0], fleet.Cores[0])
 	for _, process := range herd {
@@ -127,16 +127,16 @@
 	}
 }
 
-func zoneLost(fleet *Fleet) { fleet.placesLost([]string{fleet.zones[0]}) }
+func zoneLost(fleet *Fleet) { fleet.zonesLost([]string{fleet.zones[0]}) }
 
 func regionLost(fleet *Fleet) {
 	for _, name := range sortedKeys(fleet.settings.Regions) {
-		fleet.placesLost(fleet.settings.Regions[name].Zones)
+		fleet.zonesLost(fleet.settings.Regions[name].Zones)
 		return
 	}
 }
 
-func (fleet *Fleet) placesLost(zones []string) {
+func (fleet *Fleet) zonesLost(zones []string) {
 	fleet.rest(0.2)
 	lost := []*Process{}
 	for _, process := range fleet.all() {
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -20,37 +20,37 @@
 type Scenario struct {
 	About   string
 	Planned bool
-	Harm    func(fleet *Fleet)
+	Inject  func(fleet *Fleet)
 }
 
 // Scenarios are all scenarios by name.
 var Scenarios = map[string]Scenario{
-	"calm":           {About: "nothing is harmed", Planned: true, Harm: func(*Fleet) {}},
-	"compare":        {About: "a backend asked directly and through a proxy, in turns", Planned: true, Harm: compare},
-	"misbehaviour":   {About: "backends lose answers and send garbage", Harm: backendsMisbehave},
-	"backend-crash":  {About: "backends are killed and come back", Harm: backendsCrash},
-	"backend-vanish": {About: "backends fall silent and come back", Harm: backendsVanish},
-	"replaced":       {About: "backends are replaced one by one and come back cold", Planned: true, Harm: backendsReplaced},
-	"reused":         {About: "a backend's address goes to another service", Harm: addressReused},
-	"drained":        {About: "a backend is drained and taken back", Planned: true, Harm: backendDrained},
-	"zone-emptied":   {About: "a zone is emptied by settings and taken back", Planned: true, Harm: zoneEmptied},
-	"zone-lost":      {About: "a zone loses power", Harm: zoneLost},
-	"region-lost":    {About: "a region loses power", Harm: regionLost},
-	"keys-withdrawn": {About: "a tenant's keys are withdrawn while its callers are connected", Harm: keysWithdrawn},
-	"large":          {About: "settings grow very large", Planned: true, Harm: settingsLarge},
-	"proxies-killed": {About: "proxies are killed, one after another", Harm: proxiesKilled},
-	"herd":           {About: "half the proxies, a directory and a core are killed at once", Harm: herdKilled},
-	"in-turn":        {About: "every machine of ours is restarted in turn", Planned: true, Harm: restartedInTurn},
-	"frozen":         {About: "the leader, a proxy and a directory freeze", Harm: frozen},
-	"disk-lost":      {About: "each core loses its disk, one after another", Harm: coreDiskLost},
-	"core-gone":      {About: "all cores are killed for a while", Harm: coreGone},
-	"all-down":       {About: "every process of ours is killed at once", Harm: allDown},
-	"storm":          {About: "dozens of operators change a large tree through all daemons while the leader changes", Planned: true, Harm: storm},
-	"lending":        {About: "the lender storms, falls, restarts and changes its word; the borrower falls", Harm: lendingHarmed},
-	"warned":         {About: "proxies and a core are warned and killed before they are done", Harm: warnedThenKilled},
-	"platform":       {About: "the platform refuses, shifts its pages, vanishes, and takes reports slowly or not", Harm: platformMisbehaves},
-	"cold-herd":      {About: "half of the backends come back cold at once while proxies leave and join", Harm: coldHerd},
-	"leader-changes": {About: "the leader is stopped once by SIGTERM, once by SIGKILL", Planned: true, Harm: leaderChanges},
+	"calm":           {About: "no faults", Planned: true, Inject: func(*Fleet) {}},
+	"compare":        {About: "latency of a backend called directly and through a proxy, in turns", Planned: true, Inject: compare},
+	"misbehaviour":   {About: "backends lose answers and send garbage", Inject: backendsMisbehave},
+	"backend-crash":  {About: "backends are killed and come back", Inject: backendsCrash},
+	"backend-vanish": {About: "backends fall silent and come back", Inject: backendsVanish},
+	"replaced":       {About: "backends are replaced one by one and come back cold", Planned: true, Inject: backendsReplaced},
+	"reused":         {About: "a backend's address goes to another service", Inject: addressReused},
+	"drained":        {About: "a backend is drained and taken back", Planned: true, Inject: backendDrained},
+	"zone-emptied":   {About: "a zone is emptied by settings and taken back", Planned: true, Inject: zoneEmptied},
+	"zone-lost":      {About: "a zone loses power", Inject: zoneLost},
+	"region-lost":    {About: "a region loses power", Inject: regionLost},
+	"keys-withdrawn": {About: "a tenant's keys are withdrawn while its callers are connected", Inject: keysWithdrawn},
+	"large":          {About: "settings grow very large", Planned: true, Inject: settingsLarge},
+	"proxies-killed": {About: "proxies are killed, one after another", Inject: proxiesKilled},
+	"herd":           {About: "half the proxies, a directory and a core are killed at once", Inject: manyKilled},
+	"in-turn":        {About: "every machine of ours is restarted in turn", Planned: true, Inject: restartedInTurn},
+	"frozen":         {About: "the leader, a proxy and a directory freeze", Inject: frozen},
+	"disk-lost":      {About: "each core loses its disk, one after another", Inject: coreDiskLost},
+	"core-gone":      {About: "all cores are killed for a while", Inject: coreGone},
+	"all-down":       {About: "every process of ours is killed at once", Inject: allDown},
+	"storm":          {About: "dozens of operators change a large tree through all daemons while the leader changes", Planned: true, Inject: storm},
+	"lending":        {About: "the lender storms, falls, restarts and changes its word; the borrower falls", Inject: lendingFaults},
+	"warned":         {About: "proxies and a core are warned and killed before they are done", Inject: warnedThenKilled},
+	"platform":       {About: "the platform refuses, shifts its pages, vanishes, and takes reports slowly or not", Inject: platformMisbehaves},
+	"cold-herd":      {About: "half of the backends come back cold at once while proxies leave and join", Inject: coldHerd},
+	"leader-changes": {About: "the leader is stopped once by SIGTERM, once by SIGKILL", Planned: true, Inject: leaderChanges},
 }
 
 // Names returns the names of all scenarios in order.
@@ -101,7 +101,7 @@
 	if fleet.Spec.Changes > 0 {
 		ledger.Operate(2, 2*time.Second/time.Duration(fleet.Spec.Changes))
 	}
-	scenario.Harm(fleet)
+	scenario.Inject(fleet)
 	report, mishap := fleet.Callers()
 	ledger.Stop()
 	if mishap != nil {
--- a/judge/ledger.go
+++ b/judge/ledger.go
@@ -12,8 +12,8 @@
 	"orchidjunction/wire"
 )
 
-// Ground is the system that operators work on, real or simulated.
-type Ground interface {
+// System is the system that operators work on, real or simulated.
+type System interface {
 	Doors() []string
 	Client(door string) *operator.Client
 	Serials() []uint64
@@ -31,7 +31,7 @@
 
 // Ledger makes changes as operators do and records what they were told.
 type Ledger struct {
-	ground Ground
+	system System
 	seed   uint64
 
 	mutex     sync.Mutex
@@ -54,10 +54,10 @@
 	wholeMost  = 100_000
 )
 
-// NewLedger returns a Ledger that changes the settings of ground, with decisions
+// NewLedger returns a Ledger that changes the settings of system, with decisions
 // drawn from seed.
-func NewLedger(ground Ground, seed uint64) *Ledger {
-	return &Ledger{ground: ground, seed: seed, Acked: map[string]Ack{}, Refused: map[string]wire.Kind{}, Unknown: map[string]bool{}, lastAck: time.Now()}
+func NewLedger(system System, seed uint64) *Ledger {
+	return &Ledger{system: system, seed: seed, Acked: map[string]Ack{}, Refused: map[string]wire.Kind{}, Unknown: map[string]bool{}, lastAck: time.Now()}
 }
 
 // Operate starts operators that each change settings at the mean pace. Some changes
@@ -69,8 +69,8 @@
 		ledger.running++
 		random := rand.New(rand.NewPCG(ledger.seed, uint64(100+ledger.running+100*number)))
 		ledger.mutex.Unlock()
-		ledger.ground.Start(func() {
-			for ledger.ground.Rest(time.Duration(random.Int64N(int64(2*pace)))) && !ledger.ended() {
+		ledger.system.Start(func() {
+			for ledger.system.Rest(time.Duration(random.Int64N(int64(2*pace)))) && !ledger.ended() {
 				ledger.change(random)
 			}
 			ledger.mutex.Lock()
@@ -95,7 +95,7 @@
 		ledger.mutex.Lock()
 		running := ledger.running
 		ledger.mutex.Unlock()
-		if running == 0 || !ledger.ground.Rest(5*time.Millisecond) {
+		if running == 0 || !ledger.system.Rest(5*time.Millisecond) {
 			return
 		}
 	}
@@ -115,11 +115,11 @@
 }
 
 func (ledger *Ledger) door(random *rand.Rand) (*operator.Client, bool) {
-	doors := ledger.ground.Doors()
+	doors := ledger.system.Doors()
 	if len(doors) == 0 {
 		return nil, false
 	}
-	return ledger.ground.Client(doors[random.IntN(len(doors))]), true
+	return ledger.system.Client(doors[random.IntN(len(doors))]), true
 }
 
 // change makes one change at one daemon and keeps what it was told.
@@ -168,7 +168,7 @@
 	var outcome *operator.Outcome
 	mishap := ledger.timed(change.Change, func() (mishap *wire.Mishap) { outcome, mishap = send(client); return })
 	for try := 0; try < 6 && mishap != nil && (mishap.Kind == wire.OutcomeUnknown || mishap.Kind == wire.Unreachable); try++ {
-		ledger.ground.Rest(50 * time.Millisecond)
+		ledger.system.Rest(50 * time.Millisecond)
 		if client, found := ledger.door(random); found {
 			again := ledger.timed(change.Change+" again", func() (mishap *wire.Mishap) { outcome, mishap = send(client); return })
 			if again == nil || again.Kind != wire.NotStarted && again.Kind != wire.HoldFull {
@@ -199,7 +199,7 @@
 func (ledger *Ledger) follow(serial uint64, acked time.Time) {
 	for time.Since(acked) < lateMs*time.Millisecond {
 		behind := 0
-		for _, held := range ledger.ground.Serials() {
+		for _, held := range ledger.system.Serials() {
 			if held > 0 && held < serial {
 				behind++
 			}
@@ -210,7 +210,7 @@
 			ledger.mutex.Unlock()
 			return
 		}
-		if !ledger.ground.Rest(10 * time.Millisecond) {
+		if !ledger.system.Rest(10 * time.Millisecond) {
 			return
 		}
 	}
@@ -238,12 +238,12 @@
 	}{}
 	last := wire.New(wire.Unreachable, "no door")
 	for until := time.Now().Add(limit); time.Now().Before(until); {
-		for _, door := range ledger.ground.Doors() {
-			if last = ledger.ground.Client(door).Ask(http.MethodGet, "/v1/changes", nil, &trail); last == nil {
+		for _, door := range ledger.system.Doors() {
+			if last = ledger.system.Client(door).Ask(http.MethodGet, "/v1/changes", nil, &trail); last == nil {
 				return trail.Changes, nil
 			}
 		}
-		ledger.ground.Rest(50 * time.Millisecond)
+		ledger.system.Rest(50 * time.Millisecond)
 	}
 	return nil, last
 }
--- a/place/directory.go
+++ b/place/directory.go
@@ -25,12 +25,12 @@
 type Directory struct {
 	daemon *member.Daemon
 	counts *run.Counts
-	chart  atomic.Pointer[Chart]
+	view   atomic.Pointer[View]
 }
 
-// Chart is the immutable view of one version: its routes and the proxies that
+// View is the immutable view of one version: its routes and the proxies that
 // callers may be sent to.
-type Chart struct {
+type View struct {
 	routes *data.Routes
 	fronts []wire.Member
 	guests []wire.Member
@@ -70,20 +70,20 @@
 		return
 	}
 	var routes *data.Routes
-	if before := directory.chart.Load(); before != nil {
+	if before := directory.view.Load(); before != nil {
 		routes = before.routes
 	}
 	if routes == nil || routes.Serial != version.Serial {
 		routes = data.NewRoutes(version.Serial, version.Settings, routes)
 	}
-	directory.chart.Store(NewChart(routes, version.Table.Members))
+	directory.view.Store(NewView(routes, version.Table.Members))
 }
 
-// NewChart selects the proxies that callers may be sent to: those ready and not
+// NewView selects the proxies that callers may be sent to: those ready and not
 // leaving. Proxies lent by the other partner are used only while the own ones are
 // too few or nearly full.
-func NewChart(routes *data.Routes, members []wire.Member) *Chart {
-	next, demand := &Chart{routes: routes}, 0.0
+func NewView(routes *data.Routes, members []wire.Member) *View {
+	next, demand := &View{routes: routes}, 0.0
 	for _, known := range members {
 		if known.Kind != "proxy" || !known.Ready || known.Leaving {
 			continue
@@ -127,31 +127,31 @@
 	if request.Method != http.MethodGet {
 		return nil, wire.New(wire.WrongMethod, "want GET")
 	}
-	chart := directory.chart.Load()
-	if chart == nil || !directory.daemon.Ready() {
+	view := directory.view.Load()
+	if view == nil || !directory.daemon.Ready() {
 		return nil, &wire.Mishap{Kind: wire.NotReady, Cause: "no confirmed settings in force here", Retry: comeBack}
 	}
 	key, bearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
-	tenant, found := chart.routes.Tenant(key)
+	tenant, found := view.routes.Tenant(key)
 	if !bearer || !found {
 		return nil, wire.New(wire.UnknownKey, "no tenant has this key")
 	}
-	return chart.Place(tenant, request.URL.Query().Get("zone"))
+	return view.Place(tenant, request.URL.Query().Get("zone"))
 }
 
 // Place returns the proxies for a tenant by rendezvous hashing, those in the zone
 // near first, spread over zones before a second one of any zone is taken. It
 // returns wire.NoBackend if no proxy may serve the tenant.
-func (chart *Chart) Place(tenant int, near string) (*Placement, *wire.Mishap) {
-	settings := chart.routes.Settings()
-	name := chart.routes.TenantName(tenant)
-	ranked := chart.rank(chart.fronts, tenant, near)
-	guests := chart.rank(chart.guests, tenant, near)
+func (view *View) Place(tenant int, near string) (*Placement, *wire.Mishap) {
+	settings := view.routes.Settings()
+	name := view.routes.TenantName(tenant)
+	ranked := view.rank(view.fronts, tenant, near)
+	guests := view.rank(view.guests, tenant, near)
 	if len(ranked)+len(guests) == 0 {
 		return nil, &wire.Mishap{Kind: wire.NoBackend, Cause: "no front machine may take this tenant now", Retry: comeBack}
 	}
-	most := chart.routes.Fronts(tenant)
-	placement := &Placement{Serial: chart.routes.Serial, Tenant: name, HoldMs: (time.Duration(*settings.Rule.HoldMs) * time.Millisecond).Milliseconds(), Fronts: []Front{}}
+	most := view.routes.Fronts(tenant)
+	placement := &Placement{Serial: view.routes.Serial, Tenant: name, HoldMs: (time.Duration(*settings.Rule.HoldMs) * time.Millisecond).Milliseconds(), Fronts: []Front{}}
 	zones := map[string]int{}
 	for round := 0; len(placement.Fronts) < most && round < len(ranked); round++ {
 		for _, front := range ranked {
@@ -175,10 +175,10 @@
 }
 
 // rank orders the fronts that a tenant may use: near ones first, then its own order.
-func (chart *Chart) rank(fronts []wire.Member, tenant int, near string) []wire.Member {
-	name, ranked := chart.routes.TenantName(tenant), []wire.Member{}
+func (view *View) rank(fronts []wire.Member, tenant int, near string) []wire.Member {
+	name, ranked := view.routes.TenantName(tenant), []wire.Member{}
 	for _, front := range fronts {
-		if !chart.routes.Drained(front.Zone) && chart.routes.ZoneAllowed(front.Zone, tenant) {
+		if !view.routes.Drained(front.Zone) && view.routes.ZoneAllowed(front.Zone, tenant) {
 			ranked = append(ranked, front)
 		}
 	}
--- a/plan/forecast.go
+++ b/plan/forecast.go
@@ -82,7 +82,7 @@
 func Look(fleet Fleet, next *conf.Settings) *Forecast {
 	forecast := &Forecast{Moves: []Move{}, Rooms: []Room{}, Shorts: []Short{}, Changes: []Change{}}
 	before, after := data.NewRoutes(fleet.Serial, fleet.Settings, nil), data.NewRoutes(fleet.Serial+1, next, nil)
-	former, later := place.NewChart(before, fleet.Members), place.NewChart(after, fleet.Members)
+	former, later := place.NewView(before, fleet.Members), place.NewView(after, fleet.Members)
 	for _, tenant := range union(fleet.Settings.Tenants, next.Tenants) {
 		from, to := fronts(former, before, tenant), fronts(later, after, tenant)
 		forecast.Tenants++
@@ -96,12 +96,12 @@
 	return forecast
 }
 
-func fronts(chart *place.Chart, routes *data.Routes, tenant string) []string {
+func fronts(view *place.View, routes *data.Routes, tenant string) []string {
 	index, found := routes.TenantNamed(tenant)
 	if !found {
 		return []string{}
 	}
-	placement, mishap := chart.Place(index, "")
+	placement, mishap := view.Place(index, "")
 	if mishap != nil {
 		return []string{}
 	}
--- a/plan/forecast_test.go
+++ b/plan/forecast_test.go
@@ -68,7 +68,7 @@
 	look := fleet(test)
 	routes := data.NewRoutes(1, look.Settings, nil)
 	placed := func(members []wire.Member) map[string][]place.Front {
-		chart, all := place.NewChart(routes, members), map[string][]place.Front{}
+		chart, all := place.NewView(routes, members), map[string][]place.Front{}
 		for name := range look.Settings.Tenants {
 			index, _ := routes.TenantNamed(name)
 			placement, mishap := chart.Place(index, "")
