--- a/aims/aims.go
+++ b/aims/aims.go
@@ -70,12 +70,12 @@
 	documents := []Document{}
 	for {
 		document := Document{}
-		fault := decoder.Decode(&document)
-		if errors.Is(fault, io.EOF) {
+		err := decoder.Decode(&document)
+		if errors.Is(err, io.EOF) {
 			break
 		}
-		if fault != nil {
-			return nil, wire.New(wire.BadRequest, "document %d: %v", len(documents)+1, fault)
+		if err != nil {
+			return nil, wire.New(wire.BadRequest, "document %d: %v", len(documents)+1, err)
 		}
 		if mishap := document.check(); mishap != nil {
 			return nil, mishap
--- a/aims/aims_test.go
+++ b/aims/aims_test.go
@@ -7,9 +7,9 @@
 )
 
 func TestAims(test *testing.T) {
-	body, fault := os.ReadFile("../examples/aims.yaml")
-	if fault != nil {
-		test.Fatal(fault)
+	body, err := os.ReadFile("../examples/aims.yaml")
+	if err != nil {
+		test.Fatal(err)
 	}
 	documents, mishap := Read(body)
 	if mishap != nil {
--- a/cmd/ojback/main.go
+++ b/cmd/ojback/main.go
@@ -30,9 +30,9 @@
 		flags.Exit(wire.New(wire.BadFlag, "--service and --instance must be given"))
 	}
 	place.Incarnation = member.NewID()
-	backend, fault := stand.NewBackend(place)
-	if fault != nil {
-		flags.Exit(wire.New(wire.BadFlag, "--journal: %v", fault))
+	backend, err := stand.NewBackend(place)
+	if err != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--journal: %v", err))
 	}
 	threads := run.NewThreads()
 	listener, mishap := program.Listen(listen, backend, 64<<10)
--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -36,8 +36,8 @@
 	flags.Parse()
 	for _, text := range peers {
 		id, address, _ := strings.Cut(text, "=")
-		number, fault := strconv.Atoi(id)
-		if fault != nil {
+		number, err := strconv.Atoi(id)
+		if err != nil {
 			flags.Exit(wire.New(wire.BadFlag, "--peer: %q is not id=IP:port", text))
 		}
 		place.Peers = append(place.Peers, control.Peer{ID: number, Address: address})
@@ -52,8 +52,8 @@
 	if data == "" {
 		flags.Exit(wire.New(wire.BadFlag, "--data must be given"))
 	}
-	if fault := os.MkdirAll(data, 0o700); fault != nil {
-		flags.Exit(wire.New(wire.BadFlag, "--data: %v", fault))
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--data: %v", err))
 	}
 	threads, counts := run.NewThreads(), run.NewCounts()
 	line := wire.NewLine(program.Transport())
--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -129,16 +129,16 @@
 
 func (command *errand) read() ([]byte, *wire.Mishap) {
 	var body []byte
-	var fault error
+	var err error
 	if command.file == "-" {
 		buffer := bytes.Buffer{}
-		_, fault = buffer.ReadFrom(os.Stdin)
+		_, err = buffer.ReadFrom(os.Stdin)
 		body = buffer.Bytes()
 	} else {
-		body, fault = os.ReadFile(command.file)
+		body, err = os.ReadFile(command.file)
 	}
-	if fault != nil {
-		return nil, wire.New(wire.BadFlag, "%v", fault)
+	if err != nil {
+		return nil, wire.New(wire.BadFlag, "%v", err)
 	}
 	return body, nil
 }
@@ -146,8 +146,8 @@
 func show(document any) {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
-	if fault := encoder.Encode(document); fault != nil {
-		end(wire.New(wire.OutcomeUnknown, "output: %v", fault))
+	if err := encoder.Encode(document); err != nil {
+		end(wire.New(wire.OutcomeUnknown, "output: %v", err))
 	}
 }
 
@@ -183,8 +183,8 @@
 		return nil
 	}
 	routes := []conf.Effective{}
-	if fault := json.Unmarshal(settings.Effective, &routes); fault != nil {
-		return wire.New(wire.BadMessage, "effective routes: %v", fault)
+	if err := json.Unmarshal(settings.Effective, &routes); err != nil {
+		return wire.New(wire.BadMessage, "effective routes: %v", err)
 	}
 	fmt.Printf("serial %d\n", settings.Serial)
 	for _, route := range routes {
--- a/cmd/ojfleet/main.go
+++ b/cmd/ojfleet/main.go
@@ -50,9 +50,9 @@
 		sizes, spec.Guests = []string{"volta", "saqtau"}, 2
 	}
 	if folder == "" {
-		made, fault := os.MkdirTemp("", "ojfleet-")
-		if fault != nil {
-			flags.Exit(wire.New(wire.BadFlag, "--folder: %v", fault))
+		made, err := os.MkdirTemp("", "ojfleet-")
+		if err != nil {
+			flags.Exit(wire.New(wire.BadFlag, "--folder: %v", err))
 		}
 		folder = made
 	}
--- a/cmd/ojfleet/scale.go
+++ b/cmd/ojfleet/scale.go
@@ -66,8 +66,8 @@
 }
 
 func (scaling *scaling) read(spec any) *wire.Mishap {
-	if fault := json.Unmarshal([]byte(scaling.spec), spec); fault != nil {
-		return wire.New(wire.BadFlag, "--spec: %v", fault)
+	if err := json.Unmarshal([]byte(scaling.spec), spec); err != nil {
+		return wire.New(wire.BadFlag, "--spec: %v", err)
 	}
 	return nil
 }
--- a/cmd/ojorigin/main.go
+++ b/cmd/ojorigin/main.go
@@ -20,12 +20,12 @@
 	flags.Parser.String(&path, "", "plan", "JSON file saying who calls what, where and how often")
 	flags.Parse()
 	plan := stand.OriginPlan{}
-	body, fault := os.ReadFile(path)
-	if fault == nil {
-		fault = json.Unmarshal(body, &plan)
+	body, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(body, &plan)
 	}
-	if fault != nil {
-		flags.Exit(wire.New(wire.BadFlag, "--plan: %v", fault))
+	if err != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--plan: %v", err))
 	}
 	if plan.PerSecond < 1 || plan.Seconds <= 0 || len(plan.Directories) == 0 || len(plan.Callers) == 0 || len(plan.Calls) == 0 {
 		flags.Exit(wire.New(wire.BadFlag, "--plan: directories, callers, calls, per_second and seconds must be given"))
@@ -38,7 +38,7 @@
 	threads.Stop()
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
-	if fault := encoder.Encode(report); fault != nil {
-		flags.Exit(wire.New(wire.DiskFault, "output: %v", fault))
+	if err := encoder.Encode(report); err != nil {
+		flags.Exit(wire.New(wire.DiskFault, "output: %v", err))
 	}
 }
--- a/cmd/ojplan/main.go
+++ b/cmd/ojplan/main.go
@@ -53,9 +53,9 @@
 	end(mishap, exitInvalid)
 	body := []byte(held.Settings)
 	if file := whole + partial; file != "" {
-		change, fault := os.ReadFile(file)
-		if fault != nil {
-			flags.Exit(wire.New(wire.BadFlag, "%v", fault))
+		change, err := os.ReadFile(file)
+		if err != nil {
+			flags.Exit(wire.New(wire.BadFlag, "%v", err))
 		}
 		if body = change; partial != "" {
 			body, mishap = conf.Patch(held.Settings, change)
@@ -77,8 +77,8 @@
 	if asJSON {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
-		if fault := encoder.Encode(forecast); fault != nil {
-			flags.Exit(wire.New(wire.DiskFault, "output: %v", fault))
+		if err := encoder.Encode(forecast); err != nil {
+			flags.Exit(wire.New(wire.DiskFault, "output: %v", err))
 		}
 	} else {
 		show(forecast)
--- a/cmd/ojplat/main.go
+++ b/cmd/ojplat/main.go
@@ -26,12 +26,12 @@
 	flags.Exit(control.CheckAddress("--listen", listen))
 	items := []stand.Listed{}
 	if backends != "" {
-		body, fault := os.ReadFile(backends)
-		if fault == nil {
-			fault = json.Unmarshal(body, &items)
+		body, err := os.ReadFile(backends)
+		if err == nil {
+			err = json.Unmarshal(body, &items)
 		}
-		if fault != nil {
-			flags.Exit(wire.New(wire.BadFlag, "--backends: %v", fault))
+		if err != nil {
+			flags.Exit(wire.New(wire.BadFlag, "--backends: %v", err))
 		}
 	}
 	if rate < 1 || page < 1 || lag < 0 {
--- a/conf/check.go
+++ b/conf/check.go
@@ -31,8 +31,8 @@
 		reader.regionsKnown(path+".forbid_regions", tenant.ForbidRegions, settings)
 		for index, key := range tenant.Keys {
 			inner := fmt.Sprintf("%s.keys[%d]", path, index)
-			raw, fault := hex.DecodeString(strings.TrimPrefix(key, digestMark))
-			if !strings.HasPrefix(key, digestMark) || fault != nil || len(raw) != 32 {
+			raw, err := hex.DecodeString(strings.TrimPrefix(key, digestMark))
+			if !strings.HasPrefix(key, digestMark) || err != nil || len(raw) != 32 {
 				reader.wrong(inner, outOfRange, "want sha256: and 64 hex digits")
 			}
 			if other, found := keys[key]; found && other != name {
--- a/conf/patch.go
+++ b/conf/patch.go
@@ -22,9 +22,9 @@
 			return nil, mishap
 		}
 	}
-	body, fault := json.Marshal(merge(whole, part))
-	if fault != nil {
-		return nil, wire.New(wire.Invalid, "%v", fault)
+	body, err := json.Marshal(merge(whole, part))
+	if err != nil {
+		return nil, wire.New(wire.Invalid, "%v", err)
 	}
 	return body, nil
 }
@@ -43,8 +43,8 @@
 	var value any
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.UseNumber()
-	if fault := decoder.Decode(&value); fault != nil {
-		return nil, &wire.Mishap{Kind: wire.Invalid, Cause: "1 wrong", Details: []wire.Detail{{Path: ".", Cause: fault.Error(), Kind: badSyntax}}}
+	if err := decoder.Decode(&value); err != nil {
+		return nil, &wire.Mishap{Kind: wire.Invalid, Cause: "1 wrong", Details: []wire.Detail{{Path: ".", Cause: err.Error(), Kind: badSyntax}}}
 	}
 	object, able := value.(map[string]any)
 	if !able {
@@ -59,11 +59,11 @@
 	case jx.Object:
 		reader.each(decoder, path, func(decoder *jx.Decoder, _, inner string) { reader.once(decoder, inner) })
 	case jx.Array:
-		fault := decoder.Arr(func(decoder *jx.Decoder) error {
+		err := decoder.Arr(func(decoder *jx.Decoder) error {
 			reader.once(decoder, path)
 			return reader.broken
 		})
-		_ = reader.syntax(path, fault) // kept in reader.broken
+		_ = reader.syntax(path, err) // kept in reader.broken
 	default:
 		reader.skip(decoder, path)
 	}
--- a/conf/read.go
+++ b/conf/read.go
@@ -57,10 +57,10 @@
 
 // syntax keeps the first syntax error of the text, which ends the reading, and
 // returns the one kept.
-func (reader *reader) syntax(path string, fault error) error {
-	if fault != nil && reader.broken == nil {
-		reader.broken = fault
-		reader.wrong(path, badSyntax, "%v", fault)
+func (reader *reader) syntax(path string, err error) error {
+	if err != nil && reader.broken == nil {
+		reader.broken = err
+		reader.wrong(path, badSyntax, "%v", err)
 	}
 	return reader.broken
 }
@@ -113,7 +113,7 @@
 		return nil
 	}
 	seen := map[string]bool{}
-	fault := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
 		inner := join(path, key)
 		if seen[key] {
 			reader.wrong(inner, doubleField, "given twice")
@@ -123,7 +123,7 @@
 		entry(decoder, key, inner)
 		return reader.broken
 	})
-	if reader.syntax(path, fault) != nil {
+	if reader.syntax(path, err) != nil {
 		return nil
 	}
 	return seen
@@ -159,8 +159,8 @@
 		if !reader.expect(decoder, path, jx.String) {
 			return
 		}
-		value, fault := decoder.Str()
-		if reader.syntax(path, fault) == nil && (len(value) < least || len(value) > most) {
+		value, err := decoder.Str()
+		if reader.syntax(path, err) == nil && (len(value) < least || len(value) > most) {
 			reader.wrong(path, outOfRange, "%d letters, allowed %d to %d", len(value), least, most)
 		}
 		*into = value
@@ -172,12 +172,12 @@
 		if !reader.expect(decoder, path, jx.Number) {
 			return
 		}
-		number, fault := decoder.Num()
-		if reader.syntax(path, fault) != nil {
+		number, err := decoder.Num()
+		if reader.syntax(path, err) != nil {
 			return
 		}
-		value, fault := number.Int64()
-		if fault != nil {
+		value, err := number.Int64()
+		if err != nil {
 			reader.wrong(path, wrongType, "want a whole number, got %s", number)
 			return
 		}
@@ -205,8 +205,8 @@
 		if !reader.expect(decoder, path, jx.Number) {
 			return
 		}
-		value, fault := decoder.Float64()
-		if reader.syntax(path, fault) == nil && (value < least || value > most) {
+		value, err := decoder.Float64()
+		if reader.syntax(path, err) == nil && (value < least || value > most) {
 			reader.wrong(path, outOfRange, "%v, allowed %v to %v", value, least, most)
 		}
 		*into = value
@@ -218,8 +218,8 @@
 		if !reader.expect(decoder, path, jx.Bool) {
 			return
 		}
-		value, fault := decoder.Bool()
-		if reader.syntax(path, fault) == nil {
+		value, err := decoder.Bool()
+		if reader.syntax(path, err) == nil {
 			*into = value
 		}
 	}
@@ -231,7 +231,7 @@
 			return
 		}
 		values := []string{}
-		fault := decoder.Arr(func(decoder *jx.Decoder) error {
+		err := decoder.Arr(func(decoder *jx.Decoder) error {
 			inner := fmt.Sprintf("%s[%d]", path, len(values))
 			value := ""
 			reader.text(&value, 1, 256)(decoder, inner)
@@ -243,7 +243,7 @@
 			values = append(values, value)
 			return reader.broken
 		})
-		if reader.syntax(path, fault) == nil && (len(values) < least || len(values) > most) {
+		if reader.syntax(path, err) == nil && (len(values) < least || len(values) > most) {
 			reader.wrong(path, outOfRange, "%d entries, allowed %d to %d", len(values), least, most)
 		}
 		*into = values
--- a/conf/read_test.go
+++ b/conf/read_test.go
@@ -13,9 +13,9 @@
 // TestTree lays one partial change over the small example and shows what is
 // wrong with the whole, or what one route then inherits.
 func TestTree(test *testing.T) {
-	base, fault := os.ReadFile("../examples/small.json")
-	if fault != nil {
-		test.Fatal(fault)
+	base, err := os.ReadFile("../examples/small.json")
+	if err != nil {
+		test.Fatal(err)
 	}
 	datadriven.Walk(test, "testdata/tree", func(test *testing.T, path string) {
 		datadriven.RunTest(test, path, func(test *testing.T, line *datadriven.TestData) string {
--- a/conf/tree.go
+++ b/conf/tree.go
@@ -43,9 +43,9 @@
 		splitter.old = before.decoded()
 	}
 	if !splitter.split(whole) {
-		body, fault := json.Marshal(whole)
-		if fault != nil {
-			return nil, wire.New(wire.Invalid, "%v", fault)
+		body, err := json.Marshal(whole)
+		if err != nil {
+			return nil, wire.New(wire.Invalid, "%v", err)
 		}
 		if _, mishap := Read(body); mishap != nil {
 			return nil, mishap
--- a/conf/tree_test.go
+++ b/conf/tree_test.go
@@ -17,9 +17,9 @@
 // branches it comes out as by reading the whole text, refusals too; its branches
 // do not depend on the way it came about; and one route's change makes few anew.
 func TestBranchesAreTheWholeText(test *testing.T) {
-	base, fault := os.ReadFile("../examples/small.json")
-	if fault != nil {
-		test.Fatal(fault)
+	base, err := os.ReadFile("../examples/small.json")
+	if err != nil {
+		test.Fatal(err)
 	}
 	tree, mishap := conf.Sow(base, nil)
 	if mishap != nil {
--- a/data/claim_messages.go
+++ b/data/claim_messages.go
@@ -65,8 +65,8 @@
 		if holderName(known) != claimed.Holder {
 			continue
 		}
-		told, fault := wire.Ask[wire.Holds, wire.HoldsTold](claims.proxy.daemon.Line(), known.Wire, "holds", claimLimit, &wire.Holds{Holder: claimed.Holder, Key: claimed.Key, ID: claimed.ID})
-		if fault != nil {
+		told, err := wire.Ask[wire.Holds, wire.HoldsTold](claims.proxy.daemon.Line(), known.Wire, "holds", claimLimit, &wire.Holds{Holder: claimed.Holder, Key: claimed.Key, ID: claimed.ID})
+		if err != nil {
 			return nil, false
 		}
 		return &told.Held, told.Known
@@ -82,7 +82,7 @@
 			continue
 		}
 		claims.proxy.threads.Start(func() {
-			if _, fault := wire.Ask[wire.Settle, wire.SettleTold](claims.proxy.daemon.Line(), keeper.Wire, "settle", settleLimit, settle); fault != nil {
+			if _, err := wire.Ask[wire.Settle, wire.SettleTold](claims.proxy.daemon.Line(), keeper.Wire, "settle", settleLimit, settle); err != nil {
 				claims.proxy.counts.Add("claims_not_settled", 1)
 			}
 		})
--- a/data/claim_poll.go
+++ b/data/claim_poll.go
@@ -93,14 +93,14 @@
 	away := claims.coreStore.unavailable()
 	got, _ := run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
 		if index >= len(members) {
-			told, fault := claims.coreStore.ask(cores[index-len(members)], &wire.Keep{Claims: []wire.Claim{*claim}}, coreStoreLimit)
-			return claimAnswer{core: told}, fault
+			told, err := claims.coreStore.ask(cores[index-len(members)], &wire.Keep{Claims: []wire.Claim{*claim}}, coreStoreLimit)
+			return claimAnswer{core: told}, err
 		}
 		if members[index].Name == claims.proxy.daemon.Name() {
 			return claimAnswer{keeper: claims.grant(claim)}, nil
 		}
-		told, fault := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
-		return claimAnswer{keeper: told}, fault
+		told, err := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
+		return claimAnswer{keeper: told}, err
 	}, func(got map[int]claimAnswer, _ map[int]error) bool {
 		poll := &poll{rings: rings, members: members, got: got}
 		if poll.refused() != nil {
--- a/data/claim_rings.go
+++ b/data/claim_rings.go
@@ -117,7 +117,7 @@
 	for address, batch := range batches {
 		for len(batch) > 0 {
 			count := min(len(batch), 2000)
-			if _, fault := wire.Ask[wire.Retell, wire.RetellTold](claims.proxy.daemon.Line(), address, "retell", pullLimit, &wire.Retell{Claims: batch[:count]}); fault != nil {
+			if _, err := wire.Ask[wire.Retell, wire.RetellTold](claims.proxy.daemon.Line(), address, "retell", pullLimit, &wire.Retell{Claims: batch[:count]}); err != nil {
 				claims.proxy.counts.Add("claims_not_retold", uint64(count))
 			}
 			batch = batch[count:]
--- a/data/core_store.go
+++ b/data/core_store.go
@@ -148,9 +148,9 @@
 // pullAll passes every page of claims of a proxy or core to take and returns the last.
 func pullAll(line *wire.Line, address string, take func([]wire.Claimed)) (*wire.PullTold, error) {
 	for after, whole := uint64(0), true; ; {
-		told, fault := wire.Ask[wire.Pull, wire.PullTold](line, address, "pull", pullLimit, &wire.Pull{After: after})
-		if fault != nil {
-			return nil, fault
+		told, err := wire.Ask[wire.Pull, wire.PullTold](line, address, "pull", pullLimit, &wire.Pull{After: after})
+		if err != nil {
+			return nil, err
 		}
 		take(told.Claims)
 		whole = whole && told.Whole
--- a/data/identity.go
+++ b/data/identity.go
@@ -30,25 +30,25 @@
 
 // ask reads the identity on the pipe itself, before anything else goes over it.
 func (identity *Identity) ask(pipe net.Conn, host string, limit time.Time) *wire.Mishap {
-	if fault := pipe.SetDeadline(limit); fault != nil {
-		return wire.New(wire.PipeBroken, "identity: %v", fault)
+	if err := pipe.SetDeadline(limit); err != nil {
+		return wire.New(wire.PipeBroken, "identity: %v", err)
 	}
 	defer func() { _ = pipe.SetDeadline(time.Time{}) }() // the next use meets a closed connection anyway
-	if _, fault := io.WriteString(pipe, "GET /oj/identity HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"); fault != nil {
-		return wire.New(wire.PipeBroken, "identity: %v", fault)
+	if _, err := io.WriteString(pipe, "GET /oj/identity HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"); err != nil {
+		return wire.New(wire.PipeBroken, "identity: %v", err)
 	}
 	reader := bufio.NewReader(pipe)
-	response, fault := http.ReadResponse(reader, nil)
-	if fault != nil {
-		return wire.New(wire.BadReceipt, "identity: %v", fault)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return wire.New(wire.BadReceipt, "identity: %v", err)
 	}
-	body, fault := io.ReadAll(io.LimitReader(response.Body, identityBytes+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, identityBytes+1))
 	response.Body.Close()
-	if fault != nil || len(body) > identityBytes || response.StatusCode != http.StatusOK || response.Close || reader.Buffered() > 0 {
-		return wire.New(wire.BadReceipt, "identity: status %d, %d bytes, %v", response.StatusCode, len(body), fault)
+	if err != nil || len(body) > identityBytes || response.StatusCode != http.StatusOK || response.Close || reader.Buffered() > 0 {
+		return wire.New(wire.BadReceipt, "identity: status %d, %d bytes, %v", response.StatusCode, len(body), err)
 	}
-	if fault := json.Unmarshal(body, identity); fault != nil {
-		return wire.New(wire.BadReceipt, "identity: %v", fault)
+	if err := json.Unmarshal(body, identity); err != nil {
+		return wire.New(wire.BadReceipt, "identity: %v", err)
 	}
 	if identity.Incarnation == "" {
 		return wire.New(wire.BadReceipt, "identity without incarnation")
@@ -66,10 +66,10 @@
 
 // fromReceipt lays what the receipt's headers tell over the identity.
 func (identity *Identity) fromReceipt(header http.Header) {
-	if usage, fault := strconv.ParseFloat(header.Get("Oj-Usage"), 64); fault == nil && usage >= 0 {
+	if usage, err := strconv.ParseFloat(header.Get("Oj-Usage"), 64); err == nil && usage >= 0 {
 		identity.Usage = usage
 	}
-	if serial, fault := strconv.ParseUint(header.Get("Oj-Serial"), 10, 64); fault == nil && serial > identity.Serial {
+	if serial, err := strconv.ParseUint(header.Get("Oj-Serial"), 10, 64); err == nil && serial > identity.Serial {
 		identity.Serial = serial
 	}
 	if leaving := header.Get("Oj-Leaving"); leaving != "" {
--- a/data/pipe.go
+++ b/data/pipe.go
@@ -57,9 +57,9 @@
 func openPipe(dial Dialer, backend wire.Backend, limit time.Time) (*Pipe, *Identity, *wire.Mishap) {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	conn, fault := dial(ctx, "tcp", backend.Address)
-	if fault != nil {
-		return nil, nil, wire.New(wire.Unreached, "%v", fault)
+	conn, err := dial(ctx, "tcp", backend.Address)
+	if err != nil {
+		return nil, nil, wire.New(wire.Unreached, "%v", err)
 	}
 	identity := &Identity{}
 	mishap := identity.ask(conn, backend.Address, limit)
@@ -76,21 +76,21 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
-	client, fault := transport.NewClientConn(ctx, "http", backend.Address)
-	if fault != nil {
+	client, err := transport.NewClientConn(ctx, "http", backend.Address)
+	if err != nil {
 		conn.Close()
-		return nil, nil, wire.New(wire.PipeBroken, "%v", fault)
+		return nil, nil, wire.New(wire.PipeBroken, "%v", err)
 	}
 	return &Pipe{conn: counted, client: client, used: time.Now()}, identity, nil
 }
 
 // send gives the request to this pipe only; ran is false when no byte of it
 // left, nor ever will.
-func (pipe *Pipe) send(request *http.Request) (response *http.Response, ran bool, fault error) {
+func (pipe *Pipe) send(request *http.Request) (response *http.Response, ran bool, err error) {
 	before := pipe.conn.count()
-	response, fault = pipe.client.RoundTrip(request)
-	if fault != nil {
-		return nil, pipe.conn.sever() > before, fault
+	response, err = pipe.client.RoundTrip(request)
+	if err != nil {
+		return nil, pipe.conn.sever() > before, err
 	}
 	return response, true, nil
 }
--- a/data/receipt.go
+++ b/data/receipt.go
@@ -43,9 +43,9 @@
 	if !whole {
 		first = min(most, wholeBytes)
 	}
-	body, fault := io.ReadAll(io.LimitReader(response.Body, int64(first)+1))
-	if fault != nil {
-		return nil, wire.New(wire.BadReceipt, "after %d bytes: %v", len(body), fault)
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(first)+1))
+	if err != nil {
+		return nil, wire.New(wire.BadReceipt, "after %d bytes: %v", len(body), err)
 	}
 	if len(body) > most {
 		return nil, wire.New(wire.BadReceipt, "more than %d bytes", most)
@@ -89,12 +89,12 @@
 		header.Set("Content-Length", strconv.FormatInt(receipt.length, 10))
 	}
 	writer.WriteHeader(receipt.status)
-	if _, fault := writer.Write(receipt.body); fault != nil || receipt.rest == nil {
-		return fault
+	if _, err := writer.Write(receipt.body); err != nil || receipt.rest == nil {
+		return err
 	}
-	rest, fault := io.Copy(writer, io.LimitReader(receipt.rest, int64(most-len(receipt.body))+1))
-	if fault == nil && rest > int64(most-len(receipt.body)) {
-		fault = errors.New(string(wire.TooLarge))
+	rest, err := io.Copy(writer, io.LimitReader(receipt.rest, int64(most-len(receipt.body))+1))
+	if err == nil && rest > int64(most-len(receipt.body)) {
+		err = errors.New(string(wire.TooLarge))
 	}
-	return fault
+	return err
 }
--- a/data/task.go
+++ b/data/task.go
@@ -76,7 +76,7 @@
 }
 
 func (task *task) deliver(writer http.ResponseWriter) {
-	if fault := task.receipt.write(writer, task.rule.ReceiptBytes, task.replayed); fault != nil {
+	if err := task.receipt.write(writer, task.rule.ReceiptBytes, task.replayed); err != nil {
 		task.state.advance(Aborted)
 		panic(http.ErrAbortHandler)
 	}
@@ -167,8 +167,8 @@
 	}
 	span := time.Duration(task.rule.LimitMs) * time.Millisecond
 	if asked := task.request.Header.Get("Oj-Limit-Ms"); asked != "" {
-		own, fault := strconv.Atoi(asked)
-		if fault != nil || own < 1 {
+		own, err := strconv.Atoi(asked)
+		if err != nil || own < 1 {
 			return wire.New(wire.BadRequest, "Oj-Limit-Ms: %q is not a whole number above 0", asked)
 		}
 		span = min(span, time.Duration(own)*time.Millisecond)
@@ -186,13 +186,13 @@
 	}
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(task.limit) // a writer without deadlines is read to its end
-	body, fault := io.ReadAll(http.MaxBytesReader(writer, task.request.Body, most))
+	body, err := io.ReadAll(http.MaxBytesReader(writer, task.request.Body, most))
 	_ = controller.SetReadDeadline(time.Time{})
-	if fault != nil {
+	if err != nil {
 		if int64(len(body)) >= most {
 			return wire.New(wire.TooLarge, "allowed %d bytes", most)
 		}
-		return wire.New(wire.BadRequest, "body: %v", fault)
+		return wire.New(wire.BadRequest, "body: %v", err)
 	}
 	task.body = body
 	return nil
@@ -328,21 +328,21 @@
 	}
 	// The caller's going away does not cut a send short: what it did must be known.
 	ctx, cancel := context.WithDeadline(context.Background(), task.limit)
-	request, fault := task.outgoing(ctx, target.backend().Address)
-	if fault != nil {
+	request, err := task.outgoing(ctx, target.backend().Address)
+	if err != nil {
 		cancel()
 		leave()
 		target.giveBack(pipe, incarnation, task.rule.Pipes)
-		return nil, false, wire.New(wire.BadRequest, "%v", fault)
+		return nil, false, wire.New(wire.BadRequest, "%v", err)
 	}
 	task.state.advance(Sent)
-	response, ran, fault := pipe.send(request)
-	if fault != nil {
+	response, ran, err := pipe.send(request)
+	if err != nil {
 		cancel()
 		leave()
 		pipe.close()
 		if time.Now().Before(task.limit) {
-			mishap = wire.New(wire.PipeBroken, "%v", fault)
+			mishap = wire.New(wire.PipeBroken, "%v", err)
 			if ran {
 				mishap.Kind = wire.BadReceipt
 			}
@@ -353,7 +353,7 @@
 	}
 	task.state.advance(Receiving)
 	target.learnReceipt(incarnation, func(identity *Identity) { identity.fromReceipt(response.Header) })
-	if serial, fault := strconv.ParseUint(response.Header.Get("Oj-Serial"), 10, 64); fault == nil {
+	if serial, err := strconv.ParseUint(response.Header.Get("Oj-Serial"), 10, 64); err == nil {
 		task.proxy.daemon.Seen(serial)
 	}
 	receipt, mishap := takeReceipt(response, task.id, task.rule.ReceiptBytes, task.rule.Money)
@@ -397,9 +397,9 @@
 	if query := task.request.URL.RawQuery; query != "" {
 		url += "?" + query
 	}
-	request, fault := http.NewRequestWithContext(ctx, task.request.Method, url, bytes.NewReader(task.body))
-	if fault != nil {
-		return nil, fault
+	request, err := http.NewRequestWithContext(ctx, task.request.Method, url, bytes.NewReader(task.body))
+	if err != nil {
+		return nil, err
 	}
 	request.GetBody = nil
 	for name, values := range task.request.Header {
--- a/fleet/backend_faults.go
+++ b/fleet/backend_faults.go
@@ -8,8 +8,8 @@
 )
 
 func (fleet *Fleet) fault(process *Process, mode string, count int) {
-	response, fault := fleet.client.Get(fmt.Sprintf("http://%s/stand/fault?mode=%s&count=%d", process.Outer, mode, count))
-	if fault == nil {
+	response, err := fleet.client.Get(fmt.Sprintf("http://%s/stand/fault?mode=%s&count=%d", process.Outer, mode, count))
+	if err == nil {
 		response.Body.Close()
 	}
 }
@@ -65,8 +65,8 @@
 
 func platformMisbehaves(fleet *Fleet) {
 	for _, mode := range []string{"shift", "refuse", "usage-slow", "gone", "usage-late", "usage-refuse"} {
-		response, fault := fleet.client.Get(fmt.Sprintf("http://%s/stand/misbehave?mode=%s&span=2s", fleet.Platform.Outer, mode))
-		if fault == nil {
+		response, err := fleet.client.Get(fmt.Sprintf("http://%s/stand/misbehave?mode=%s&span=2s", fleet.Platform.Outer, mode))
+		if err == nil {
 			response.Body.Close()
 		}
 		fleet.threads.Rest(2500 * time.Millisecond)
--- a/fleet/comparison.go
+++ b/fleet/comparison.go
@@ -33,13 +33,13 @@
 			request.Header.Set("Oj-Service", backend.Service)
 			request.Header.Set("Oj-Task", fmt.Sprintf("compare-%d", number))
 			begin := time.Now()
-			response, fault := fleet.client.Do(request)
-			if fault != nil {
+			response, err := fleet.client.Do(request)
+			if err != nil {
 				continue
 			}
 			buffer := make([]byte, 4096)
-			for fault == nil {
-				_, fault = response.Body.Read(buffer)
+			for err == nil {
+				_, err = response.Body.Read(buffer)
 			}
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
@@ -81,15 +81,15 @@
 	for _, move := range forecast.Moves {
 		request, _ := http.NewRequest(http.MethodGet, "http://"+fleet.Directories[0].Outer+"/v1/place", nil)
 		request.Header.Set("Authorization", "Bearer key-of-"+move.Tenant)
-		response, fault := fleet.client.Do(request)
-		if fault != nil {
+		response, err := fleet.client.Do(request)
+		if err != nil {
 			continue
 		}
 		placement := place.Placement{}
-		fault = json.NewDecoder(response.Body).Decode(&placement)
+		err = json.NewDecoder(response.Body).Decode(&placement)
 		response.Body.Close()
-		if fault != nil {
-			fleet.codes = append(fleet.codes, fmt.Sprintf("placement of %s: %v", move.Tenant, fault))
+		if err != nil {
+			fleet.codes = append(fleet.codes, fmt.Sprintf("placement of %s: %v", move.Tenant, err))
 			continue
 		}
 		got := []string{}
--- a/fleet/daemon_faults.go
+++ b/fleet/daemon_faults.go
@@ -107,8 +107,8 @@
 	for _, process := range fleet.Cores {
 		process.Signal(syscall.SIGKILL)
 		process.Wait(time.Second)
-		if fault := os.RemoveAll(filepath.Join(fleet.Spec.Folder, process.Name)); fault != nil {
-			fleet.codes = append(fleet.codes, fault.Error())
+		if err := os.RemoveAll(filepath.Join(fleet.Spec.Folder, process.Name)); err != nil {
+			fleet.codes = append(fleet.codes, err.Error())
 		}
 		fleet.start(process)
 		fleet.rest(0.2)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,8 +55,8 @@
 	if mishap != nil {
 		return nil, mishap
 	}
-	if fault := os.MkdirAll(spec.Folder, 0o700); fault != nil {
-		return nil, wire.New(wire.BadFlag, "--folder: %v", fault)
+	if err := os.MkdirAll(spec.Folder, 0o700); err != nil {
+		return nil, wire.New(wire.BadFlag, "--folder: %v", err)
 	}
 	if entries, _ := os.ReadDir(spec.Folder); len(entries) > 0 {
 		return nil, wire.New(wire.BadFlag, "--folder: %s is not empty", spec.Folder)
--- a/fleet/layout.go
+++ b/fleet/layout.go
@@ -45,8 +45,8 @@
 	}
 	list := filepath.Join(fleet.Spec.Folder, "backends.json")
 	body, _ := json.Marshal(fleet.listed)
-	if fault := os.WriteFile(list, body, 0o600); fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	if err := os.WriteFile(list, body, 0o600); err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	fleet.Platform = fleet.process("platform", "ojplat", "--listen", platform, "--backends", list, "--lag-ms", fmt.Sprint(fleet.Spec.LagMs))
 	fleet.Platform.Outer = platform
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -58,8 +58,8 @@
 	}
 	path := filepath.Join(fleet.Spec.Folder, "origin.json")
 	body, _ := json.Marshal(plan)
-	if fault := os.WriteFile(path, body, 0o600); fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	fleet.called = time.Now()
 	fleet.origin = fleet.process("origin", "ojorigin", "--plan", path)
@@ -72,13 +72,13 @@
 	fleet.threads.Rest(time.Until(fleet.called.Add(time.Duration(fleet.Spec.Seconds * float64(time.Second)))))
 	fleet.origin.Signal(syscall.SIGTERM)
 	fleet.origin.Wait(60 * time.Second)
-	body, fault := os.ReadFile(fleet.origin.log)
+	body, err := os.ReadFile(fleet.origin.log)
 	report := &stand.OriginReport{}
-	if fault == nil {
-		fault = json.Unmarshal(body, report)
+	if err == nil {
+		err = json.Unmarshal(body, report)
 	}
-	if fault != nil {
-		return nil, wire.New(wire.BadMessage, "callers' report: %v", fault)
+	if err != nil {
+		return nil, wire.New(wire.BadMessage, "callers' report: %v", err)
 	}
 	return report, nil
 }
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -46,15 +46,15 @@
 	if process.alive {
 		return nil
 	}
-	log, fault := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	log, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	command := exec.Command(process.path, process.arguments...)
 	command.Stdout, command.Stderr = log, log
-	if fault := command.Start(); fault != nil {
+	if err := command.Start(); err != nil {
 		_ = log.Close() // nothing was written
-		return wire.New(wire.BadFlag, "%s: %v", process.Name, fault)
+		return wire.New(wire.BadFlag, "%s: %v", process.Name, err)
 	}
 	process.command, process.alive = command, true
 	process.threads.Start(func() {
--- a/fleet/readiness.go
+++ b/fleet/readiness.go
@@ -59,11 +59,11 @@
 			Serial uint64 `json:"serial"`
 			Ready  bool   `json:"ready"`
 		}{}
-		fault := fleet.get(daemons[index].Operate, "/v1/health", &health)
+		err := fleet.get(daemons[index].Operate, "/v1/health", &health)
 		if !health.Ready {
 			health.Serial = 0
 		}
-		return health.Serial, fault
+		return health.Serial, err
 	}, func(map[int]uint64, map[int]error) bool { return false })
 	serials := make([]uint64, len(daemons))
 	for index, serial := range got {
@@ -73,9 +73,9 @@
 }
 
 func (fleet *Fleet) get(address, path string, into any) error {
-	response, fault := fleet.client.Get("http://" + address + path)
-	if fault != nil {
-		return fault
+	response, err := fleet.client.Get("http://" + address + path)
+	if err != nil {
+		return err
 	}
 	defer response.Body.Close()
 	return json.NewDecoder(response.Body).Decode(into)
@@ -119,13 +119,13 @@
 func (fleet *Fleet) placing() bool {
 	for _, directory := range fleet.Directories {
 		for name := range fleet.settings.Tenants {
-			request, fault := http.NewRequest(http.MethodGet, "http://"+directory.Outer+"/v1/place", nil)
-			if fault != nil {
+			request, err := http.NewRequest(http.MethodGet, "http://"+directory.Outer+"/v1/place", nil)
+			if err != nil {
 				return false
 			}
 			request.Header.Set("Authorization", "Bearer key-of-"+name)
-			response, fault := fleet.client.Do(request)
-			if fault != nil {
+			response, err := fleet.client.Do(request)
+			if err != nil {
 				return false
 			}
 			response.Body.Close()
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -111,9 +111,9 @@
 	if evidence.Trail, mishap = ledger.Trail(10 * time.Second); mishap != nil {
 		return nil, mishap
 	}
-	if body, fault := os.ReadFile(filepath.Join(fleet.Spec.Folder, "origin.log")); fault == nil {
-		if fault := os.WriteFile(filepath.Join(fleet.Spec.Folder, "callers.json"), body, 0o600); fault != nil {
-			return nil, wire.New(wire.DiskFault, "%v", fault)
+	if body, err := os.ReadFile(filepath.Join(fleet.Spec.Folder, "origin.log")); err == nil {
+		if err := os.WriteFile(filepath.Join(fleet.Spec.Folder, "callers.json"), body, 0o600); err != nil {
+			return nil, wire.New(wire.DiskFault, "%v", err)
 		}
 	}
 	fleet.threads.Rest(1500 * time.Millisecond)
@@ -122,8 +122,8 @@
 		Reports map[string][]string `json:"reports"`
 		AtMs    map[string]int64    `json:"at_ms"`
 	}{}
-	if fault := fleet.get(fleet.Platform.Outer, "/stand/reports", &reports); fault != nil {
-		return nil, wire.New(wire.PlatformFault, "reports: %v", fault)
+	if err := fleet.get(fleet.Platform.Outer, "/stand/reports", &reports); err != nil {
+		return nil, wire.New(wire.PlatformFault, "reports: %v", err)
 	}
 	evidence.Reports, evidence.ReportAt = reports.Reports, reports.AtMs
 	fleet.wait()
@@ -171,8 +171,8 @@
 		}
 		return verdicts, nil
 	}, func(map[int][]judge.Verdict, map[int]error) bool { return false })
-	for _, fault := range failed {
-		return nil, wire.AsMishap(fault)
+	for _, err := range failed {
+		return nil, wire.AsMishap(err)
 	}
 	all := make([][]judge.Verdict, len(fleets))
 	for index, verdicts := range got {
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -64,23 +64,23 @@
 	if spec.BasePort < 1024 || spec.BasePort+spec.Ports() > outgoingPorts {
 		return nil, nil, wire.New(wire.BadFlag, "--base-port: %d and the %d after it are not all between 1024 and %d, below those of outgoing connections", spec.BasePort, spec.Ports(), outgoingPorts)
 	}
-	body, fault := os.ReadFile(spec.Settings)
-	if fault != nil {
-		return nil, nil, wire.New(wire.BadFlag, "--settings: %v", fault)
+	body, err := os.ReadFile(spec.Settings)
+	if err != nil {
+		return nil, nil, wire.New(wire.BadFlag, "--settings: %v", err)
 	}
 	settings, mishap := conf.Read(body)
 	if mishap != nil {
 		return nil, nil, mishap
 	}
 	for _, program := range []string{"ojcore", "ojdir", "ojproxy", "ojback", "ojplat", "ojorigin"} {
-		if _, fault := os.Stat(filepath.Join(spec.Bin, program)); fault != nil {
-			return nil, nil, wire.New(wire.BadFlag, "--bin: %v", fault)
+		if _, err := os.Stat(filepath.Join(spec.Bin, program)); err != nil {
+			return nil, nil, wire.New(wire.BadFlag, "--bin: %v", err)
 		}
 	}
 	for port := spec.BasePort; port < spec.BasePort+spec.Ports(); port++ {
-		open, fault := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if fault != nil {
-			return nil, nil, wire.New(wire.BadFlag, "--base-port: %v", fault)
+		open, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return nil, nil, wire.New(wire.BadFlag, "--base-port: %v", err)
 		}
 		open.Close()
 	}
--- a/judge/evidence_test.go
+++ b/judge/evidence_test.go
@@ -13,9 +13,9 @@
 // clean is evidence of a small run in which nothing went wrong.
 func clean(test *testing.T) *Evidence {
 	test.Helper()
-	body, fault := os.ReadFile("../examples/small.json")
-	if fault != nil {
-		test.Fatal(fault)
+	body, err := os.ReadFile("../examples/small.json")
+	if err != nil {
+		test.Fatal(err)
 	}
 	settings, mishap := conf.Read(body)
 	if mishap != nil {
--- a/judge/usage.go
+++ b/judge/usage.go
@@ -32,8 +32,8 @@
 	reported := map[string][][2]int64{}
 	for id, bodies := range evidence.Reports {
 		report := usageReport{}
-		if fault := json.Unmarshal([]byte(bodies[0]), &report); fault != nil {
-			bad = append(bad, fmt.Sprintf("%s: %v", id, fault))
+		if err := json.Unmarshal([]byte(bodies[0]), &report); err != nil {
+			bad = append(bad, fmt.Sprintf("%s: %v", id, err))
 			continue
 		}
 		told[report.Tenant] += report.Tasks
--- a/operator/client.go
+++ b/operator/client.go
@@ -34,30 +34,30 @@
 func (client *Client) Ask(method, path string, body []byte, into any) *wire.Mishap {
 	last := wire.New(wire.Unreachable, "no daemon given")
 	for _, daemon := range client.daemons {
-		request, fault := http.NewRequest(method, "http://"+daemon+path, bytes.NewReader(body))
-		if fault != nil {
-			return wire.New(wire.BadRequest, "%v", fault)
+		request, err := http.NewRequest(method, "http://"+daemon+path, bytes.NewReader(body))
+		if err != nil {
+			return wire.New(wire.BadRequest, "%v", err)
 		}
 		request.GetBody = nil
-		response, fault := client.client.Do(request)
-		if fault != nil {
-			last = wire.New(wire.Unreachable, "%v", fault)
+		response, err := client.client.Do(request)
+		if err != nil {
+			last = wire.New(wire.Unreachable, "%v", err)
 			continue
 		}
-		answer, fault := io.ReadAll(response.Body)
+		answer, err := io.ReadAll(response.Body)
 		response.Body.Close()
-		if fault != nil {
-			last = wire.New(wire.Unreachable, "%v", fault)
+		if err != nil {
+			last = wire.New(wire.Unreachable, "%v", err)
 			continue
 		}
 		if response.StatusCode == http.StatusOK {
-			if fault := json.Unmarshal(answer, into); fault != nil {
-				return wire.New(wire.BadMessage, "%v", fault)
+			if err := json.Unmarshal(answer, into); err != nil {
+				return wire.New(wire.BadMessage, "%v", err)
 			}
 			return nil
 		}
 		mishap := &wire.Mishap{}
-		if fault := json.Unmarshal(answer, mishap); fault != nil || mishap.Kind == "" {
+		if err := json.Unmarshal(answer, mishap); err != nil || mishap.Kind == "" {
 			mishap = wire.New(wire.BadMessage, "status %d: %s", response.StatusCode, answer)
 		}
 		if mishap.Kind.Status() != http.StatusServiceUnavailable && mishap.Kind != wire.OutcomeUnknown {
@@ -118,9 +118,9 @@
 }
 
 func (client *Client) change(method string, change Change) (*Outcome, *wire.Mishap) {
-	body, fault := json.Marshal(change)
-	if fault != nil {
-		return nil, wire.New(wire.BadRequest, "%v", fault)
+	body, err := json.Marshal(change)
+	if err != nil {
+		return nil, wire.New(wire.BadRequest, "%v", err)
 	}
 	outcome := &Outcome{}
 	return outcome, client.Ask(method, "/v1/settings", body, outcome)
--- a/plan/forecast_test.go
+++ b/plan/forecast_test.go
@@ -13,9 +13,9 @@
 
 func fleet(test *testing.T) Fleet {
 	test.Helper()
-	body, fault := os.ReadFile("../examples/volta.json")
-	if fault != nil {
-		test.Fatal(fault)
+	body, err := os.ReadFile("../examples/volta.json")
+	if err != nil {
+		test.Fatal(err)
 	}
 	settings, mishap := conf.Read(body)
 	if mishap != nil {
--- a/scale/bench.go
+++ b/scale/bench.go
@@ -56,8 +56,8 @@
 		one.end(syscall.SIGKILL)
 	}
 	bench.threads.Stop()
-	if fault := os.RemoveAll(bench.folder); fault != nil {
-		bench.result.Failed = append(bench.result.Failed, fault.Error())
+	if err := os.RemoveAll(bench.folder); err != nil {
+		bench.result.Failed = append(bench.result.Failed, err.Error())
 	}
 }
 
@@ -73,9 +73,9 @@
 
 func (bench *bench) up() *wire.Mishap {
 	begin, point := time.Now(), bench.point
-	folder, fault := os.MkdirTemp("", "ojfleet-scale-")
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	folder, err := os.MkdirTemp("", "ojfleet-scale-")
+	if err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	bench.folder = folder
 	list := fmt.Sprintf("127.0.0.1:%d", bench.port)
@@ -89,8 +89,8 @@
 	for number := range point.Cores {
 		address, report := fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep), fmt.Sprintf("127.0.0.1:%d", bench.port+(number+1)*portStep+1)
 		data := filepath.Join(folder, fmt.Sprintf("core-%d", number))
-		if fault := os.MkdirAll(data, 0o700); fault != nil {
-			return wire.New(wire.DiskFault, "%v", fault)
+		if err := os.MkdirAll(data, 0o700); err != nil {
+			return wire.New(wire.DiskFault, "%v", err)
 		}
 		spec := CoreSpec{Name: fmt.Sprintf("core-%02d", number), Zone: zoneName(number), Wire: address, Report: report, Seeds: seeds, Folder: data, Cores: point.Cores,
 			Platform: list, Metered: true, SlowUs: point.SlowUs}
@@ -106,7 +106,7 @@
 	finder.Run()
 	bench.hold = member.NewHold(finder, line, run.NewCounts()).Within(member.HoldLimits{Answer: 20 * time.Second, Send: 15 * time.Second})
 	whole := config(1, point.Routes, point.Services, point.Tenants)
-	if body, fault := wire.Pack(whole); fault == nil {
+	if body, err := wire.Pack(whole); err == nil {
 		bench.result.ConfigKB = float64(len(body)) / 1024
 	}
 	if _, mishap := bench.order(&route.Change{Version: 1, Digest: "1", Whole: whole}); mishap != nil {
@@ -126,9 +126,9 @@
 }
 
 func (bench *bench) order(change *route.Change) (uint64, *wire.Mishap) {
-	body, fault := wire.Pack(change)
-	if fault != nil {
-		return 0, wire.AsMishap(fault)
+	body, err := wire.Pack(change)
+	if err != nil {
+		return 0, wire.AsMishap(err)
 	}
 	told, mishap := member.Send[wire.RouteChange, wire.RouteChangeTold](bench.hold, "routechange", &wire.RouteChange{Body: body})
 	if mishap != nil {
--- a/scale/child.go
+++ b/scale/child.go
@@ -20,21 +20,21 @@
 }
 
 func (bench *bench) begin(kind string, spec any, report, address string, processors int) *wire.Mishap {
-	body, fault := json.Marshal(spec)
-	if fault != nil {
-		return wire.New(wire.BadFlag, "%v", fault)
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return wire.New(wire.BadFlag, "%v", err)
 	}
-	log, fault := os.Create(filepath.Join(bench.folder, kind+"-"+strings.ReplaceAll(address, ":", "-")+".log"))
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	log, err := os.Create(filepath.Join(bench.folder, kind+"-"+strings.ReplaceAll(address, ":", "-")+".log"))
+	if err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	defer func() { _ = log.Close() }() // the process writes through a descriptor of its own
 	command := exec.Command("/proc/self/exe", kind, "--spec", string(body))
 	command.Stdout, command.Stderr = log, log
 	command.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(processors))
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if fault := command.Start(); fault != nil {
-		return wire.New(wire.BadFlag, "%v", fault)
+	if err := command.Start(); err != nil {
+		return wire.New(wire.BadFlag, "%v", err)
 	}
 	begun := &child{command: command, report: report, wire: address}
 	if kind == "scale-core" {
--- a/scale/page.go
+++ b/scale/page.go
@@ -184,9 +184,9 @@
 	if mishap != nil {
 		return mishap
 	}
-	body, fault := os.ReadFile(page)
-	if fault != nil {
-		return wire.New(wire.NotFound, "%v", fault)
+	body, err := os.ReadFile(page)
+	if err != nil {
+		return wire.New(wire.NotFound, "%v", err)
 	}
 	before, rest, begins := strings.Cut(string(body), pageBegin)
 	_, after, ends := strings.Cut(rest, pageEnd)
@@ -197,8 +197,8 @@
 		return mishap
 	}
 	text := before + pageBegin + "\n\n" + found.tables() + "\n" + pageEnd + after
-	if fault := os.WriteFile(page, []byte(text), 0o644); fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	if err := os.WriteFile(page, []byte(text), 0o644); err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	return nil
 }
--- a/scale/page_test.go
+++ b/scale/page_test.go
@@ -46,8 +46,8 @@
 	if !strings.Contains(text, "| 16 cores |") {
 		test.Error("16,000 daemons at 1 ms are not 16 cores")
 	}
-	if _, fault := os.Stat(filepath.Join(folder, "daemons.png")); fault != nil {
-		test.Error(fault)
+	if _, err := os.Stat(filepath.Join(folder, "daemons.png")); err != nil {
+		test.Error(err)
 	}
 	writeText(test, page, "no place")
 	if mishap := WritePage(page, folder); mishap == nil || mishap.Kind != wire.BadFlag {
@@ -104,7 +104,7 @@
 
 func writeText(test *testing.T, path, text string) {
 	test.Helper()
-	if fault := os.WriteFile(path, []byte(text), 0o600); fault != nil {
-		test.Fatal(fault)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		test.Fatal(err)
 	}
 }
--- a/scale/plot.go
+++ b/scale/plot.go
@@ -65,12 +65,12 @@
 	drawn := plot.New()
 	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = title, along, unit
 	drawn.Legend.Top, drawn.Legend.Left = true, true
-	fault := plotutil.AddLinePoints(drawn, lines...)
-	if fault == nil {
-		fault = drawn.Save(6*vg.Inch, 4*vg.Inch, filepath.Join(found.folder, name+".png"))
+	err := plotutil.AddLinePoints(drawn, lines...)
+	if err == nil {
+		err = drawn.Save(6*vg.Inch, 4*vg.Inch, filepath.Join(found.folder, name+".png"))
 	}
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%s: %v", name, fault)
+	if err != nil {
+		return wire.New(wire.DiskFault, "%s: %v", name, err)
 	}
 	return nil
 }
--- a/scale/point_test.go
+++ b/scale/point_test.go
@@ -16,15 +16,15 @@
 		begun := map[string]func() *wire.Mishap{
 			"scale-core": func() *wire.Mishap {
 				spec := CoreSpec{}
-				if fault := json.Unmarshal([]byte(os.Args[3]), &spec); fault != nil {
-					return wire.New(wire.BadFlag, "%v", fault)
+				if err := json.Unmarshal([]byte(os.Args[3]), &spec); err != nil {
+					return wire.New(wire.BadFlag, "%v", err)
 				}
 				return RunCore(spec)
 			},
 			"scale-hollow": func() *wire.Mishap {
 				spec := HollowSpec{}
-				if fault := json.Unmarshal([]byte(os.Args[3]), &spec); fault != nil {
-					return wire.New(wire.BadFlag, "%v", fault)
+				if err := json.Unmarshal([]byte(os.Args[3]), &spec); err != nil {
+					return wire.New(wire.BadFlag, "%v", err)
 				}
 				return RunHollow(spec)
 			},
--- a/scale/state.go
+++ b/scale/state.go
@@ -88,14 +88,14 @@
 	state := &State{Kind: kind, Size: size}
 	begin := processorMs()
 	var body []byte
-	var fault error
+	var err error
 	if inBook {
-		body, fault = wire.Pack(book)
+		body, err = wire.Pack(book)
 	} else {
-		body, fault = wire.Pack(table)
+		body, err = wire.Pack(table)
 	}
-	if fault != nil {
-		return nil, wire.AsMishap(fault)
+	if err != nil {
+		return nil, wire.AsMishap(err)
 	}
 	state.PackMs, state.PackedKB = processorMs()-begin, float64(len(body))/1024
 	plane := proxy.NewProxy(proxy.Place{Name: "proxy-00000", Zone: zoneName(0), Regions: regions(), RetryRatio: 0.1, RetryExtra: 10, WarmupExcess: 1},
@@ -105,13 +105,13 @@
 	begin = processorMs()
 	if inBook {
 		taken = &route.Book{}
-		fault = wire.Unpack(body, taken)
+		err = wire.Unpack(body, taken)
 	} else {
 		laid = &wire.Table{}
-		fault = wire.Unpack(body, laid)
+		err = wire.Unpack(body, laid)
 	}
-	if fault != nil {
-		return nil, wire.AsMishap(fault)
+	if err != nil {
+		return nil, wire.AsMishap(err)
 	}
 	state.UnpackMs = processorMs() - begin
 	begin = processorMs()
--- a/scale/sweep.go
+++ b/scale/sweep.go
@@ -78,26 +78,26 @@
 }
 
 func write(folder, name string, value any) *wire.Mishap {
-	body, fault := json.MarshalIndent(value, "", " ")
-	if fault == nil {
-		fault = os.MkdirAll(folder, 0o755)
+	body, err := json.MarshalIndent(value, "", " ")
+	if err == nil {
+		err = os.MkdirAll(folder, 0o755)
 	}
-	if fault == nil {
-		fault = os.WriteFile(filepath.Join(folder, name+".json"), append(body, '\n'), 0o644)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, name+".json"), append(body, '\n'), 0o644)
 	}
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%s: %v", name, fault)
+	if err != nil {
+		return wire.New(wire.DiskFault, "%s: %v", name, err)
 	}
 	return nil
 }
 
 func read(folder, name string, value any) *wire.Mishap {
-	body, fault := os.ReadFile(filepath.Join(folder, name+".json"))
-	if fault == nil {
-		fault = json.Unmarshal(body, value)
+	body, err := os.ReadFile(filepath.Join(folder, name+".json"))
+	if err == nil {
+		err = json.Unmarshal(body, value)
 	}
-	if fault != nil {
-		return wire.New(wire.NotFound, "%s: %v", name, fault)
+	if err != nil {
+		return wire.New(wire.NotFound, "%s: %v", name, err)
 	}
 	return nil
 }
--- a/scale/tap.go
+++ b/scale/tap.go
@@ -55,15 +55,15 @@
 }
 
 func (conn tappedConn) Read(body []byte) (int, error) {
-	count, fault := conn.Conn.Read(body)
+	count, err := conn.Conn.Read(body)
 	conn.tap.in.Add(uint64(count))
-	return count, fault
+	return count, err
 }
 
 func (conn tappedConn) Write(body []byte) (int, error) {
-	count, fault := conn.Conn.Write(body)
+	count, err := conn.Conn.Write(body)
 	conn.tap.out.Add(uint64(count))
-	return count, fault
+	return count, err
 }
 
 type tappedListener struct {
@@ -72,9 +72,9 @@
 }
 
 func (listener tappedListener) Accept() (net.Conn, error) {
-	conn, fault := listener.Listener.Accept()
-	if fault != nil {
-		return nil, fault
+	conn, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
 	return tappedConn{conn, listener.tap}, nil
 }
@@ -94,9 +94,9 @@
 	transport := program.FarTransport(userTimeout)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, fault := dial(ctx, network, address)
-		if fault != nil {
-			return nil, fault
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
 		}
 		return tappedConn{conn, tap}, nil
 	}
@@ -105,9 +105,9 @@
 
 // serve opens an address whose messages and bytes are counted.
 func (tap *Tap) serve(address string, handler http.Handler, threads *run.Threads) *wire.Mishap {
-	open, fault := net.Listen("tcp", address)
-	if fault != nil {
-		return wire.New(wire.BadFlag, "%s: %v", address, fault)
+	open, err := net.Listen("tcp", address)
+	if err != nil {
+		return wire.New(wire.BadFlag, "%s: %v", address, err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		tap.message(request.URL.Path)
@@ -141,7 +141,7 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // fails for wrong arguments only
 	reading := Reading{AtUs: time.Now().UnixMicro(), ProcessorUs: usage.Utime.Nano()/1000 + usage.Stime.Nano()/1000,
 		BytesIn: tap.in.Load(), BytesOut: tap.out.Load(), Messages: tap.counted()}
-	if entries, fault := os.ReadDir("/proc/self/fd"); fault == nil {
+	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
 		reading.Descriptors = len(entries)
 	}
 	reading.ResidentKB = residentKB()
@@ -167,13 +167,13 @@
 func getJSON(address, path string, value any) *wire.Mishap {
 	client := &http.Client{Timeout: 20 * time.Second}
 	defer client.CloseIdleConnections()
-	response, fault := client.Get("http://" + address + path)
-	if fault != nil {
-		return wire.New(wire.Unreachable, "%s%s: %v", address, path, fault)
+	response, err := client.Get("http://" + address + path)
+	if err != nil {
+		return wire.New(wire.Unreachable, "%s%s: %v", address, path, err)
 	}
 	defer response.Body.Close()
-	if fault := json.NewDecoder(response.Body).Decode(value); fault != nil {
-		return wire.New(wire.BadMessage, "%s%s: %v", address, path, fault)
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		return wire.New(wire.BadMessage, "%s%s: %v", address, path, err)
 	}
 	return nil
 }
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -58,19 +58,19 @@
 	if place.Journal == "" {
 		return backend, nil
 	}
-	journal, fault := os.OpenFile(place.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	journal, err := os.OpenFile(place.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	backend.journal = journal
-	if fault == nil {
+	if err == nil {
 		backend.write(journalLine{Begin: &backend.seen})
 	}
-	return backend, fault
+	return backend, err
 }
 
 func (backend *Backend) write(line journalLine) {
 	if backend.journal != nil {
 		body, _ := json.Marshal(line)
-		if _, fault := backend.journal.Write(append(body, '\n')); fault != nil {
-			klog.Errorf("journal: %v", fault)
+		if _, err := backend.journal.Write(append(body, '\n')); err != nil {
+			klog.Errorf("journal: %v", err)
 		}
 	}
 }
@@ -175,8 +175,8 @@
 // work runs one task. Money is charged before the answer, as a backend that
 // loses its answer would have done.
 func (backend *Backend) work(writer http.ResponseWriter, request *http.Request) {
-	body, fault := io.ReadAll(io.LimitReader(request.Body, 64<<20))
-	if fault != nil {
+	body, err := io.ReadAll(io.LimitReader(request.Body, 64<<20))
+	if err != nil {
 		return
 	}
 	number, misbehaviour := backend.take(request)
@@ -232,7 +232,7 @@
 
 // workMs is longer where the caller says so.
 func (backend *Backend) workMs(request *http.Request) int {
-	if asked, fault := strconv.Atoi(request.URL.Query().Get("work")); fault == nil {
+	if asked, err := strconv.Atoi(request.URL.Query().Get("work")); err == nil {
 		return min(max(asked, 0), 30_000)
 	}
 	return backend.place.WorkMs
@@ -249,8 +249,8 @@
 
 // hijack writes raw bytes and breaks the connection.
 func hijack(writer http.ResponseWriter, text string) {
-	conn, _, fault := http.NewResponseController(writer).Hijack()
-	if fault != nil {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = io.WriteString(conn, text) // the caller is gone
--- a/stand/origin.go
+++ b/stand/origin.go
@@ -200,8 +200,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/v1/place?zone="+origin.plan.Zone, nil)
 		request.Header.Set("Authorization", "Bearer "+caller.Key)
-		response, fault := origin.client.Do(request)
-		if fault != nil {
+		response, err := origin.client.Do(request)
+		if err != nil {
 			cancel()
 			continue
 		}
@@ -212,10 +212,10 @@
 				Address string `json:"address"`
 			} `json:"fronts"`
 		}{}
-		fault = json.NewDecoder(response.Body).Decode(&placement)
+		err = json.NewDecoder(response.Body).Decode(&placement)
 		response.Body.Close()
 		cancel()
-		if fault != nil || len(placement.Fronts) == 0 {
+		if err != nil || len(placement.Fronts) == 0 {
 			continue
 		}
 		fronts := []string{}
@@ -334,8 +334,8 @@
 func (origin *Origin) send(caller Caller, call Call, try *Try) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(call.LimitMs)*time.Millisecond+time.Second)
 	defer cancel()
-	request, fault := http.NewRequestWithContext(ctx, call.Method, "http://"+try.Front+call.Path, bytes.NewReader(bytes.Repeat([]byte("y"), call.Body)))
-	if fault != nil {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+try.Front+call.Path, bytes.NewReader(bytes.Repeat([]byte("y"), call.Body)))
+	if err != nil {
 		try.Code, try.Outcome = "bad_call", "not_run"
 		return
 	}
@@ -346,17 +346,17 @@
 	if try.Key != "" {
 		request.Header.Set("Idempotency-Key", try.Key)
 	}
-	response, fault := origin.client.Do(request)
-	if fault != nil {
+	response, err := origin.client.Do(request)
+	if err != nil {
 		try.Code = "front_broke"
-		if strings.Contains(fault.Error(), "refused") {
+		if strings.Contains(err.Error(), "refused") {
 			try.Code, try.Outcome = "front_refused", "not_run"
 		}
 		return
 	}
 	defer response.Body.Close()
-	body, fault := io.ReadAll(response.Body)
-	if fault != nil {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
 		try.Code = "receipt_broke"
 		return
 	}
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -112,8 +112,8 @@
 		platform.usage(writer, request)
 	case "/stand/backends":
 		items := []Listed{}
-		if fault := json.NewDecoder(request.Body).Decode(&items); fault != nil {
-			http.Error(writer, fault.Error(), http.StatusBadRequest)
+		if err := json.NewDecoder(request.Body).Decode(&items); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
 		platform.Set(items)
@@ -154,11 +154,11 @@
 
 // usage keeps every body that came for a report's id, so that differing ones show.
 func (platform *Platform) usage(writer http.ResponseWriter, request *http.Request) {
-	body, fault := io.ReadAll(io.LimitReader(request.Body, 1<<20))
+	body, err := io.ReadAll(io.LimitReader(request.Body, 1<<20))
 	report := struct {
 		ID string `json:"id"`
 	}{}
-	if fault != nil || json.Unmarshal(body, &report) != nil || report.ID == "" {
+	if err != nil || json.Unmarshal(body, &report) != nil || report.ID == "" {
 		http.Error(writer, "bad report", http.StatusBadRequest)
 		return
 	}
