--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -1,4 +1,6 @@
-// ojctl is the operators' command.
+// Command ojctl is the operators' command: it reads and changes settings, drains
+// zones and backends, and reports status and service-level objectives. Exit codes:
+// 0 done, 1 refused, 2 wrong use, 3 outcome unknown, 4 no daemon answers.
 package main
 
 import (
@@ -127,16 +129,16 @@
 
 func (command *errand) read() ([]byte, *wire.Mishap) {
 	var body []byte
-	var fault error
+	var err error
 	if command.file == "-" {
 		buffer := bytes.Buffer{}
-		_, fault = buffer.ReadFrom(os.Stdin)
+		_, err = buffer.ReadFrom(os.Stdin)
 		body = buffer.Bytes()
 	} else {
-		body, fault = os.ReadFile(command.file)
+		body, err = os.ReadFile(command.file)
 	}
-	if fault != nil {
-		return nil, wire.New(wire.BadFlag, "%v", fault)
+	if err != nil {
+		return nil, wire.New(wire.BadFlag, "%v", err)
 	}
 	return body, nil
 }
@@ -144,7 +146,9 @@
 func show(document any) {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
-	encoder.Encode(document)
+	if err := encoder.Encode(document); err != nil {
+		end(wire.New(wire.OutcomeUnknown, "output: %v", err))
+	}
 }
 
 func (command *errand) check() *wire.Mishap {
@@ -179,7 +183,9 @@
 		return nil
 	}
 	routes := []conf.Effective{}
-	json.Unmarshal(settings.Effective, &routes)
+	if err := json.Unmarshal(settings.Effective, &routes); err != nil {
+		return wire.New(wire.BadMessage, "effective routes: %v", err)
+	}
 	fmt.Printf("serial %d\n", settings.Serial)
 	for _, route := range routes {
 		fmt.Printf("%s %s/%s: %s %s\n", route.Class, route.Service, route.Route, route.Method, route.Path)
--- a/cmd/ojplan/main.go
+++ b/cmd/ojplan/main.go
@@ -1,4 +1,4 @@
-// ojplan shows what a change would move, before it is made.
+// Command ojplan forecasts what a change of settings would move before it is made.
 package main
 
 import (
@@ -53,9 +53,9 @@
 	end(mishap, exitInvalid)
 	body := []byte(held.Settings)
 	if file := whole + partial; file != "" {
-		change, fault := os.ReadFile(file)
-		if fault != nil {
-			flags.Exit(wire.New(wire.BadFlag, "%v", fault))
+		change, err := os.ReadFile(file)
+		if err != nil {
+			flags.Exit(wire.New(wire.BadFlag, "%v", err))
 		}
 		if body = change; partial != "" {
 			body, mishap = conf.Patch(held.Settings, change)
@@ -77,7 +77,9 @@
 	if asJSON {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
-		encoder.Encode(forecast)
+		if err := encoder.Encode(forecast); err != nil {
+			flags.Exit(wire.New(wire.DiskFault, "output: %v", err))
+		}
 	} else {
 		show(forecast)
 	}
--- a/conf/read.go
+++ b/conf/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/go-faster/jx"
 	"orchidjunction/wire"
@@ -18,7 +19,11 @@
 	badSyntax    = "bad_syntax"
 )
 
-// Read takes the tree field by field and names everything wrong in it.
+// nameLetters are the characters that names of settings are made of.
+const nameLetters = "abcdefghijklmnopqrstuvwxyz0123456789-_"
+
+// Read decodes and checks whole settings. The error is of kind wire.Invalid and
+// names every field that is wrong, not only the first.
 func Read(body []byte) (*Settings, *wire.Mishap) {
 	reader := &reader{}
 	settings := reader.settings(jx.DecodeBytes(body))
@@ -50,15 +55,21 @@
 	reader.details = append(reader.details, wire.Detail{Path: path, Kind: kind, Cause: fmt.Sprintf(format, values...)})
 }
 
-// syntax keeps the first fault of the text itself and ends the reading.
-func (reader *reader) syntax(path string, fault error) error {
-	if fault != nil && reader.broken == nil {
-		reader.broken = fault
-		reader.wrong(path, badSyntax, "%v", fault)
+// syntax keeps the first syntax error of the text, which ends the reading, and
+// returns the one kept.
+func (reader *reader) syntax(path string, err error) error {
+	if err != nil && reader.broken == nil {
+		reader.broken = err
+		reader.wrong(path, badSyntax, "%v", err)
 	}
 	return reader.broken
 }
 
+// skip passes over the next value.
+func (reader *reader) skip(decoder *jx.Decoder, path string) {
+	_ = reader.syntax(path, decoder.Skip()) // kept in reader.broken
+}
+
 type fields map[string]func(decoder *jx.Decoder, path string)
 
 func (reader *reader) expect(decoder *jx.Decoder, path string, want jx.Type) bool {
@@ -72,7 +83,7 @@
 	if got != jx.Invalid {
 		reader.wrong(path, wrongType, "want %s, got %s", want, got)
 	}
-	reader.syntax(path, decoder.Skip())
+	reader.skip(decoder, path)
 	return false
 }
 
@@ -82,7 +93,7 @@
 		read, found := known[key]
 		if !found {
 			reader.wrong(inner, unknownField, "no such field")
-			reader.syntax(inner, decoder.Skip())
+			reader.skip(decoder, inner)
 			return
 		}
 		read(decoder, inner)
@@ -102,7 +113,7 @@
 		return nil
 	}
 	seen := map[string]bool{}
-	fault := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
 		inner := join(path, key)
 		if seen[key] {
 			reader.wrong(inner, doubleField, "given twice")
@@ -112,7 +123,7 @@
 		entry(decoder, key, inner)
 		return reader.broken
 	})
-	if reader.syntax(path, fault) != nil {
+	if reader.syntax(path, err) != nil {
 		return nil
 	}
 	return seen
@@ -133,12 +144,7 @@
 	if len(name) < 1 || len(name) > 64 {
 		return false
 	}
-	for _, letter := range name {
-		if !(letter >= 'a' && letter <= 'z' || letter >= '0' && letter <= '9' || letter == '-' || letter == '_') {
-			return false
-		}
-	}
-	return true
+	return !strings.ContainsFunc(name, func(letter rune) bool { return !strings.ContainsRune(nameLetters, letter) })
 }
 
 func join(path, name string) string {
@@ -153,8 +159,8 @@
 		if !reader.expect(decoder, path, jx.String) {
 			return
 		}
-		value, fault := decoder.Str()
-		if reader.syntax(path, fault) == nil && (len(value) < least || len(value) > most) {
+		value, err := decoder.Str()
+		if reader.syntax(path, err) == nil && (len(value) < least || len(value) > most) {
 			reader.wrong(path, outOfRange, "%d letters, allowed %d to %d", len(value), least, most)
 		}
 		*into = value
@@ -166,12 +172,12 @@
 		if !reader.expect(decoder, path, jx.Number) {
 			return
 		}
-		number, fault := decoder.Num()
-		if reader.syntax(path, fault) != nil {
+		number, err := decoder.Num()
+		if reader.syntax(path, err) != nil {
 			return
 		}
-		value, fault := number.Int64()
-		if fault != nil {
+		value, err := number.Int64()
+		if err != nil {
 			reader.wrong(path, wrongType, "want a whole number, got %s", number)
 			return
 		}
@@ -199,8 +205,8 @@
 		if !reader.expect(decoder, path, jx.Number) {
 			return
 		}
-		value, fault := decoder.Float64()
-		if reader.syntax(path, fault) == nil && (value < least || value > most) {
+		value, err := decoder.Float64()
+		if reader.syntax(path, err) == nil && (value < least || value > most) {
 			reader.wrong(path, outOfRange, "%v, allowed %v to %v", value, least, most)
 		}
 		*into = value
@@ -212,9 +218,10 @@
 		if !reader.expect(decoder, path, jx.Bool) {
 			return
 		}
-		value, fault := decoder.Bool()
-		reader.syntax(path, fault)
-		*into = value
+		value, err := decoder.Bool()
+		if reader.syntax(path, err) == nil {
+			*into = value
+		}
 	}
 }
 
@@ -224,7 +231,7 @@
 			return
 		}
 		values := []string{}
-		fault := decoder.Arr(func(decoder *jx.Decoder) error {
+		err := decoder.Arr(func(decoder *jx.Decoder) error {
 			inner := fmt.Sprintf("%s[%d]", path, len(values))
 			value := ""
 			reader.text(&value, 1, 256)(decoder, inner)
@@ -236,7 +243,7 @@
 			values = append(values, value)
 			return reader.broken
 		})
-		if reader.syntax(path, fault) == nil && (len(values) < least || len(values) > most) {
+		if reader.syntax(path, err) == nil && (len(values) < least || len(values) > most) {
 			reader.wrong(path, outOfRange, "%d entries, allowed %d to %d", len(values), least, most)
 		}
 		*into = values
--- a/data/pipe.go
+++ b/data/pipe.go
@@ -43,23 +43,23 @@
 	return conn.written
 }
 
-// Pipe is one connection to one incarnation of a backend.
+// Pipe is one HTTP/1.1 connection to one incarnation of a backend.
 type Pipe struct {
 	conn   *countedConn
 	client *http.ClientConn
 	used   time.Time
 }
 
-// Dialer opens a raw connection; the simulator brings its own.
+// Dialer opens a connection; the simulator brings its own.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
 // openPipe dials and learns who is there before net/http gets the connection.
 func openPipe(dial Dialer, backend wire.Backend, limit time.Time) (*Pipe, *Identity, *wire.Mishap) {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	conn, fault := dial(ctx, "tcp", backend.Address)
-	if fault != nil {
-		return nil, nil, wire.New(wire.Unreached, "%v", fault)
+	conn, err := dial(ctx, "tcp", backend.Address)
+	if err != nil {
+		return nil, nil, wire.New(wire.Unreached, "%v", err)
 	}
 	identity := &Identity{}
 	mishap := identity.ask(conn, backend.Address, limit)
@@ -76,25 +76,25 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
-	client, fault := transport.NewClientConn(ctx, "http", backend.Address)
-	if fault != nil {
+	client, err := transport.NewClientConn(ctx, "http", backend.Address)
+	if err != nil {
 		conn.Close()
-		return nil, nil, wire.New(wire.PipeBroken, "%v", fault)
+		return nil, nil, wire.New(wire.PipeBroken, "%v", err)
 	}
 	return &Pipe{conn: counted, client: client, used: time.Now()}, identity, nil
 }
 
 // send gives the request to this pipe only; ran is false when no byte of it
 // left, nor ever will.
-func (pipe *Pipe) send(request *http.Request) (response *http.Response, ran bool, fault error) {
+func (pipe *Pipe) send(request *http.Request) (response *http.Response, ran bool, err error) {
 	before := pipe.conn.count()
-	response, fault = pipe.client.RoundTrip(request)
-	if fault != nil {
-		return nil, pipe.conn.sever() > before, fault
+	response, err = pipe.client.RoundTrip(request)
+	if err != nil {
+		return nil, pipe.conn.sever() > before, err
 	}
 	return response, true, nil
 }
 
 func (pipe *Pipe) sound() bool { return pipe.client.Err() == nil && pipe.client.Available() == 1 }
 
-func (pipe *Pipe) close() { pipe.client.Close() }
+func (pipe *Pipe) close() { _ = pipe.client.Close() } // given up in any case
--- a/judge/ledger.go
+++ b/judge/ledger.go
@@ -12,8 +12,8 @@
 	"orchidjunction/wire"
 )
 
-// Ground is the fleet that operators work on, real or simulated.
-type Ground interface {
+// System is the system that operators work on, real or simulated.
+type System interface {
 	Doors() []string
 	Client(door string) *operator.Client
 	Serials() []uint64
@@ -21,16 +21,17 @@
 	Start(duty func())
 }
 
-// Ack is an acknowledged change.
+// Ack is an acknowledged change; AtMs is when, in milliseconds since the Unix
+// epoch.
 type Ack struct {
 	Serial uint64
 	Base   uint64
 	AtMs   int64
 }
 
-// Ledger is what operators were told of every change they made.
+// Ledger makes changes as operators do and records what they were told.
 type Ledger struct {
-	ground Ground
+	system System
 	seed   uint64
 
 	mutex     sync.Mutex
@@ -53,20 +54,23 @@
 	wholeMost  = 100_000
 )
 
-func NewLedger(ground Ground, seed uint64) *Ledger {
-	return &Ledger{ground: ground, seed: seed, Acked: map[string]Ack{}, Refused: map[string]wire.Kind{}, Unknown: map[string]bool{}, lastAck: time.Now()}
+// NewLedger returns a Ledger that changes the settings of system, with decisions
+// drawn from seed.
+func NewLedger(system System, seed uint64) *Ledger {
+	return &Ledger{system: system, seed: seed, Acked: map[string]Ack{}, Refused: map[string]wire.Kind{}, Unknown: map[string]bool{}, lastAck: time.Now()}
 }
 
-// Operate lets operators change settings, now and then on the same base, some
-// of them invalid; a change whose outcome is unknown is sent again as it was.
+// Operate starts operators that each change settings at the mean pace. Some changes
+// are invalid, some race on the same base; a change whose outcome is unknown is
+// sent again unchanged.
 func (ledger *Ledger) Operate(operators int, pace time.Duration) {
 	for number := range operators {
 		ledger.mutex.Lock()
 		ledger.running++
 		random := rand.New(rand.NewPCG(ledger.seed, uint64(100+ledger.running+100*number)))
 		ledger.mutex.Unlock()
-		ledger.ground.Start(func() {
-			for ledger.ground.Rest(time.Duration(random.Int64N(int64(2*pace)))) && !ledger.ended() {
+		ledger.system.Start(func() {
+			for ledger.system.Rest(time.Duration(random.Int64N(int64(2*pace)))) && !ledger.ended() {
 				ledger.change(random)
 			}
 			ledger.mutex.Lock()
@@ -82,7 +86,7 @@
 	return ledger.stopped
 }
 
-// Stop waits for the operators' last calls.
+// Stop ends the operators and waits for their last calls.
 func (ledger *Ledger) Stop() {
 	ledger.mutex.Lock()
 	ledger.stopped = true
@@ -91,7 +95,7 @@
 		ledger.mutex.Lock()
 		running := ledger.running
 		ledger.mutex.Unlock()
-		if running == 0 || !ledger.ground.Rest(5*time.Millisecond) {
+		if running == 0 || !ledger.system.Rest(5*time.Millisecond) {
 			return
 		}
 	}
@@ -111,11 +115,11 @@
 }
 
 func (ledger *Ledger) door(random *rand.Rand) (*operator.Client, bool) {
-	doors := ledger.ground.Doors()
+	doors := ledger.system.Doors()
 	if len(doors) == 0 {
 		return nil, false
 	}
-	return ledger.ground.Client(doors[random.IntN(len(doors))]), true
+	return ledger.system.Client(doors[random.IntN(len(doors))]), true
 }
 
 // change makes one change at one daemon and keeps what it was told.
@@ -142,7 +146,7 @@
 		change.Settings = held(settings.Settings, 1000+random.IntN(2000))
 		send = func(client *operator.Client) (*operator.Outcome, *wire.Mishap) { return client.Put(change) }
 	}
-	ledger.Make(change, client, random, send)
+	_ = ledger.Make(change, client, random, send) // kept in the ledger
 }
 
 // held is the whole tree with another hold.
@@ -158,12 +162,13 @@
 	return body
 }
 
-// Make sends one change, again while its outcome is unknown, and keeps what was told.
+// Make sends one change, again while its outcome is unknown, records the outcome
+// and returns it.
 func (ledger *Ledger) Make(change operator.Change, client *operator.Client, random *rand.Rand, send func(*operator.Client) (*operator.Outcome, *wire.Mishap)) *wire.Mishap {
 	var outcome *operator.Outcome
 	mishap := ledger.timed(change.Change, func() (mishap *wire.Mishap) { outcome, mishap = send(client); return })
 	for try := 0; try < 6 && mishap != nil && (mishap.Kind == wire.OutcomeUnknown || mishap.Kind == wire.Unreachable); try++ {
-		ledger.ground.Rest(50 * time.Millisecond)
+		ledger.system.Rest(50 * time.Millisecond)
 		if client, found := ledger.door(random); found {
 			again := ledger.timed(change.Change+" again", func() (mishap *wire.Mishap) { outcome, mishap = send(client); return })
 			if again == nil || again.Kind != wire.NotStarted && again.Kind != wire.HoldFull {
@@ -194,7 +199,7 @@
 func (ledger *Ledger) follow(serial uint64, acked time.Time) {
 	for time.Since(acked) < lateMs*time.Millisecond {
 		behind := 0
-		for _, held := range ledger.ground.Serials() {
+		for _, held := range ledger.system.Serials() {
 			if held > 0 && held < serial {
 				behind++
 			}
@@ -205,7 +210,7 @@
 			ledger.mutex.Unlock()
 			return
 		}
-		if !ledger.ground.Rest(10 * time.Millisecond) {
+		if !ledger.system.Rest(10 * time.Millisecond) {
 			return
 		}
 	}
@@ -214,7 +219,7 @@
 	ledger.mutex.Unlock()
 }
 
-// Newest is the highest serial acknowledged so far.
+// Newest returns the highest serial acknowledged so far.
 func (ledger *Ledger) Newest() uint64 {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
@@ -225,19 +230,20 @@
 	return newest
 }
 
-// Trail asks for the changes that the cores kept.
+// Trail reads the history of changes from the cores, from any that answers within
+// the limit.
 func (ledger *Ledger) Trail(limit time.Duration) ([]wire.Entry, *wire.Mishap) {
 	trail := struct {
 		Changes []wire.Entry `json:"changes"`
 	}{}
 	last := wire.New(wire.Unreachable, "no door")
 	for until := time.Now().Add(limit); time.Now().Before(until); {
-		for _, door := range ledger.ground.Doors() {
-			if last = ledger.ground.Client(door).Ask(http.MethodGet, "/v1/changes", nil, &trail); last == nil {
+		for _, door := range ledger.system.Doors() {
+			if last = ledger.system.Client(door).Ask(http.MethodGet, "/v1/changes", nil, &trail); last == nil {
 				return trail.Changes, nil
 			}
 		}
-		ledger.ground.Rest(50 * time.Millisecond)
+		ledger.system.Rest(50 * time.Millisecond)
 	}
 	return nil, last
 }
--- a/plan/forecast_test.go
+++ b/plan/forecast_test.go
@@ -13,9 +13,9 @@
 
 func fleet(test *testing.T) Fleet {
 	test.Helper()
-	body, fault := os.ReadFile("../examples/volta.json")
-	if fault != nil {
-		test.Fatal(fault)
+	body, err := os.ReadFile("../examples/volta.json")
+	if err != nil {
+		test.Fatal(err)
 	}
 	settings, mishap := conf.Read(body)
 	if mishap != nil {
@@ -68,7 +68,7 @@
 	look := fleet(test)
 	routes := data.NewRoutes(1, look.Settings, nil)
 	placed := func(members []wire.Member) map[string][]place.Front {
-		chart, all := place.NewChart(routes, members), map[string][]place.Front{}
+		chart, all := place.NewView(routes, members), map[string][]place.Front{}
 		for name := range look.Settings.Tenants {
 			index, _ := routes.TenantNamed(name)
 			placement, mishap := chart.Place(index, "")
--- a/scale/state.go
+++ b/scale/state.go
@@ -14,8 +14,8 @@
 	"orchidjunction/wire"
 )
 
-// State is what one size of one kind of state costs a process, without any
-// other; milliseconds are of processor time.
+// State is what one size of one kind of state costs a process that holds nothing
+// else; milliseconds are of processor time.
 type State struct {
 	Kind     string
 	Size     int
@@ -26,7 +26,7 @@
 	HeldMB   float64
 }
 
-// States are those that were measured, in sizes from small to large.
+// States are the states that were measured, in sizes from small to large.
 type States struct {
 	Results []State
 }
@@ -43,8 +43,9 @@
 
 const ownersBackends = 1000
 
-// PlayStates measures books and tables as a daemon takes them: unpacked from
-// the wire, then applied to a proxy. Owners are members beside 1,000 backends.
+// PlayStates measures configurations and tables as a daemon takes them: decoded
+// from a message, then applied to a proxy. The kind "owners" is members beside
+// 1,000 backends.
 func PlayStates(folder string, progress io.Writer) *wire.Mishap {
 	all := &States{}
 	for _, kind := range stateKinds {
@@ -54,7 +55,7 @@
 				return mishap
 			}
 			all.Results = append(all.Results, *state)
-			fmt.Fprintf(progress, "%s %d: %+v\n", kind, size, *state)
+			_, _ = fmt.Fprintf(progress, "%s %d: %+v\n", kind, size, *state)
 		}
 	}
 	return write(folder, "state", all)
@@ -87,14 +88,14 @@
 	state := &State{Kind: kind, Size: size}
 	begin := processorMs()
 	var body []byte
-	var fault error
+	var err error
 	if inBook {
-		body, fault = wire.Pack(book)
+		body, err = wire.Pack(book)
 	} else {
-		body, fault = wire.Pack(table)
+		body, err = wire.Pack(table)
 	}
-	if fault != nil {
-		return nil, wire.AsMishap(fault)
+	if err != nil {
+		return nil, wire.AsMishap(err)
 	}
 	state.PackMs, state.PackedKB = processorMs()-begin, float64(len(body))/1024
 	plane := proxy.NewProxy(proxy.Place{Name: "proxy-00000", Zone: zoneName(0), Regions: regions(), RetryRatio: 0.1, RetryExtra: 10, WarmupExcess: 1},
@@ -104,13 +105,13 @@
 	begin = processorMs()
 	if inBook {
 		taken = &route.Book{}
-		fault = wire.Unpack(body, taken)
+		err = wire.Unpack(body, taken)
 	} else {
 		laid = &wire.Table{}
-		fault = wire.Unpack(body, laid)
+		err = wire.Unpack(body, laid)
 	}
-	if fault != nil {
-		return nil, wire.AsMishap(fault)
+	if err != nil {
+		return nil, wire.AsMishap(err)
 	}
 	state.UnpackMs = processorMs() - begin
 	begin = processorMs()
@@ -130,6 +131,6 @@
 // processorMs is the processor time of this process so far, its collector's too.
 func processorMs() float64 {
 	usage := syscall.Rusage{}
-	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // fails for wrong arguments only
 	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e6
 }
--- a/scale/sweep.go
+++ b/scale/sweep.go
@@ -11,14 +11,14 @@
 	"orchidjunction/wire"
 )
 
-// Sweep is a set of points along one size, the others standing still.
+// Sweep is a set of points that differ in one size.
 type Sweep struct {
 	Name   string
 	Along  string
 	Points []Point
 }
 
-// Run is a sweep that was measured.
+// Run is a sweep with its results.
 type Run struct {
 	Name       string
 	Along      string
@@ -39,7 +39,7 @@
 	return points
 }
 
-// Sweeps are those that the page's tables are made of.
+// Sweeps are those that the tables of the page are made from.
 var Sweeps = []Sweep{
 	{"daemons", "Daemons", along(func(point *Point, size int) { point.Daemons, point.Apply = size, ApplyIndex }, 12, 48, 192, 768)},
 	{"daemons-slowed", "Daemons", along(func(point *Point, size int) {
@@ -53,18 +53,18 @@
 	{"cores", "Cores", along(func(point *Point, size int) { point.Cores, point.Daemons = size, 48 }, 3, 5, 7, 9)},
 }
 
-// Size is the point's value along a sweep.
+// Size returns the size that a sweep varies.
 func (point *Point) Size(along string) float64 {
 	return float64(map[string]int{"Daemons": point.Daemons, "Backends": point.Backends, "Routes": point.Routes, "Tenants": point.Tenants, "Active": point.Active, "Cores": point.Cores}[along])
 }
 
-// Play measures a sweep and keeps what it found after each point.
+// Play measures a sweep and writes the results to the folder after each point.
 func (sweep *Sweep) Play(folder string, port int, threads *run.Threads, progress io.Writer) *wire.Mishap {
 	played := &Run{Name: sweep.Name, Along: sweep.Along, Machine: "shared with benchmarks and builds while this ran", Processors: Processors()}
 	for _, point := range sweep.Points {
 		result := Measure(point, port, threads)
 		played.Results = append(played.Results, result)
-		fmt.Fprintf(progress, "%s %v: leader %.3f, follower %.3f, daemon %.5f of a core; daemon %.0f bytes/s in, %.0f out; changes %v; failed %v\n", sweep.Name, point.Size(sweep.Along),
+		_, _ = fmt.Fprintf(progress, "%s %v: leader %.3f, follower %.3f, daemon %.5f of a core; daemon %.0f bytes/s in, %.0f out; changes %v; failed %v\n", sweep.Name, point.Size(sweep.Along),
 			result.Steady[leaderRole].Processor, result.Steady[followerRole].Processor, result.Steady[daemonRole].Processor,
 			result.Steady[daemonRole].BytesIn, result.Steady[daemonRole].BytesOut, result.Changes, result.Failed)
 		if mishap := write(folder, sweep.Name, played); mishap != nil {
@@ -78,26 +78,26 @@
 }
 
 func write(folder, name string, value any) *wire.Mishap {
-	body, fault := json.MarshalIndent(value, "", " ")
-	if fault == nil {
-		fault = os.MkdirAll(folder, 0o755)
+	body, err := json.MarshalIndent(value, "", " ")
+	if err == nil {
+		err = os.MkdirAll(folder, 0o755)
 	}
-	if fault == nil {
-		fault = os.WriteFile(filepath.Join(folder, name+".json"), append(body, '\n'), 0o644)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, name+".json"), append(body, '\n'), 0o644)
 	}
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%s: %v", name, fault)
+	if err != nil {
+		return wire.New(wire.DiskFault, "%s: %v", name, err)
 	}
 	return nil
 }
 
 func read(folder, name string, value any) *wire.Mishap {
-	body, fault := os.ReadFile(filepath.Join(folder, name+".json"))
-	if fault == nil {
-		fault = json.Unmarshal(body, value)
+	body, err := os.ReadFile(filepath.Join(folder, name+".json"))
+	if err == nil {
+		err = json.Unmarshal(body, value)
 	}
-	if fault != nil {
-		return wire.New(wire.NotFound, "%s: %v", name, fault)
+	if err != nil {
+		return wire.New(wire.NotFound, "%s: %v", name, err)
 	}
 	return nil
 }
--- a/scale/tap.go
+++ b/scale/tap.go
@@ -1,5 +1,8 @@
-// Package scale measures what each role costs as the fleet grows: real cores in
-// processes of their own, and hollow daemons that share a process.
+// Package scale measures what each role costs as a deployment grows. A Sweep varies
+// one size over Points; Measure runs real cores in processes of their own (RunCore)
+// and many hollow daemons, which carry no requests, in shared ones (RunHollow), and
+// reads what each process used through a Tap. PlayStates measures the state alone.
+// WritePage fits lines to the results and writes the tables of docs/measure.
 package scale
 
 import (
@@ -20,8 +23,8 @@
 	"orchidjunction/wire"
 )
 
-// Tap counts the bytes and messages that pass one process's edge; headers of
-// HTTP are in the bytes, those of TCP are not.
+// Tap counts the bytes and messages that pass one process's listeners and
+// connections. Headers of HTTP are in the bytes, those of TCP are not.
 type Tap struct {
 	in, out  atomic.Uint64
 	mutex    sync.Mutex
@@ -52,15 +55,15 @@
 }
 
 func (conn tappedConn) Read(body []byte) (int, error) {
-	count, fault := conn.Conn.Read(body)
+	count, err := conn.Conn.Read(body)
 	conn.tap.in.Add(uint64(count))
-	return count, fault
+	return count, err
 }
 
 func (conn tappedConn) Write(body []byte) (int, error) {
-	count, fault := conn.Conn.Write(body)
+	count, err := conn.Conn.Write(body)
 	conn.tap.out.Add(uint64(count))
-	return count, fault
+	return count, err
 }
 
 type tappedListener struct {
@@ -69,9 +72,9 @@
 }
 
 func (listener tappedListener) Accept() (net.Conn, error) {
-	conn, fault := listener.Listener.Accept()
-	if fault != nil {
-		return nil, fault
+	conn, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
 	return tappedConn{conn, listener.tap}, nil
 }
@@ -91,9 +94,9 @@
 	transport := program.FarTransport(userTimeout)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, fault := dial(ctx, network, address)
-		if fault != nil {
-			return nil, fault
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
 		}
 		return tappedConn{conn, tap}, nil
 	}
@@ -102,20 +105,21 @@
 
 // serve opens an address whose messages and bytes are counted.
 func (tap *Tap) serve(address string, handler http.Handler, threads *run.Threads) *wire.Mishap {
-	open, fault := net.Listen("tcp", address)
-	if fault != nil {
-		return wire.New(wire.BadFlag, "%s: %v", address, fault)
+	open, err := net.Listen("tcp", address)
+	if err != nil {
+		return wire.New(wire.BadFlag, "%s: %v", address, err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		tap.message(request.URL.Path)
 		handler.ServeHTTP(writer, request)
 	}), IdleTimeout: time.Minute}
-	threads.Start(func() { server.Serve(tappedListener{open, tap}) })
-	threads.OnStop(func() { server.Close() })
+	threads.Start(func() { _ = server.Serve(tappedListener{open, tap}) }) // ends by Close
+	threads.OnStop(func() { _ = server.Close() })
 	return nil
 }
 
-// Reading is what one process has used and passed on since its start.
+// Reading is what one process has used and passed on since its start. Times are
+// microseconds.
 type Reading struct {
 	AtUs        int64
 	ProcessorUs int64
@@ -134,10 +138,10 @@
 
 func (tap *Tap) read() Reading {
 	usage := syscall.Rusage{}
-	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // fails for wrong arguments only
 	reading := Reading{AtUs: time.Now().UnixMicro(), ProcessorUs: usage.Utime.Nano()/1000 + usage.Stime.Nano()/1000,
 		BytesIn: tap.in.Load(), BytesOut: tap.out.Load(), Messages: tap.counted()}
-	if entries, fault := os.ReadDir("/proc/self/fd"); fault == nil {
+	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
 		reading.Descriptors = len(entries)
 	}
 	reading.ResidentKB = residentKB()
@@ -157,19 +161,19 @@
 
 func writeJSON(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(writer).Encode(value)
+	_ = json.NewEncoder(writer).Encode(value) // the client is gone
 }
 
 func getJSON(address, path string, value any) *wire.Mishap {
 	client := &http.Client{Timeout: 20 * time.Second}
 	defer client.CloseIdleConnections()
-	response, fault := client.Get("http://" + address + path)
-	if fault != nil {
-		return wire.New(wire.Unreachable, "%s%s: %v", address, path, fault)
+	response, err := client.Get("http://" + address + path)
+	if err != nil {
+		return wire.New(wire.Unreachable, "%s%s: %v", address, path, err)
 	}
 	defer response.Body.Close()
-	if fault := json.NewDecoder(response.Body).Decode(value); fault != nil {
-		return wire.New(wire.BadMessage, "%s%s: %v", address, path, fault)
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		return wire.New(wire.BadMessage, "%s%s: %v", address, path, err)
 	}
 	return nil
 }
