Disks and books of the former version are read: roster, trail of whole digests

Cause: a field that nobody knows is refused, so a core updated in place would have ended with corrupt_store.

--- a/control/establishment.go
+++ b/control/establishment.go
@@ -24,13 +24,14 @@
 	from       [wire.Registers]int
 	content    *content
 	routing    *route.Book
+	learners   []string
 }
 
 func (core *Core) establish(view *View, ballot wire.Ballot, revocation *Revocation) (*Leadership, *wire.Mishap) {
 	if !revocation.Complete {
 		return nil, wire.New(wire.StaleBallot, "revocation of %s is not complete", revocation.Revoked)
 	}
-	establishment := &Establishment{core: core, view: view, ballot: ballot, revocation: revocation}
+	establishment := &Establishment{core: core, view: view, ballot: ballot, revocation: revocation, learners: revocation.Learners}
 	for _, step := range []func() *wire.Mishap{establishment.promised, establishment.revoked, establishment.rewritten} {
 		if mishap := step(); mishap != nil {
 			return nil, mishap
@@ -64,7 +65,7 @@
 	}
 	establishment.core.counts.Add("revocation_fell_back", 1)
 	establishment.revocation = &Revocation{Method: BallotFence, Ballot: establishment.ballot,
-		Revoked: establishment.revocation.Revoked, Promises: establishment.promises, Complete: true, Learners: establishment.revocation.Learners}
+		Revoked: establishment.revocation.Revoked, Promises: establishment.promises, Complete: true}
 	return nil
 }
 
--- /dev/null
+++ b/control/export_test.go
@@ -0,0 +1,4 @@
+package control
+
+// PackedFrame is a payload as it stands in a file.
+func PackedFrame(payload []byte) []byte { return newFrame(payload) }
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -42,7 +42,7 @@
 func newLeadership(core *Core, ballot wire.Ballot, establishment *Establishment) *Leadership {
 	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(), content: establishment.content, routing: establishment.routing,
 		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn(), succession: newSuccession()}
-	for _, address := range establishment.revocation.Learners {
+	for _, address := range establishment.learners {
 		leadership.succession.enlisted(address)
 	}
 	for register := range establishment.newest {
--- a/control/store.go
+++ b/control/store.go
@@ -12,6 +12,7 @@
 // State is all that a core must never forget.
 type State struct {
 	Opening  bool
+	Roster   []Peer // as disks of former versions hold it; see upgrade
 	Founded  bool
 	Promised wire.Ballot
 	Accepted [wire.Registers]wire.Accepted
@@ -27,6 +28,14 @@
 	return accepted, mark.Serial > 0 && mark.Serial == accepted.Value.Serial && !accepted.Ballot.Less(mark.Ballot)
 }
 
+// upgrade makes the roster of a former version, which was fixed, the first membership.
+func (state *State) upgrade(roster []Peer) {
+	state.Roster = nil
+	if len(roster) > 0 && state.Accepted[wire.MembersRegister].Value.Serial == 0 {
+		state.Accepted[wire.MembersRegister] = givenMembership(roster).accepted()
+	}
+}
+
 // Voters is the membership that was accepted last; nil where none was.
 func (state State) Voters() *Membership {
 	membership, mishap := membershipOf(state.Accepted[wire.MembersRegister])
@@ -47,6 +56,7 @@
 // record is one synced step; only what changed is set.
 type record struct {
 	Opening  bool
+	Roster   []Peer // as disks of former versions hold it; see upgrade
 	Founded  bool
 	Promised *wire.Ballot
 	Register wire.Register
@@ -60,6 +70,7 @@
 func (state *State) lay(step record) {
 	state.Opening = state.Opening || step.Opening
 	state.Founded = state.Founded || step.Founded
+	state.upgrade(step.Roster)
 	if step.Promised != nil {
 		state.Promised = *step.Promised
 	}
@@ -143,6 +154,7 @@
 	if fault := wire.Unpack(payload, &store.state); fault != nil {
 		return storeFault(wire.Corrupt, fault, "%s", name)
 	}
+	store.state.upgrade(store.state.Roster)
 	return nil
 }
 
--- a/route/trail.go
+++ b/route/trail.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // TrailMost is how many taken orders a trail remembers.
@@ -37,6 +40,33 @@
 	Packed    []byte
 }
 
+// formerApplied is an entry of the trail as books of former versions hold it.
+type formerApplied struct {
+	Version uint64
+	Digest  string
+}
+
+// DecodeMsgpack reads a trail, also one of a former version: a list of entries.
+func (trail *Trail) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	code, err := decoder.PeekCode()
+	if err != nil {
+		return err
+	}
+	if !msgpcode.IsFixedArray(code) && code != msgpcode.Array16 && code != msgpcode.Array32 {
+		type plain Trail
+		return decoder.Decode((*plain)(trail))
+	}
+	var former []formerApplied
+	if err := decoder.Decode(&former); err != nil {
+		return err
+	}
+	*trail = Trail{}
+	for _, entry := range former {
+		*trail = trail.With(entry.Version, entry.Digest)
+	}
+	return nil
+}
+
 // next reads the entry at the front of packed, which follows a version.
 func next(packed []byte, version uint64) (entry Applied, rest []byte, found bool) {
 	distance, width := binary.Uvarint(packed)
--- a/route/trail_test.go
+++ b/route/trail_test.go
@@ -49,3 +49,28 @@
 		test.Errorf("%+v, %+v of %+v", left.Entries(), right.Entries(), book.Trail.Entries())
 	}
 }
+
+// A book of a former version, whose trail is a list of whole digests, is read.
+func TestTrailOfFormerVersionIsRead(test *testing.T) {
+	type formerBook struct {
+		Config    Config
+		Evacuated []string
+		Reopened  []Reopened
+		Trail     []formerApplied
+	}
+	body, err := wire.Pack(&formerBook{Config: Config{Version: 9}, Evacuated: []string{"z1"}, Trail: []formerApplied{{4, "four"}, {9, "nine"}}})
+	if err != nil {
+		test.Fatal(err)
+	}
+	book, mishap := BookOf(body)
+	if mishap != nil || book.Config.Version != 9 || len(book.Evacuated) != 1 {
+		test.Fatalf("%v: %+v", mishap, book)
+	}
+	if !book.Trail.Holds(4, "four") || !book.Trail.Holds(9, "nine") || book.Trail.Holds(9, "ten") || book.Trail.Count != 2 {
+		test.Errorf("%+v", book.Trail.Entries())
+	}
+	again, _ := wire.Pack(book)
+	if back, mishap := BookOf(again); mishap != nil || !back.Trail.Holds(9, "nine") {
+		test.Errorf("%v: %+v", mishap, back)
+	}
+}
