Rules of restoring, enrolling, beginning and counting stand apart from their I/O

So that a model can drive them: takenOver (what a ballot takes over), mayRestore, mayEnrol, mayBeginEmpty and countBy.

--- a/control/enlist.go
+++ b/control/enlist.go
@@ -112,7 +112,7 @@
 		return
 	}
 	view := viewOf(core.place.Wire, membership)
-	founds := core.opening() && view.votes()
+	founds := mayEnrol(core.opening(), view)
 	if founds {
 		if mishap := core.voter.Enrol(accepted); mishap != nil {
 			return
@@ -127,6 +127,9 @@
 	}
 }
 
+// mayEnrol is whether a core that first hears of a membership is a voter of it at once.
+func mayEnrol(opening bool, view *View) bool { return opening && view.votes() }
+
 func (core *Core) onEnlist(message *wire.Enlist) (*wire.EnlistTold, *wire.Mishap) {
 	if !core.members().known() {
 		core.enlisted.take(message.Address)
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -81,13 +81,19 @@
 	return newest, from
 }
 
-// rewritten writes the newest of all registers again under the ballot. None of those
-// that promised accepted a newer membership than the one that counted them: they
-// would have refused.
+// takenOver is what a ballot takes over from those that promised it: the newest value
+// of each register, and the membership that counted them. None of them accepted a
+// newer membership with other voters: they would have refused.
+func takenOver(view *View, promises map[int]*wire.PromiseTold) (newest [wire.Registers]wire.Accepted, from [wire.Registers]int) {
+	newest, from = newestOf(promises)
+	newest[wire.MembersRegister] = view.accepted()
+	return newest, from
+}
+
+// rewritten writes what the ballot takes over again under it.
 func (establishment *Establishment) rewritten() *wire.Mishap {
 	core := establishment.core
-	establishment.newest, establishment.from = newestOf(establishment.promises)
-	establishment.newest[wire.MembersRegister] = establishment.view.accepted()
+	establishment.newest, establishment.from = takenOver(establishment.view, establishment.promises)
 	settings := establishment.newest[wire.SettingsRegister].Value
 	texts, mishap := core.gatherTexts(establishment.view.address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
 	if mishap != nil {
--- a/control/learner.go
+++ b/control/learner.go
@@ -75,7 +75,7 @@
 		return
 	}
 	core.learnMembers(told.Members)
-	if told.Admitted && core.voter.Blank() && !core.members().votes() {
+	if core.mayBeginEmpty(told) {
 		core.beginEmpty(told.Ballot)
 	}
 	core.mutex.Lock()
@@ -112,6 +112,11 @@
 	return addresses[core.asked%len(addresses)]
 }
 
+// mayBeginEmpty is whether an answer lets this core's blank disk begin as a replica.
+func (core *Core) mayBeginEmpty(told *wire.EnlistTold) bool {
+	return told.Admitted && core.voter.Blank() && !core.members().votes()
+}
+
 // beginEmpty makes a blank disk a replica that accepted nothing. It holds no vote
 // yet, and never held one: the leader was confirmed after this disk was found blank,
 // and the membership then did not count this core.
--- a/control/replace.go
+++ b/control/replace.go
@@ -270,14 +270,12 @@
 		return mishap
 	}
 	core := leadership.core
-	next.Mark.Ballot = leadership.ballot
-	accepted := next.accepted()
-	core.learnMembers(accepted)
-	view := core.members()
-	if view.Mark != next.Mark {
+	view, mishap := core.countBy(next, leadership.ballot)
+	if mishap != nil {
 		core.revoke(leadership)
-		return wire.New(wire.StaleBallot, "a newer membership %v is known", view.Mark)
+		return mishap
 	}
+	accepted := view.accepted()
 	message := &wire.Accept{Ballot: leadership.ballot, Register: wire.MembersRegister, Value: accepted.Value}
 	if mishap := core.pushValue(view, message, nil); mishap != nil {
 		core.counts.Add("write_unknown", 1)
@@ -290,6 +288,18 @@
 	return nil
 }
 
+// countBy makes a membership, about to be written under a ballot, the one that this
+// core counts by; it fails where a newer one is known.
+func (core *Core) countBy(next *Membership, ballot wire.Ballot) (*View, *wire.Mishap) {
+	next.Mark.Ballot = ballot
+	core.learnMembers(next.accepted())
+	view := core.members()
+	if view.Mark != next.Mark {
+		return nil, wire.New(wire.StaleBallot, "a newer membership %v is known", view.Mark)
+	}
+	return view, nil
+}
+
 // onLeave takes a voter's word that it ends. It need not wait where no learner is
 // there to take its place, nor once it has no place left.
 func (core *Core) onLeave(message *wire.Leave) (*wire.LeaveTold, *wire.Mishap) {
--- a/control/restore.go
+++ b/control/restore.go
@@ -31,7 +31,7 @@
 		}
 		return
 	}
-	if !core.members().same(view) || !view.mayLead(view.ID) || !view.fencesWithout(view.ID, agreed(told, func(answer *wire.RestoreTold) bool { return answer.Founded })) {
+	if !core.mayRestore(view, told) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
@@ -43,13 +43,12 @@
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	accepted, from := newestOf(promises)
+	accepted, from := takenOver(view, promises)
 	texts, mishap := core.gatherTexts(view.address(from[wire.SettingsRegister]), accepted[wire.SettingsRegister].Value, nil)
 	if mishap != nil {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	accepted[wire.MembersRegister] = view.accepted()
 	if mishap := core.voter.Found(ballot, accepted, texts); mishap != nil {
 		return
 	}
@@ -62,6 +61,13 @@
 	}
 }
 
+// mayRestore is whether enough other replicas answered a blank voter that it may fence
+// them, by the membership that it asked them under.
+func (core *Core) mayRestore(view *View, told map[int]*wire.RestoreTold) bool {
+	founded := func(answer *wire.RestoreTold) bool { return answer.Founded }
+	return core.members().same(view) && view.mayLead(view.ID) && view.fencesWithout(view.ID, agreed(told, founded))
+}
+
 func (core *Core) begin() {
 	core.mutex.Lock()
 	core.heard = time.Now()
