--- /dev/null
+++ b/control/model_actions_test.go
@@ -0,0 +1,274 @@
+package control
+
+import (
+	"fmt"
+
+	"orchidjunction/wire"
+)
+
+// modelKind is a kind of step that the model can take.
+type modelKind string
+
+const (
+	modelDeliver   modelKind = "deliver"
+	modelRepeat    modelKind = "deliver and keep"
+	modelStand     modelKind = "stand"
+	modelGiveUp    modelKind = "give up"
+	modelTimeOut   modelKind = "time out"
+	modelOrder     modelKind = "order"
+	modelEnlist    modelKind = "enlist"
+	modelReplace   modelKind = "replace"
+	modelSettles   modelKind = "settle step"
+	modelRestore   modelKind = "restore"
+	modelMend      modelKind = "mend a copy"
+	modelCrash     modelKind = "crash"
+	modelPowerLoss modelKind = "power loss while handling"
+	modelWipe      modelKind = "wipe"
+	modelRestart   modelKind = "restart"
+)
+
+// modelAction is one step: what, by which machine or of which message, and with what.
+type modelAction struct {
+	kind     modelKind
+	machine  int
+	other    int
+	register wire.Register
+}
+
+// actions are all steps that may be taken now, within the bounds.
+func (world *modelWorld) actions(add func(modelAction)) {
+	bounds, spent := world.bounds, &world.spent
+	for index, packet := range world.flight {
+		if world.cut[packet.from][packet.to] || world.machines[packet.to].process == nil {
+			continue
+		}
+		add(modelAction{kind: modelDeliver, machine: index})
+		if !packet.answers && spent.duplicates < bounds.duplicates {
+			add(modelAction{kind: modelRepeat, machine: index})
+		}
+		if !packet.answers && spent.powerLoss < bounds.powerLoss {
+			add(modelAction{kind: modelPowerLoss, machine: index, other: spent.powerLoss % 3})
+		}
+	}
+	for index, machine := range world.machines {
+		if machine.process == nil {
+			add(modelAction{kind: modelRestart, machine: index})
+		} else if spent.crashes < bounds.crashes {
+			add(modelAction{kind: modelCrash, machine: index})
+		}
+		if spent.wipes < bounds.wipes {
+			add(modelAction{kind: modelWipe, machine: index})
+		}
+		if machine.process != nil {
+			world.processActions(machine, add)
+		}
+	}
+}
+
+// processActions are the steps that a process may take of itself.
+func (world *modelWorld) processActions(machine *modelMachine, add func(modelAction)) {
+	process, bounds, spent := machine.process, world.bounds, &world.spent
+	view, blank := process.core.members(), process.core.voter.Blank()
+	if !process.idle() && spent.giveUps < bounds.giveUps {
+		add(modelAction{kind: modelGiveUp, machine: machine.index})
+	}
+	if bounds.timeOuts && world.stuck(machine) {
+		add(modelAction{kind: modelTimeOut, machine: machine.index})
+	}
+	if process.leadership != nil {
+		world.leaderActions(machine, view, add)
+		return
+	}
+	if !process.idle() {
+		return
+	}
+	if view.votes() && !blank && world.rules.mayLead(view, view.ID) && spent.candidates < bounds.candidates {
+		add(modelAction{kind: modelStand, machine: machine.index})
+	}
+	if view.votes() && blank && spent.candidates < bounds.candidates {
+		add(modelAction{kind: modelRestore, machine: machine.index})
+	}
+	if !view.votes() && process.enlisting == 0 && spent.enlists < bounds.enlists {
+		for _, other := range world.machines {
+			if other.index != machine.index && other.process != nil {
+				add(modelAction{kind: modelEnlist, machine: machine.index, other: other.index})
+			}
+		}
+	}
+}
+
+// stuck is whether nothing is on its way any more that a process waits for, or whether
+// its leadership is over and it has heard of that.
+func (world *modelWorld) stuck(machine *modelMachine) bool {
+	process := machine.process
+	if process.idle() {
+		return false
+	}
+	if process.leadership != nil && process.leadership.ballot.Less(process.core.voter.State().Promised) {
+		return true
+	}
+	if process.leadership != nil && process.push == nil {
+		return false
+	}
+	for _, packet := range world.flight {
+		asker := packet.from
+		if packet.answers {
+			asker = packet.to
+		}
+		if asker == machine.index && packet.life == process.life && process.waitsFor(packet.call) {
+			return false
+		}
+	}
+	return true
+}
+
+func (world *modelWorld) leaderActions(machine *modelMachine, view *View, add func(modelAction)) {
+	process, bounds, spent := machine.process, world.bounds, &world.spent
+	if spent.mends < bounds.mends {
+		for _, other := range world.machines {
+			for _, register := range append([]wire.Register{wire.MembersRegister}, bounds.registers...) {
+				if other.index != machine.index && other.process != nil {
+					add(modelAction{kind: modelMend, machine: machine.index, other: other.index, register: register})
+				}
+			}
+		}
+	}
+	if process.push != nil {
+		return
+	}
+	if spent.orders < bounds.orders {
+		for _, register := range bounds.registers {
+			add(modelAction{kind: modelOrder, machine: machine.index, register: register})
+		}
+	}
+	if view.changing() {
+		add(modelAction{kind: modelSettles, machine: machine.index})
+		return
+	}
+	if spent.steps >= bounds.steps {
+		return
+	}
+	for _, other := range world.machines {
+		if other.process == nil || view.has(other.address) {
+			continue
+		}
+		for _, leaving := range view.Voters {
+			if leaving.ID != view.ID {
+				add(modelAction{kind: modelReplace, machine: machine.index, other: other.index*64 + leaving.ID})
+			}
+		}
+	}
+}
+
+// do takes one step and says whether all invariants still hold.
+func (world *modelWorld) do(action modelAction) *modelViolation {
+	if world.tracing {
+		world.trace = append(world.trace, world.tell(action))
+	}
+	spent := &world.spent
+	switch action.kind {
+	case modelDeliver:
+		world.deliver(world.take(action.machine))
+	case modelRepeat:
+		spent.duplicates++
+		world.deliver(world.flight[action.machine])
+	case modelPowerLoss:
+		spent.powerLoss++
+		world.losesPower(world.take(action.machine), action.other)
+	case modelCrash:
+		spent.crashes++
+		world.own(action.machine).process = nil
+	case modelWipe:
+		spent.wipes++
+		world.own(action.machine).wipe()
+	case modelRestart:
+		machine := world.own(action.machine)
+		machine.start()
+		if voter := machine.process.core.voter; world.rules.blankDiskVotes && voter.Blank() {
+			voter.Enrol(newModelFirst(world.bounds).accepted())
+		}
+	case modelStand:
+		spent.candidates++
+		world.stand(world.own(action.machine))
+	case modelRestore:
+		spent.candidates++
+		world.surveys(world.own(action.machine))
+	case modelEnlist:
+		spent.enlists++
+		world.enlists(world.own(action.machine), action.other)
+	case modelGiveUp:
+		spent.giveUps++
+		world.own(action.machine).process.revoke()
+	case modelTimeOut:
+		world.own(action.machine).process.revoke()
+	case modelOrder:
+		spent.orders++
+		world.order(world.own(action.machine), action.register)
+	case modelReplace:
+		spent.steps++
+		world.replaces(world.own(action.machine), action.other%64, action.other/64)
+	case modelSettles:
+		world.settles(world.own(action.machine))
+	case modelMend:
+		spent.mends++
+		world.mends(world.own(action.machine), action.other, action.register)
+	}
+	world.prune()
+	return world.ledger.broken
+}
+
+// losesPower cuts the power of a machine before what it does with a message is synced:
+// nothing, a part or all of what it wrote may be there afterwards, and nobody hears.
+func (world *modelWorld) losesPower(packet *modelPacket, much int) {
+	machine := world.own(packet.to)
+	before := len(world.flight)
+	machine.disk.failing = true
+	world.deliver(packet)
+	machine.process = nil
+	machine.disk.losePower([]int{0, 7, 1 << 20}[much])
+	if world.rules.syncs {
+		world.flight = world.flight[:before]
+	}
+}
+
+func newModelFirst(bounds *modelBounds) *Membership {
+	addresses := []string{}
+	for index := range bounds.founders {
+		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:7000", index+1))
+	}
+	return firstMembership(addresses)
+}
+
+// tell is an action in words, for the trace of a violation.
+func (world *modelWorld) tell(action modelAction) string {
+	switch action.kind {
+	case modelDeliver, modelRepeat, modelPowerLoss:
+		packet := world.flight[action.machine]
+		return fmt.Sprintf("%s %d->%d as %d %T%+v", action.kind, packet.from+1, packet.to+1, packet.as, packet.message, modelBrief(packet.message))
+	case modelReplace:
+		return fmt.Sprintf("machine %d: replace ID %d by machine %d", action.machine+1, action.other%64, action.other/64+1)
+	case modelEnlist, modelMend:
+		return fmt.Sprintf("machine %d: %s at machine %d, register %d", action.machine+1, action.kind, action.other+1, action.register)
+	}
+	return fmt.Sprintf("machine %d: %s", action.machine+1, action.kind)
+}
+
+func modelBrief(message any) string {
+	switch message := message.(type) {
+	case *wire.Promise:
+		return fmt.Sprintf(" ballot %s by membership %v", message.Ballot, message.Members.Mark())
+	case *wire.PromiseTold:
+		return fmt.Sprintf(" granted %v promised %s", message.Granted, message.Promised)
+	case *wire.Accept:
+		return fmt.Sprintf(" register %d under %s serial %d", message.Register, message.Ballot, message.Value.Serial)
+	case *wire.AcceptTold:
+		return fmt.Sprintf(" taken %v", message.Taken)
+	case *wire.EnlistTold:
+		return fmt.Sprintf(" admitted %v under %s", message.Admitted, message.Ballot)
+	case *wire.Beat:
+		return fmt.Sprintf(" under %s", message.Ballot)
+	case *wire.BeatTold:
+		return fmt.Sprintf(" taken %v voter %v", message.Taken, message.Voter)
+	}
+	return ""
+}
--- /dev/null
+++ b/control/model_ledger_test.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"orchidjunction/wire"
+)
+
+// The model's invariants; a violation is reported under one of these names.
+const (
+	oneValuePerSerial     = "one value per serial"
+	acknowledgedIsKept    = "what was decided is never lost"
+	oneLeaderPerBallot    = "one leadership per ballot"
+	quorumsMeet           = "two quorums that decide always meet"
+	onlyVotersCount       = "no answer of a blank, amnesiac or removed replica counts"
+	idsAreUsedOnce        = "IDs are never used twice"
+	oneVoterPerStep       = "a membership changes by one voter a step"
+	onlyVotersLead        = "only voters lead"
+	countedIsDecided      = "what a leader counts as decided is decided"
+	servedIsDecided       = "what is served was decided"
+	confirmedReadIsNewest = "a confirmed leader holds all that was acknowledged before it was asked"
+)
+
+// modelViolation is an invariant that does not hold.
+type modelViolation struct {
+	invariant string
+	detail    string
+}
+
+func (violation *modelViolation) Error() string { return violation.invariant + ": " + violation.detail }
+
+// modelProposal is one value of a register under one ballot, and which machines
+// accepted it. Its groups are those of all memberships that it was counted by.
+type modelProposal struct {
+	ballot    wire.Ballot
+	register  wire.Register
+	value     wire.Value
+	versions  []*View
+	acceptors modelIDs
+	decided   bool
+}
+
+// modelLedger is what an observer of all machines knows. It does its own counting, so
+// that a wrong quorum in the rules doesn't deceive it too.
+type modelLedger struct {
+	proposals []modelProposal
+	// history is what was decided of each register of data: a value's body holds the
+	// mark of each order that led to it, so later values begin with earlier ones.
+	history [wire.Registers]string
+	// acknowledged is what a leader counted as decided.
+	acknowledged [wire.Registers]string
+	version      *Membership
+	versions     []*Membership
+	given        map[int]string
+	leaders      map[wire.Ballot]int
+	broken       *modelViolation
+	// outcomesOnly leaves out the invariants on single answers, so that a seeded bug
+	// has to show in what the system does.
+	outcomesOnly bool
+}
+
+func newModelLedger(first *Membership) *modelLedger {
+	ledger := &modelLedger{version: first, versions: []*Membership{first}, given: map[int]string{}, leaders: map[wire.Ballot]int{}}
+	for _, peer := range first.Voters {
+		ledger.given[peer.ID] = peer.Address
+	}
+	return ledger
+}
+
+func (ledger *modelLedger) clone() *modelLedger {
+	next := *ledger
+	next.proposals = slices.Clone(ledger.proposals)
+	next.given, next.leaders = cloneMap(ledger.given), cloneMap(ledger.leaders)
+	return &next
+}
+
+func cloneMap[Key comparable, Held any](held map[Key]Held) map[Key]Held {
+	next := make(map[Key]Held, len(held))
+	for key, value := range held {
+		next[key] = value
+	}
+	return next
+}
+
+func (ledger *modelLedger) violated(invariant, format string, values ...any) {
+	if ledger.broken != nil {
+		return
+	}
+	detailed := invariant == onlyVotersCount || invariant == countedIsDecided || invariant == onlyVotersLead
+	if ledger.outcomesOnly && detailed {
+		return
+	}
+	ledger.broken = &modelViolation{invariant: invariant, detail: fmt.Sprintf(format, values...)}
+}
+
+func (ledger *modelLedger) find(ballot wire.Ballot, register wire.Register, serial uint64) *modelProposal {
+	for index := len(ledger.proposals) - 1; index >= 0; index-- {
+		proposal := &ledger.proposals[index]
+		if proposal.ballot == ballot && proposal.register == register && proposal.value.Serial == serial {
+			return proposal
+		}
+	}
+	return nil
+}
+
+// proposed notes that a leader sends a value and counts its acceptors by a membership.
+func (ledger *modelLedger) proposed(ballot wire.Ballot, register wire.Register, value wire.Value, view *View) {
+	proposal := ledger.find(ballot, register, value.Serial)
+	if proposal == nil {
+		ledger.proposals = append(ledger.proposals, modelProposal{ballot: ballot, register: register, value: value})
+		proposal = &ledger.proposals[len(ledger.proposals)-1]
+	}
+	if string(proposal.value.Body) != string(value.Body) {
+		ledger.violated(oneValuePerSerial, "ballot %s proposes two values of register %d under serial %d", ballot, register, value.Serial)
+	}
+	proposal.versions = append(slices.Clip(proposal.versions), view)
+	ledger.judge(proposal)
+}
+
+// accepted notes that a machine accepted a value, synced.
+func (ledger *modelLedger) accepted(machine int, message *wire.Accept) {
+	if proposal := ledger.find(message.Ballot, message.Register, message.Value.Serial); proposal != nil {
+		proposal.acceptors = proposal.acceptors.with(machine)
+		ledger.judge(proposal)
+	}
+}
+
+// modelMajorities is the observer's own count: a majority of each group, by machine.
+func modelMajorities(membership *Membership, machines modelIDs) bool {
+	groups := [][]Peer{membership.Voters}
+	if len(membership.Next) > 0 {
+		groups = append(groups, membership.Next)
+	}
+	for _, group := range groups {
+		count := 0
+		for _, peer := range group {
+			if machines.has(modelIndex(peer.Address)) {
+				count++
+			}
+		}
+		if 2*count <= len(group) {
+			return false
+		}
+	}
+	return true
+}
+
+// judge notes a decision at the moment at which the last acceptor makes it.
+func (ledger *modelLedger) judge(proposal *modelProposal) {
+	if proposal.decided {
+		return
+	}
+	for _, view := range proposal.versions {
+		if !modelMajorities(view.Membership, proposal.acceptors) {
+			continue
+		}
+		proposal.decided = true
+		if proposal.register == wire.MembersRegister {
+			ledger.decidedMembers(proposal)
+		} else {
+			ledger.decidedData(proposal, view)
+		}
+		return
+	}
+}
+
+// decidedData checks a decision. One that comes late, since an old message reached one
+// more acceptor, is no harm where its value is among those that were decided.
+func (ledger *modelLedger) decidedData(proposal *modelProposal, view *View) {
+	body, history := string(proposal.value.Body), ledger.history[proposal.register]
+	switch {
+	case len(body) > len(history) && view.Mark.Serial < ledger.version.Mark.Serial:
+		ledger.violated(quorumsMeet, "membership %d decides %q of register %d under %s after membership %d was decided",
+			view.Mark.Serial, body, proposal.register, proposal.ballot, ledger.version.Mark.Serial)
+	case len(body) > len(history) && strings.HasPrefix(body, history):
+		ledger.history[proposal.register] = body
+	case len(body) > len(history):
+		ledger.violated(acknowledgedIsKept, "register %d goes from %q to %q", proposal.register, history, body)
+	case !strings.HasPrefix(history, body):
+		ledger.violated(oneValuePerSerial, "register %d: %q was decided, now %q", proposal.register, history, body)
+	}
+}
+
+func (ledger *modelLedger) decidedMembers(proposal *modelProposal) {
+	next, mishap := membershipOf(wire.Accepted{Ballot: proposal.ballot, Value: proposal.value})
+	if mishap != nil || next == nil {
+		ledger.violated(oneVoterPerStep, "no membership is decided: %v", mishap)
+		return
+	}
+	now := ledger.version
+	switch {
+	case next.Mark.Serial <= now.Mark.Serial:
+		if decided := ledger.versions[next.Mark.Serial-1]; !sameVoters(next, decided) {
+			ledger.violated(quorumsMeet, "membership %d is decided twice: %v and %v", next.Mark.Serial, decided, next)
+		}
+		return
+	case next.Mark.Serial > now.Mark.Serial+1 || !modelIsStep(now, next):
+		ledger.violated(oneVoterPerStep, "from %v to %v", now, next)
+	}
+	ledger.version = next
+	ledger.versions = append(slices.Clip(ledger.versions), next)
+	for _, peer := range next.all() {
+		if address, found := ledger.given[peer.ID]; found && address != peer.Address {
+			ledger.violated(idsAreUsedOnce, "ID %d was %s's and is now %s's", peer.ID, address, peer.Address)
+		}
+		ledger.given[peer.ID] = peer.Address
+	}
+}
+
+func sameVoters(left, right *Membership) bool {
+	return slices.Equal(left.Voters, right.Voters) && slices.Equal(left.Next, right.Next) && left.LastID == right.LastID
+}
+
+// modelIsStep is whether a membership follows another one by the book: a joint step
+// that changes one voter, or the end of such a step.
+func modelIsStep(now, next *Membership) bool {
+	if len(now.Next) > 0 {
+		return len(next.Next) == 0 && slices.Equal(now.Next, next.Voters)
+	}
+	if len(next.Next) != len(now.Voters) || !slices.Equal(now.Voters, next.Voters) {
+		return false
+	}
+	fresh := 0
+	for _, peer := range next.Next {
+		if !slices.Contains(now.Voters, peer) {
+			fresh++
+		}
+	}
+	return fresh <= 1
+}
+
+// counted checks a leader's count: the observer must find the value decided too.
+func (ledger *modelLedger) counted(push *modelPush, register wire.Register) {
+	proposal := ledger.find(push.ballot, register, push.values[register].Serial)
+	if !modelMajorities(push.view.Membership, proposal.acceptors) {
+		ledger.violated(countedIsDecided, "serial %d of register %d under %s counts as decided by membership %d",
+			proposal.value.Serial, register, push.ballot, push.view.Mark.Serial)
+	}
+	if register != wire.MembersRegister && !strings.HasPrefix(ledger.history[register], string(proposal.value.Body)) {
+		ledger.violated(acknowledgedIsKept, "register %d: %q is acknowledged, decided was %q", register, proposal.value.Body, ledger.history[register])
+	}
+	if body := string(proposal.value.Body); register != wire.MembersRegister && len(body) > len(ledger.acknowledged[register]) {
+		ledger.acknowledged[register] = body
+	}
+}
+
+// leads checks a leadership at its start.
+func (ledger *modelLedger) leads(machine int, push *modelPush) {
+	if other, found := ledger.leaders[push.ballot]; found {
+		ledger.violated(oneLeaderPerBallot, "machines %d and %d lead under %s", other, machine, push.ballot)
+	}
+	ledger.leaders[push.ballot] = machine
+	if !slices.ContainsFunc(push.view.Voters, func(peer Peer) bool { return modelIndex(peer.Address) == machine }) {
+		ledger.violated(onlyVotersLead, "machine %d leads under %s by membership %v", machine, push.ballot, push.view.Membership)
+	}
+	for register, value := range push.values {
+		if register != wire.MembersRegister && !strings.HasPrefix(string(value.Body), ledger.history[register]) {
+			ledger.violated(acknowledgedIsKept, "machine %d leads under %s with %q of register %d, decided was %q", machine, push.ballot, value.Body, register, ledger.history[register])
+		}
+	}
+}
+
+// serves checks a value that a core takes as committed.
+func (ledger *modelLedger) serves(machine int, register wire.Register, value wire.Value) {
+	if register != wire.MembersRegister && !strings.HasPrefix(ledger.history[register], string(value.Body)) {
+		ledger.violated(servedIsDecided, "machine %d serves %q of register %d, decided was %q", machine, value.Body, register, ledger.history[register])
+	}
+}
--- /dev/null
+++ b/control/model_machine_test.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// modelMachine is one machine of the model: its disk, and the process on it while one runs.
+type modelMachine struct {
+	index   int
+	address string
+	disk    *modelDisk
+	process *modelProcess
+	lives   int
+	// voted are the IDs under which this disk answered somebody who counted it, and
+	// forgotten those of earlier disks; neither is known to the rules.
+	voted     modelIDs
+	forgotten modelIDs
+}
+
+// modelIDs is a set of voters' IDs.
+type modelIDs uint64
+
+func (ids modelIDs) has(id int) bool            { return ids&(1<<id) != 0 }
+func (ids modelIDs) with(id int) modelIDs       { return ids | 1<<id }
+func (ids modelIDs) without(id int) modelIDs    { return ids &^ (1 << id) }
+func (ids modelIDs) and(more modelIDs) modelIDs { return ids | more }
+
+// modelProcess is a running core: the real Core with its real Voter, of which only the
+// methods that do no I/O are called, and what it is waiting for.
+type modelProcess struct {
+	core       *Core
+	life       int
+	calls      int
+	enlisting  int
+	survey     *modelSurvey
+	candidacy  *modelCandidacy
+	push       *modelPush
+	admission  *modelAdmission
+	leadership *Leadership
+}
+
+// modelSurvey is a blank voter's question to all others, before it fences them.
+type modelSurvey struct {
+	call int
+	view *View
+	told map[int]*wire.RestoreTold
+}
+
+// modelCandidacy is a ballot that is being pushed.
+type modelCandidacy struct {
+	call     int
+	view     *View
+	ballot   wire.Ballot
+	promises map[int]*wire.PromiseTold
+	restores bool
+}
+
+type modelPurpose string
+
+const (
+	modelEstablish modelPurpose = "establish"
+	modelWrite     modelPurpose = "write"
+	modelCatchUp   modelPurpose = "catch up"
+	modelStep      modelPurpose = "step"
+	modelRewrite   modelPurpose = "rewrite"
+	modelSettle    modelPurpose = "settle"
+)
+
+// modelPush is a set of values on their way to a quorum, or to one learner.
+type modelPush struct {
+	call    int
+	purpose modelPurpose
+	view    *View
+	ballot  wire.Ballot
+	values  map[wire.Register]wire.Value
+	took    map[wire.Register]modelIDs
+	learner string
+	leaving int
+}
+
+// modelAdmission is a learner's question that waits for a confirmed heartbeat.
+type modelAdmission struct {
+	call    int
+	view    *View
+	asked   *modelPacket
+	took    modelIDs
+	history string
+}
+
+func newModelMachine(index int, lying bool) *modelMachine {
+	machine := &modelMachine{index: index, address: fmt.Sprintf("10.0.0.%d:7000", index+1), disk: newModelDisk()}
+	machine.disk.lying = lying
+	return machine
+}
+
+func (machine *modelMachine) clone() *modelMachine {
+	next := *machine
+	next.disk = machine.disk.clone()
+	if machine.process != nil {
+		next.process = machine.process.clone(machine.address, next.disk)
+	}
+	return &next
+}
+
+// modelSegmentLimit makes the store write snapshots often.
+const modelSegmentLimit = 1500
+
+func newModelCore(address string, store *Store) *Core {
+	store.journal.limit = modelSegmentLimit
+	core := &Core{counts: run.NewCounts(), news: run.NewBell(), prompt: run.NewBell(), random: newDraws(1), clocks: newClocks(), table: &wire.Table{}}
+	core.place = Place{Wire: address, Beat: 10 * time.Millisecond, Suspect: 30 * time.Millisecond}.filled()
+	core.clock = run.NewClock(func() int64 { return 0 })
+	core.sessions = newSessions(core.place.SessionSpan)
+	core.voter = NewVoter(store, func(*wire.Mishap) {}, core.raised)
+	core.voter.learns = core.learnMembers
+	core.chart = &Chart{now: Following, counts: core.counts}
+	core.known.Store(core.place.view(core.voter.State().Voters()))
+	core.round = core.voter.State().Promised.Round
+	return core
+}
+
+// start runs a process on the disk as it is.
+func (machine *modelMachine) start() {
+	store, mishap := OpenStore(machine.disk)
+	if mishap != nil {
+		panic(mishap)
+	}
+	machine.lives++
+	machine.process = &modelProcess{core: newModelCore(machine.address, store), life: machine.lives}
+}
+
+// wipe replaces the disk by an empty one.
+func (machine *modelMachine) wipe() {
+	lying := machine.disk.lying
+	machine.process, machine.disk = nil, newModelDisk()
+	machine.disk.lying = lying
+	machine.forgotten, machine.voted = machine.forgotten.and(machine.voted), 0
+}
+
+func (process *modelProcess) clone(address string, disk *modelDisk) *modelProcess {
+	next := *process
+	former := process.core.voter.store
+	journal := *former.journal
+	journal.disk = disk
+	journal.file = &modelFile{disk: disk, inode: former.journal.file.(*modelFile).inode}
+	next.core = newModelCore(address, &Store{disk: disk, state: former.state, journal: &journal})
+	next.core.known.Store(process.core.known.Load())
+	next.core.round, next.core.leader, next.core.committed = process.core.round, process.core.leader, process.core.committed
+	if process.survey != nil {
+		survey := *process.survey
+		survey.told = maps.Clone(survey.told)
+		next.survey = &survey
+	}
+	if process.candidacy != nil {
+		candidacy := *process.candidacy
+		candidacy.promises = maps.Clone(candidacy.promises)
+		next.candidacy = &candidacy
+	}
+	if process.push != nil {
+		push := *process.push
+		push.took = maps.Clone(push.took)
+		next.push = &push
+	}
+	if process.admission != nil {
+		admission := *process.admission
+		next.admission = &admission
+	}
+	if process.leadership != nil {
+		next.leadership = &Leadership{core: next.core, ballot: process.leadership.ballot, values: process.leadership.values}
+	}
+	return &next
+}
+
+func (process *modelProcess) nextCall() int {
+	process.calls++
+	return process.calls
+}
+
+// revoke ends the leadership and every attempt at one.
+func (process *modelProcess) revoke() {
+	process.survey, process.candidacy, process.push, process.admission, process.leadership = nil, nil, nil, nil, nil
+}
+
+// idle is whether the process neither leads nor tries to.
+func (process *modelProcess) idle() bool {
+	return process.leadership == nil && process.survey == nil && process.candidacy == nil && process.push == nil
+}
--- /dev/null
+++ b/control/model_rules_test.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"orchidjunction/wire"
+)
+
+// modelRules are the rules that the model's steps follow. modelRealRules are those of
+// the package; a seeded bug replaces one of them.
+type modelRules struct {
+	decides       func(view *View, has func(id int) bool) bool
+	pushed        func(view *View, took func(id int) bool) bool
+	mayRestore    func(core *Core, view *View, told map[int]*wire.RestoreTold) bool
+	fencesWithout func(view *View, lost int, has func(id int) bool) bool
+	askedMembers  func(view *View) wire.Accepted
+	takenOver     func(view *View, promises map[int]*wire.PromiseTold) ([wire.Registers]wire.Accepted, [wire.Registers]int)
+	found         func(voter *Voter, ballot wire.Ballot, accepted [wire.Registers]wire.Accepted) *wire.Mishap
+	mayLead       func(view *View, id int) bool
+	nextBallot    func(core *Core, view *View) wire.Ballot
+	admits        func(view *View, address string) bool
+	mayBeginEmpty func(core *Core, told *wire.EnlistTold) bool
+	beginEmpty    func(core *Core, ballot wire.Ballot)
+	replaced      func(view *View, leaving int, address string) *Membership
+	settled       func(view *View) *Membership
+	countsBy      func(core *Core, next *Membership, ballot wire.Ballot) (*View, *wire.Mishap)
+
+	confirms       bool
+	catchesUp      bool
+	rewrites       bool
+	beginsByStep   bool
+	syncs          bool
+	blankDiskVotes bool
+}
+
+// modelRealRules are the rules as they are in the package.
+func modelRealRules() *modelRules {
+	return &modelRules{
+		decides: (*View).decides,
+		pushed: func(view *View, took func(id int) bool) bool {
+			return view.votes() && view.quorum(took)
+		},
+		mayRestore:    (*Core).mayRestore,
+		fencesWithout: func(view *View, lost int, has func(id int) bool) bool { return view.fencesWithout(lost, has) },
+		askedMembers:  func(view *View) wire.Accepted { return view.accepted() },
+		takenOver:     takenOver,
+		found: func(voter *Voter, ballot wire.Ballot, accepted [wire.Registers]wire.Accepted) *wire.Mishap {
+			return voter.Found(ballot, accepted, nil)
+		},
+		mayLead: func(view *View, id int) bool { return view.mayLead(id) },
+		nextBallot: func(core *Core, view *View) wire.Ballot {
+			ballot, _ := core.nextBallot(view)
+			return ballot
+		},
+		admits:        func(view *View, address string) bool { return !view.has(address) },
+		mayBeginEmpty: (*Core).mayBeginEmpty,
+		beginEmpty:    (*Core).beginEmpty,
+		replaced:      func(view *View, leaving int, address string) *Membership { return view.replaced(leaving, address) },
+		settled:       func(view *View) *Membership { return view.settled() },
+		countsBy:      (*Core).countBy,
+
+		confirms:     true,
+		catchesUp:    true,
+		rewrites:     true,
+		beginsByStep: true,
+		syncs:        true,
+	}
+}
--- /dev/null
+++ b/control/model_steps_test.go
@@ -0,0 +1,384 @@
+package control
+
+import (
+	"strings"
+
+	"orchidjunction/wire"
+)
+
+// What a machine does of itself.
+
+// stand begins a candidacy; the pre-check, which only saves rounds, is left out.
+func (world *modelWorld) stand(machine *modelMachine) {
+	process := machine.process
+	core, view := process.core, process.core.members()
+	ballot := world.rules.nextBallot(core, view)
+	message := &wire.Promise{Ballot: ballot, Members: world.rules.askedMembers(view)}
+	own, mishap := core.voter.Promise(message)
+	if mishap != nil || !own.Granted {
+		if mishap == nil {
+			core.sawRound(own.Promised.Round)
+		}
+		return
+	}
+	machine.voted = machine.voted.with(view.ID)
+	process.candidacy = &modelCandidacy{call: process.nextCall(), view: view, ballot: ballot, promises: map[int]*wire.PromiseTold{view.ID: own}}
+	for _, peer := range view.Peers {
+		world.ask(machine, process.candidacy.call, peer, message)
+	}
+	world.fenced(machine)
+}
+
+// surveys begins the return of a blank voter.
+func (world *modelWorld) surveys(machine *modelMachine) {
+	process := machine.process
+	view := process.core.members()
+	process.survey = &modelSurvey{call: process.nextCall(), view: view, told: map[int]*wire.RestoreTold{}}
+	for _, peer := range view.Peers {
+		world.ask(machine, process.survey.call, peer, &wire.Restore{Core: max(view.ID, 1), Members: view.Mark})
+	}
+}
+
+// enlists asks any other core who votes and, at the leader, to become a learner.
+func (world *modelWorld) enlists(machine *modelMachine, at int) {
+	process := machine.process
+	process.enlisting = process.nextCall()
+	message := &wire.Enlist{Address: machine.address, Opening: process.core.opening(), Known: process.core.members().Mark}
+	world.ask(machine, process.enlisting, Peer{Address: world.machines[at].address}, message)
+}
+
+// order has the leader write an operator's order.
+func (world *modelWorld) order(machine *modelMachine, register wire.Register) {
+	leadership := machine.process.leadership
+	current := leadership.value(register)
+	tag := byte('a' + world.spent.orders)
+	value := wire.Value{Serial: current.Serial + 1, Body: append([]byte(string(current.Body)), tag)}
+	world.pushes(machine, &modelPush{purpose: modelWrite, view: machine.process.core.members(), ballot: leadership.ballot, values: map[wire.Register]wire.Value{register: value}})
+}
+
+// replaces begins to give a voter's place to a learner.
+func (world *modelWorld) replaces(machine *modelMachine, leaving, learner int) {
+	address := world.machines[learner].address
+	push := &modelPush{purpose: modelCatchUp, learner: address, leaving: leaving, values: world.held(machine)}
+	if !world.rules.catchesUp {
+		world.steps(machine, push)
+		return
+	}
+	world.pushes(machine, push)
+}
+
+// steps writes the joint membership once the learner has everything.
+func (world *modelWorld) steps(machine *modelMachine, former *modelPush) {
+	next := world.rules.replaced(machine.process.core.members(), former.leaving, former.learner)
+	if !world.rules.beginsByStep {
+		joint := &View{Membership: next}
+		next = world.rules.settled(joint)
+		next.Mark.Serial = joint.Mark.Serial
+	}
+	world.writesMembers(machine, modelStep, next)
+}
+
+// settles ends a step between two memberships.
+func (world *modelWorld) settles(machine *modelMachine) {
+	if !world.rules.rewrites {
+		world.writesMembers(machine, modelSettle, world.rules.settled(machine.process.core.members()))
+		return
+	}
+	world.pushes(machine, &modelPush{purpose: modelRewrite, view: machine.process.core.members(), values: world.held(machine)})
+}
+
+func (world *modelWorld) writesMembers(machine *modelMachine, purpose modelPurpose, next *Membership) {
+	process := machine.process
+	view, mishap := world.rules.countsBy(process.core, next, process.leadership.ballot)
+	if mishap != nil {
+		process.revoke()
+		return
+	}
+	values := map[wire.Register]wire.Value{wire.MembersRegister: view.accepted().Value}
+	world.pushes(machine, &modelPush{purpose: purpose, view: view, values: values})
+}
+
+// mends sends a leader's value to a core that seems to lack it; nobody counts that.
+func (world *modelWorld) mends(machine *modelMachine, to int, register wire.Register) {
+	leadership := machine.process.leadership
+	message := &wire.Accept{Ballot: leadership.ballot, Register: register, Value: leadership.value(register)}
+	world.ask(machine, 0, Peer{Address: world.machines[to].address}, message)
+}
+
+// held are the values that a leadership holds.
+func (world *modelWorld) held(machine *modelMachine) map[wire.Register]wire.Value {
+	values := map[wire.Register]wire.Value{wire.MembersRegister: machine.process.leadership.value(wire.MembersRegister)}
+	for _, register := range world.bounds.registers {
+		values[register] = machine.process.leadership.value(register)
+	}
+	return values
+}
+
+// pushes sends values to every voter of a membership, this one too, or to one learner.
+func (world *modelWorld) pushes(machine *modelMachine, push *modelPush) {
+	process := machine.process
+	push.call = process.nextCall()
+	push.took = map[wire.Register]modelIDs{}
+	if process.leadership != nil {
+		push.ballot = process.leadership.ballot
+	}
+	process.push = push
+	targets := []Peer{{Address: push.learner}}
+	if push.purpose != modelCatchUp {
+		targets = append([]Peer{{ID: push.view.ID, Address: machine.address}}, push.view.Peers...)
+	}
+	for register := range wire.Registers {
+		value, found := push.values[register]
+		if !found {
+			continue
+		}
+		if push.purpose != modelCatchUp {
+			world.ledger.proposed(push.ballot, register, value, push.view)
+		}
+		for _, peer := range targets {
+			world.ask(machine, push.call, peer, &wire.Accept{Ballot: push.ballot, Register: register, Value: value})
+		}
+	}
+}
+
+// fenced goes on to establish once a quorum promised.
+func (world *modelWorld) fenced(machine *modelMachine) {
+	process := machine.process
+	candidacy := process.candidacy
+	has := agreed(candidacy.promises, granted)
+	if candidacy.restores {
+		if !world.rules.fencesWithout(candidacy.view, candidacy.view.ID, has) {
+			return
+		}
+		accepted, _ := world.rules.takenOver(candidacy.view, candidacy.promises)
+		if world.rules.found(process.core.voter, candidacy.ballot, accepted) != nil {
+			process.revoke()
+			return
+		}
+		machine.forgotten = machine.forgotten.without(candidacy.view.ID)
+		candidacy.promises[candidacy.view.ID] = &wire.PromiseTold{Granted: true, Promised: candidacy.ballot, Accepted: process.core.voter.State().Accepted}
+	}
+	if !world.rules.decides(candidacy.view, has) {
+		return
+	}
+	process.candidacy = nil
+	if !world.rules.mayLead(candidacy.view, candidacy.view.ID) {
+		return
+	}
+	newest, _ := world.rules.takenOver(candidacy.view, candidacy.promises)
+	push := &modelPush{purpose: modelEstablish, view: candidacy.view, ballot: candidacy.ballot, values: map[wire.Register]wire.Value{}}
+	push.values[wire.MembersRegister] = newest[wire.MembersRegister].Value
+	for _, register := range world.bounds.registers {
+		push.values[register] = newest[register].Value
+	}
+	world.pushes(machine, push)
+}
+
+// What a machine does with a message.
+
+func (world *modelWorld) deliver(packet *modelPacket) {
+	machine := world.own(packet.to)
+	process := machine.process
+	if process == nil {
+		return
+	}
+	if packet.answers {
+		if process.life == packet.life {
+			world.hears(machine, packet)
+		}
+		return
+	}
+	switch message := packet.message.(type) {
+	case *wire.Promise:
+		if told, mishap := process.core.voterPromise(message); mishap == nil {
+			world.counts(machine, packet, told.Granted)
+			world.answer(packet, told)
+		}
+	case *wire.Accept:
+		if told, mishap := process.core.voterAccept(message); mishap == nil {
+			world.counts(machine, packet, told.Taken)
+			if told.Taken {
+				world.ledger.accepted(machine.index, message)
+			}
+			world.answer(packet, told)
+		}
+	case *wire.Beat:
+		if told, mishap := process.core.onBeat(message); mishap == nil {
+			world.counts(machine, packet, told.Taken && told.Voter)
+			for register, accepted := range process.core.committed {
+				world.ledger.serves(machine.index, wire.Register(register), accepted.Value)
+			}
+			world.answer(packet, told)
+		}
+	case *wire.Restore:
+		if told, mishap := process.core.onRestore(message); mishap == nil {
+			world.answer(packet, told)
+		}
+	case *wire.Enlist:
+		world.hearsEnlist(machine, packet, message)
+	}
+}
+
+// counts notes that the answer of a replica counts for an ID.
+func (world *modelWorld) counts(machine *modelMachine, packet *modelPacket, agrees bool) {
+	if !agrees || packet.as == 0 {
+		return
+	}
+	if machine.forgotten.has(packet.as) || machine.process.core.voter.Blank() {
+		world.ledger.violated(onlyVotersCount, "machine %d answers %T as ID %d without the disk that voted so", machine.index, packet.message, packet.as)
+	}
+	machine.voted = machine.voted.with(packet.as)
+}
+
+// hearsEnlist is onEnlist: a leader answers a learner once a heartbeat begun later was
+// taken by a quorum.
+func (world *modelWorld) hearsEnlist(machine *modelMachine, packet *modelPacket, message *wire.Enlist) {
+	process := machine.process
+	view := process.core.members()
+	if !view.known() {
+		return
+	}
+	if process.leadership == nil || !world.rules.admits(view, message.Address) {
+		world.answer(packet, &wire.EnlistTold{Members: process.core.newerMembers(message.Known)})
+		return
+	}
+	if process.admission != nil {
+		return
+	}
+	process.admission = &modelAdmission{call: process.nextCall(), view: view, asked: packet, history: world.ledger.acknowledged[wire.SettingsRegister]}
+	_, beat := process.leadership.nextBeat(view)
+	for _, peer := range view.Peers {
+		world.ask(machine, process.admission.call, peer, beat)
+	}
+	world.confirmed(machine)
+}
+
+// confirmed answers a learner that waits.
+func (world *modelWorld) confirmed(machine *modelMachine) {
+	process := machine.process
+	admission := process.admission
+	if world.rules.confirms {
+		if !world.rules.decides(admission.view, admission.took.has) || process.core.voter.State().Promised != process.leadership.ballot {
+			return
+		}
+		if body := string(process.leadership.value(wire.SettingsRegister).Body); !strings.HasPrefix(body, admission.history) {
+			world.ledger.violated(confirmedReadIsNewest, "machine %d holds %q, acknowledged was %q", machine.index, body, admission.history)
+		}
+	}
+	process.admission = nil
+	message := admission.asked.message.(*wire.Enlist)
+	told := &wire.EnlistTold{Ballot: process.leadership.ballot, Admitted: world.rules.admits(process.core.members(), message.Address)}
+	told.Members = process.core.newerMembers(message.Known)
+	world.answer(admission.asked, told)
+}
+
+// hears is what a process does with an answer to its call.
+func (world *modelWorld) hears(machine *modelMachine, packet *modelPacket) {
+	process := machine.process
+	if !process.waitsFor(packet.call) {
+		return
+	}
+	switch told := packet.message.(type) {
+	case *wire.PromiseTold:
+		for id, promise := range process.core.promisesOf(map[int]*wire.PromiseTold{packet.as: told}) {
+			process.candidacy.promises[id] = promise
+			world.fenced(machine)
+		}
+	case *wire.AcceptTold:
+		world.hearsAccept(machine, packet, told)
+	case *wire.BeatTold:
+		if process.leadership == nil {
+			return
+		}
+		if told.Taken && told.Voter {
+			process.admission.took = process.admission.took.with(packet.as)
+			world.confirmed(machine)
+		}
+	case *wire.RestoreTold:
+		world.hearsSurvey(machine, packet, told)
+	case *wire.EnlistTold:
+		world.hearsEnlisted(machine, told)
+	}
+}
+
+func (world *modelWorld) hearsSurvey(machine *modelMachine, packet *modelPacket, told *wire.RestoreTold) {
+	process := machine.process
+	survey, core := process.survey, process.core
+	core.sawRound(told.Promised.Round)
+	core.learnMembers(told.Members)
+	survey.told[packet.as] = told
+	if !world.rules.mayRestore(core, survey.view, survey.told) {
+		return
+	}
+	process.survey = nil
+	ballot := world.rules.nextBallot(core, survey.view)
+	process.candidacy = &modelCandidacy{call: process.nextCall(), view: survey.view, ballot: ballot, promises: map[int]*wire.PromiseTold{}, restores: true}
+	message := &wire.Promise{Ballot: ballot, Members: world.rules.askedMembers(survey.view)}
+	for _, peer := range survey.view.Peers {
+		world.ask(machine, process.candidacy.call, peer, message)
+	}
+}
+
+// hearsEnlisted is join for a core that knew no membership, and learn for others.
+func (world *modelWorld) hearsEnlisted(machine *modelMachine, told *wire.EnlistTold) {
+	process := machine.process
+	core := process.core
+	process.enlisting = 0
+	membership, mishap := membershipOf(told.Members)
+	if !core.members().known() && mishap == nil && membership != nil && core.voter.Blank() && mayEnrol(core.opening(), viewOf(machine.address, membership)) {
+		if core.voter.Enrol(told.Members) != nil {
+			return
+		}
+	}
+	core.learnMembers(told.Members)
+	if world.rules.mayBeginEmpty(core, told) {
+		world.rules.beginEmpty(core, told.Ballot)
+	}
+}
+
+func (world *modelWorld) hearsAccept(machine *modelMachine, packet *modelPacket, told *wire.AcceptTold) {
+	process := machine.process
+	push := process.push
+	if !told.Taken {
+		process.core.sawRound(told.Promised.Round)
+		return
+	}
+	push.took[packet.register] = push.took[packet.register].with(packet.as)
+	for register := range push.values {
+		took := push.took[register]
+		if push.purpose == modelCatchUp && took == 0 || push.purpose != modelCatchUp && !world.rules.pushed(push.view, took.has) {
+			return
+		}
+	}
+	process.push = nil
+	if push.purpose != modelCatchUp {
+		for register := range push.values {
+			world.ledger.counted(push, register)
+		}
+	}
+	world.pushed(machine, push)
+}
+
+// pushed is what follows once a quorum took all values of a push.
+func (world *modelWorld) pushed(machine *modelMachine, push *modelPush) {
+	process := machine.process
+	switch push.purpose {
+	case modelEstablish:
+		if process.core.voter.State().Promised != push.ballot {
+			return
+		}
+		process.leadership = &Leadership{core: process.core, ballot: push.ballot}
+		for register, value := range push.values {
+			process.leadership.values[register] = value
+		}
+		world.ledger.leads(machine.index, push)
+	case modelCatchUp:
+		world.steps(machine, push)
+	case modelRewrite:
+		world.writesMembers(machine, modelSettle, world.rules.settled(push.view))
+	default:
+		for register, value := range push.values {
+			process.leadership.values[register] = value
+		}
+	}
+}
--- /dev/null
+++ b/control/model_world_test.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+
+	"orchidjunction/wire"
+)
+
+// modelBounds limit a walk or an exploration.
+type modelBounds struct {
+	founders int
+	spares   int
+	// late is how many of the founders have yet to hear of the first membership.
+	late       int
+	registers  []wire.Register
+	candidates int
+	orders     int
+	crashes    int
+	powerLoss  int
+	wipes      int
+	steps      int
+	enlists    int
+	mends      int
+	duplicates int
+	giveUps    int
+	// timeOuts lets a process that waits for nothing more begin anew.
+	timeOuts bool
+	// cuts lets a walk cut machines off for a while.
+	cuts int
+}
+
+// modelSpent is how often each bounded action was taken.
+type modelSpent struct {
+	candidates, orders, crashes, powerLoss, wipes, steps, enlists, mends, duplicates, giveUps, cuts int
+}
+
+// modelPacket is one message on its way: a request, or the answer to one. Answers reach
+// only the process and the call that asked; requests may arrive whenever, or never.
+type modelPacket struct {
+	from, to int
+	life     int
+	call     int
+	// as is the ID that the asker counts the receiver by; 0 where it does not count it.
+	as       int
+	register wire.Register
+	message  any
+	answers  bool
+}
+
+// modelWorld is the state of all machines and of all that is on its way.
+type modelWorld struct {
+	rules    *modelRules
+	bounds   *modelBounds
+	machines []*modelMachine
+	owned    modelIDs
+	flight   []*modelPacket
+	ledger   *modelLedger
+	spent    modelSpent
+	cut      [8][8]bool
+	trace    []string
+	tracing  bool
+}
+
+func modelIndex(address string) int {
+	parsed, fault := netip.ParseAddrPort(address)
+	if fault != nil {
+		return 63
+	}
+	return int(parsed.Addr().As4()[3]) - 1
+}
+
+// newModelWorld has founders that vote already, late ones whose disks are of the first
+// start and know no membership yet, and spares with blank disks.
+func newModelWorld(rules *modelRules, bounds *modelBounds) *modelWorld {
+	world := &modelWorld{rules: rules, bounds: bounds}
+	addresses := []string{}
+	for index := range bounds.founders + bounds.spares {
+		machine := newModelMachine(index, !rules.syncs)
+		world.machines = append(world.machines, machine)
+		if index < bounds.founders {
+			addresses = append(addresses, machine.address)
+		}
+	}
+	first := firstMembership(addresses)
+	world.ledger = newModelLedger(first)
+	for index, machine := range world.machines {
+		lying := machine.disk.lying
+		machine.disk.lying = false
+		machine.start()
+		voter := machine.process.core.voter
+		if index < bounds.founders {
+			voter.Open()
+		}
+		if index < bounds.founders-bounds.late {
+			voter.Enrol(first.accepted())
+		}
+		machine.disk.lying = lying
+	}
+	return world
+}
+
+// clone shares with this world what neither changes: each clones a machine before its
+// first change of it.
+func (world *modelWorld) clone() *modelWorld {
+	next := *world
+	world.owned, next.owned = 0, 0
+	next.machines = slices.Clone(world.machines)
+	next.flight = slices.Clone(world.flight)
+	next.ledger = world.ledger.clone()
+	next.trace = slices.Clip(world.trace)
+	return &next
+}
+
+// own is a machine that may be changed.
+func (world *modelWorld) own(index int) *modelMachine {
+	if !world.owned.has(index) {
+		world.machines[index] = world.machines[index].clone()
+		world.owned = world.owned.with(index)
+	}
+	return world.machines[index]
+}
+
+func (world *modelWorld) send(packet *modelPacket) { world.flight = append(world.flight, packet) }
+
+// ask sends a request of a call to a voter, counted by the voter's ID.
+func (world *modelWorld) ask(machine *modelMachine, call int, peer Peer, message any) {
+	packet := &modelPacket{from: machine.index, to: modelIndex(peer.Address), life: machine.process.life, call: call, as: peer.ID, message: message}
+	if accept, offers := message.(*wire.Accept); offers {
+		packet.register = accept.Register
+	}
+	world.send(packet)
+}
+
+// answer sends what was told to the asker.
+func (world *modelWorld) answer(asked *modelPacket, told any) {
+	world.send(&modelPacket{from: asked.to, to: asked.from, life: asked.life, call: asked.call, as: asked.as, register: asked.register, message: told, answers: true})
+}
+
+// take removes a message that is on its way.
+func (world *modelWorld) take(index int) *modelPacket {
+	packet := world.flight[index]
+	world.flight = slices.Delete(world.flight, index, index+1)
+	return packet
+}
+
+// prune drops answers to calls that ended: nobody would look at them.
+func (world *modelWorld) prune() {
+	world.flight = slices.DeleteFunc(world.flight, func(packet *modelPacket) bool {
+		if !packet.answers {
+			return false
+		}
+		process := world.machines[packet.to].process
+		return process == nil || process.life != packet.life || !process.waitsFor(packet.call)
+	})
+}
+
+func (process *modelProcess) waitsFor(call int) bool {
+	return call > 0 && (call == process.enlisting || process.survey != nil && process.survey.call == call ||
+		process.candidacy != nil && process.candidacy.call == call || process.push != nil && process.push.call == call ||
+		process.admission != nil && process.admission.call == call)
+}
