A leader counts by the membership it wrote again, not by one it heard of meanwhile

Ruled out: a newer membership known afterwards; a majority of its voters has promised its ballot, so nothing older decides by it. Now establishment ends with the rewritten membership as the one known, or not at all.

--- a/control/establishment.go
+++ b/control/establishment.go
@@ -36,6 +36,9 @@
 			return nil, mishap
 		}
 	}
+	if mishap := core.leadsBy(view, ballot); mishap != nil {
+		return nil, mishap
+	}
 	leadership := newLeadership(core, ballot, establishment)
 	if !leadership.beat() {
 		return nil, wire.New(wire.StaleBallot, "no majority took the first beat of %s", ballot)
@@ -43,6 +46,15 @@
 	return leadership, nil
 }
 
+// leadsBy makes the membership that was written again under a ballot the one that this
+// core counts by from then on. Its own replica may not have accepted that yet, and
+// meanwhile it may have learned a step of a former leader's that was never decided.
+func (core *Core) leadsBy(view *View, ballot wire.Ballot) *wire.Mishap {
+	rewritten := *view.Membership
+	_, mishap := core.countBy(&rewritten, ballot)
+	return mishap
+}
+
 // promised reuses the fence's promises; after a step-down it asks for its own.
 func (establishment *Establishment) promised() *wire.Mishap {
 	if establishment.revocation.Method == BallotFence && establishment.revocation.Ballot == establishment.ballot {
--- a/control/model_rules_test.go
+++ b/control/model_rules_test.go
@@ -22,6 +22,7 @@
 	replaced      func(view *View, leaving int, address string) *Membership
 	settled       func(view *View) *Membership
 	countsBy      func(core *Core, next *Membership, ballot wire.Ballot) (*View, *wire.Mishap)
+	leadsBy       func(core *Core, view *View, ballot wire.Ballot) *wire.Mishap
 
 	confirms       bool
 	catchesUp      bool
@@ -56,6 +57,7 @@
 		replaced:      func(view *View, leaving int, address string) *Membership { return view.replaced(leaving, address) },
 		settled:       func(view *View) *Membership { return view.settled() },
 		countsBy:      (*Core).countBy,
+		leadsBy:       (*Core).leadsBy,
 
 		confirms:     true,
 		catchesUp:    true,
--- a/control/model_steps_test.go
+++ b/control/model_steps_test.go
@@ -381,7 +381,7 @@
 	process := machine.process
 	switch push.purpose {
 	case modelEstablish:
-		if process.core.voter.State().Promised != push.ballot {
+		if process.core.voter.State().Promised != push.ballot || world.rules.leadsBy(process.core, push.view, push.ballot) != nil {
 			return
 		}
 		process.leadership = &Leadership{core: process.core, ballot: push.ballot}
