--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -93,8 +93,4 @@
 	})
 	threads.Wait()
 	core.Close()
-	if mishap := core.Broken(); mishap != nil {
-		fmt.Fprintf(os.Stderr, "ojcore: %v\n", mishap)
-		os.Exit(3)
-	}
 }
--- a/cmd/ojnode/core.go
+++ b/cmd/ojnode/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"time"
 
@@ -89,9 +88,5 @@
 	klog.Infof("%s: core started in zone %s", settings.Name, settings.Zone)
 	node.threads.Wait()
 	core.Close()
-	if mishap := core.Broken(); mishap != nil {
-		fmt.Fprintf(os.Stderr, "ojnode: %v\n", mishap)
-		os.Exit(3)
-	}
 	return nil
 }
--- a/control/claims.go
+++ b/control/claims.go
@@ -26,7 +26,8 @@
 	journal *Journal
 	ring    *run.Ring[*keepWait]
 	counts  *run.Counts
-	fault   func(*wire.Mishap)
+	pending *claimGroup
+	refused time.Time
 	opened  time.Time
 	base    time.Duration
 	ages    map[uint64]time.Duration
@@ -56,8 +57,8 @@
 	Settles []wire.Settle
 }
 
-func openClaimLog(disk Disk, counts *run.Counts, fault func(*wire.Mishap)) (*ClaimLog, *wire.Mishap) {
-	log := &ClaimLog{book: keep.NewBook(), ring: run.NewRing[*keepWait](claimsRing), counts: counts, fault: fault, ages: map[uint64]time.Duration{}}
+func openClaimLog(disk Disk, counts *run.Counts) (*ClaimLog, *wire.Mishap) {
+	log := &ClaimLog{book: keep.NewBook(), ring: run.NewRing[*keepWait](claimsRing), counts: counts, ages: map[uint64]time.Duration{}}
 	log.wake = sync.NewCond(&log.mutex)
 	log.book.Remember(keep.MostSpan)
 	segments, mishap := numbers(disk, claimsName)
@@ -69,7 +70,7 @@
 		first = segments[0]
 	}
 	groups := []claimGroup{}
-	log.journal, mishap = OpenJournal(disk, claimsName, first, func(segment uint64, payload []byte) *wire.Mishap {
+	log.journal, mishap = loadJournal(disk, claimsName, first, func(segment uint64, payload []byte) *wire.Mishap {
 		group := claimGroup{}
 		if fault := wire.Unpack(payload, &group); fault != nil {
 			return wire.AsMishap(fault)
@@ -82,6 +83,7 @@
 	if mishap != nil {
 		return nil, mishap
 	}
+	log.journal.rewrite()
 	log.opened = time.Now()
 	for index := range groups {
 		log.lay(&groups[index], log.base-groups[index].At)
@@ -109,7 +111,8 @@
 	return told
 }
 
-// write is the duty of the writing thread.
+// write is the duty of the writing thread. While the disk refuses groups, nothing is
+// laid in the book and those who wait are told so at once.
 func (log *ClaimLog) write() {
 	for {
 		waits := log.ring.Take(claimsGroup)
@@ -117,37 +120,87 @@
 			log.leave()
 			return
 		}
-		group, sizes := claimGroup{At: log.age()}, make([]int, len(waits))
-		for index, wait := range waits {
-			sizes[index] = len(wait.message.Claims)
-			group.Claims = append(group.Claims, wait.message.Claims...)
-			group.Retold = append(group.Retold, wait.message.Retold...)
-			group.Settles = append(group.Settles, wait.message.Settles...)
-			group.Whole = group.Whole || wait.whole
+		mishap, told, whole := log.repair(), []wire.ClaimTold(nil), false
+		if mishap == nil {
+			told, whole, mishap = log.writeGroup(waits)
 		}
-		told := log.lay(&group, 0)
-		lasting := group
-		lasting.Claims = nil
-		for index := range told {
-			if told[index].Granted {
-				lasting.Claims = append(lasting.Claims, group.Claims[index])
-			}
+		log.answer(waits, told, whole, mishap)
+	}
+}
+
+// writeGroup lays and syncs what came as one group.
+func (log *ClaimLog) writeGroup(waits []*keepWait) ([]wire.ClaimTold, bool, *wire.Mishap) {
+	group := claimGroup{At: log.age()}
+	for _, wait := range waits {
+		group.Claims = append(group.Claims, wait.message.Claims...)
+		group.Retold = append(group.Retold, wait.message.Retold...)
+		group.Settles = append(group.Settles, wait.message.Settles...)
+		group.Whole = group.Whole || wait.whole
+	}
+	told := log.lay(&group, 0)
+	lasting := group
+	lasting.Claims = nil
+	for index := range told {
+		if told[index].Granted {
+			lasting.Claims = append(lasting.Claims, group.Claims[index])
 		}
-		mishap := log.sync(&lasting)
-		log.mutex.Lock()
-		log.whole = log.whole || mishap == nil && group.Whole
-		for index, wait := range waits {
-			wait.told, told = told[:sizes[index]], told[sizes[index]:]
-			wait.mishap, wait.done = mishap, true
+	}
+	mishap := log.sync(&lasting)
+	if mishap != nil {
+		log.refuse(&lasting, mishap)
+	}
+	return told, group.Whole, mishap
+}
+
+// answer gives each waiting message what became of it.
+func (log *ClaimLog) answer(waits []*keepWait, told []wire.ClaimTold, whole bool, mishap *wire.Mishap) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	log.whole = log.whole || mishap == nil && whole
+	for _, wait := range waits {
+		if mishap == nil {
+			count := len(wait.message.Claims)
+			wait.told, told = told[:count], told[count:]
 		}
-		log.wake.Broadcast()
-		log.mutex.Unlock()
-		if mishap != nil {
-			log.fault(mishap)
-			log.leave()
-			return
+		wait.mishap, wait.done = mishap, true
+	}
+	log.wake.Broadcast()
+}
+
+// refuse keeps the group that the disk refused, since the book holds it already: it
+// is written before any later one is answered.
+func (log *ClaimLog) refuse(group *claimGroup, mishap *wire.Mishap) {
+	log.pending, log.refused = group, time.Now()
+	log.counts.Add("claim_disk_faults", 1)
+	klog.Errorf("claims: refused until the disk takes writes again: %v", mishap)
+}
+
+// repair is nil while the journal takes groups. After a fault it tries at a pace to
+// rewrite the last segment and to append what the book holds beyond it.
+func (log *ClaimLog) repair() *wire.Mishap {
+	fault := log.journal.fault
+	if fault == nil {
+		return nil
+	}
+	if time.Since(log.refused) < repairPace {
+		return fault
+	}
+	log.refused = time.Now()
+	if mishap := log.journal.rewrite(); mishap != nil {
+		return mishap
+	}
+	if pending := log.pending; pending != nil {
+		if mishap := log.sync(pending); mishap != nil {
+			return mishap
 		}
+		log.mutex.Lock()
+		log.whole = log.whole || pending.Whole
+		log.mutex.Unlock()
+		log.pending = nil
 	}
+	log.counts.Add("claim_disk_repairs", 1)
+	klog.Infof("claims: the disk takes writes again")
+	return nil
 }
 
 // leave lets go of those who still wait once the ring is closed.
@@ -191,6 +244,14 @@
 			return mishap
 		}
 	}
+	log.sweep()
+	return nil
+}
+
+// sweep removes what is forgotten, oldest first, each removal synced by itself:
+// of several that a power loss may undo one by one, an older one could come back
+// and leave a gap. What the disk does not let go now goes at the next sweep.
+func (log *ClaimLog) sweep() {
 	keeps := log.journal.number
 	for number, newest := range log.ages {
 		if log.age()-newest < log.book.Span() {
@@ -202,7 +263,9 @@
 			delete(log.ages, number)
 		}
 	}
-	return sweep(log.journal.disk, claimsName, keeps)
+	if mishap := sweep(log.journal.disk, claimsName, keeps, log.journal.disk.Sync); mishap != nil {
+		log.counts.Add("claim_sweeps_short", 1)
+	}
 }
 
 // Whole is whether nothing that was kept here, and is not yet forgotten, is lost.
--- a/control/core.go
+++ b/control/core.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
 	"orchidjunction/run"
 	"orchidjunction/wire"
 )
@@ -51,7 +50,7 @@
 	table      *wire.Table
 	tableLog   *wire.TableLog
 	wanted     wire.TableMark
-	broken     *wire.Mishap
+	refused    diskRefusal
 	patience   time.Duration
 	asked      int
 	toldLeader time.Time
@@ -70,13 +69,16 @@
 	core.enlisted, core.meter = newEnlisted(place.Wire), newMeter()
 	core.known.Store(place.roster(store.State().Roster))
 	core.voter = NewVoter(store, core.diskFault, core.raised)
-	if core.claims, mishap = openClaimLog(disk, counts, core.diskFault); mishap != nil {
+	if core.claims, mishap = openClaimLog(disk, counts); mishap != nil {
 		return nil, mishap
 	}
 	core.chart = &Chart{now: Blank, counts: counts, core: place.ID}
 	if !core.voter.Blank() {
 		core.chart.now = Following
 	}
+	if fault := store.Fault(); fault != nil {
+		core.diskFault(fault)
+	}
 	core.round = core.voter.State().Promised.Round
 	core.patience = core.firstPatience()
 	core.sessions = newSessions(place.SessionSpan)
@@ -95,6 +97,7 @@
 	core.threads.OnStop(core.prompt.Ring)
 	core.threads.Start(core.elect)
 	core.threads.Start(core.claims.write)
+	core.threads.Beat(run.Each(repairPace), core.repairDisk)
 	core.threads.OnStop(core.claims.ring.Close)
 	core.threads.Beat(run.Each(mendPace), core.mendClaims)
 	core.threads.Beat(run.Each(core.place.Beat), core.lead)
@@ -260,24 +263,6 @@
 	})
 }
 
-func (core *Core) diskFault(mishap *wire.Mishap) {
-	core.mutex.Lock()
-	first := core.broken == nil
-	core.broken = mishap
-	core.mutex.Unlock()
-	if first {
-		klog.Errorf("core %d: store: %v", core.roster().ID, mishap)
-		core.threads.Stop()
-	}
-}
-
-// Broken is the mishap that ended this core, if one did.
-func (core *Core) Broken() *wire.Mishap {
-	core.mutex.Lock()
-	defer core.mutex.Unlock()
-	return core.broken
-}
-
 // raised is called when this core's own promise rose; an older leadership here ends.
 func (core *Core) raised(ballot wire.Ballot) {
 	core.sawRound(ballot.Round)
@@ -377,9 +362,6 @@
 	return core.leadership, nil
 }
 
-// Sound is true while this core votes.
-func (core *Core) Sound() bool { return !core.voter.Blank() && core.Broken() == nil }
-
 // Close lets go of the disk, after the threads ended.
 func (core *Core) Close() {
 	core.voter.Close()
--- a/control/disk.go
+++ b/control/disk.go
@@ -18,7 +18,6 @@
 	List() ([]string, error)
 	Read(name string) ([]byte, error)
 	Create(name string) (File, error)
-	Extend(name string, size int64) (File, error)
 	Rename(before, after string) error
 	Remove(name string) error
 	Sync() error
@@ -47,25 +46,6 @@
 	return os.OpenFile(folder.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 }
 
-// Extend opens for appending after size bytes; what lies behind is cut.
-func (folder Folder) Extend(name string, size int64) (File, error) {
-	file, fault := os.OpenFile(folder.path(name), os.O_WRONLY, 0o600)
-	if fault != nil {
-		return nil, fault
-	}
-	if fault = file.Truncate(size); fault == nil {
-		_, fault = file.Seek(size, io.SeekStart)
-	}
-	if fault == nil {
-		fault = file.Sync()
-	}
-	if fault != nil {
-		file.Close()
-		return nil, fault
-	}
-	return file, nil
-}
-
 func (folder Folder) Rename(before, after string) error {
 	return os.Rename(folder.path(before), folder.path(after))
 }
--- a/control/election.go
+++ b/control/election.go
@@ -87,7 +87,7 @@
 
 // stand runs one candidacy by fence; true when it gave way to a fitter core.
 func (core *Core) stand(yielded bool) bool {
-	if !core.chart.move(Prechecking) {
+	if !core.takesWrites() || !core.chart.move(Prechecking) {
 		return false
 	}
 	defer core.chart.moveBack()
@@ -225,7 +225,8 @@
 	heard := core.leadership != nil || (core.leader.Known() && !core.duck && time.Since(core.heard) < core.place.Suspect)
 	round := max(core.round, state.Promised.Round)
 	core.mutex.Unlock()
-	return &wire.PrecheckTold{Willing: state.Founded && !heard, Heard: heard, Voter: state.Founded, Marks: state.Marks(), Reach: core.reach(), Round: round}, nil
+	votes := core.Sound()
+	return &wire.PrecheckTold{Willing: votes && !heard, Heard: heard, Voter: votes, Marks: state.Marks(), Reach: core.reach(), Round: round}, nil
 }
 
 // reach is how many cores told something lately, this one included.
@@ -256,14 +257,14 @@
 			core.commit(wire.Register(register), accepted, state.Texts)
 		}
 	}
-	told := &wire.BeatTold{Taken: true, Voter: state.Founded, Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}
+	told := &wire.BeatTold{Taken: true, Voter: state.Founded, Refuses: !core.takesWrites(), Promised: state.Promised, Marks: state.Marks(), Reach: core.reach()}
 	told.AnchorMs, told.NowMs = core.toldClock()
 	return told, nil
 }
 
 func (core *Core) onStepDown(message *wire.StepDown) (*wire.StepDownTold, *wire.Mishap) {
 	state := core.voter.State()
-	if !state.Founded || message.Ballot.Less(state.Promised) || core.chart.Now() != Following {
+	if !core.Sound() || message.Ballot.Less(state.Promised) || core.chart.Now() != Following {
 		return &wire.StepDownTold{}, nil
 	}
 	core.mutex.Lock()
--- /dev/null
+++ b/control/export_test.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"orchidjunction/keep"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// LimitSegments makes a store begin a segment after fewer bytes, so that short
+// tests see many.
+func (store *Store) LimitSegments(bytes int64) { store.journal.limit = bytes }
+
+// TestClaims is a claim log without its writing thread.
+type TestClaims struct{ log *ClaimLog }
+
+// OpenTestClaims opens a log that remembers keys for keep.FirstSpan.
+func OpenTestClaims(disk Disk, segment int64) (*TestClaims, *wire.Mishap) {
+	log, mishap := openClaimLog(disk, run.NewCounts())
+	if mishap != nil {
+		return nil, mishap
+	}
+	log.journal.limit = segment
+	log.book.Remember(keep.FirstSpan)
+	return &TestClaims{log: log}, nil
+}
+
+// Keep is one turn of the writing thread.
+func (claims *TestClaims) Keep(message *wire.Keep) ([]wire.ClaimTold, *wire.Mishap) {
+	if mishap := claims.log.repair(); mishap != nil {
+		return nil, mishap
+	}
+	told, _, mishap := claims.log.writeGroup([]*keepWait{{message: message}})
+	return told, mishap
+}
+
+func (claims *TestClaims) Held(key wire.ClaimKey) (wire.Claimed, bool) {
+	return claims.log.book.Held(key)
+}
+
+// Refuses is whether the disk refused the last group.
+func (claims *TestClaims) Refuses() bool { return claims.log.journal.fault != nil }
--- a/control/journal.go
+++ b/control/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"sort"
 	"strings"
 
@@ -9,10 +10,19 @@
 	"orchidjunction/wire"
 )
 
-const segmentLimit = 4 << 20
+const (
+	segmentLimit = 4 << 20
+	draftSuffix  = ".new"
+)
 
-// Journal is a log in segments of one name; what was appended lasts, a torn
-// tail of the last segment is cut, a worn frame before a sound one is refused.
+// Journal is a log in segments of one name. A block that was appended without a
+// mishap lasts. A torn tail of the last segment is cut; a damaged frame before a
+// sound one is refused.
+//
+// After a write, a sync or a change of names failed, nobody knows what of it is on
+// the disk, and a later sync may succeed without covering it. The journal takes
+// nothing more until its owner has written elsewhere what it needs: by beginning a
+// new segment, or by rewriting the last one.
 type Journal struct {
 	disk   Disk
 	name   string
@@ -20,7 +30,7 @@
 	size   int64
 	limit  int64
 	file   File
-	broken *wire.Mishap
+	fault  *wire.Mishap
 }
 
 func storeFault(kind wire.Kind, fault error, format string, values ...any) *wire.Mishap {
@@ -47,10 +57,13 @@
 	return found, nil
 }
 
-// OpenJournal lays every frame from the first segment on; segments before it
-// are passed over.
-func OpenJournal(disk Disk, name string, first uint64, lay func(segment uint64, payload []byte) *wire.Mishap) (*Journal, *wire.Mishap) {
-	journal := &Journal{disk: disk, name: name, limit: segmentLimit}
+// loadJournal lays every frame from the first segment on; segments before it are
+// passed over. It only reads: the journal takes blocks once its owner has begun a
+// segment or rewritten the last one. The last one is not extended as it was found,
+// since a failed sync of the former process may have left frames that can be read
+// and are not on the disk.
+func loadJournal(disk Disk, name string, first uint64, lay func(segment uint64, payload []byte) *wire.Mishap) (*Journal, *wire.Mishap) {
+	journal := &Journal{disk: disk, name: name, number: first, limit: segmentLimit}
 	segments, mishap := numbers(disk, name)
 	if mishap != nil {
 		return nil, mishap
@@ -65,19 +78,8 @@
 		if mishap := journal.load(number, index == len(segments)-1, lay); mishap != nil {
 			return nil, mishap
 		}
+		journal.number = number
 	}
-	if len(segments) == 0 {
-		return journal, journal.begin(first)
-	}
-	journal.number = segments[len(segments)-1]
-	file, fault := disk.Extend(numbered(name, journal.number), journal.size)
-	if fault == nil {
-		fault = disk.Sync()
-	}
-	if fault != nil {
-		return nil, storeFault(wire.DiskFault, fault, "extend %s", numbered(name, journal.number))
-	}
-	journal.file = file
 	return journal, nil
 }
 
@@ -106,55 +108,116 @@
 	return nil
 }
 
+// begin makes an empty segment the last one. Its name lasts before it is used.
 func (journal *Journal) begin(number uint64) *wire.Mishap {
-	file, fault := journal.disk.Create(numbered(journal.name, number))
+	name := numbered(journal.name, number)
+	file, fault := journal.disk.Create(name)
 	if fault == nil {
 		fault = file.Sync()
 	}
 	if fault == nil {
 		fault = journal.disk.Sync()
 	}
+	return journal.take(file, number, 0, fault)
+}
+
+// rewrite puts a new file with the sound content in the last segment's place.
+func (journal *Journal) rewrite() *wire.Mishap {
+	if journal.size == 0 {
+		return journal.begin(journal.number)
+	}
+	name := numbered(journal.name, journal.number)
+	body, fault := journal.disk.Read(name)
+	if fault == nil && int64(len(body)) < journal.size {
+		fault = io.ErrUnexpectedEOF
+	}
 	if fault != nil {
-		return storeFault(wire.DiskFault, fault, "begin %s", numbered(journal.name, number))
+		return journal.take(nil, journal.number, journal.size, fault)
 	}
-	if journal.file != nil {
-		journal.file.Close()
+	file, fault := replaceFile(journal.disk, name, body[:journal.size])
+	return journal.take(file, journal.number, journal.size, fault)
+}
+
+// take goes on with a file, or with none after a fault.
+func (journal *Journal) take(file File, number uint64, size int64, fault error) *wire.Mishap {
+	if fault != nil {
+		if file != nil {
+			file.Close()
+		}
+		journal.fault = storeFault(wire.DiskFault, fault, "begin %s", numbered(journal.name, number))
+		return journal.fault
 	}
-	journal.file, journal.number, journal.size = file, number, 0
+	journal.Close()
+	journal.file, journal.number, journal.size, journal.fault = file, number, size, nil
 	return nil
 }
 
+// replaceFile puts a file with this content under the name; it lasts, and until
+// then what was there before does. The caller closes the file.
+func replaceFile(disk Disk, name string, body []byte) (File, error) {
+	draft := name + draftSuffix
+	file, fault := disk.Create(draft)
+	if fault != nil {
+		return nil, fault
+	}
+	_, fault = file.Write(body)
+	if fault == nil {
+		fault = file.Sync()
+	}
+	if fault == nil {
+		fault = disk.Rename(draft, name)
+	}
+	if fault == nil {
+		fault = disk.Sync()
+	}
+	if fault != nil {
+		file.Close()
+		disk.Remove(draft)
+		return nil, fault
+	}
+	return file, nil
+}
+
 // full is whether a block should go into the next segment.
 func (journal *Journal) full(block []byte) bool {
 	return journal.size > 0 && journal.size+int64(len(block)) > journal.limit
 }
 
-// Append lasts once it returns; after any fault the journal takes nothing more.
+// Append lasts once it returns without a mishap; after one the journal takes
+// nothing more.
 func (journal *Journal) Append(block []byte) *wire.Mishap {
-	if journal.broken != nil {
-		return journal.broken
+	if journal.fault != nil {
+		return journal.fault
 	}
 	name := numbered(journal.name, journal.number)
 	if _, fault := journal.file.Write(block); fault != nil {
-		journal.broken = storeFault(wire.DiskFault, fault, "write %s", name)
-	} else if fault := journal.file.Sync(); fault != nil {
-		journal.broken = storeFault(wire.DiskFault, fault, "sync %s", name)
+		journal.fault = storeFault(wire.DiskFault, fault, "write %s", name)
+		return journal.fault
+	}
+	if fault := journal.file.Sync(); fault != nil {
+		journal.fault = storeFault(wire.DiskFault, fault, "sync %s", name)
+		return journal.fault
 	}
 	journal.size += int64(len(block))
-	return journal.broken
+	return nil
 }
 
 // sweep removes files of a name below a number, oldest first.
-func sweep(disk Disk, name string, below uint64) *wire.Mishap {
+func sweep(disk Disk, name string, below uint64, removed func() error) *wire.Mishap {
 	found, mishap := numbers(disk, name)
 	if mishap != nil {
 		return mishap
 	}
 	for _, number := range found {
-		if number < below {
-			if fault := disk.Remove(numbered(name, number)); fault != nil {
-				return storeFault(wire.DiskFault, fault, "remove %s", numbered(name, number))
-			}
+		if number >= below {
+			break
+		}
+		fault := disk.Remove(numbered(name, number))
+		if fault == nil {
+			fault = removed()
+		}
+		if fault != nil {
+			return storeFault(wire.DiskFault, fault, "remove %s", numbered(name, number))
 		}
 	}
 	return nil
@@ -175,17 +238,16 @@
 	return newFrame(payload), nil
 }
 
-// sweepDrafts removes drafts that a crash left.
+// sweepDrafts removes drafts that a crash left. One that stays is overwritten when
+// its name is used again.
 func sweepDrafts(disk Disk) *wire.Mishap {
 	names, fault := disk.List()
 	if fault != nil {
 		return storeFault(wire.DiskFault, fault, "list")
 	}
 	for _, name := range names {
-		if strings.HasSuffix(name, ".new") {
-			if fault := disk.Remove(name); fault != nil {
-				return storeFault(wire.DiskFault, fault, "remove %s", name)
-			}
+		if strings.HasSuffix(name, draftSuffix) {
+			disk.Remove(name)
 		}
 	}
 	return nil
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -202,7 +202,7 @@
 	leadership.reports[peer.ID] = told
 	values, now := leadership.values, leadership.content
 	leadership.mutex.Unlock()
-	if !told.Taken || !told.Voter {
+	if !told.Taken || !told.Voter || told.Refuses {
 		return
 	}
 	for register := range committed {
@@ -243,7 +243,7 @@
 	best, found := Peer{}, false
 	for _, peer := range leadership.core.roster().Peers {
 		told := leadership.reports[peer.ID]
-		if told == nil || !told.Voter || !told.Taken || passed[peer.ID] {
+		if told == nil || !told.Voter || !told.Taken || told.Refuses || passed[peer.ID] {
 			continue
 		}
 		if !found || fitter(told.Marks, told.Reach, peer.ID, leadership.reports[best.ID].Marks, leadership.reports[best.ID].Reach, best.ID) {
--- /dev/null
+++ b/control/power_test.go
@@ -0,0 +1,184 @@
+package control_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"orchidjunction/control"
+	"orchidjunction/sim"
+	"orchidjunction/wire"
+)
+
+const smallSegment = 6000
+
+// witness drives a voter and remembers what it answered for.
+type witness struct {
+	test     *testing.T
+	random   *rand.Rand
+	voter    *control.Voter
+	store    *control.Store
+	round    uint64
+	promised wire.Ballot
+	marks    wire.Marks
+	bodies   map[wire.Mark]byte
+}
+
+// open starts a voter on the disk; what was answered for must be there, and what
+// is there counts as answered for once the disk has taken it anew.
+func (witness *witness) open(disk *sim.Disk) *wire.Mishap {
+	store, mishap := control.OpenStore(disk)
+	if mishap != nil {
+		return mishap
+	}
+	store.LimitSegments(smallSegment)
+	witness.store = store
+	witness.voter = control.NewVoter(store, func(*wire.Mishap) {}, func(wire.Ballot) {})
+	witness.judge()
+	if store.Fault() == nil {
+		witness.promised, witness.marks = witness.voter.State().Promised, witness.voter.State().Marks()
+	}
+	return nil
+}
+
+// judge compares what is held with what was answered: nothing less, and nothing
+// that was never offered.
+func (witness *witness) judge() {
+	witness.test.Helper()
+	state := witness.voter.State()
+	if state.Promised.Less(witness.promised) {
+		witness.test.Fatalf("promised %v, holds %v", witness.promised, state.Promised)
+	}
+	for register, mark := range state.Marks() {
+		if mark.Less(witness.marks[register]) {
+			witness.test.Fatalf("register %d: took %v, holds %v", register, witness.marks[register], mark)
+		}
+		body := state.Accepted[register].Value.Body
+		if mark.Serial > 0 && (len(body) == 0 || body[len(body)-1] != witness.bodies[mark]) {
+			witness.test.Fatalf("register %d: other content under %v", register, mark)
+		}
+	}
+}
+
+// step promises or accepts once; false when the voter has not answered.
+func (witness *witness) step() bool {
+	witness.round = max(witness.round, witness.voter.State().Promised.Round) + 1
+	ballot := wire.Ballot{Round: witness.round, Core: 1}
+	if witness.random.IntN(3) == 0 {
+		_, mishap := witness.voter.Promise(ballot)
+		if mishap == nil {
+			witness.promised = ballot
+		}
+		return mishap == nil
+	}
+	register := wire.Register(witness.random.IntN(int(wire.Registers)))
+	body := make([]byte, 1+witness.random.IntN(4000))
+	body[len(body)-1] = byte(witness.random.IntN(255) + 1)
+	mark := wire.Mark{Ballot: ballot, Serial: ballot.Round}
+	witness.bodies[mark] = body[len(body)-1]
+	told, mishap := witness.voter.Accept(&wire.Accept{Ballot: ballot, Register: register, Value: wire.Value{Serial: ballot.Round, Body: body}})
+	if mishap != nil {
+		return false
+	}
+	if !told.Taken {
+		witness.test.Fatalf("%v not taken under %v", ballot, told.Promised)
+	}
+	witness.promised, witness.marks[register] = ballot, mark
+	return true
+}
+
+// The process ends at any call to the disk and the power goes, or stays and goes
+// later: whatever was answered lasts, and the store opens, though each file that
+// was made, renamed or removed since its folder's sync is kept or lost by itself.
+func TestAnsweredLastsFileByFile(test *testing.T) {
+	undone, rolled := 0, 0
+	for seed := range uint64(600) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		disk := sim.NewDisk(seed)
+		witness := &witness{test: test, random: random, bodies: map[wire.Mark]byte{}}
+		for round := range 12 {
+			if random.IntN(3) == 0 {
+				disk.DieAfter(1 + random.IntN(10))
+				witness.open(disk)
+				disk = disk.Sever(random.IntN(2) == 0)
+			}
+			if mishap := witness.open(disk); mishap != nil {
+				names, _ := disk.List()
+				test.Fatalf("seed %d round %d: %v, files %v", seed, round, mishap, names)
+			}
+			witness.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+			disk.DieAfter(1 + random.IntN(120))
+			for witness.step() {
+			}
+			before, _ := disk.List()
+			disk = disk.Sever(random.IntN(4) > 0)
+			after, _ := disk.List()
+			if strings.Join(before, " ") != strings.Join(after, " ") {
+				undone++
+			}
+			if len(after) > 0 && strings.HasPrefix(after[len(after)-1], "snapshot") {
+				rolled++
+			}
+		}
+	}
+	if undone < 200 || rolled < 2000 {
+		test.Fatalf("too few tried: names changed at %d losses, snapshots at %d", undone, rolled)
+	}
+}
+
+// A disk refuses writes, syncs, changes of names or all of them, or is full, for a
+// while: meanwhile nothing is answered; afterwards the voter goes on without a
+// restart, and what it answered before and after lasts through a power loss.
+func TestRefusedAnswersNothingAndGoesOn(test *testing.T) {
+	refused := 0
+	for seed := range uint64(400) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		disk := sim.NewDisk(seed)
+		witness := &witness{test: test, random: random, bodies: map[wire.Mark]byte{}}
+		for range 10 {
+			if mishap := witness.open(disk); mishap != nil {
+				test.Fatalf("seed %d: %v", seed, mishap)
+			}
+			witness.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+			for range random.IntN(9) {
+				if !witness.step() {
+					test.Fatalf("seed %d: refused by a sound disk", seed)
+				}
+			}
+			for range random.IntN(3) {
+				disk.Refuse([]sim.Refusal{{Writes: true}, {Syncs: true}, {Names: true}, {Writes: true, Syncs: true, Names: true}, {}}[random.IntN(5)])
+				disk.Room(disk.Used() + 1 + random.IntN(9000))
+				for range 8 {
+					if witness.store.Fault() != nil {
+						refused++
+						witness.judge()
+						if _, mishap := witness.voter.Promise(witness.promised); mishap == nil {
+							test.Fatalf("seed %d: promised by a disk that refuses", seed)
+						}
+						witness.voter.Repair()
+					}
+					witness.step()
+				}
+				if random.IntN(4) == 0 {
+					break
+				}
+				disk.Refuse(sim.Refusal{})
+				disk.Room(0)
+				if mishap := witness.voter.Repair(); mishap != nil {
+					test.Fatalf("seed %d: %v", seed, mishap)
+				}
+				for range random.IntN(4) {
+					if !witness.step() {
+						test.Fatalf("seed %d: does not go on", seed)
+					}
+				}
+			}
+			disk = disk.Sever(random.IntN(3) > 0)
+			disk.Refuse(sim.Refusal{})
+			disk.Room(0)
+		}
+	}
+	if refused < 5000 {
+		test.Fatalf("only %d steps were refused", refused)
+	}
+}
--- /dev/null
+++ b/control/refusal.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+const (
+	// repairPace is how often a disk that refused something is tried again.
+	repairPace = 250 * time.Millisecond
+	// stallLimit is how long a disk may take for a step until those who come are
+	// refused instead of waiting for it.
+	stallLimit = 500 * time.Millisecond
+)
+
+// diskRefusal is a disk's refusal to take writes, under the core's mutex.
+type diskRefusal struct {
+	fault *wire.Mishap
+	since time.Time
+}
+
+// diskFault notes that the disk refused a step. Until a repair succeeds this core
+// does not vote or stand, and a lead it has goes to a core whose disk takes writes.
+func (core *Core) diskFault(fault *wire.Mishap) {
+	core.mutex.Lock()
+	first := core.refused.fault == nil
+	if first {
+		core.refused = diskRefusal{fault: fault, since: time.Now()}
+	}
+	core.mutex.Unlock()
+	if !first {
+		return
+	}
+	core.counts.Add("disk_faults", 1)
+	klog.Errorf("core %d: does not vote until its disk takes writes again: %v", core.roster().ID, fault)
+	core.threads.Start(core.yieldLead)
+}
+
+// DiskFault is why this core's disk takes nothing now, nil while it does.
+func (core *Core) DiskFault() *wire.Mishap {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.refused.fault
+}
+
+// Sound is true while this core votes.
+func (core *Core) Sound() bool { return !core.voter.Blank() && core.takesWrites() }
+
+// takesWrites is whether the disk neither refuses nor stalls.
+func (core *Core) takesWrites() bool { return core.DiskFault() == nil && !core.voter.Stalled() }
+
+// yieldLead hands the lead to a core that votes. Without one it goes on, since
+// values may still be accepted by a majority of the others.
+func (core *Core) yieldLead() {
+	leadership, mishap := core.leading()
+	if mishap != nil {
+		return
+	}
+	heir, found := leadership.heir(nil)
+	if !found {
+		return
+	}
+	core.counts.Add("leads_yielded", 1)
+	leadership.handOver(heir, time.Now().Add(2*core.place.Suspect))
+	core.revoke(leadership)
+}
+
+// repairDisk is the duty that tries a disk again which refused a step.
+func (core *Core) repairDisk() {
+	if core.DiskFault() == nil || core.voter.Repair() != nil {
+		return
+	}
+	core.mutex.Lock()
+	refusal, committed := core.refused, core.committed[wire.RoutingRegister]
+	core.refused = diskRefusal{}
+	core.mutex.Unlock()
+	core.counts.Add("disk_repairs", 1)
+	klog.Infof("core %d: votes again, its disk refused writes for %v", core.roster().ID, time.Since(refusal.since).Round(time.Millisecond))
+	core.prompt.Ring()
+	if core.place.enlists() {
+		core.voter.Committed(wire.RoutingRegister, committed.Mark())
+	}
+}
--- a/control/roster.go
+++ b/control/roster.go
@@ -170,6 +170,7 @@
 func (core *Core) enlist() {
 	if core.place.Found && !core.voter.State().Opening {
 		if core.voter.Open() != nil {
+			core.threads.Rest(enlistPace)
 			return
 		}
 	}
@@ -210,6 +211,7 @@
 	roster := newRoster(core.place.Wire, all)
 	founds := core.opening() && roster.ID > 0
 	if mishap := core.voter.Enrol(all, founds); mishap != nil {
+		core.threads.Rest(enlistPace)
 		return
 	}
 	core.known.Store(roster)
--- a/control/store.go
+++ b/control/store.go
@@ -88,14 +88,19 @@
 	state.Texts = kept
 }
 
-// Store is a journal with snapshots beside it.
+// Store is a journal with snapshots beside it: segment n holds the steps since
+// snapshot n. A snapshot and its segment are named on the disk before anything is
+// appended, so that the newest snapshot and the segment of its number are always
+// the whole state, whichever older files are still there.
 type Store struct {
 	disk    Disk
 	state   State
 	journal *Journal
 }
 
-// OpenStore restores the newest snapshot and the segments after it.
+// OpenStore restores the newest snapshot and the segment after it, and begins
+// another pair. When the disk refuses that, the store holds what it has read and
+// takes nothing until Repair succeeds.
 func OpenStore(disk Disk) (*Store, *wire.Mishap) {
 	store := &Store{disk: disk}
 	if mishap := sweepDrafts(disk); mishap != nil {
@@ -111,19 +116,26 @@
 		if mishap := store.loadSnapshot(first); mishap != nil {
 			return nil, mishap
 		}
-		if mishap := store.sweep(first); mishap != nil {
-			return nil, mishap
-		}
 	}
-	store.journal, mishap = OpenJournal(disk, segmentName, first, func(_ uint64, payload []byte) *wire.Mishap {
+	laid := false
+	store.journal, mishap = loadJournal(disk, segmentName, first, func(_ uint64, payload []byte) *wire.Mishap {
 		var step record
 		if fault := wire.Unpack(payload, &step); fault != nil {
 			return wire.AsMishap(fault)
 		}
 		store.state.lay(step)
+		laid = true
 		return nil
 	})
-	return store, mishap
+	if mishap != nil {
+		return nil, mishap
+	}
+	if laid || len(snapshots) > 0 {
+		store.roll()
+	} else {
+		store.journal.begin(first)
+	}
+	return store, nil
 }
 
 func (store *Store) loadSnapshot(number uint64) *wire.Mishap {
@@ -142,15 +154,32 @@
 	return nil
 }
 
-// Append lasts once it returns; after any fault the store takes nothing more. It
-// is one frame: torn in any way, all of it is cut.
+// Fault is why the store takes nothing now, nil while it does.
+func (store *Store) Fault() *wire.Mishap { return store.journal.fault }
+
+// Repair goes on in a new segment behind a fresh snapshot, when a fault left the
+// last segment's end unknown.
+func (store *Store) Repair() *wire.Mishap {
+	if store.Fault() == nil {
+		return nil
+	}
+	return store.roll()
+}
+
+// Append lasts once it returns without a mishap; after one the store takes nothing
+// more until it is repaired. A step is one frame: torn in any way, all of it is cut.
 func (store *Store) Append(step record) *wire.Mishap {
+	if fault := store.Fault(); fault != nil {
+		return fault
+	}
 	frame, mishap := packFrame(&step)
 	if mishap != nil {
 		return mishap
 	}
-	if store.journal.full(frame) && store.journal.broken == nil {
-		store.journal.broken = store.roll()
+	if store.journal.full(frame) {
+		if mishap := store.roll(); mishap != nil {
+			return mishap
+		}
 	}
 	if mishap := store.journal.Append(frame); mishap != nil {
 		return mishap
@@ -160,44 +189,35 @@
 }
 
 // roll writes a snapshot, begins the next segment and removes what both replace.
+// Until the segment is begun nothing changes for the journal, so that a roll that
+// failed half-way is done again from its start.
 func (store *Store) roll() *wire.Mishap {
 	next := store.journal.number + 1
 	frame, mishap := packFrame(&store.state)
 	if mishap != nil {
 		return mishap
 	}
-	draft := numbered(snapshotName, next) + ".new"
-	file, fault := store.disk.Create(draft)
-	if fault == nil {
-		_, fault = file.Write(frame)
-	}
-	if fault == nil {
-		fault = file.Sync()
-	}
-	if fault == nil {
-		fault = file.Close()
-	}
-	if fault == nil {
-		fault = store.disk.Rename(draft, numbered(snapshotName, next))
-	}
-	if fault == nil {
-		fault = store.disk.Sync()
-	}
+	name := numbered(snapshotName, next)
+	file, fault := replaceFile(store.disk, name, frame)
 	if fault != nil {
-		return storeFault(wire.DiskFault, fault, "snapshot %s", numbered(snapshotName, next))
+		store.journal.fault = storeFault(wire.DiskFault, fault, "snapshot %s", name)
+		return store.journal.fault
 	}
+	file.Close()
 	if mishap := store.journal.begin(next); mishap != nil {
 		return mishap
 	}
-	return store.sweep(next)
+	store.sweep(next)
+	return nil
 }
 
-// sweep removes what the snapshot of that number replaces.
-func (store *Store) sweep(number uint64) *wire.Mishap {
-	if mishap := sweep(store.disk, segmentName, number); mishap != nil {
-		return mishap
-	}
-	return sweep(store.disk, snapshotName, number)
+// sweep removes what the snapshot of that number replaces, as far as the disk lets
+// it; the next one removes the rest. Removals that a power loss undoes bring back
+// files that opening passes over.
+func (store *Store) sweep(number uint64) {
+	unsynced := func() error { return nil }
+	sweep(store.disk, segmentName, number, unsynced)
+	sweep(store.disk, snapshotName, number, unsynced)
 }
 
 func (store *Store) Close() { store.journal.Close() }
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -13,6 +13,12 @@
 
 // fill makes steps on a voter and returns what it answered for last.
 func fill(test *testing.T, disk *sim.Disk, random *rand.Rand, steps int) control.State {
+	test.Helper()
+	return take(founded(test, disk), random, steps)
+}
+
+// founded is a voter on the disk.
+func founded(test *testing.T, disk *sim.Disk) *control.Voter {
 	test.Helper()
 	store, mishap := control.OpenStore(disk)
 	if mishap != nil {
@@ -20,6 +26,11 @@
 	}
 	voter := control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
 	voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+	return voter
+}
+
+// take makes steps and returns what was answered for last.
+func take(voter *control.Voter, random *rand.Rand, steps int) control.State {
 	for range steps {
 		ballot := voter.State().Promised
 		ballot.Round++
@@ -33,6 +44,18 @@
 	return *voter.State()
 }
 
+// newestSegment is the file that steps are appended to.
+func newestSegment(disk *sim.Disk) string {
+	names, _ := disk.List()
+	newest := ""
+	for _, name := range names {
+		if strings.HasPrefix(name, "segment") {
+			newest = name
+		}
+	}
+	return newest
+}
+
 func same(left, right control.State) bool {
 	return left.Founded == right.Founded && left.Promised == right.Promised && left.Marks() == right.Marks()
 }
@@ -67,14 +90,14 @@
 	for seed := range uint64(60) {
 		random := rand.New(rand.NewPCG(seed, 2))
 		disk := sim.NewDisk(seed)
-		before := fill(test, disk, random, 1+random.IntN(6))
-		names, _ := disk.List()
-		name := names[len(names)-1]
+		voter := founded(test, disk)
+		before := take(voter, random, 1+random.IntN(6))
+		name := newestSegment(disk)
 		length := disk.Size(name)
 		whole := disk.Fork()
-		fill(test, disk, random, 1)
+		take(voter, random, 1)
 		grown := disk.Size(name)
-		if grown <= length || strings.HasPrefix(name, "snapshot") {
+		if grown <= length || name != newestSegment(disk) {
 			continue
 		}
 		torn := disk.Fork()
--- a/control/voter.go
+++ b/control/voter.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"orchidjunction/run"
 	"orchidjunction/wire"
@@ -15,6 +16,8 @@
 	synced atomic.Pointer[State]
 	fault  func(*wire.Mishap)
 	raised func(wire.Ballot)
+
+	writing atomic.Pointer[time.Time]
 }
 
 func NewVoter(store *Store, fault func(*wire.Mishap), raised func(wire.Ballot)) *Voter {
@@ -35,7 +38,7 @@
 // keep appends within the turn and shows the new state.
 func (voter *Voter) keep(step record) *wire.Mishap {
 	before := voter.store.state.Promised
-	if mishap := voter.store.Append(step); mishap != nil {
+	if mishap := voter.written(func() *wire.Mishap { return voter.store.Append(step) }); mishap != nil {
 		voter.fault(mishap)
 		return mishap
 	}
@@ -46,13 +49,47 @@
 	return nil
 }
 
-func (voter *Voter) Promise(ballot wire.Ballot) (*wire.PromiseTold, *wire.Mishap) {
+// written is one step of the disk, whose length others can see.
+func (voter *Voter) written(step func() *wire.Mishap) *wire.Mishap {
+	began := time.Now()
+	voter.writing.Store(&began)
+	defer voter.writing.Store(nil)
+	return step()
+}
+
+// Stalled is whether the disk has not answered for so long that nobody should wait.
+func (voter *Voter) Stalled() bool {
+	began := voter.writing.Load()
+	return began != nil && time.Since(*began) > stallLimit
+}
+
+// enter takes the turn, unless the disk is stalled: those who ask again and again
+// must not pile up behind it with what they brought.
+func (voter *Voter) enter() *wire.Mishap {
+	if voter.Stalled() {
+		return wire.New(wire.DiskFault, "the disk does not answer")
+	}
 	voter.turn.Take()
+	return nil
+}
+
+// ready is nil while this core may vote; within the turn.
+func (voter *Voter) ready() *wire.Mishap {
+	if !voter.store.state.Founded {
+		return wire.New(wire.Blank, "not restored yet")
+	}
+	return voter.store.Fault()
+}
+
+func (voter *Voter) Promise(ballot wire.Ballot) (*wire.PromiseTold, *wire.Mishap) {
+	if mishap := voter.enter(); mishap != nil {
+		return nil, mishap
+	}
 	defer voter.turn.Give()
-	state := &voter.store.state
-	if !state.Founded {
-		return nil, wire.New(wire.Blank, "not restored yet")
+	if mishap := voter.ready(); mishap != nil {
+		return nil, mishap
 	}
+	state := &voter.store.state
 	if ballot.Less(state.Promised) {
 		return &wire.PromiseTold{Promised: state.Promised}, nil
 	}
@@ -65,12 +102,14 @@
 }
 
 func (voter *Voter) Accept(message *wire.Accept) (*wire.AcceptTold, *wire.Mishap) {
-	voter.turn.Take()
+	if mishap := voter.enter(); mishap != nil {
+		return nil, mishap
+	}
 	defer voter.turn.Give()
-	state := &voter.store.state
-	if !state.Founded {
-		return nil, wire.New(wire.Blank, "not restored yet")
+	if mishap := voter.ready(); mishap != nil {
+		return nil, mishap
 	}
+	state := &voter.store.state
 	if message.Ballot.Less(state.Promised) {
 		return &wire.AcceptTold{Promised: state.Promised}, nil
 	}
@@ -149,6 +188,13 @@
 	}
 }
 
+// Repair makes a store that refused a step take steps again.
+func (voter *Voter) Repair() *wire.Mishap {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	return voter.written(voter.store.Repair)
+}
+
 func (voter *Voter) Close() {
 	voter.turn.Take()
 	defer voter.turn.Give()
--- a/control/voter_test.go
+++ b/control/voter_test.go
@@ -54,6 +54,11 @@
 			case "fail":
 				disk.Fail(true)
 				answer = "every write fails from here"
+			case "heal":
+				disk.Fail(false)
+				answer = "writes are taken from here"
+			case "repair":
+				answer = fmt.Sprint(voter.Repair() == nil)
 			case "power":
 				disk = disk.Sever(true)
 				voter = open()
--- a/scale/core.go
+++ b/scale/core.go
@@ -96,5 +96,5 @@
 	program.OnTerm(threads, threads.Stop)
 	threads.Wait()
 	core.Close()
-	return core.Broken()
+	return nil
 }
--- a/sim/chaos.go
+++ b/sim/chaos.go
@@ -17,7 +17,7 @@
 }
 
 // Kinds are the harms there are.
-var Kinds = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader", "alone", "stale-leader-lost", "stale-disk-lost"}
+var Kinds = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader", "alone", "stale-leader-lost", "stale-disk-lost", "refuse", "full", "refuse-restart"}
 
 func (chaos *Chaos) span(least, most time.Duration) time.Duration {
 	return least + time.Duration(chaos.random.Int64N(int64(most-least)))
@@ -68,6 +68,8 @@
 		machine.Disk.Stall(true)
 		world.Rest(chaos.span(50*time.Millisecond, 1200*time.Millisecond))
 		machine.Disk.Stall(false)
+	case "refuse", "full", "refuse-restart":
+		chaos.refuse(kind, index)
 	case "wipe":
 		world.WipeCore(index)
 		world.Rest(chaos.span(10*time.Millisecond, 800*time.Millisecond))
@@ -114,6 +116,36 @@
 	}
 }
 
+// refuse makes a core's disk refuse what it is asked to keep for a while, at times
+// over a restart; the core goes on by itself.
+func (chaos *Chaos) refuse(kind string, index int) {
+	world := chaos.world
+	if leader := world.Leader(); leader >= 0 && chaos.random.IntN(2) == 0 {
+		index = leader
+	}
+	machine := world.Cores[index]
+	trouble := func() {
+		if kind == "full" {
+			machine.Disk.Room(max(1, machine.Disk.Used()))
+		} else {
+			machine.Disk.Refuse([]Refusal{{Writes: true}, {Syncs: true}, {Names: true}, {Writes: true, Syncs: true, Names: true}}[chaos.random.IntN(4)])
+		}
+	}
+	trouble()
+	world.Rest(chaos.span(50*time.Millisecond, 2*time.Second))
+	if kind == "refuse-restart" {
+		world.KillCore(index, chaos.random.IntN(2) == 0)
+		trouble()
+		world.StartCore(index)
+		world.Rest(chaos.span(50*time.Millisecond, 2*time.Second))
+	}
+	machine.Disk.Refuse(Refusal{})
+	machine.Disk.Room(0)
+	if !world.Until(10*time.Second, func() bool { return machine.Core.Sound() }) {
+		world.broke("core %d does not vote again, its disk takes writes", machine.ID)
+	}
+}
+
 // isolate cuts a core off from the other cores, not from the daemons.
 func (world *World) isolate(index int, cut bool) {
 	for other := range world.Cores {
--- a/sim/control_test.go
+++ b/sim/control_test.go
@@ -147,7 +147,7 @@
 		switch kind {
 		case "kill-leader":
 			touched = []int{leader}
-		case "alone":
+		case "alone", "refuse", "full", "refuse-restart":
 			touched = []int{leader, index}
 		case "all", "stale-leader-lost", "stale-disk-lost", "wipe":
 			touched = side.every()
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -10,7 +10,19 @@
 	"orchidjunction/control"
 )
 
-// Disk keeps only what was synced once the power goes.
+// sectorSize is what a torn write keeps or loses as one.
+const sectorSize = 512
+
+// Refusal names the calls that a disk refuses.
+type Refusal struct {
+	Writes bool
+	Syncs  bool
+	Names  bool // creating, renaming, removing
+}
+
+// Disk is a folder whose power may go. A file keeps what its last sync covered;
+// each later write is present, missing or torn. Each name that was made, renamed
+// or removed since the folder's last sync is kept or lost by itself.
 type Disk struct {
 	mutex   sync.Mutex
 	wake    *sync.Cond
@@ -18,17 +30,17 @@
 	files   map[string]*blob
 	lasting map[string]*blob
 	stalled bool
-	failing bool
-}
-
-type blob struct {
-	body   []byte
-	synced int
+	dead    bool
+	calls   int
+	refuses Refusal
+	room    int
+	most    int
 }
 
 var (
 	errGone   = errors.New("no such file")
 	errFaulty = errors.New("disk fault")
+	errFull   = errors.New("no space left")
 )
 
 func NewDisk(seed uint64) *Disk {
@@ -37,29 +49,50 @@
 	return disk
 }
 
-// PowerLoss drops what was not synced; of the last write a part may stay.
+// PowerLoss leaves what lasts, and of the rest what the draws leave; at one loss
+// in four all that was not synced is gone.
 func (disk *Disk) PowerLoss() {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
-	disk.files = map[string]*blob{}
-	for name, kept := range disk.lasting {
-		length := kept.synced
-		if tail := len(kept.body) - kept.synced; tail > 0 {
-			length += disk.random.IntN(tail + 1)
+	nothing := disk.random.IntN(4) == 0
+	left := map[string]*blob{}
+	for _, name := range disk.names() {
+		kept := disk.lasting[name]
+		if kept != disk.files[name] && !nothing && disk.random.IntN(2) == 0 {
+			kept = disk.files[name]
+		}
+		if kept == nil {
+			continue
 		}
-		body := append([]byte{}, kept.body[:length]...)
-		if length > kept.synced && disk.random.IntN(2) == 0 {
-			for index := kept.synced + disk.random.IntN(length-kept.synced); index < length; index++ {
-				body[index] = 0
-			}
+		if nothing {
+			left[name] = newBlob(kept.synced())
+		} else {
+			left[name] = newBlob(kept.torn(disk.random))
 		}
-		fresh := &blob{body: body, synced: len(body)}
-		disk.files[name], disk.lasting[name] = fresh, fresh
+	}
+	disk.files, disk.lasting = left, map[string]*blob{}
+	for name, kept := range left {
+		disk.lasting[name] = kept
 	}
 	disk.stalled = false
 	disk.wake.Broadcast()
 }
 
+// names are all that stand in the folder now or at its last sync.
+func (disk *Disk) names() []string {
+	names := []string{}
+	for name := range disk.files {
+		names = append(names, name)
+	}
+	for name := range disk.lasting {
+		if disk.files[name] == nil {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Sever takes the disk from a killed process: what that still writes is lost,
 // and the next process gets the rest, after a power loss only what lasted.
 func (disk *Disk) Sever(power bool) *Disk {
@@ -69,33 +102,40 @@
 	next := disk.Fork()
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
-	disk.failing, disk.stalled = true, false
+	disk.dead, disk.stalled = true, false
 	disk.wake.Broadcast()
 	return next
 }
 
-// Fork is a second disk with the same content.
+// Fork is a second disk with the same content and no troubles.
 func (disk *Disk) Fork() *Disk {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
 	next := NewDisk(disk.random.Uint64())
-	for name, held := range disk.files {
-		kept := &blob{body: append([]byte{}, held.body...), synced: held.synced}
-		next.files[name] = kept
-		if disk.lasting[name] != nil {
-			next.lasting[name] = kept
+	next.most = disk.most
+	copies := map[*blob]*blob{}
+	copied := func(held *blob) *blob {
+		if copies[held] == nil {
+			copies[held] = held.copied()
 		}
+		return copies[held]
+	}
+	for name, held := range disk.files {
+		next.files[name] = copied(held)
+	}
+	for name, held := range disk.lasting {
+		next.lasting[name] = copied(held)
 	}
 	return next
 }
 
-// Copy is what a power loss now would leave, for judging.
+// Copy is the least that a power loss now would leave, for judging.
 func (disk *Disk) Copy() *Disk {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
 	copied := NewDisk(1)
 	for name, held := range disk.lasting {
-		copied.files[name] = &blob{body: append([]byte{}, held.body[:held.synced]...), synced: held.synced}
+		copied.files[name] = newBlob(held.synced())
 	}
 	return copied
 }
@@ -108,12 +148,64 @@
 	disk.mutex.Unlock()
 }
 
+// Fail makes the disk refuse all but reads.
 func (disk *Disk) Fail(failing bool) {
+	disk.Refuse(Refusal{Writes: failing, Syncs: failing, Names: failing})
+}
+
+// Refuse makes the disk refuse some calls until told otherwise.
+func (disk *Disk) Refuse(refusal Refusal) {
 	disk.mutex.Lock()
-	disk.failing = failing
+	disk.refuses = refusal
 	disk.mutex.Unlock()
 }
 
+// DieAfter ends all but reading after so many more calls that change something,
+// as if the process had been killed there.
+func (disk *Disk) DieAfter(calls int) {
+	disk.mutex.Lock()
+	disk.calls = calls
+	disk.mutex.Unlock()
+}
+
+// called counts a call that changes something, and is whether the disk still lives.
+func (disk *Disk) called() bool {
+	if disk.calls > 0 {
+		disk.calls--
+		disk.dead = disk.dead || disk.calls == 0
+	}
+	return !disk.dead
+}
+
+// Room bounds the bytes of all files; 0 is no bound.
+func (disk *Disk) Room(bytes int) {
+	disk.mutex.Lock()
+	disk.room = bytes
+	disk.mutex.Unlock()
+}
+
+// Used is the bytes of all files.
+func (disk *Disk) Used() int {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	return disk.used()
+}
+
+// MostUsed is the most bytes that all files had at once.
+func (disk *Disk) MostUsed() int {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	return disk.most
+}
+
+func (disk *Disk) used() int {
+	sum := 0
+	for _, held := range disk.files {
+		sum += len(held.body)
+	}
+	return sum
+}
+
 // Harm flips one bit of a file, as worn media do.
 func (disk *Disk) Harm(name string, at int) {
 	disk.mutex.Lock()
@@ -121,6 +213,13 @@
 	disk.mutex.Unlock()
 }
 
+// Cut leaves only the first bytes of a file.
+func (disk *Disk) Cut(name string, size int) {
+	disk.mutex.Lock()
+	disk.files[name].truncate(size)
+	disk.mutex.Unlock()
+}
+
 func (disk *Disk) Size(name string) int {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
@@ -147,28 +246,30 @@
 	return append([]byte{}, disk.files[name].body...), nil
 }
 
-func (disk *Disk) Create(name string) (control.File, error) {
-	disk.mutex.Lock()
-	defer disk.mutex.Unlock()
-	disk.files[name] = &blob{}
-	return &file{disk: disk, blob: disk.files[name]}, nil
+// changeNames is whether the folder takes a change of its names.
+func (disk *Disk) changeNames() error {
+	if !disk.called() || disk.refuses.Names {
+		return errFaulty
+	}
+	return nil
 }
 
-func (disk *Disk) Extend(name string, size int64) (control.File, error) {
+func (disk *Disk) Create(name string) (control.File, error) {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
-	held := disk.files[name]
-	if held == nil {
-		return nil, errGone
+	if fault := disk.changeNames(); fault != nil {
+		return nil, fault
 	}
-	held.body = held.body[:size]
-	held.synced = len(held.body)
-	return &file{disk: disk, blob: held}, nil
+	disk.files[name] = newBlob(nil)
+	return &file{disk: disk, blob: disk.files[name]}, nil
 }
 
 func (disk *Disk) Rename(before, after string) error {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
+	if fault := disk.changeNames(); fault != nil {
+		return fault
+	}
 	if disk.files[before] == nil {
 		return errGone
 	}
@@ -180,6 +281,9 @@
 func (disk *Disk) Remove(name string) error {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
+	if fault := disk.changeNames(); fault != nil {
+		return fault
+	}
 	delete(disk.files, name)
 	return nil
 }
@@ -188,11 +292,8 @@
 func (disk *Disk) Sync() error {
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
-	for disk.stalled {
-		disk.wake.Wait()
-	}
-	if disk.failing {
-		return errFaulty
+	if fault := disk.answers(); fault != nil {
+		return fault
 	}
 	disk.lasting = map[string]*blob{}
 	for name, held := range disk.files {
@@ -201,39 +302,57 @@
 	return nil
 }
 
+// answers waits while the disk is stalled, and is whether it then syncs.
+func (disk *Disk) answers() error {
+	for disk.stalled {
+		disk.wake.Wait()
+	}
+	if !disk.called() || disk.refuses.Syncs {
+		return errFaulty
+	}
+	return nil
+}
+
+// sync is one file's; what a failed one left behind, no later one covers.
+func (disk *Disk) sync(held *blob) error {
+	fault := disk.answers()
+	if fault == nil {
+		held.sync()
+	} else if !disk.dead {
+		held.drop()
+	}
+	return fault
+}
+
 type file struct {
 	disk *Disk
 	blob *blob
 }
 
+// Write takes as much as there is room for.
 func (file *file) Write(body []byte) (int, error) {
-	file.disk.mutex.Lock()
-	defer file.disk.mutex.Unlock()
-	if file.disk.failing {
+	disk := file.disk
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	if !disk.called() || disk.refuses.Writes {
 		return 0, errFaulty
 	}
-	file.blob.body = append(file.blob.body, body...)
+	taken := body
+	if disk.room > 0 {
+		taken = body[:max(0, min(len(body), disk.room-disk.used()))]
+	}
+	file.blob.write(taken)
+	disk.most = max(disk.most, disk.used())
+	if len(taken) < len(body) {
+		return len(taken), errFull
+	}
 	return len(body), nil
 }
 
 func (file *file) Sync() error {
 	file.disk.mutex.Lock()
 	defer file.disk.mutex.Unlock()
-	for file.disk.stalled {
-		file.disk.wake.Wait()
-	}
-	if file.disk.failing {
-		return errFaulty
-	}
-	file.blob.synced = len(file.blob.body)
-	return nil
+	return file.disk.sync(file.blob)
 }
 
 func (file *file) Close() error { return nil }
-
-// Cut leaves only the first bytes of a file.
-func (disk *Disk) Cut(name string, size int) {
-	disk.mutex.Lock()
-	disk.files[name].body = disk.files[name].body[:size]
-	disk.mutex.Unlock()
-}
--- /dev/null
+++ b/sim/refuse_test.go
@@ -0,0 +1,114 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/wire"
+)
+
+// A core's disk refuses all for twenty seconds. The core stays up and does not vote;
+// a leader hands the lead on; orders are acknowledged throughout; with room again the
+// core votes and holds what was ordered meanwhile, without a restart.
+func TestCoreWithARefusingDiskStaysUp(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 3)
+		version := uint64(1)
+		for _, kind := range []string{"leader refuses", "follower refuses", "leader is full", "restarted"} {
+			index := world.calm(test)
+			if kind == "follower refuses" || kind == "restarted" {
+				index = (index + 1) % 3
+			}
+			machine := world.Cores[index]
+			trouble := func() {
+				if kind == "leader is full" {
+					machine.Disk.Room(machine.Disk.Used())
+				} else {
+					machine.Disk.Fail(true)
+				}
+			}
+			trouble()
+			if kind == "restarted" {
+				world.KillCore(index, true)
+				trouble()
+				world.StartCore(index)
+			}
+			slowest := time.Duration(0)
+			for until := time.Now().Add(20 * time.Second); time.Now().Before(until); {
+				begin := time.Now()
+				if mishap := world.Put(version+1, version); mishap != nil {
+					world.broke("%s: %v", kind, mishap)
+					break
+				}
+				version++
+				slowest = max(slowest, time.Since(begin))
+				world.Rest(time.Second)
+			}
+			if slowest > 2*time.Second {
+				world.broke("%s: an order took %v", kind, slowest)
+			}
+			if machine.threads.Stopping() {
+				world.broke("%s: the core ended", kind)
+				break
+			}
+			if machine.Core.Sound() || world.Leader() == index {
+				world.broke("%s: votes %v, leads %v", kind, machine.Core.Sound(), world.Leader() == index)
+			}
+			machine.Disk.Fail(false)
+			machine.Disk.Room(0)
+			if !world.Until(2*time.Second, func() bool { return machine.Core.Sound() }) {
+				world.broke("%s: does not vote again", kind)
+			}
+			world.Rest(time.Second)
+			if held := world.lasts(index); held < world.lasts((index+1)%3) {
+				world.broke("%s: holds serial %d on its disk, another %d", kind, held, world.lasts((index+1)%3))
+			}
+		}
+		world.report(test)
+	})
+}
+
+// A follower's disk does not answer for ten seconds while orders go on: the leader
+// does not send it the same values at each beat, and it catches up afterwards.
+func TestStalledDiskIsNotSentValuesAgainAndAgain(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 3)
+		defer world.CloseFar()
+		world.farUp(test, 3)
+		leader := world.calm(test)
+		index := (leader + 1) % 3
+		before := world.counted("copies_mended")
+		world.Cores[index].Disk.Stall(true)
+		for version := uint64(1); version < 9; version++ {
+			if mishap := world.Put(version+1, version); mishap != nil {
+				world.broke("%d: %v", version+1, mishap)
+			}
+			world.Rest(time.Second)
+		}
+		world.Rest(2 * time.Second)
+		if sent := world.counted("copies_mended") - before; sent > 10 {
+			world.broke("values sent %d times to a disk that does not answer", sent)
+		}
+		if world.Leader() != leader {
+			world.broke("the lead moved from %d to %d", leader, world.Leader())
+		}
+		world.Cores[index].Disk.Stall(false)
+		world.Rest(2 * time.Second)
+		if world.lasts(index) != world.lasts(leader) {
+			world.broke("holds serial %d, the leader %d", world.lasts(index), world.lasts(leader))
+		}
+		world.report(test)
+	})
+}
+
+// lasts is the routing's serial that a core's disk would keep through a power loss.
+func (world *World) lasts(index int) uint64 {
+	store, mishap := control.OpenStore(world.Cores[index].Disk.Copy())
+	if mishap != nil {
+		return 0
+	}
+	return store.State().Accepted[wire.RoutingRegister].Value.Serial
+}
--- a/wire/core.go
+++ b/wire/core.go
@@ -51,9 +51,12 @@
 	NowMs     int64
 }
 
+// BeatTold is a core's answer to a beat. One whose disk refuses writes or does not
+// answer takes the beat, as its promise stands, and can accept nothing.
 type BeatTold struct {
 	Taken    bool
 	Voter    bool
+	Refuses  bool
 	Promised Ballot
 	Marks    Marks
 	Reach    int
