--- a/control/enlist.go
+++ b/control/enlist.go
@@ -69,6 +69,7 @@
 func (core *Core) enlist() {
 	if core.place.Found && !core.voter.State().Opening {
 		if core.voter.Open() != nil {
+			core.threads.Rest(enlistPace)
 			return
 		}
 	}
@@ -115,6 +116,7 @@
 	founds := mayEnrol(core.opening(), view)
 	if founds {
 		if mishap := core.voter.Enrol(accepted); mishap != nil {
+			core.threads.Rest(enlistPace)
 			return
 		}
 	}
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -229,7 +229,7 @@
 	}
 	values, now := leadership.values, leadership.content
 	leadership.mutex.Unlock()
-	if !told.Taken || !told.Voter {
+	if !told.Taken || !told.Voter || told.Refuses {
 		return
 	}
 	for register := range committed {
@@ -271,7 +271,7 @@
 	view := leadership.core.members()
 	for _, peer := range view.Peers {
 		told := leadership.reports[peer.ID]
-		if told == nil || !view.mayLead(peer.ID) || !told.Voter || !told.Taken || passed[peer.ID] {
+		if told == nil || !view.mayLead(peer.ID) || !told.Voter || !told.Taken || told.Refuses || passed[peer.ID] {
 			continue
 		}
 		if !found || fitter(told.Marks, told.Reach, peer.ID, leadership.reports[best.ID].Marks, leadership.reports[best.ID].Reach, best.ID) {
--- a/control/replace.go
+++ b/control/replace.go
@@ -93,7 +93,7 @@
 	best := ""
 	for address, held := range succession.learners {
 		report := held.report
-		if report == nil || !report.Taken || !report.Voter || time.Since(held.answered) > span || !near(report.Marks) {
+		if report == nil || !report.Taken || !report.Voter || report.Refuses || time.Since(held.answered) > span || !near(report.Marks) {
 			continue
 		}
 		if best == "" || compareAddresses(address, best) < 0 {
--- a/control/voter.go
+++ b/control/voter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sync/atomic"
+	"time"
 
 	"orchidjunction/run"
 	"orchidjunction/wire"
@@ -17,6 +18,8 @@
 	fault  func(*wire.Mishap)
 	raised func(wire.Ballot)
 	learns func(wire.Accepted)
+
+	writing atomic.Pointer[time.Time]
 }
 
 // NewVoter calls raised when the promise rises.
@@ -38,7 +41,7 @@
 // keep appends within the turn and shows the new state.
 func (voter *Voter) keep(step record) *wire.Mishap {
 	before, members := voter.store.state.Promised, voter.store.state.Accepted[wire.MembersRegister].Mark()
-	if mishap := voter.store.Append(step); mishap != nil {
+	if mishap := voter.written(func() *wire.Mishap { return voter.store.Append(step) }); mishap != nil {
 		voter.fault(mishap)
 		return mishap
 	}
@@ -52,15 +55,49 @@
 	return nil
 }
 
+// written is one step of the disk, whose length others can see.
+func (voter *Voter) written(step func() *wire.Mishap) *wire.Mishap {
+	began := time.Now()
+	voter.writing.Store(&began)
+	defer voter.writing.Store(nil)
+	return step()
+}
+
+// Stalled is whether the disk has not answered for so long that nobody should wait.
+func (voter *Voter) Stalled() bool {
+	began := voter.writing.Load()
+	return began != nil && time.Since(*began) > stallLimit
+}
+
+// enter takes the turn, unless the disk is stalled: those who ask again and again
+// must not pile up behind it with what they brought.
+func (voter *Voter) enter() *wire.Mishap {
+	if voter.Stalled() {
+		return wire.New(wire.DiskFault, "the disk does not answer")
+	}
+	voter.turn.Take()
+	return nil
+}
+
+// ready is nil while this core may vote; within the turn.
+func (voter *Voter) ready() *wire.Mishap {
+	if !voter.store.state.Founded {
+		return wire.New(wire.Blank, "not restored yet")
+	}
+	return voter.store.Fault()
+}
+
 // Promise grants a ballot that is not older than those promised before, unless the
 // asker counts by an older membership than the one accepted here.
 func (voter *Voter) Promise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
-	voter.turn.Take()
+	if mishap := voter.enter(); mishap != nil {
+		return nil, mishap
+	}
 	defer voter.turn.Give()
-	state, ballot := &voter.store.state, message.Ballot
-	if !state.Founded {
-		return nil, wire.New(wire.Blank, "not restored yet")
+	if mishap := voter.ready(); mishap != nil {
+		return nil, mishap
 	}
+	state, ballot := &voter.store.state, message.Ballot
 	if members := state.Accepted[wire.MembersRegister]; supersedes(members, message.Members) {
 		return &wire.PromiseTold{Promised: state.Promised, Members: members}, nil
 	}
@@ -76,12 +113,14 @@
 }
 
 func (voter *Voter) Accept(message *wire.Accept) (*wire.AcceptTold, *wire.Mishap) {
-	voter.turn.Take()
+	if mishap := voter.enter(); mishap != nil {
+		return nil, mishap
+	}
 	defer voter.turn.Give()
-	state := &voter.store.state
-	if !state.Founded {
-		return nil, wire.New(wire.Blank, "not restored yet")
+	if mishap := voter.ready(); mishap != nil {
+		return nil, mishap
 	}
+	state := &voter.store.state
 	if message.Ballot.Less(state.Promised) {
 		return &wire.AcceptTold{Promised: state.Promised}, nil
 	}
@@ -170,6 +209,13 @@
 	}
 }
 
+// Repair makes a store that refused a step take steps again.
+func (voter *Voter) Repair() *wire.Mishap {
+	voter.turn.Take()
+	defer voter.turn.Give()
+	return voter.written(voter.store.Repair)
+}
+
 func (voter *Voter) Close() {
 	voter.turn.Take()
 	defer voter.turn.Give()
