A learner begins with the membership on its disk, not only in memory

Cause, by hand and then in the model: Found of an empty learner wrote no membership, so that after a crash the replica refused nobody for counting by an old one; with its earlier disk it may have been a voter of that. Ruled out: the promise it takes with Found (fences stale leaders, not new candidates). Now Found brings the admitting leader's membership, and waits where another one is known. TestModelEmptyLearnerKnowsTheMembership failed before (what was decided under 1.2 lost under 3.1).

--- a/control/learner.go
+++ b/control/learner.go
@@ -117,11 +117,19 @@
 	return told.Admitted && core.voter.Blank() && !core.members().votes()
 }
 
-// beginEmpty makes a blank disk a replica that accepted nothing. It holds no vote
-// yet, and never held one: the leader was confirmed after this disk was found blank,
-// and the membership then did not count this core.
+// beginEmpty makes a blank disk a replica that accepted nothing but the membership. It
+// holds no vote by that: the leader was confirmed after this disk was found blank, and
+// the membership then did not count this core. An earlier one may have, and its disk
+// was lost since, so the replica must refuse whoever counts by an earlier one. It
+// waits for the membership that the admitting leader wrote under its ballot.
 func (core *Core) beginEmpty(ballot wire.Ballot) {
-	if mishap := core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil); mishap != nil {
+	view := core.members()
+	if view.votes() || view.Mark.Ballot != ballot {
+		return
+	}
+	accepted := [wire.Registers]wire.Accepted{}
+	accepted[wire.MembersRegister] = view.accepted()
+	if mishap := core.voter.Found(ballot, accepted, nil); mishap != nil {
 		return
 	}
 	core.counts.Add("learners_begun", 1)
