Twenty seeded bugs, each found by random walks of the model

Forms of walks that start after two replacements, or lose disks often, so that rare bugs are met too.

--- /dev/null
+++ b/control/model_mutants_test.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// modelMutant is a seeded bug, and the invariants of which it must break one.
+type modelMutant struct {
+	name   string
+	breaks []string
+	mutate func(rules *modelRules)
+	// form is the form of deployment whose walks must find it.
+	form int
+	// detailed lets the invariants on single answers find it too; without that it has
+	// to show in what is decided, led and served.
+	detailed bool
+}
+
+// modelTooFew counts with one voter less than a majority of each group.
+func modelTooFew(view *View, has func(id int) bool) bool {
+	if !view.votes() {
+		return false
+	}
+	for _, group := range view.groups() {
+		if countIn(group, func(id int) bool { return id == view.ID || has(id) }) < majorityOf(group)-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// modelFirstGroup counts a majority of the former voters only, also during a step.
+func modelFirstGroup(view *View, has func(id int) bool) bool {
+	return view.votes() && countIn(view.Voters, has) >= majorityOf(view.Voters)
+}
+
+// modelOldest takes over the oldest values in place of the newest.
+func modelOldest(view *View, promises map[int]*wire.PromiseTold) (oldest [wire.Registers]wire.Accepted, from [wire.Registers]int) {
+	oldest, from = takenOver(view, promises)
+	for id, promise := range promises {
+		for register := range wire.MembersRegister {
+			if promise.Accepted[register].Mark().Less(oldest[register].Mark()) {
+				oldest[register], from[register] = promise.Accepted[register], id
+			}
+		}
+	}
+	return oldest, from
+}
+
+const (
+	modelThree = iota
+	modelFour
+	modelLate
+	modelFive
+	modelWiped
+	modelStale
+	modelEmptied
+)
+
+var modelMutants = []modelMutant{
+	{name: "a candidate needs one promise less", form: modelThree, breaks: []string{acknowledgedIsKept, oneValuePerSerial, oneLeaderPerBallot, confirmedReadIsNewest},
+		mutate: func(rules *modelRules) { rules.decides = modelTooFew }},
+	{name: "a write needs one replica less", form: modelThree, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) { rules.pushed = modelTooFew }},
+	{name: "a write needs one replica less, of 4", form: modelFour, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) { rules.pushed = modelTooFew }},
+	{name: "a step counts the former voters only", form: modelThree, breaks: []string{oneVoterPerStep, acknowledgedIsKept, quorumsMeet},
+		mutate: func(rules *modelRules) {
+			rules.pushed = modelFirstGroup
+			rules.decides = func(view *View, has func(id int) bool) bool {
+				return modelFirstGroup(view, func(id int) bool { return id == view.ID || has(id) })
+			}
+		}},
+	{name: "nobody refuses an older membership", form: modelThree, breaks: []string{acknowledgedIsKept, oneVoterPerStep, quorumsMeet},
+		mutate: func(rules *modelRules) {
+			rules.askedMembers = func(view *View) wire.Accepted {
+				asked := view.accepted()
+				asked.Ballot.Round = math.MaxUint32
+				return asked
+			}
+		}},
+	{name: "a change without the joint step", form: modelThree, breaks: []string{oneVoterPerStep},
+		mutate: func(rules *modelRules) { rules.beginsByStep = false }},
+	{name: "two voters change in a step", form: modelFour, breaks: []string{oneVoterPerStep},
+		mutate: func(rules *modelRules) {
+			rules.replaced = func(view *View, leaving int, address string) *Membership {
+				step := view.replaced(leaving, address)
+				other := slices.IndexFunc(step.Next, func(peer Peer) bool { return peer.ID != view.ID && peer.Address != address })
+				step.LastID++
+				step.Next[other] = Peer{ID: step.LastID, Address: step.Next[other].Address}
+				return step
+			}
+		}},
+	{name: "a newcomer gets the ID of the one that left", form: modelThree, breaks: []string{idsAreUsedOnce},
+		mutate: func(rules *modelRules) {
+			rules.replaced = func(view *View, leaving int, address string) *Membership {
+				step := view.replaced(leaving, address)
+				step.LastID = view.LastID
+				step.Next[len(step.Next)-1].ID = leaving
+				return step
+			}
+		}},
+	{name: "ballots without the core's ID", form: modelThree, breaks: []string{oneLeaderPerBallot, oneValuePerSerial, acknowledgedIsKept},
+		mutate: func(rules *modelRules) {
+			rules.nextBallot = func(core *Core, view *View) wire.Ballot {
+				ballot, _ := core.nextBallot(view)
+				ballot.Core = 1
+				return ballot
+			}
+		}},
+	{name: "a joining core stands", form: modelThree, breaks: []string{onlyVotersLead}, detailed: true,
+		mutate: func(rules *modelRules) { rules.mayLead = func(view *View, id int) bool { return id > 0 } }},
+	{name: "a ballot takes over the oldest values", form: modelThree, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) { rules.takenOver = modelOldest }},
+	{name: "a blank disk votes", form: modelThree, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) { rules.blankDiskVotes = true }},
+	{name: "a sync that does not last", form: modelThree, breaks: []string{acknowledgedIsKept, oneLeaderPerBallot, oneValuePerSerial},
+		mutate: func(rules *modelRules) { rules.syncs = false }},
+	{name: "a blank voter fences one other voter less", form: modelWiped, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) {
+			rules.fencesWithout = modelFenceTooFew
+			rules.mayRestore = func(core *Core, view *View, told map[int]*wire.RestoreTold) bool {
+				return view.mayLead(view.ID) && modelFenceTooFew(view, view.ID, agreed(told, func(answer *wire.RestoreTold) bool { return answer.Founded }))
+			}
+		}},
+	{name: "a restored voter has promised nothing", form: modelWiped, breaks: []string{acknowledgedIsKept, oneValuePerSerial},
+		mutate: func(rules *modelRules) {
+			rules.found = func(voter *Voter, _ wire.Ballot, _ [wire.Registers]wire.Accepted) *wire.Mishap {
+				return voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+			}
+		}},
+	{name: "a voter is admitted as a learner", form: modelWiped, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) {
+			rules.admits = func(*View, string) bool { return true }
+			rules.mayBeginEmpty = func(core *Core, told *wire.EnlistTold) bool { return told.Admitted && core.voter.Blank() }
+			rules.beginEmpty = modelBeginEmpty
+		}},
+	{name: "a learner is admitted unconfirmed", form: modelStale, breaks: []string{acknowledgedIsKept, onlyVotersCount}, detailed: true,
+		mutate: func(rules *modelRules) { rules.confirms = false }},
+	{name: "a learner forgets who votes", form: modelEmptied, breaks: []string{acknowledgedIsKept, quorumsMeet, onlyVotersCount}, detailed: true,
+		mutate: func(rules *modelRules) {
+			rules.beginEmpty = func(core *Core, ballot wire.Ballot) {
+				core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil)
+			}
+		}},
+	{name: "a leader counts by what it heard", form: modelThree, breaks: []string{oneVoterPerStep, acknowledgedIsKept, quorumsMeet},
+		mutate: func(rules *modelRules) { rules.leadsBy = func(*Core, *View, wire.Ballot) *wire.Mishap { return nil } }},
+	{name: "a step ends without catching up or rewriting", form: modelThree, breaks: []string{acknowledgedIsKept},
+		mutate: func(rules *modelRules) { rules.catchesUp, rules.rewrites = false, false }},
+}
+
+func modelFenceTooFew(view *View, lost int, has func(id int) bool) bool {
+	return countIn(view.Voters, func(id int) bool { return id != lost && has(id) }) >= len(view.Voters)-majorityOf(view.Voters)
+}
+
+// modelBeginEmpty begins without a look at the membership.
+func modelBeginEmpty(core *Core, ballot wire.Ballot) {
+	core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil)
+}
+
+// modelMutantWalks bound the search for one mutant.
+const modelMutantWalks = 6000
+
+// TestModelFindsMutants seeds one bug after the other; walks must find each.
+func TestModelFindsMutants(test *testing.T) {
+	modelQuiet(test)
+	for _, mutant := range modelMutants {
+		test.Run(mutant.name, func(test *testing.T) {
+			rules := modelRealRules()
+			mutant.mutate(rules)
+			began := time.Now()
+			for index := range modelMutantWalks {
+				walk := newModelWalk(rules, &modelForms[mutant.form], uint64(index+1))
+				walk.world.ledger.outcomesOnly = !mutant.detailed
+				violation := walk.run(modelWalkSteps)
+				if violation == nil {
+					continue
+				}
+				if !slices.Contains(mutant.breaks, violation.invariant) {
+					test.Errorf("found as %v; want one of %q", violation, mutant.breaks)
+				}
+				test.Logf("found by walk %d in %v: %v", index+1, time.Since(began).Round(time.Millisecond), violation)
+				return
+			}
+			test.Errorf("not found by %d walks in %v", modelMutantWalks, time.Since(began).Round(time.Millisecond))
+		})
+	}
+}
--- a/control/model_script_test.go
+++ b/control/model_script_test.go
@@ -77,10 +77,11 @@
 	script.do(modelAction{kind: modelRestart, machine: machine - 1})
 }
 
-// modelTwoReplaced replaces founders 1 and 2 of 3 by newcomers 4 and 5, while founder 1
-// was cut off all the time and still goes by the first membership.
+// modelTwoReplaced replaces founders 1 and 2 of 3 by newcomers 4 and 5. Founder 1 led
+// first, was cut off all the time since, and still goes by the first membership.
 func modelTwoReplaced(world *modelWorld) {
 	script := &modelScript{world: world, fail: func(string, ...any) {}}
+	script.leads(1, 2, 3)
 	script.leads(2, 3)
 	script.orders(2, 3)
 	script.joins(4, 2, 3)
@@ -92,6 +93,14 @@
 	world.flight, world.spent = nil, modelSpent{}
 }
 
+// modelTwoEmptied goes on from there: founder 2 has a new, empty disk, and is running.
+func modelTwoEmptied(world *modelWorld) {
+	modelTwoReplaced(world)
+	script := &modelScript{world: world, fail: func(string, ...any) {}}
+	script.renews(2)
+	world.flight, world.spent = nil, modelSpent{}
+}
+
 // A founder that was replaced comes back with an empty disk, begins as a learner and
 // stops at once. Another founder, cut off since before the first replacement, asks it
 // for a promise by the first membership: together they were a majority of that.
@@ -113,9 +122,9 @@
 	script.crashes(2)
 	script.do(modelAction{kind: modelRestart, machine: 1})
 	for range 3 {
+		script.do(modelAction{kind: modelTimeOut, machine: 0})
 		script.do(modelAction{kind: modelStand, machine: 0})
 		script.among(1, 2)
-		script.do(modelAction{kind: modelTimeOut, machine: 0})
 	}
 	if world.machines[0].process.core.members().Mark.Serial == 1 {
 		test.Error("machine 1 still goes by the first membership")
--- a/control/model_walk_test.go
+++ b/control/model_walk_test.go
@@ -37,6 +37,11 @@
 // modelHarms are how often a walk does each kind of harm.
 var modelHarms = map[modelKind]int{modelGiveUp: 3, modelCrash: 3, modelPowerLoss: 2, modelWipe: 2}
 
+var (
+	modelWipesFirst   = map[modelKind]int{modelGiveUp: 2, modelCrash: 2, modelPowerLoss: 1, modelWipe: 6}
+	modelCrashesFirst = map[modelKind]int{modelGiveUp: 3, modelCrash: 6, modelPowerLoss: 1, modelWipe: 1}
+)
+
 // modelHarmPace is how many steps go by between two harms on average.
 const modelHarmPace = 40
 
@@ -45,6 +50,7 @@
 
 // modelWalk is one random walk.
 type modelWalk struct {
+	form   modelWalkForm
 	world  *modelWorld
 	random *rand.Rand
 	calm   int
@@ -52,8 +58,14 @@
 	done   map[modelKind]int
 }
 
-func newModelWalk(rules *modelRules, bounds *modelBounds, seed uint64) *modelWalk {
-	walk := &modelWalk{world: newModelWorld(rules, bounds), random: rand.New(rand.NewPCG(seed, 16)), done: map[modelKind]int{}}
+func newModelWalk(rules *modelRules, form *modelWalkForm, seed uint64) *modelWalk {
+	walk := &modelWalk{form: *form, world: newModelWorld(rules, &form.bounds), random: rand.New(rand.NewPCG(seed, 16)), done: map[modelKind]int{}}
+	if form.pace == 0 {
+		walk.form.harms, walk.form.pace = modelHarms, modelHarmPace
+	}
+	if form.prepare != nil {
+		form.prepare(walk.world)
+	}
 	for index := range walk.world.machines {
 		walk.world.owned = walk.world.owned.with(index)
 	}
@@ -93,7 +105,7 @@
 // weights are those of the steps now.
 func (walk *modelWalk) weights() func(kind modelKind) int {
 	if walk.harms {
-		return func(kind modelKind) int { return modelHarms[kind] }
+		return func(kind modelKind) int { return walk.form.harms[kind] }
 	}
 	led := slices.ContainsFunc(walk.world.machines, func(machine *modelMachine) bool { return machine.process != nil && machine.process.leadership != nil })
 	return func(kind modelKind) int {
@@ -108,7 +120,7 @@
 // goes first most of the time, and some of it is lost.
 func (walk *modelWalk) choose() (modelAction, bool) {
 	kinds := map[modelKind][]modelAction{}
-	walk.harms = walk.random.IntN(modelHarmPace) == 0
+	walk.harms = walk.random.IntN(walk.form.pace) == 0
 	total, weights := 0, walk.weights()
 	walk.world.actions(func(action modelAction) {
 		if len(kinds[action.kind]) == 0 {
@@ -168,23 +180,30 @@
 
 // modelWalkForm is a form of deployment that walks start from.
 type modelWalkForm struct {
-	name   string
-	bounds modelBounds
+	name    string
+	bounds  modelBounds
+	prepare func(world *modelWorld)
+	// harms and pace replace modelHarms and modelHarmPace where they are set.
+	harms map[modelKind]int
+	pace  int
 }
 
 var modelData = []wire.Register{wire.SettingsRegister, wire.ReportsRegister}
 
 // modelMany are bounds that a walk hardly reaches.
 func modelMany(founders, spares, late int) modelBounds {
-	return modelBounds{founders: founders, spares: spares, late: late, registers: modelData, candidates: 40, orders: 40, crashes: 20, powerLoss: 12, wipes: 6,
-		steps: 20, enlists: 60, mends: 40, duplicates: 40, giveUps: 30, timeOuts: true, cuts: 1}
+	return modelBounds{founders: founders, spares: spares, late: late, registers: modelData, candidates: 40, orders: 40, crashes: 20, powerLoss: 12, wipes: 12,
+		steps: 20, enlists: 80, mends: 40, duplicates: 40, giveUps: 30, timeOuts: true, cuts: 1}
 }
 
 var modelForms = []modelWalkForm{
-	{"3 voters, 2 newcomers", modelMany(3, 2, 0)},
-	{"4 voters, 1 newcomer", modelMany(4, 1, 0)},
-	{"3 voters, 1 newcomer, one voter late", modelMany(3, 1, 1)},
-	{"5 voters, 2 newcomers", modelMany(5, 2, 0)},
+	{name: "3 voters, 2 newcomers", bounds: modelMany(3, 2, 0)},
+	{name: "4 voters, 1 newcomer", bounds: modelMany(4, 1, 0)},
+	{name: "3 voters, 1 newcomer, one voter late", bounds: modelMany(3, 1, 1)},
+	{name: "5 voters, 2 newcomers", bounds: modelMany(5, 2, 0)},
+	{name: "3 voters that lose their disks often", bounds: modelMany(3, 0, 0), harms: modelWipesFirst, pace: 20},
+	{name: "two of 3 replaced, one still leads as before", bounds: modelMany(3, 2, 0), prepare: modelTwoReplaced, harms: modelWipesFirst, pace: 25},
+	{name: "two of 3 replaced, one still leads as before, one is empty", bounds: modelMany(3, 2, 0), prepare: modelTwoEmptied, harms: modelCrashesFirst, pace: 15},
 }
 
 // TestModelWalks takes seeded random walks by the real rules.
@@ -199,9 +218,9 @@
 			began, tally := time.Now(), map[modelKind]int{}
 			leaderships, orders, versions := 0, 0, 0
 			for index := range count {
-				walk := newModelWalk(modelRealRules(), &form.bounds, *modelSeed+uint64(index))
+				walk := newModelWalk(modelRealRules(), &form, *modelSeed+uint64(index))
 				if violation := walk.run(modelWalkSteps); violation != nil {
-					test.Fatalf("seed %d: %v\n%s", *modelSeed+uint64(index), violation, modelTrace(form.bounds, modelRealRules(), *modelSeed+uint64(index), false))
+					test.Fatalf("seed %d: %v\n%s", *modelSeed+uint64(index), violation, modelTrace(&form, modelRealRules(), *modelSeed+uint64(index), false))
 				}
 				for kind, done := range walk.done {
 					tally[kind] += done
@@ -219,8 +238,8 @@
 }
 
 // modelTrace is the way to a violation, walked again.
-func modelTrace(bounds modelBounds, rules *modelRules, seed uint64, outcomesOnly bool) string {
-	walk := newModelWalk(rules, &bounds, seed)
+func modelTrace(form *modelWalkForm, rules *modelRules, seed uint64, outcomesOnly bool) string {
+	walk := newModelWalk(rules, form, seed)
 	walk.world.tracing, walk.world.ledger.outcomesOnly = true, outcomesOnly
 	walk.run(modelWalkSteps)
 	return strings.Join(walk.world.trace, "\n")
