Nothing is concluded from an answer's head of no attempt, of two, or run into another

Cause: a 503 or 421 without an attempt id was taken as the waiting request's refusal, though it may be a surplus answer: a mutating request that runs was then told 503. A part of a surplus answer's head ran into the true head and gave one head with the first one's status and the second one's id and seal: a 500 reached the client as a 200. A backend that listed its seal or attempt in Connection lost them. Interim answers, the bodies of surplus answers and of refusals had no bound; status 099 was an interim answer; a HEAD's answer in chunks was given a length of 0. The reader is its own file with one classification.

--- /dev/null
+++ b/proxy/answer.go
@@ -0,0 +1,206 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	wholeMost    = 256 << 10
+	surplusMost  = 3
+	interimMost  = 8
+	refusalDrain = 50 * time.Millisecond
+)
+
+// answer is a backend's answer: whole, or its head with the rest still to read.
+type answer struct {
+	response *http.Response
+	body     []byte
+	rest     io.Reader
+	release  func(sound bool)
+}
+
+// headKind is what the head of an answer means to the request that waits for one.
+type headKind uint8
+
+const (
+	// malformedHead lets nothing be concluded: the request may have run.
+	malformedHead headKind = iota
+	// interimHead precedes the answer proper.
+	interimHead
+	// surplusHead begins an answer to another request.
+	surplusHead
+	// refusalHead says that the backend did not run the request and will not.
+	refusalHead
+	// finalHead begins the answer to the request.
+	finalHead
+)
+
+// classify tells what a head means to a request with an attempt id. Nothing is
+// concluded from a head that names no attempt, or more than one.
+func (names *Headers) classify(response *http.Response, id string, repeats bool) headKind {
+	status := response.StatusCode
+	if status < 100 || status == http.StatusSwitchingProtocols || twoHeads(response) {
+		return malformedHead
+	}
+	if status < 200 {
+		return interimHead
+	}
+	ids := response.Header[names.Attempt]
+	if len(ids) != 1 || len(response.Header[names.Seal]) > 1 {
+		return malformedHead
+	}
+	if ids[0] != id {
+		return surplusHead
+	}
+	refused := response.Header.Get(names.NotExecuted) != ""
+	switch {
+	case refused && status < 400:
+		return malformedHead
+	case refused || status == http.StatusMisdirectedRequest:
+		return refusalHead
+	case status < 300 && response.Header.Get(names.Seal) == "":
+		return malformedHead
+	case !repeats && promises(status):
+		return malformedHead
+	}
+	return finalHead
+}
+
+// promises is whether a status tells the client that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// twoHeads is whether another answer's status line stands inside a head: an answer
+// that was broken off, or a part of a surplus one, runs into the next on the same
+// connection.
+func twoHeads(response *http.Response) bool {
+	if holdsStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if holdsStatusLine(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// holdsStatusLine is whether a text holds "HTTP/1.x nnn".
+func holdsStatusLine(text string) bool {
+	const version = "HTTP/1."
+	for {
+		at := strings.Index(text, version)
+		if at < 0 {
+			return false
+		}
+		text = text[at+len(version):]
+		if len(text) >= 5 && digits(text[:1]) && text[1] == ' ' && digits(text[2:5]) {
+			return true
+		}
+	}
+}
+
+func digits(text string) bool {
+	return strings.Trim(text, "0123456789") == ""
+}
+
+// receive reads the answer to this request; answers to others are passed over. A
+// refusal gives the connection back, and so ends what stop ends.
+func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, fate) {
+	interim, surplus := 0, 0
+	for {
+		response, fault := connection.answer(request.source)
+		if fault != nil {
+			return nil, lost
+		}
+		kind := proxy.place.Headers.classify(response, request.id, request.route.Kind.Repeats())
+		if kind == refusalHead || kind == finalHead {
+			held.target.tell(response.Header.Get(proxy.place.Headers.Load), proxy.clock())
+			connection.heed(response.Header.Get("Keep-Alive"))
+		}
+		switch kind {
+		case interimHead:
+			if interim++; interim > interimMost {
+				return nil, spoiled
+			}
+		case surplusHead:
+			proxy.counts.Add("answers_surplus", 1)
+			if surplus++; surplus > surplusMost {
+				return nil, spoiled
+			}
+			if !drained(response) {
+				return nil, lost
+			}
+		case refusalHead:
+			proxy.takeRefusal(held.target, connection, response, stop)
+			return &answer{response: response}, refused
+		case finalHead:
+			return proxy.readBody(request, response)
+		default:
+			return nil, spoiled
+		}
+	}
+}
+
+// drained reads an answer's body that nobody needs; false when another answer
+// cannot follow it on the connection.
+func drained(response *http.Response) bool {
+	count, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
+	return fault == nil && count < wholeMost && !response.Close
+}
+
+// takeRefusal gives the connection of a refusal back. The head alone says that the
+// request did not run, so its body is waited for only briefly.
+func (proxy *Proxy) takeRefusal(target *target, connection *connection, response *http.Response, stop func() bool) {
+	if stop() {
+		connection.conn.SetDeadline(proxy.clock().Add(refusalDrain))
+		proxy.release(target, connection, drained(response))
+	} else {
+		target.drop(connection)
+	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		target.displace(proxy.clock())
+		proxy.counts.Add("backends_replaced", 1)
+	}
+}
+
+// readBody reads the body of an answer, or the first part of a large one.
+func (proxy *Proxy) readBody(request *request, response *http.Response) (*answer, fate) {
+	got := &answer{response: response}
+	if request.source.Method == http.MethodHead || !bodied(response.StatusCode) {
+		return got, answered
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, spoiled
+	}
+	buffer := bytes.Buffer{}
+	if response.ContentLength > 0 && response.ContentLength <= wholeMost {
+		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	}
+	source := &paced{from: response.Body, lane: proxy.inward, ctx: request.within, clock: proxy.clock, large: response.ContentLength > bulkLeast}
+	count, fault := io.Copy(&buffer, io.LimitReader(source, wholeMost))
+	if fault != nil {
+		return nil, lost
+	}
+	got.body = buffer.Bytes()
+	switch {
+	case response.ContentLength >= 0 && count == response.ContentLength:
+	case count == wholeMost:
+		got.rest = source
+	case response.ContentLength >= 0:
+		return nil, lost
+	}
+	return got, answered
+}
+
+// bodied is whether an answer of this status may have a body.
+func bodied(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -1,9 +1,7 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -24,38 +22,31 @@
 )
 
 const (
-	wholeMost   = 256 << 10
-	surplusMost = 3
-	dialNear    = 300 * time.Millisecond
-	dialFar     = 600 * time.Millisecond
+	dialNear = 300 * time.Millisecond
+	dialFar  = 600 * time.Millisecond
 )
 
-// answer is a backend's answer: whole, or its head with the rest still to read.
-type answer struct {
-	response *http.Response
-	body     []byte
-	rest     io.Reader
-	release  func(sound bool)
-}
-
 // hopByHop are the fields that concern one connection only.
 var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true}
 
-// named are the fields that a Connection field lists.
-func named(header http.Header) map[string]bool {
-	var names map[string]bool
+// listedByConnection are the fields that a Connection field lists; those that end to
+// end attribution needs are never among them.
+func (names *Headers) listedByConnection(header http.Header) map[string]bool {
+	var listed map[string]bool
 	for _, value := range header["Connection"] {
 		for _, name := range strings.Split(value, ",") {
-			if name = strings.TrimSpace(name); name != "" {
-				if names == nil {
-					names = map[string]bool{}
-				}
-				names[http.CanonicalHeaderKey(name)] = true
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if name == "" || name == names.Attempt || name == names.Seal {
+				continue
 			}
+			if listed == nil {
+				listed = map[string]bool{}
+			}
+			listed[name] = true
 		}
 	}
-	return names
+	return listed
 }
 
 // connect gives a connection to the target, an idle one or a new one.
@@ -143,11 +134,6 @@
 	return answer, ended
 }
 
-// promises is whether a status tells the client that the request has not run.
-func promises(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
-}
-
 // release gives a connection back where nothing unread is left on it.
 func (proxy *Proxy) release(target *target, connection *connection, sound bool) {
 	if !sound || connection.reader.Buffered() > 0 {
@@ -190,7 +176,7 @@
 		head = append(head, value...)
 		head = append(head, "\r\n"...)
 	}
-	listed := named(source.Header)
+	listed := names.listedByConnection(source.Header)
 	for name, values := range source.Header {
 		if hopByHop[name] || listed[name] || proxy.withheld[name] || name == "Content-Length" || name == "Expect" {
 			continue
@@ -212,72 +198,3 @@
 	}
 	return append(head, "\r\n"...)
 }
-
-// receive reads the answer to this request; answers to others are passed over. A
-// refusal gives the connection back, and so ends what stop ends.
-func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, fate) {
-	names := &proxy.place.Headers
-	for surplus := 0; ; {
-		response, fault := connection.answer(request.source)
-		if fault != nil {
-			return nil, lost
-		}
-		if response.StatusCode < 200 {
-			if response.StatusCode == http.StatusSwitchingProtocols {
-				return nil, spoiled
-			}
-			continue
-		}
-		id := response.Header.Get(names.Attempt)
-		if id != "" && id != request.id {
-			proxy.counts.Add("answers_surplus", 1)
-			if surplus++; surplus > surplusMost {
-				return nil, spoiled
-			}
-			if _, fault := io.Copy(io.Discard, response.Body); fault != nil || response.Close {
-				return nil, lost
-			}
-			continue
-		}
-		held.target.tell(response.Header.Get(names.Load), proxy.clock())
-		connection.heed(response.Header.Get("Keep-Alive"))
-		if response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotExecuted) != "" {
-			count, fault := io.Copy(io.Discard, io.LimitReader(response.Body, wholeMost))
-			sound := stop() && fault == nil && count < wholeMost && !response.Close
-			proxy.release(held.target, connection, sound)
-			if response.StatusCode == http.StatusMisdirectedRequest {
-				held.target.displace(proxy.clock())
-				proxy.counts.Add("backends_replaced", 1)
-			}
-			return &answer{response: response}, refused
-		}
-		if id == "" || response.StatusCode < 300 && response.Header.Get(names.Seal) == "" || !request.route.Kind.Repeats() && promises(response.StatusCode) {
-			return nil, spoiled
-		}
-		got := &answer{response: response}
-		if request.source.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified {
-			return got, answered
-		}
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, spoiled
-		}
-		buffer := bytes.Buffer{}
-		if response.ContentLength > 0 && response.ContentLength <= wholeMost {
-			buffer.Grow(int(response.ContentLength) + bytes.MinRead)
-		}
-		source := &paced{from: response.Body, lane: proxy.inward, ctx: request.within, clock: proxy.clock, large: response.ContentLength > bulkLeast}
-		count, fault := io.Copy(&buffer, io.LimitReader(source, wholeMost))
-		if fault != nil {
-			return nil, lost
-		}
-		got.body = buffer.Bytes()
-		switch {
-		case response.ContentLength >= 0 && count == response.ContentLength:
-		case response.ContentLength >= 0 && count < response.ContentLength && count < wholeMost:
-			return nil, lost
-		case count == wholeMost:
-			got.rest = source
-		}
-		return got, answered
-	}
-}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -365,7 +365,7 @@
 func (proxy *Proxy) finish(request *request, answer *answer) {
 	proxy.move(request, ending)
 	header, names := request.writer.Header(), &proxy.place.Headers
-	listed := named(answer.response.Header)
+	listed := names.listedByConnection(answer.response.Header)
 	for name, values := range answer.response.Header {
 		if hopByHop[name] || listed[name] || name == "Content-Length" || name == names.Load || name == names.Backend || name == names.Warmup {
 			continue
@@ -379,7 +379,7 @@
 	switch {
 	case request.source.Method == http.MethodHead && answer.response.ContentLength >= 0, answer.response.ContentLength > int64(size):
 		header.Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
-	case answer.rest == nil && bodied(answer.response.StatusCode):
+	case answer.rest == nil && request.source.Method != http.MethodHead && bodied(answer.response.StatusCode):
 		header.Set("Content-Length", strconv.Itoa(size))
 	}
 	request.writer.WriteHeader(answer.response.StatusCode)
@@ -406,7 +406,3 @@
 		proxy.stat.served(request.route, proxy.clock().Sub(request.begin), size)
 	}
 }
-
-func bodied(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
