A request is framed one way and known by one id; a handler's bytes are never rewritten

Cause: net/http ignores Transfer-Encoding of HTTP/1.0, so bytes of its body became a second request that a backend ran; an answer cut short looks complete to such a client. Both: 505 and close now. No id, or two, went on to a backend: 400 now. The listener's rewriting of net/http's own refusals looked at every write, so that a part of a body that reads like a refusal was replaced and the client's framing lost; it now looks only while no handler answers. OPTIONS * got an empty 200 of the library's own.

--- /dev/null
+++ b/program/framing_test.go
@@ -0,0 +1,78 @@
+package program
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"orchidjunction/run"
+)
+
+// listen serves a handler on a free port of this machine, until the test's end.
+func listen(test *testing.T, handler http.Handler) net.Conn {
+	test.Helper()
+	probe, fault := net.Listen("tcp", "127.0.0.1:0")
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	address := probe.Addr().String()
+	probe.Close()
+	listener, mishap := Listen(address, handler, 4<<10)
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	threads := run.NewThreads()
+	listener.Serve(threads)
+	test.Cleanup(func() {
+		listener.Close()
+		threads.Wait()
+	})
+	conn, fault := net.Dial("tcp", address)
+	if fault != nil {
+		test.Fatal(fault)
+	}
+	test.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// A body that reads like one of the library's refusals is handed on unchanged.
+func TestBodyLikeARefusalIsUnchanged(test *testing.T) {
+	refusal := "HTTP/1.1 400 Bad Request" + string(bareHead) + "400 Bad Request"
+	body := refusal + strings.Repeat("x", 16<<10)
+	conn := listen(test, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		writer.WriteHeader(http.StatusOK)
+		writer.(http.Flusher).Flush()
+		io.WriteString(writer, body)
+	}))
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		response, fault := http.ReadResponse(reader, nil)
+		if fault != nil {
+			test.Fatal(fault)
+		}
+		if got, fault := io.ReadAll(response.Body); fault != nil || string(got) != body {
+			test.Errorf("%d bytes of %d, beginning with %.60q: %v", len(got), len(body), got, fault)
+		}
+	}
+	io.WriteString(conn, "BLAH\r\n\r\n")
+	response, fault := http.ReadResponse(reader, nil)
+	if fault != nil || response.StatusCode != 400 || response.Header.Get("Content-Type") != "application/json" {
+		test.Errorf("a refusal after answers: %+v, %v", response, fault)
+	}
+}
+
+// The library answers nothing in a handler's place: a success is a handler's own.
+func TestNoAnswerOfTheLibrarysOwn(test *testing.T) {
+	conn := listen(test, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNotFound) }))
+	io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n")
+	response, fault := http.ReadResponse(bufio.NewReader(conn), nil)
+	if fault != nil || response.StatusCode != http.StatusNotFound {
+		test.Errorf("%+v, %v", response, fault)
+	}
+}
--- a/program/program.go
+++ b/program/program.go
@@ -161,8 +161,14 @@
 	standing *standing
 }
 
-const drainPace = 20 * time.Millisecond
+const (
+	drainPace         = 20 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = time.Minute
+)
 
+// Listen opens an address; what the handler does not answer there gets a typed
+// refusal, and the library answers nothing in its place.
 func Listen(address string, handler http.Handler, header int) (*Listener, *wire.Mishap) {
 	if mishap := control.CheckAddress("listen", address); mishap != nil {
 		return nil, mishap
@@ -172,10 +178,25 @@
 		return nil, wire.New(wire.BadFlag, "%s: %v", address, fault)
 	}
 	standing := newStanding()
-	return &Listener{open: typedListener{open}, standing: standing, server: &http.Server{ConnState: standing.turned, Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
-		MaxHeaderBytes: header, ErrorLog: klog.NewStandardLogger("INFO")}}, nil
+	server := &http.Server{
+		Handler:                      marked(handler),
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            readHeaderTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               header,
+		ErrorLog:                     klog.NewStandardLogger("INFO"),
+		ConnContext:                  withConn,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if typed, is := conn.(*typedConn); is {
+				typed.turned(state)
+			}
+			standing.turned(conn, state)
+		},
+	}
+	return &Listener{open: typedListener{open}, standing: standing, server: server}, nil
 }
 
+// Serve accepts connections until the listener is drained or closed.
 func (listener *Listener) Serve(threads *run.Threads) {
 	threads.Start(func() { listener.server.Serve(listener.open) })
 }
--- a/program/typed.go
+++ b/program/typed.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"orchidjunction/wire"
 )
@@ -19,13 +22,43 @@
 	if fault != nil {
 		return nil, fault
 	}
-	return typedConn{conn}, nil
+	return &typedConn{Conn: conn}, nil
 }
 
-type typedConn struct{ net.Conn }
+// typedConn is a client's connection. Only what the library writes while no handler
+// answers there can be a refusal of its own; a handler's bytes are never touched.
+type typedConn struct {
+	net.Conn
+	answering atomic.Bool
+}
+
+// typedConnKey is where a request's context holds its connection.
+type typedConnKey struct{}
+
+// withConn lays the connection into the context of its requests.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, typedConnKey{}, conn)
+}
+
+// marked lets a connection know that a handler answers on it; turned ends that.
+func marked(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if conn, is := request.Context().Value(typedConnKey{}).(*typedConn); is {
+			conn.answering.Store(true)
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// turned takes a change of the connection's state: an idle one has no answer to end.
+func (conn *typedConn) turned(state http.ConnState) {
+	if state == http.StateIdle {
+		conn.answering.Store(false)
+	}
+}
 
 // CloseWrite lets the library end an answer before it closes.
-func (conn typedConn) CloseWrite() error {
+func (conn *typedConn) CloseWrite() error {
 	if half, able := conn.Conn.(interface{ CloseWrite() error }); able {
 		return half.CloseWrite()
 	}
@@ -36,7 +69,10 @@
 // of handlers always have a date.
 var bareHead = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
 
-func (conn typedConn) Write(body []byte) (int, error) {
+func (conn *typedConn) Write(body []byte) (int, error) {
+	if conn.answering.Load() {
+		return conn.Conn.Write(body)
+	}
 	line, text, found := bytes.Cut(body, bareHead)
 	if !found || !bytes.HasPrefix(line, []byte("HTTP/1.")) || bytes.Contains(line, []byte("\r\n")) {
 		return conn.Conn.Write(body)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -104,6 +104,10 @@
 	proxy.counts.Add("requests", 1)
 	proxy.flight.enter()
 	defer proxy.flight.leave()
+	if status := proxy.malformed(request); status != 0 {
+		proxy.refuse(request, status, wire.BadRequest)
+		return
+	}
 	view := proxy.await(request)
 	if view == nil {
 		proxy.refuse(request, http.StatusServiceUnavailable, wire.NotReady)
@@ -133,6 +137,22 @@
 	proxy.carry(request)
 }
 
+// malformed is the status of a request that cannot be carried: of a protocol in which
+// a client would not see that an answer was cut short, and which frames bodies in
+// another way; or without the one attempt id by which its answer is known.
+func (proxy *Proxy) malformed(request *request) int {
+	if !request.source.ProtoAtLeast(1, 1) {
+		request.writer.Header().Set("Connection", "close")
+		return http.StatusHTTPVersionNotSupported
+	}
+	ids := request.source.Header[proxy.place.Headers.Attempt]
+	if len(ids) != 1 || ids[0] == "" {
+		return http.StatusBadRequest
+	}
+	request.id = ids[0]
+	return 0
+}
+
 // pass waits for a large answer's turn on the link; false when that is too late.
 func (proxy *Proxy) pass(request *request) bool {
 	until := request.begin.Add(min(time.Duration(max(request.route.TargetMs, 40))*time.Millisecond, request.limit.Sub(request.begin)) / gateShare)
@@ -166,7 +186,6 @@
 // admit finds the route and the tenant, and reads the body.
 func (proxy *Proxy) admit(request *request, view *View) (int, wire.Kind) {
 	source, names := request.source, &proxy.place.Headers
-	request.id = source.Header.Get(names.Attempt)
 	path, _, _ := strings.Cut(source.RequestURI, "?")
 	compiled, is := view.index.Find(source.Host, path)
 	if !is {
