--- /dev/null
+++ b/proxy/admit.go
@@ -0,0 +1,118 @@
+package proxy
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// isKey is whether an Authorization value carries a key of the scheme.
+func (proxy *Proxy) isKey(value string) bool {
+	_, is := proxy.key(value)
+	return is
+}
+
+func (proxy *Proxy) key(value string) (string, bool) {
+	value = strings.TrimSpace(value)
+	end := strings.IndexAny(value, " \t")
+	if end < 0 || !strings.EqualFold(value[:end], proxy.place.Headers.KeyScheme) {
+		return "", false
+	}
+	return strings.TrimSpace(value[end:]), true
+}
+
+// malformed is the status of a request that cannot be carried: of a protocol in which
+// a client would not see that an answer was cut short, and which frames bodies in
+// another way; or without the one attempt id by which its answer is known.
+func (proxy *Proxy) malformed(request *request) int {
+	if !request.source.ProtoAtLeast(1, 1) {
+		request.writer.Header().Set("Connection", "close")
+		return http.StatusHTTPVersionNotSupported
+	}
+	ids := request.source.Header[proxy.place.Headers.Attempt]
+	if len(ids) != 1 || ids[0] == "" {
+		return http.StatusBadRequest
+	}
+	request.id = ids[0]
+	return 0
+}
+
+// admit finds the route and the tenant, and reads the body; a status where the request
+// goes no further.
+func (proxy *Proxy) admit(request *request, view *View) (int, wire.Kind) {
+	source, config := request.source, &view.book.Config
+	path, _, _ := strings.Cut(source.RequestURI, "?")
+	compiled, is := view.index.Find(source.Host, path)
+	if !is {
+		return http.StatusNotFound, wire.UnknownRoute
+	}
+	request.route = compiled.Route
+	if key, given := proxy.key(source.Header.Get("Authorization")); given {
+		request.tenant, _ = view.index.TenantOf(key)
+	}
+	if config.Keyed && !request.route.Public && request.tenant == nil {
+		return http.StatusUnauthorized, wire.UnknownKey
+	}
+	request.rank = request.route.Priority
+	if request.tenant != nil && request.tenant.Ranked {
+		request.rank = request.tenant.Priority
+	}
+	request.limit = request.begin.Add(proxy.patience(request))
+	if status, kind := proxy.readRequestBody(request, config.Limits.BodyBytes); status != 0 {
+		return status, kind
+	}
+	if len(compiled.Services) == 0 {
+		return http.StatusServiceUnavailable, wire.NoBackend
+	}
+	service := compiled.Services[0]
+	if compiled.Total > 0 {
+		service = compiled.Draw(rand.IntN(compiled.Total))
+	}
+	request.service = view.index.Services[service].Name
+	return 0, ""
+}
+
+// patience is how long a request may take: the client's deadline, or the route's
+// timeout where that is shorter.
+func (proxy *Proxy) patience(request *request) time.Duration {
+	timeout := float64(request.route.TimeoutMs)
+	milliseconds, fault := strconv.ParseFloat(request.source.Header.Get(proxy.place.Headers.Deadline), 64)
+	if fault == nil && milliseconds >= 0 && milliseconds < timeout {
+		timeout = milliseconds
+	}
+	return time.Duration(timeout * float64(time.Millisecond))
+}
+
+// readRequestBody reads the whole body before anything is sent to a backend.
+func (proxy *Proxy) readRequestBody(request *request, most int64) (int, wire.Kind) {
+	source := request.source
+	proxy.inward.pass(int(max(source.ContentLength, 0)), request.begin)
+	if most <= 0 {
+		most = bodiesMost
+	}
+	if source.ContentLength > most {
+		return http.StatusRequestEntityTooLarge, wire.TooLarge
+	}
+	if source.ContentLength == 0 {
+		return 0, ""
+	}
+	size := max(source.ContentLength, 1<<10)
+	if !proxy.bodies.take(size) {
+		return http.StatusServiceUnavailable, wire.Busy
+	}
+	body, fault := io.ReadAll(io.LimitReader(source.Body, most+1))
+	proxy.bodies.give(size)
+	if fault != nil {
+		return http.StatusBadRequest, wire.BadRequest
+	}
+	if int64(len(body)) > most {
+		return http.StatusRequestEntityTooLarge, wire.TooLarge
+	}
+	request.body = body
+	return 0, ""
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -80,8 +80,24 @@
 	return newConnection(conn), false
 }
 
-// attempt sends the request to one backend and reads what it answers.
+// attempt sends the request to one backend and reads what it answers. One that may
+// have run already, and may run only once, is sent nowhere.
 func (proxy *Proxy) attempt(request *request, held *candidate, most int) (*answer, fate) {
+	if request.exposed && !request.route.Kind.Repeats() {
+		proxy.counts.Add("repeats_prevented", 1)
+		return nil, lost
+	}
+	before := request.exposed
+	request.exposed = true
+	answer, ended := proxy.exchange(request, held, most)
+	if ended == unsent || ended == refused {
+		request.exposed = before
+	}
+	return answer, ended
+}
+
+// exchange is one request and its answer on one connection.
+func (proxy *Proxy) exchange(request *request, held *candidate, most int) (*answer, fate) {
 	connection, _ := proxy.connect(held, most, request.limit)
 	if connection == nil {
 		return nil, unsent
--- a/proxy/framing_test.go
+++ b/proxy/framing_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -124,3 +125,25 @@
 		})
 	}
 }
+
+// A request that may have run is never told that it has not, however many backends
+// could not be reached after that.
+func TestUnreachableBackendsAfterALostAttempt(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b0").ever(resetAfterReading)
+		world.proxy.view.Load().budgets[0].tokens = 30
+		world.lay(func() {
+			for index := range world.book.Config.Routes {
+				world.book.Config.Routes[index].Attempts = 20
+			}
+		})
+		for number := range 10 {
+			world.addAt(fmt.Sprint("w", number), "plain", "w1", 8)
+			world.doors.serve(fmt.Sprint("w", number, ":80"), nil)
+		}
+		reply, _ := world.get("/again/a")
+		if len(world.arrivals()) != 1 || promised(reply.status) || reply.status < 500 {
+			test.Errorf("%d after %d arrivals", reply.status, len(world.arrivals()))
+		}
+	})
+}
--- /dev/null
+++ b/proxy/reply.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// refuse ends a request that has not run and will not. One that may have run fails
+// instead, whoever refuses it.
+func (proxy *Proxy) refuse(request *request, status int, kind wire.Kind) {
+	if request.exposed {
+		proxy.fail(request)
+		return
+	}
+	proxy.move(request, ending)
+	proxy.counts.Add("refused_"+string(kind), 1)
+	header := request.writer.Header()
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.FormatFloat(proxy.comeBack(request).Seconds(), 'f', 3, 64))
+	}
+	header.Set("Content-Type", "application/json")
+	request.writer.WriteHeader(status)
+	io.WriteString(request.writer, `{"code":"`+string(kind)+`"}`)
+}
+
+// comeBack is when a client should ask again: spread, so that those refused
+// together do not return together.
+func (proxy *Proxy) comeBack(request *request) time.Duration {
+	span := 400 * time.Millisecond
+	if request.route == nil {
+		span = firstViewBack
+	}
+	if request.route != nil && request.route.TargetMs > 0 {
+		span = min(time.Second, time.Duration(request.route.TargetMs)*time.Millisecond/3)
+	}
+	return span/2 + time.Duration(rand.Int64N(int64(span)))
+}
+
+// fail ends a request of which nobody knows whether it ran.
+func (proxy *Proxy) fail(request *request) {
+	proxy.move(request, ending)
+	status, kind := http.StatusBadGateway, wire.BadReceipt
+	if !proxy.clock().Before(request.limit) {
+		status, kind = http.StatusGatewayTimeout, wire.LimitPassed
+	}
+	proxy.counts.Add("failed_"+string(kind), 1)
+	request.writer.Header().Set("Content-Type", "application/json")
+	request.writer.WriteHeader(status)
+	io.WriteString(request.writer, `{"code":"`+string(kind)+`"}`)
+}
+
+// finish gives the backend's answer to the client; one that breaks off half way
+// never looks whole.
+func (proxy *Proxy) finish(request *request, answer *answer) {
+	proxy.move(request, ending)
+	header, names := request.writer.Header(), &proxy.place.Headers
+	listed := names.listedByConnection(answer.response.Header)
+	for name, values := range answer.response.Header {
+		if hopByHop[name] || listed[name] || name == "Content-Length" || name == names.Load || name == names.Backend || name == names.Warmup {
+			continue
+		}
+		header[name] = values
+	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil
+	}
+	size := len(answer.body)
+	switch {
+	case request.source.Method == http.MethodHead && answer.response.ContentLength >= 0, answer.response.ContentLength > int64(size):
+		header.Set("Content-Length", strconv.FormatInt(answer.response.ContentLength, 10))
+	case answer.rest == nil && request.source.Method != http.MethodHead && bodied(answer.response.StatusCode):
+		header.Set("Content-Length", strconv.Itoa(size))
+	}
+	request.writer.WriteHeader(answer.response.StatusCode)
+	writer := &pacedWriter{to: request.writer, lane: proxy.outward, ctx: request.within, clock: proxy.clock, large: size > bulkLeast || answer.rest != nil}
+	if _, fault := writer.Write(answer.body); fault != nil {
+		if answer.rest != nil {
+			answer.release(false)
+		}
+		proxy.counts.Add("answers_cut_short", 1)
+		panic(http.ErrAbortHandler)
+	}
+	if answer.rest != nil {
+		copied, fault := io.Copy(writer, answer.rest)
+		size += int(copied)
+		whole := fault == nil && (answer.response.ContentLength < 0 || int64(size) == answer.response.ContentLength)
+		answer.release(whole && !answer.response.Close)
+		if !whole {
+			proxy.counts.Add("answers_cut_short", 1)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	proxy.counts.Add("answered", 1)
+	if answer.response.StatusCode < 400 {
+		proxy.stat.served(request.route, proxy.clock().Sub(request.begin), size)
+	}
+}
