A large body is sent while its answer is awaited; an early answer's connection is not reused

Cause: the body was written whole before anything was read, so a refusal that came first was seen at the deadline only, and a connection whose backend had answered without reading the body could be used again: the rest of the body would be read as a request that no client sent.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -122,6 +122,7 @@
 		}
 		kind := proxy.place.Headers.classify(response, request.id, request.route.Kind.Repeats())
 		if kind == refusalHead || kind == finalHead {
+			connection.early = !connection.upload.finished()
 			held.target.tell(response.Header.Get(proxy.place.Headers.Load), proxy.clock())
 			connection.heed(response.Header.Get("Keep-Alive"))
 		}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -112,7 +112,7 @@
 	stop := context.AfterFunc(request.context, func() { connection.conn.SetDeadline(time.Unix(1, 0)) })
 	head := proxy.head(request, held.target.backend.Name, left)
 	begun := proxy.meter.begin(request.tenantName())
-	sent, fault := send(connection, head, request.body)
+	sent, fault := proxy.send(connection, head, request.body)
 	if fault != nil {
 		stop()
 		held.target.drop(connection)
@@ -150,9 +150,9 @@
 	return answer, ended
 }
 
-// release gives a connection back where nothing unread is left on it.
+// release gives a connection back where nothing unread is left on it, at either end.
 func (proxy *Proxy) release(target *target, connection *connection, sound bool) {
-	if !sound || connection.reader.Buffered() > 0 {
+	if !sound || connection.early || connection.reader.Buffered() > 0 {
 		target.drop(connection)
 		return
 	}
@@ -160,26 +160,25 @@
 	target.give(connection)
 }
 
-// send writes head and body; sent is whether any byte of them may have arrived.
-func send(connection *connection, head, body []byte) (bool, error) {
-	if len(body) > 0 && len(body) <= 64<<10 {
-		head = append(head, body...)
-		body = nil
-	}
-	count, fault := connection.conn.Write(head)
-	if fault != nil {
+// send writes head and body, a large one in the background; sent is whether any byte
+// of them may have arrived.
+func (proxy *Proxy) send(connection *connection, head, body []byte) (bool, error) {
+	connection.upload = nil
+	if len(body) <= smallBody {
+		count, fault := connection.conn.Write(append(head, body...))
 		return count > 0, fault
 	}
-	if len(body) > 0 {
-		_, fault = connection.conn.Write(body)
+	count, fault := connection.conn.Write(head)
+	if fault == nil {
+		connection.upload = startUpload(proxy.threads, connection, body)
 	}
-	return true, fault
+	return count > 0, fault
 }
 
 // head is the request's line and fields as this backend gets them.
 func (proxy *Proxy) head(request *request, backend string, left time.Duration) []byte {
 	names, source := &proxy.place.Headers, request.source
-	head := make([]byte, 0, 512+len(request.body)%(64<<10))
+	head := make([]byte, 0, 512+min(len(request.body), smallBody))
 	head = append(head, source.Method...)
 	head = append(head, ' ')
 	head = append(head, source.RequestURI...)
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -23,13 +23,16 @@
 	headMost         = 256 << 10
 )
 
-// connection carries one request at a time to one backend.
+// connection carries one request at a time to one backend. It is early when an answer
+// came before its request was sent whole: the backend may not read the rest of it.
 type connection struct {
 	conn   net.Conn
 	head   *io.LimitedReader
 	reader *bufio.Reader
 	used   time.Time
 	idle   time.Duration
+	upload *upload
+	early  bool
 }
 
 func newConnection(conn net.Conn) *connection {
--- /dev/null
+++ b/proxy/upload.go
@@ -0,0 +1,31 @@
+package proxy
+
+import (
+	"sync/atomic"
+
+	"orchidjunction/run"
+)
+
+// smallBody is what is written in one go with a request's head; a larger body goes
+// on its own while the answer is awaited already.
+const smallBody = 16 << 10
+
+// upload is a large body on its way to a backend. It ends by itself when its
+// connection is closed.
+type upload struct {
+	whole atomic.Bool
+}
+
+// startUpload writes a body in a thread of its own.
+func startUpload(threads *run.Threads, connection *connection, body []byte) *upload {
+	upload := &upload{}
+	threads.Start(func() {
+		if _, fault := connection.conn.Write(body); fault == nil {
+			upload.whole.Store(true)
+		}
+	})
+	return upload
+}
+
+// finished is whether all bytes were handed to the connection.
+func (upload *upload) finished() bool { return upload == nil || upload.whole.Load() }
