--- /dev/null
+++ b/proxy/repeat_test.go
@@ -0,0 +1,101 @@
+package proxy
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The proxy writes and reads its connections itself: the library's clients send some
+// requests again by themselves, and none of them is used.
+func TestNoClientOfTheLibrary(test *testing.T) {
+	own := func(file fs.FileInfo) bool { return !strings.HasSuffix(file.Name(), "_test.go") }
+	packages, fault := parser.ParseDir(token.NewFileSet(), ".", own, 0)
+	if fault != nil || len(packages["proxy"].Files) == 0 {
+		test.Fatal(fault)
+	}
+	forbidden := map[string]bool{"Transport": true, "DefaultTransport": true, "Client": true, "DefaultClient": true, "ClientConn": true, "RoundTripper": true,
+		"Get": true, "Post": true, "Head": true, "PostForm": true, "NewRequest": true, "NewRequestWithContext": true}
+	for name, file := range packages["proxy"].Files {
+		for _, imported := range file.Imports {
+			if strings.HasSuffix(imported.Path.Value, "httputil\"") {
+				test.Errorf("%s imports %s", name, imported.Path.Value)
+			}
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			if selector, is := node.(*ast.SelectorExpr); is {
+				if holder, is := selector.X.(*ast.Ident); is && holder.Name == "http" && forbidden[selector.Sel.Name] {
+					test.Errorf("%s uses http.%s", name, selector.Sel.Name)
+				}
+			}
+			return true
+		})
+	}
+}
+
+// A request whose idle connection was closed under it counts as sent: without budget
+// it is not sent again, whatever its method.
+func TestIdleCloseDrawsOnTheBudget(test *testing.T) {
+	for tokens, want := range map[float64]int{0: 502, 1: 200} {
+		for _, reset := range []bool{false, true} {
+			inWorld(test, func(world *world) {
+				world.add("b1")
+				reply, id := world.get("/again/a")
+				world.good(reply, id)
+				world.addAt("b2", "plain", "e2", 8)
+				if reset {
+					world.backends["b1"].then(resetAfterReading)
+				} else {
+					world.backends["b1"].hang()
+				}
+				world.proxy.view.Load().budgets[0].tokens = tokens - 0.15
+				reply, _ = world.get("/again/a")
+				if reply.status != want || len(world.backends["b2"].seen()) != (502-want)/302 {
+					test.Errorf("budget %v, reset %v: %d, %d arrivals at the other", tokens, reset, reply.status, len(world.backends["b2"].seen()))
+				}
+			})
+		}
+	}
+}
+
+// An answer that comes after its request was given up reaches nobody: its connection
+// is closed with the request.
+func TestLateAnswerAfterTimeout(test *testing.T) {
+	for _, path := range []string{"/once/a", "/again/a"} {
+		inWorld(test, func(world *world) {
+			world.add("b1").then(after(1560*time.Millisecond, well))
+			if reply, _ := world.get(path); reply.status != 504 {
+				test.Errorf("%s: %d", path, reply.status)
+			}
+			for range 3 {
+				reply, id := world.get("/once/b")
+				world.good(reply, id)
+				world.threads.Rest(20 * time.Millisecond)
+			}
+			if connections := world.backends["b1"].connections(); connections != 2 || world.counts.Get("answers_surplus") != 0 {
+				test.Errorf("%s: %d connections, %d surplus answers", path, connections, world.counts.Get("answers_surplus"))
+			}
+		})
+	}
+}
+
+// A refusal is believed by its head; a body that does not come holds nobody up.
+func TestRefusalWithoutItsBody(test *testing.T) {
+	inWorld(test, func(world *world) {
+		stalled := first(func(exchange *exchange) bool {
+			exchange.say("HTTP/1.1 503 X\r\nAttempt: %s\r\nNot-Executed: full\r\nContent-Length: 100\r\n\r\nfu", exchange.get("Attempt"))
+			return silent(exchange)
+		})
+		world.add("b1").ever(stalled)
+		world.add("b2").ever(stalled)
+		reply, id := world.get("/once/a")
+		world.good(reply, id)
+		if reply.took > 2*refusalDrain {
+			test.Errorf("after %s", reply.took)
+		}
+	})
+}
