proxy: an attempt's outcomes say what is known; connect, attempt and exchange are three steps

lost and spoiled were one case everywhere; the unused second value of connect is gone. Tests added: a head cut off on its way, loose framing made strict.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -113,7 +113,7 @@
 
 // receive reads the answer to this request; answers to others are passed over. A
 // refusal gives the connection back, and so ends what stop ends.
-func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, fate) {
+func (proxy *Proxy) receive(request *request, held *candidate, connection *connection, stop func() bool) (*answer, outcome) {
 	interim, surplus := 0, 0
 	for {
 		response, fault := connection.answer(request.source)
@@ -129,12 +129,12 @@
 		switch kind {
 		case interimHead:
 			if interim++; interim > interimMost {
-				return nil, spoiled
+				return nil, lost
 			}
 		case surplusHead:
 			proxy.counts.Add("answers_surplus", 1)
 			if surplus++; surplus > surplusMost {
-				return nil, spoiled
+				return nil, lost
 			}
 			if !drained(response) {
 				return nil, lost
@@ -145,7 +145,7 @@
 		case finalHead:
 			return proxy.readBody(request, response)
 		default:
-			return nil, spoiled
+			return nil, lost
 		}
 	}
 }
@@ -173,13 +173,13 @@
 }
 
 // readBody reads the body of an answer, or the first part of a large one.
-func (proxy *Proxy) readBody(request *request, response *http.Response) (*answer, fate) {
+func (proxy *Proxy) readBody(request *request, response *http.Response) (*answer, outcome) {
 	got := &answer{response: response}
 	if request.source.Method == http.MethodHead || !bodied(response.StatusCode) {
 		return got, answered
 	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return nil, spoiled
+		return nil, lost
 	}
 	buffer := bytes.Buffer{}
 	if response.ContentLength > 0 && response.ContentLength <= wholeMost {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -9,16 +9,19 @@
 	"time"
 )
 
-// fate is how an attempt ended: whether its request may have run, and whether the
+// outcome is how an attempt ended: whether its request may have run, and whether the
 // client can have the answer.
-type fate uint8
+type outcome uint8
 
 const (
-	answered fate = iota
+	// answered: the backend's answer can go to the client.
+	answered outcome = iota
+	// unsent: no byte of the request reached the backend.
 	unsent
+	// refused: the backend says that it did not run the request.
 	refused
+	// lost: the request may have run, and there is no answer to trust.
 	lost
-	spoiled
 )
 
 const (
@@ -49,14 +52,15 @@
 	return listed
 }
 
-// connect gives a connection to the target, an idle one or a new one.
-func (proxy *Proxy) connect(held *candidate, most int, limit time.Time) (*connection, bool) {
+// connect gives a connection to the target, an idle one or a new one; nil when there
+// is none to have.
+func (proxy *Proxy) connect(held *candidate, most int, limit time.Time) *connection {
 	if taken := held.target.take(proxy.clock()); taken != nil {
-		return taken, true
+		return taken
 	}
 	if !held.target.reserve(most) {
 		proxy.counts.Add("connections_capped", 1)
-		return nil, false
+		return nil
 	}
 	patience := dialNear
 	if held.far == otherRegion {
@@ -73,74 +77,67 @@
 		held.target.unreserve()
 		held.target.failed(proxy.clock(), true)
 		proxy.counts.Add("connections_failed", 1)
-		return nil, false
+		return nil
 	}
 	held.target.dialled(proxy.clock().Sub(begin))
 	proxy.counts.Add("connections_opened", 1)
-	return newConnection(conn), false
+	return newConnection(conn)
 }
 
 // attempt sends the request to one backend and reads what it answers. One that may
 // have run already, and may run only once, is sent nowhere.
-func (proxy *Proxy) attempt(request *request, held *candidate, most int) (*answer, fate) {
+func (proxy *Proxy) attempt(request *request, held *candidate, most int) (*answer, outcome) {
 	if request.exposed && !request.route.Kind.Repeats() {
 		proxy.counts.Add("repeats_prevented", 1)
 		return nil, lost
 	}
+	connection := proxy.connect(held, most, request.limit)
+	if connection == nil {
+		return nil, unsent
+	}
+	if request.limit.Sub(proxy.clock()) < time.Millisecond || request.context.Err() != nil {
+		held.target.give(connection)
+		return nil, unsent
+	}
 	before := request.exposed
 	request.exposed = true
-	answer, ended := proxy.exchange(request, held, most)
-	if ended == unsent || ended == refused {
+	begun := proxy.meter.begin(request.tenantName())
+	answer, ended := proxy.exchange(request, held, connection)
+	notRun := ended == unsent || ended == refused
+	if notRun {
 		request.exposed = before
 	}
+	proxy.meter.settle(begun, !notRun)
 	return answer, ended
 }
 
-// exchange is one request and its answer on one connection.
-func (proxy *Proxy) exchange(request *request, held *candidate, most int) (*answer, fate) {
-	connection, _ := proxy.connect(held, most, request.limit)
-	if connection == nil {
-		return nil, unsent
-	}
+// exchange sends one request on a connection and reads its answer. The connection is
+// given back, or closed, in every case but that of an answer that still streams.
+func (proxy *Proxy) exchange(request *request, held *candidate, connection *connection) (*answer, outcome) {
 	begin := proxy.clock()
-	left := request.limit.Sub(begin)
-	if left < time.Millisecond || request.context.Err() != nil {
-		held.target.give(connection)
-		return nil, unsent
-	}
 	connection.conn.SetDeadline(request.limit.Add(limitSlack))
 	stop := context.AfterFunc(request.context, func() { connection.conn.SetDeadline(time.Unix(1, 0)) })
-	head := proxy.head(request, held.target.backend.Name, left)
-	begun := proxy.meter.begin(request.tenantName())
-	sent, fault := proxy.send(connection, head, request.body)
-	if fault != nil {
+	head := proxy.head(request, held.target.backend.Name, request.limit.Sub(begin))
+	if sent, fault := proxy.send(connection, head, request.body); fault != nil {
 		stop()
 		held.target.drop(connection)
 		held.target.failed(proxy.clock(), false)
-		proxy.meter.settle(begun, sent)
 		if sent {
 			return nil, lost
 		}
 		return nil, unsent
 	}
 	answer, ended := proxy.receive(request, held, connection, stop)
-	now := proxy.clock()
-	proxy.meter.settle(begun, ended != refused)
-	switch ended {
+	switch now := proxy.clock(); ended {
 	case answered:
 		answer.release = func(sound bool) {
-			if !stop() {
-				sound = false
-			}
-			proxy.release(held.target, connection, sound)
+			proxy.release(held.target, connection, stop() && sound)
 		}
-		good := answer.response.StatusCode < 500
-		held.target.served(now.Sub(begin), request.stat.mean(request.route), good)
+		held.target.served(now.Sub(begin), request.stat.mean(request.route), answer.response.StatusCode < 500)
 		if answer.rest == nil {
-			answer.release(answer.response == nil || !answer.response.Close)
+			answer.release(!answer.response.Close)
 		}
-	case refused:
-	default:
+	case lost:
 		stop()
 		held.target.drop(connection)
 		if request.context.Err() == nil && now.Before(request.limit) {
--- a/proxy/carry.go
+++ b/proxy/carry.go
@@ -89,7 +89,7 @@
 }
 
 // settle takes what an attempt came to; true when the client has its answer.
-func (proxy *Proxy) settle(request *request, answer *answer, ended fate) bool {
+func (proxy *Proxy) settle(request *request, answer *answer, ended outcome) bool {
 	repeats := request.route.Kind.Repeats()
 	if ended == unsent {
 		if len(request.tried) > unsentMost {
@@ -109,7 +109,7 @@
 		request.last = answer
 	case refused:
 		proxy.counts.Add("attempts_refused", 1)
-	default:
+	case lost:
 		proxy.counts.Add("attempts_lost", 1)
 		if !repeats {
 			proxy.fail(request)
--- a/proxy/framing_test.go
+++ b/proxy/framing_test.go
@@ -147,3 +147,33 @@
 		}
 	})
 }
+
+// Whatever line ends and doubled framing a client uses, backends get the requests
+// that its bytes hold by the protocol's rule (chunks go before a length), each framed
+// by one length and with whole line ends.
+func TestLooseFramingIsMadeStrict(test *testing.T) {
+	second := raw("GET", "/once/b", "two", "", "")
+	for name, text := range map[string]string{
+		"bare newlines":         strings.ReplaceAll(raw("GET", "/once/a", "one", "", ""), "\r\n", "\n") + second,
+		"chunks, then a length": raw("POST", "/once/a", "one", "Transfer-Encoding: chunked\r\nContent-Length: 400\r\n", "") + "0\r\n\r\n" + second,
+		"a length, then chunks": raw("POST", "/once/a", "one", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "") + "0\r\n\r\n" + second,
+	} {
+		inWorld(test, func(world *world) {
+			world.add("b1")
+			client := world.client()
+			defer client.pipe.Close()
+			client.pipe.SetDeadline(time.Now().Add(5 * time.Second))
+			world.good(client.ask("GET", text), "one")
+			world.good(client.ask("GET", ""), "two")
+			all := world.arrivals()
+			if len(all) != 2 || all[0].get("Attempt") != "one" || all[1].get("Attempt") != "two" {
+				test.Fatalf("%s: %d arrivals", name, len(all))
+			}
+			for _, arrival := range all {
+				if arrival.chunked || len(arrival.all("Content-Length")) > 1 || len(arrival.body) > 0 || strings.ContainsAny(strings.Join(arrival.fields, ""), "\r\n") {
+					test.Errorf("%s: %v %q", name, arrival.fields, arrival.body)
+				}
+			}
+		})
+	}
+}
--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -4,6 +4,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io"
 	"io/fs"
 	"strings"
 	"testing"
@@ -99,3 +100,21 @@
 		}
 	})
 }
+
+// A head that is cut off on its way may have been read as a whole request.
+func TestHeadCutOffOnItsWayMayHaveRun(test *testing.T) {
+	inWorld(test, func(world *world) {
+		part := func(pipe *pipe) {
+			io.ReadFull(pipe, make([]byte, 20<<10))
+			pipe.reset()
+		}
+		world.add("b1").greet(part)
+		world.add("b2").greet(part)
+		client := world.client()
+		defer client.pipe.Close()
+		reply := client.ask("GET", raw("GET", "/once/a", "id", "Long: "+string(letters(0, 200<<10))+"\r\n", ""))
+		if reply.status != 502 || world.counts.Get("connections_opened") != 1 {
+			test.Errorf("%d, %d connections", reply.status, world.counts.Get("connections_opened"))
+		}
+	})
+}
