A status line that the parser moved out of a head's fields is seen, too

Only HTTP/1.1 is read now, and trailers' names are looked at. TestPartOfAnotherAnswerBefore has both, seen failing.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -43,7 +43,7 @@
 // concluded from a head that names no attempt, or more than one.
 func (names *Headers) classify(response *http.Response, id string, repeats bool) headKind {
 	status := response.StatusCode
-	if status < 100 || status == http.StatusSwitchingProtocols || twoHeads(response) {
+	if response.Proto != "HTTP/1.1" || status < 100 || status == http.StatusSwitchingProtocols || twoHeads(response) {
 		return malformedHead
 	}
 	if status < 200 {
@@ -77,11 +77,17 @@
 
 // twoHeads is whether another answer's status line stands inside a head: an answer
 // that was broken off, or a part of a surplus one, runs into the next on the same
-// connection.
+// connection. The parser moves the names of trailers out of the fields; in protocols
+// other than HTTP/1.1 it drops fields as well, which is why these are not read.
 func twoHeads(response *http.Response) bool {
 	if holdsStatusLine(response.Status) {
 		return true
 	}
+	for name := range response.Trailer {
+		if holdsStatusLine(name) {
+			return true
+		}
+	}
 	for _, values := range response.Header {
 		for _, value := range values {
 			if holdsStatusLine(value) {
--- a/proxy/mutations_test.go
+++ b/proxy/mutations_test.go
@@ -23,6 +23,9 @@
 		return bare(id, "503 Service Unavailable", "Not-Executed: full\r\n", "full")
 	}, false, 503},
 	{"misdirected", func(id string) string { return bare(id, "421 Misdirected Request", "Not-Executed: 1\r\n", "") }, false, 421},
+	{"own failure, in chunks", func(id string) string {
+		return "HTTP/1.1 500 Internal Server Error\r\nAttempt: " + id + "\r\nSeal: s-" + id + "\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nfailure\r\n0\r\n\r\n"
+	}, true, 500},
 	{"chunks", func(id string) string {
 		return "HTTP/1.1 200 OK\r\nAttempt: " + id + "\r\nSeal: s-" + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text(id)), text(id))
 	}, true, 200},
@@ -73,6 +76,7 @@
 // it late, never mixes with it.
 func TestPartOfAnotherAnswerBefore(test *testing.T) {
 	for _, other := range []string{whole("other", "200 OK", "Date: Monday\r\nServer: x\r\n", "another body"), "HTTP/1.1 200 OK\r\nDate: Monday\r\nSeal: other\r\nContent-Length: 3\r\n\r\nbad",
+		"HTTP/1.1 200 OK\r\nTrailer: one, two\r\nConnection: close\r\nKeep-Alive: x\r\nPragma: no-cache\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
 		bare("other", "503 Service Unavailable", "Date: Monday\r\nNot-Executed: full\r\n", ""), "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n"} {
 		for _, truth := range truths {
 			for cut := 1; cut <= len(other); cut++ {
