--- a/sim/chaos.go
+++ b/sim/chaos.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Chaos harms cores for a while, one draw after another, and heals each harm.
+// Chaos injects faults into cores for a while, one draw after another, and heals each.
 type Chaos struct {
 	world  *World
 	random *rand.Rand
@@ -16,97 +16,72 @@
 	return &Chaos{world: world, random: rand.New(rand.NewPCG(world.Seed, 23)), Done: map[string]int{}}
 }
 
-// Kinds are the harms there are.
-var Kinds = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader", "alone", "stale-leader-lost", "stale-disk-lost"}
+// CoreFaults are the kinds of faults there are.
+var CoreFaults = []string{"kill", "power", "term", "freeze", "cut", "one-way", "stall", "wipe", "all", "faults", "kill-leader", "alone", "stale-leader-lost", "stale-disk-lost"}
 
 func (chaos *Chaos) span(least, most time.Duration) time.Duration {
 	return least + time.Duration(chaos.random.Int64N(int64(most-least)))
 }
 
-// Run draws harms for the span; every one is healed before the next but one.
+// Run draws faults for the span; every one is healed before the next but one.
 func (chaos *Chaos) Run(span time.Duration) {
 	world := chaos.world
 	for until := time.Now().Add(span); time.Now().Before(until); {
-		chaos.Harm(Kinds[chaos.random.IntN(len(Kinds))], chaos.random.IntN(len(world.Cores)))
+		chaos.Inject(CoreFaults[chaos.random.IntN(len(CoreFaults))], chaos.random.IntN(len(world.machines())))
 		world.Rest(chaos.span(100*time.Millisecond, 1500*time.Millisecond))
 	}
 }
 
-func (chaos *Chaos) Harm(kind string, index int) {
+// Inject brings one fault about and heals it.
+func (chaos *Chaos) Inject(kind string, index int) {
 	world := chaos.world
-	machine := world.Cores[index]
-	other := world.Cores[(index+1+chaos.random.IntN(len(world.Cores)-1))%len(world.Cores)]
+	machines := world.machines()
+	machine := machines[index]
+	other := machines[(index+1+chaos.random.IntN(len(machines)-1))%len(machines)]
 	chaos.Done[kind]++
 	switch kind {
 	case "kill", "power":
-		world.KillCore(index, kind == "power")
-		world.Rest(chaos.span(10*time.Millisecond, 1200*time.Millisecond))
-		world.StartCore(index)
+		chaos.restart(machine, kind == "power", 1200*time.Millisecond)
 	case "kill-leader":
 		if leader := world.Leader(); leader >= 0 {
-			world.KillCore(leader, true)
-			world.Rest(chaos.span(10*time.Millisecond, 900*time.Millisecond))
-			world.StartCore(leader)
+			chaos.restart(machines[leader], true, 900*time.Millisecond)
 		}
 	case "term":
-		world.TermCore(index)
+		world.term(machine)
 		world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
-		world.StartCore(index)
+		world.start(machine)
 	case "freeze":
-		world.Net.Freeze(machine.Host, true)
-		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
-		world.Net.Freeze(machine.Host, false)
+		chaos.during(func(on bool) { world.Net.Freeze(machine.Host, on) })
 	case "cut":
-		world.Net.Cut(machine.Host, other.Host, true)
-		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
-		world.Net.Cut(machine.Host, other.Host, false)
+		chaos.during(func(on bool) { world.Net.Cut(machine.Host, other.Host, on) })
 	case "one-way":
-		world.Net.CutOneWay(machine.Host, other.Host, true)
-		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
-		world.Net.CutOneWay(machine.Host, other.Host, false)
+		chaos.during(func(on bool) { world.Net.CutOneWay(machine.Host, other.Host, on) })
+	case "reset":
+		world.Net.Reset(machine.Host, other.Host)
 	case "stall":
 		machine.Disk.Stall(true)
 		world.Rest(chaos.span(50*time.Millisecond, 1200*time.Millisecond))
 		machine.Disk.Stall(false)
 	case "wipe":
-		world.WipeCore(index)
+		world.wipe(machine)
 		world.Rest(chaos.span(10*time.Millisecond, 800*time.Millisecond))
-		world.StartCore(index)
+		world.start(machine)
 		world.Until(10*time.Second, func() bool { return machine.Core.Sound() })
 	case "all":
-		for each := range world.Cores {
-			world.KillCore(each, true)
+		for _, each := range machines {
+			world.kill(each, true)
 		}
 		world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
-		for each := range world.Cores {
-			world.StartCore(each)
+		for _, each := range machines {
+			world.start(each)
 		}
 	case "alone":
 		if leader := world.Leader(); leader >= 0 {
-			index = leader
+			machine = machines[leader]
 		}
-		world.isolate(index, true)
-		world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
-		world.isolate(index, false)
+		chaos.during(func(on bool) { world.isolateMachine(machine, on) })
 	case "stale-leader-lost", "stale-disk-lost":
-		leader := world.Leader()
-		if leader < 0 {
-			return
-		}
-		stale := (leader + 1) % len(world.Cores)
-		world.isolate(stale, true)
-		world.Rest(chaos.span(400*time.Millisecond, 1200*time.Millisecond))
-		lost := (leader + 2) % len(world.Cores)
-		world.KillCore(leader, true)
-		if kind == "stale-disk-lost" {
-			world.WipeCore(lost)
-			world.StartCore(lost)
-		}
-		world.isolate(stale, false)
-		world.Until(4*time.Second, func() bool { return world.Leader() >= 0 })
-		world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
-		world.StartCore(leader)
-		world.Until(10*time.Second, func() bool { return world.Cores[lost].Core.Sound() })
+		chaos.staleMember(kind == "stale-disk-lost")
 	case "faults":
 		world.Net.Faults(Faults{LoseAsked: 60, LoseTold: 60, Twice: 100, SlowMs: 30})
 		world.Rest(chaos.span(500*time.Millisecond, 2*time.Second))
@@ -114,11 +89,58 @@
 	}
 }
 
+// during turns a fault of the network on, and off again.
+func (chaos *Chaos) during(turn func(on bool)) {
+	turn(true)
+	chaos.world.Rest(chaos.span(50*time.Millisecond, 1500*time.Millisecond))
+	turn(false)
+}
+
+func (chaos *Chaos) restart(machine *Core, power bool, most time.Duration) {
+	chaos.world.kill(machine, power)
+	chaos.world.Rest(chaos.span(10*time.Millisecond, most))
+	chaos.world.start(machine)
+}
+
+// staleMember kills the leader, and empties another's disk if wanted, while a third
+// one has missed what they acknowledged.
+func (chaos *Chaos) staleMember(wiped bool) {
+	world, leader := chaos.world, chaos.world.Leader()
+	if leader < 0 {
+		return
+	}
+	count := len(world.Cores)
+	stale := (leader + 1) % count
+	world.isolate(stale, true)
+	world.Rest(chaos.span(400*time.Millisecond, 1200*time.Millisecond))
+	lost := (leader + 2) % count
+	world.KillCore(leader, true)
+	if wiped {
+		world.WipeCore(lost)
+		world.StartCore(lost)
+	}
+	world.isolate(stale, false)
+	world.Until(4*time.Second, func() bool { return world.Leader() >= 0 })
+	world.Rest(chaos.span(10*time.Millisecond, 500*time.Millisecond))
+	world.StartCore(leader)
+	world.Until(10*time.Second, func() bool { return world.Cores[lost].Core.Sound() })
+}
+
 // isolate cuts a core off from the other cores, not from the daemons.
-func (world *World) isolate(index int, cut bool) {
-	for other := range world.Cores {
-		if other != index {
-			world.Net.Cut(world.Cores[index].Host, world.Cores[other].Host, cut)
+func (world *World) isolate(index int, cut bool) { world.isolateMachine(world.machine(index), cut) }
+
+// isolateMachine cuts also those off that were removed: they may return.
+func (world *World) isolateMachine(machine *Core, cut bool) {
+	for _, other := range world.everyMachine() {
+		if other != machine {
+			world.Net.Cut(machine.Host, other.Host, cut)
 		}
 	}
 }
+
+// everyMachine is all that ever was a core machine.
+func (world *World) everyMachine() []*Core {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return append(append([]*Core{}, world.Cores...), world.Removed...)
+}
--- a/sim/conn.go
+++ b/sim/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,8 +16,10 @@
 	wake   *sync.Cond
 	parts  []part
 	closed bool
-	limit  time.Time
-	shut   func() bool
+	// lost is whether what is written goes nowhere, since the reader is gone.
+	lost  bool
+	limit time.Time
+	shut  func() bool
 }
 
 type part struct {
@@ -39,6 +42,9 @@
 func (half *half) write(body []byte, delay time.Duration) (int, error) {
 	half.mutex.Lock()
 	defer half.mutex.Unlock()
+	if half.lost {
+		return len(body), nil
+	}
 	if half.closed {
 		return 0, io.ErrClosedPipe
 	}
@@ -78,6 +84,14 @@
 	half.mutex.Unlock()
 }
 
+// lose ends the reader, and lets writers go on as if somebody still read.
+func (half *half) lose() {
+	half.mutex.Lock()
+	half.lost = true
+	half.mutex.Unlock()
+	half.close(true)
+}
+
 func (half *half) setLimit(limit time.Time) {
 	half.mutex.Lock()
 	half.limit = limit
@@ -93,6 +107,18 @@
 	in, out       *half
 	local, remote address
 	net           *Net
+	abandoned     atomic.Bool
+}
+
+// joins is whether a host is at one of the ends.
+func (conn *conn) joins(name string) bool {
+	return host(string(conn.local)) == name || host(string(conn.remote)) == name
+}
+
+// abandon ends this end; the other one is told nothing.
+func (conn *conn) abandon() {
+	conn.abandoned.Store(true)
+	conn.in.lose()
 }
 
 type address string
@@ -102,9 +128,15 @@
 
 func (conn *conn) Read(into []byte) (int, error) { return conn.in.read(into) }
 func (conn *conn) Write(body []byte) (int, error) {
+	if conn.abandoned.Load() {
+		return 0, io.ErrClosedPipe
+	}
 	return conn.out.write(body, conn.net.delay(host(string(conn.local)), host(string(conn.remote))))
 }
 func (conn *conn) Close() error {
+	if conn.abandoned.Load() {
+		return nil
+	}
 	conn.in.close(true)
 	conn.out.close(false)
 	return nil
--- a/sim/control_test.go
+++ b/sim/control_test.go
@@ -22,8 +22,8 @@
 	leaseSpan   = 3 * time.Second
 )
 
-// harmed is a span of trouble for some cores or members; no end means it goes on.
-type harmed struct {
+// faultSpan is a span of trouble for some cores or members; no end means it goes on.
+type faultSpan struct {
 	cores      []int
 	members    []*Member
 	begin, end time.Time
@@ -45,13 +45,13 @@
 	at     time.Time
 }
 
-// Control is the whole control side under harm, and what is judged of it.
+// Control is the whole control side under faults, and what is judged of it.
 type Control struct {
 	world  *World
 	meters *meters
 
 	mutex    sync.Mutex
-	harms    []*harmed
+	faults   []*faultSpan
 	orders   []*answered
 	acts     []acted
 	versions map[uint64]uint64
@@ -60,21 +60,6 @@
 	running  int
 }
 
-// Harmer brings harms about, one after the other; two may be at it at once.
-type Harmer struct {
-	*Control
-	chaos  *Chaos
-	random *rand.Rand
-	kinds  []string
-	cores  []string
-}
-
-func (side *Control) harmer(number uint64, kinds, cores []string) *Harmer {
-	one := &Harmer{Control: side, chaos: side.world.Chaos(), random: rand.New(rand.NewPCG(side.world.Seed, 83+number)), kinds: kinds, cores: cores}
-	one.chaos.random = rand.New(rand.NewPCG(side.world.Seed, 183+number))
-	return one
-}
-
 func (world *World) Control() *Control {
 	side := &Control{world: world, versions: map[uint64]uint64{}, tables: map[wire.TableMark]string{}}
 	side.meters = newMeters(world)
@@ -82,24 +67,11 @@
 	return side
 }
 
-// FarHarms are those of the control side beside the cores' own.
-var FarHarms = []string{"core", "core", "core", "disk-fails", "all-wiped", "all-down", "power-after-ack", "wipe-after-ack", "region-lost", "cores-apart", "most-wiped", "member-killed", "members-killed", "member-frozen", "member-cut", "calm"}
-
-// LinkHarms go on beside those: no process ends by them.
-var (
-	LinkHarms = []string{"core", "member-frozen", "member-cut", "calm"}
-	LinkKinds = []string{"freeze", "cut", "one-way", "alone", "faults"}
-)
-
-func (side *Harmer) span(least, most int) time.Duration {
-	return time.Duration(least+side.random.IntN(most-least)) * time.Millisecond
-}
-
 // under notes who is in trouble while something is done.
 func (side *Control) under(cores []int, members []*Member, do func()) {
-	one := &harmed{cores: cores, members: members, begin: time.Now()}
+	one := &faultSpan{cores: cores, members: members, begin: time.Now()}
 	side.mutex.Lock()
-	side.harms = append(side.harms, one)
+	side.faults = append(side.faults, one)
 	side.mutex.Unlock()
 	do()
 	side.mutex.Lock()
@@ -112,182 +84,20 @@
 	side.mutex.Lock()
 	defer side.mutex.Unlock()
 	touched, calm := map[int]bool{}, true
-	for _, harm := range side.harms {
-		if harm.begin.After(until) || !harm.end.IsZero() && harm.end.Before(from) {
+	for _, fault := range side.faults {
+		if fault.begin.After(until) || !fault.end.IsZero() && fault.end.Before(from) {
 			continue
 		}
-		for _, index := range harm.cores {
+		for _, index := range fault.cores {
 			touched[index] = true
 		}
-		calm = calm && !slices.Contains(harm.members, one)
+		calm = calm && !slices.Contains(fault.members, one)
 	}
 	return len(side.world.Cores) - len(touched), calm
 }
 
 func (side *Control) most() int { return len(side.world.Cores)/2 + 1 }
 
-func (side *Control) every() []int {
-	all := []int{}
-	for index := range side.world.Cores {
-		all = append(all, index)
-	}
-	return all
-}
-
-// Harm brings one about and heals it.
-func (side *Harmer) Harm(kind string) {
-	world, random := side.world, side.random
-	index, one := random.IntN(len(world.Cores)), world.Members[random.IntN(len(world.Members))]
-	leader := max(world.Leader(), 0)
-	lost := len(world.Cores) / 2
-	switch kind {
-	case "core":
-		kind = side.cores[random.IntN(len(side.cores))]
-		touched, members := []int{index}, []*Member{}
-		switch kind {
-		case "kill-leader":
-			touched = []int{leader}
-		case "alone":
-			touched = []int{leader, index}
-		case "all", "stale-leader-lost", "stale-disk-lost", "wipe":
-			touched = side.every()
-		case "faults":
-			touched, members = side.every(), world.Members
-		}
-		side.under(touched, members, func() { side.chaos.Harm(kind, index) })
-	case "disk-fails":
-		side.under([]int{index}, nil, func() {
-			world.Cores[index].Disk.Fail(true)
-			world.Rest(side.span(300, 1500))
-			world.KillCore(index, true)
-			world.StartCore(index)
-		})
-	case "all-wiped", "all-down", "power-after-ack":
-		if kind == "power-after-ack" {
-			side.put(world.holds(), random, 7)
-		}
-		members := []*Member{}
-		if kind != "power-after-ack" || random.IntN(2) == 0 {
-			members = world.Members
-		}
-		side.under(side.every(), members, func() {
-			world.killAll(kind != "all-down", len(members) > 0)
-			for offset := range lost {
-				if kind == "all-wiped" {
-					world.WipeCore((index + offset) % len(world.Cores))
-				}
-			}
-			world.Rest(side.span(10, 1000))
-			world.startAll()
-			world.Until(20*time.Second, world.sound)
-		})
-	case "wipe-after-ack", "most-wiped":
-		side.put(world.holds(), random, 7)
-		gone := []int{leader}
-		for offset := 1; offset < lost && kind == "most-wiped"; offset++ {
-			gone = append(gone, (leader+offset)%len(world.Cores))
-		}
-		side.under(gone, nil, func() {
-			for _, index := range gone {
-				world.WipeCore(index)
-			}
-			world.Rest(side.span(10, 3000))
-			world.startAll()
-			if !world.Until(30*time.Second, world.sound) {
-				world.broke("%s: cores %v do not vote again", kind, gone)
-			}
-		})
-	case "region-lost":
-		region := random.IntN(3)
-		cores, members := []int{}, []*Member{}
-		for index := range world.Cores {
-			if index%3 == region {
-				cores = append(cores, index)
-			}
-		}
-		for _, one := range world.Members {
-			if one.Region == region {
-				members = append(members, one)
-			}
-		}
-		side.under(cores, members, func() {
-			for _, index := range cores {
-				world.KillCore(index, true)
-			}
-			for _, one := range members {
-				world.KillMember(one)
-			}
-			world.Rest(side.span(500, 7000))
-			world.startAll()
-		})
-	case "cores-apart":
-		few := random.Perm(len(world.Cores))[:lost]
-		cut := func(shut bool) {
-			for index, machine := range world.Cores {
-				for _, other := range few {
-					if !slices.Contains(few, index) {
-						world.Net.Cut(machine.Host, world.Cores[other].Host, shut)
-					}
-				}
-			}
-		}
-		side.under(few, nil, func() {
-			cut(true)
-			world.Rest(side.span(500, 8000))
-			cut(false)
-		})
-	case "member-killed", "members-killed":
-		members := []*Member{one}
-		if kind == "members-killed" {
-			members = world.Members[:len(world.Members)/2]
-		}
-		side.under(nil, members, func() {
-			for _, one := range members {
-				world.KillMember(one)
-			}
-			world.Rest(side.span(50, 2500))
-			world.startAll()
-		})
-	case "member-frozen":
-		side.under(nil, []*Member{one}, func() {
-			world.Net.Freeze(one.Host, true)
-			world.Rest(side.span(200, 6000))
-			world.Net.Freeze(one.Host, false)
-		})
-	case "member-cut":
-		way := random.IntN(3)
-		cut := func(shut bool) {
-			for _, machine := range world.Cores {
-				if way != 1 {
-					world.Net.CutOneWay(machine.Host, one.Host, shut)
-				}
-				if way != 2 {
-					world.Net.CutOneWay(one.Host, machine.Host, shut)
-				}
-			}
-		}
-		side.under(nil, []*Member{one}, func() {
-			cut(true)
-			world.Rest(side.span(500, 7000))
-			cut(false)
-		})
-	case "calm":
-		world.Rest(side.span(5000, 9000))
-	}
-}
-
-// Run draws harms until the span is over; some follow each other at once.
-func (side *Harmer) Run(span time.Duration) {
-	for until := time.Now().Add(span); time.Now().Before(until); {
-		kind := side.kinds[side.random.IntN(len(side.kinds))]
-		side.chaos.Done[kind]++
-		side.Harm(kind)
-		if side.random.IntN(3) > 0 {
-			side.world.Rest(side.span(200, 9000))
-		}
-	}
-}
-
 func (side *Control) duty(duty func() bool) {
 	side.mutex.Lock()
 	side.running++
@@ -398,8 +208,8 @@
 // held is how many disks would keep a serial through a loss of power now, and how
 // many are blank.
 func (side *Control) held(serial uint64) (held, blank int) {
-	for _, machine := range side.world.Cores {
-		store, mishap := control.OpenStore(machine.Disk.Copy())
+	for _, disk := range side.world.voterDisks() {
+		store, mishap := control.OpenStore(disk.Copy())
 		if mishap != nil || !store.State().Founded {
 			blank++
 		} else if store.State().Accepted[wire.RoutingRegister].Value.Serial >= serial {
@@ -536,7 +346,7 @@
 	test.Logf("%d orders, %d acknowledged routings, %d late, longest %v, %d leaderships, %d windows told", len(side.orders), acknowledged, late, longest, len(world.Leads), len(side.meters.told))
 }
 
-// The whole control side under every harm, with far links: what operators were
+// The whole control side under every fault, with far links: what operators were
 // told lasts and is in force in time, nothing goes back, duties have one holder.
 func TestControlSideUnderEverything(test *testing.T) {
 	each(test, func(test *testing.T, seed uint64) {
@@ -555,7 +365,7 @@
 			}
 			return world.Rest(100 * time.Millisecond)
 		})
-		hard, links := side.harmer(0, FarHarms, Kinds), side.harmer(1, LinkHarms, LinkKinds)
+		hard, links := side.injector(0, SideFaults, CoreFaults), side.injector(1, SideLinkFaults, CoreLinkFaults)
 		ended := false
 		world.threads.Start(func() {
 			links.Run(2 * chaosSpan())
@@ -570,7 +380,7 @@
 			test.Fatal("operators have no answer")
 		}
 		side.judge(test)
-		test.Logf("harms %v, beside them %v", hard.chaos.Done, links.chaos.Done)
+		test.Logf("faults %v, beside them %v", hard.chaos.Done, links.chaos.Done)
 		world.report(test)
 	})
 }
--- /dev/null
+++ b/sim/core.go
@@ -0,0 +1,250 @@
+package sim
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// Lead is one leadership that came to stand.
+type Lead struct {
+	Core   int
+	Host   string
+	Ballot wire.Ballot
+	At     time.Time
+}
+
+// Core is one core machine of the world.
+type Core struct {
+	ID      int
+	Host    string
+	Wire    string
+	Operate string
+	Disk    *Disk
+	Core    *control.Core
+	Alive   bool
+	Seeds   []string
+	threads *run.Threads
+	servers []*http.Server
+	line    *wire.Line
+	starts  uint64
+	jump    atomic.Int64
+	wiped   bool
+	gone    bool
+	// returned is whether a removed machine was started again.
+	returned bool
+	Hold     *member.Hold
+}
+
+// retireLimit is how long a core has from SIGTERM until it is killed.
+const retireLimit = 6 * time.Second
+
+func newCore(id int, host string, disk *Disk) *Core {
+	return &Core{ID: id, Host: host, Wire: host + ":41", Operate: host + ":42", Disk: disk}
+}
+
+// machines are the core machines of the deployment as they are now: one a seat,
+// without those that were replaced.
+func (world *World) machines() []*Core {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return append([]*Core{}, world.Cores...)
+}
+
+func (world *World) machine(index int) *Core {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return world.Cores[index]
+}
+
+// StartCore starts a core on whatever its disk holds.
+func (world *World) StartCore(index int) { world.start(world.machine(index)) }
+
+// start does nothing for a machine that runs already or is gone for good.
+func (world *World) start(machine *Core) {
+	if machine.life(world) != nil || world.isGone(machine) {
+		return
+	}
+	place := world.corePlace(machine)
+	machine.threads = run.NewThreads()
+	machine.line = wire.NewLine(world.Net.Transport(machine.Host))
+	counts := run.NewCounts()
+	core, mishap := control.NewCore(place, machine.Disk, machine.line, machine.threads, counts)
+	if mishap != nil {
+		world.broke("core %d does not start: %v", machine.ID, mishap)
+		return
+	}
+	door := wire.NewDoor(counts)
+	core.Register(door)
+	finder := world.coreFinder(machine, &place)
+	hold := member.NewHold(finder, machine.line, counts).Within(world.Limits)
+	if len(place.Seeds) > 0 {
+		hold.Follow(core.Leader)
+	}
+	world.mutex.Lock()
+	machine.Core, machine.Hold, machine.Alive = core, hold, true
+	world.mutex.Unlock()
+	operate := member.NewOperate(fmt.Sprint(machine.ID), hold, counts, core.Settings, core.Sound)
+	machine.servers = []*http.Server{world.serve(machine.threads, machine.Wire, door), world.serve(machine.threads, machine.Operate, operate)}
+	finder.Run()
+	core.Run()
+}
+
+func (world *World) corePlace(machine *Core) control.Place {
+	place := control.Place{ID: machine.ID, Zone: "z", Wire: machine.Wire, Operate: machine.Operate, Found: true, Platform: world.platformAddress(), Beat: Beat, Suspect: Suspect, Seed: world.Seed + machine.starts*1000}
+	machine.starts++
+	for _, other := range world.machines() {
+		if other != machine {
+			place.Peers = append(place.Peers, control.Peer{ID: other.ID, Address: other.Wire})
+		}
+	}
+	place.Wall = func() int64 { return time.Now().UnixMilli() + machine.jump.Load() }
+	if world.Shape != nil {
+		world.Shape(machine, &place)
+		if mishap := place.Check(); mishap != nil {
+			world.broke("%s: %v", machine.Host, mishap)
+		}
+	}
+	place.Observe = func(_ control.Standing, ballot wire.Ballot) { world.led(machine, ballot) }
+	return place
+}
+
+// coreFinder knows at first what the core was told: all cores, or its seeds.
+func (world *World) coreFinder(machine *Core, place *control.Place) *member.Finder {
+	addresses := append([]string{}, place.Seeds...)
+	if len(addresses) == 0 {
+		for _, other := range world.machines() {
+			addresses = append(addresses, other.Wire)
+		}
+	}
+	return member.NewFinder(machine.line, machine.threads, addresses).Paced(world.Paces)
+}
+
+// led judges each leadership as it comes to stand: its ballot must by then be
+// lasting at a majority, and no register it left behind may be newer.
+func (world *World) led(leader *Core, ballot wire.Ballot) {
+	promised, rewritten := 0, 0
+	for _, disk := range world.voterDisks() {
+		store, mishap := control.OpenStore(disk.Copy())
+		if mishap != nil {
+			continue
+		}
+		state := store.State()
+		if !state.Promised.Less(ballot) {
+			promised++
+		}
+		if !state.Accepted[wire.SettingsRegister].Ballot.Less(ballot) {
+			rewritten++
+		}
+	}
+	need := len(world.machines())/2 + 1
+	if promised < need {
+		world.broke("core %d leads under %s, fenced at %d of %d", leader.ID, ballot, promised, need)
+	}
+	if rewritten < need {
+		world.broke("core %d leads under %s, re-written at %d of %d", leader.ID, ballot, rewritten, need)
+	}
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	for _, other := range world.Leads {
+		if other.Ballot == ballot {
+			world.Broken = append(world.Broken, fmt.Sprintf("%s and %s both led under %s", other.Host, leader.Host, ballot))
+		}
+	}
+	world.Leads = append(world.Leads, Lead{Core: leader.ID, Host: leader.Host, Ballot: ballot, At: time.Now()})
+}
+
+// voterDisks are the disks of the deployment's machines, and of those that are
+// being replaced and have not ended yet.
+func (world *World) voterDisks() []*Disk {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	disks := []*Disk{}
+	for _, machine := range world.Cores {
+		disks = append(disks, machine.Disk)
+	}
+	for _, machine := range world.Removed {
+		if machine.Alive && !machine.returned {
+			disks = append(disks, machine.Disk)
+		}
+	}
+	return disks
+}
+
+// life is the core that runs on this machine now, nil when none does.
+func (machine *Core) life(world *World) *control.Core {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	if !machine.Alive {
+		return nil
+	}
+	return machine.Core
+}
+
+// hold is what brings orders from this machine to the leader, nil when none runs.
+func (machine *Core) hold(world *World) *member.Hold {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	if !machine.Alive {
+		return nil
+	}
+	return machine.Hold
+}
+
+func (world *World) isGone(machine *Core) bool {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return machine.gone
+}
+
+// KillCore ends a core at once; with power lost only synced data stays.
+func (world *World) KillCore(index int, power bool) { world.kill(world.machine(index), power) }
+
+func (world *World) kill(machine *Core, power bool) {
+	world.end(machine, power, world.Net.Kill)
+}
+
+// end ends a machine's process; disconnect is what becomes of its connections.
+func (world *World) end(machine *Core, power bool, disconnect func(host string)) {
+	if !world.ends(&machine.Alive) {
+		return
+	}
+	world.mutex.Lock()
+	machine.Disk = machine.Disk.Sever(power)
+	world.mutex.Unlock()
+	disconnect(machine.Host)
+	machine.threads.Stop()
+	for _, server := range machine.servers {
+		server.Close()
+	}
+	machine.line.Close()
+}
+
+// TermCore is the platform's warning: the core steps down if it leads, then ends.
+func (world *World) TermCore(index int) { world.term(world.machine(index)) }
+
+func (world *World) term(machine *Core) {
+	core := machine.life(world)
+	if core == nil {
+		return
+	}
+	core.Retire(retireLimit)
+	world.kill(machine, false)
+}
+
+// WipeCore ends a core and gives it an empty disk.
+func (world *World) WipeCore(index int) { world.wipe(world.machine(index)) }
+
+func (world *World) wipe(machine *Core) {
+	world.kill(machine, true)
+	world.mutex.Lock()
+	machine.Disk = NewDisk(world.Seed + uint64(machine.ID) + 76)
+	machine.wiped = true
+	world.mutex.Unlock()
+}
--- a/sim/everything.go
+++ b/sim/everything.go
@@ -11,8 +11,8 @@
 	"orchidjunction/wire"
 )
 
-// Everything harms a whole partner, every kind of process, one draw after
-// another; each harm is healed before the next.
+// Everything injects faults into a whole partner, every kind of process, one draw
+// after another; each is healed before the next.
 type Everything struct {
 	world  *World
 	chaos  *Chaos
@@ -26,16 +26,16 @@
 	return &Everything{world: world, chaos: world.Chaos(), ledger: ledger, random: rand.New(rand.NewPCG(world.Seed, 71))}
 }
 
-// Harms are those beside the cores' own.
-var Harms = []string{"core", "core", "clock", "disk-fails", "proxy-killed", "proxies-killed", "dir-killed", "proxy-stopped", "warned-then-killed", "proxy-frozen", "proxy-cut", "proxies-apart", "core-away",
+// SystemFaults are those beside the cores' own.
+var SystemFaults = []string{"core", "core", "clock", "disk-fails", "proxy-killed", "proxies-killed", "dir-killed", "proxy-stopped", "warned-then-killed", "proxy-frozen", "proxy-cut", "proxies-apart", "core-away",
 	"zone-lost", "region-lost", "zone-emptied", "zone-lost-other-emptied", "backend-crash", "backends-cold-herd", "backend-frozen", "backend-leaves", "misbehave", "platform", "platform-usage", "lag", "keys", "all-down"}
 
-// Run draws harms until the span is over.
+// Run draws faults until the span is over.
 func (all *Everything) Run(span time.Duration) {
 	for until := time.Now().Add(span); time.Now().Before(until); {
-		kind := Harms[all.random.IntN(len(Harms))]
+		kind := SystemFaults[all.random.IntN(len(SystemFaults))]
 		all.Done = append(all.Done, kind)
-		all.Harm(kind)
+		all.Inject(kind)
 		all.world.Rest(all.span(300, 2500))
 	}
 }
@@ -145,15 +145,15 @@
 	all.within(windows, fmt.Sprintf(`{"drained":{"zones":[%q]}}`, zone), `{"drained":{"zones":[]}}`, all.span(5000, 7000), meanwhile)
 }
 
-// Harm brings one about and heals it.
-func (all *Everything) Harm(kind string) {
+// Inject brings one fault about and heals it.
+func (all *Everything) Inject(kind string) {
 	world, random := all.world, all.random
 	proxies, zones := all.proxies(), []string{"e1", "w1", "s1"}
 	random.Shuffle(len(zones), func(left, right int) { zones[left], zones[right] = zones[right], zones[left] })
 	backend := world.Backends[random.IntN(len(world.Backends))]
 	switch kind {
 	case "core":
-		all.chaos.Harm(Kinds[random.IntN(len(Kinds))], random.IntN(len(world.Cores)))
+		all.chaos.Inject(CoreFaults[random.IntN(len(CoreFaults))], random.IntN(len(world.Cores)))
 	case "clock":
 		jumps := []int64{-7_200_000, -180_000, -9_000, 9_000, 180_000, 7_200_000}
 		world.Cores[random.IntN(len(world.Cores))].jump.Store(jumps[random.IntN(len(jumps))])
--- a/sim/far.go
+++ b/sim/far.go
@@ -30,6 +30,7 @@
 	Counts  *run.Counts
 	Alive   bool
 	Jump    int64
+	Seeds   []string
 	threads *run.Threads
 	server  *http.Server
 	line    *wire.Line
@@ -45,6 +46,7 @@
 		machine.Host = fmt.Sprintf("10.%d.0.%d", 10*(index%3), index+1)
 		machine.Wire, machine.Operate = machine.Host+":41", machine.Host+":42"
 	}
+	world.Seeds = wires(world.Cores[:seedCount])
 	region := func(host string) string {
 		first, _, _ := strings.Cut(strings.TrimPrefix(host, "10."), ".")
 		return first
@@ -62,15 +64,24 @@
 func (world *World) farPlace(machine *Core, place *control.Place) {
 	place.ID, place.Peers, place.Platform = 0, nil, ""
 	place.Name, place.Found, place.Least = machine.Host, !machine.wiped, 3
-	for _, core := range world.Cores[:3] {
-		place.Seeds = append(place.Seeds, core.Wire)
-	}
+	place.Seeds = world.seedsFor(&machine.Seeds)
 	place.Beat, place.Suspect, place.Table = farBeat, farSuspect, 250*time.Millisecond
 	place.Direct, place.SessionSpan = true, 2500*time.Millisecond
 	place.Lister, place.GoneAfter = world.lists, 2
 	place.Metering = world.Metering
 }
 
+// seedsFor gives a process the seeds that its settings name; those that it is told
+// at its first start stay the same until TurnSeeds.
+func (world *World) seedsFor(told *[]string) []string {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	if *told == nil {
+		*told = world.Seeds
+	}
+	return append([]string{}, *told...)
+}
+
 // lists is an empty list of backends unless the world has its own.
 func (world *World) lists(_ context.Context, page string) control.Listing {
 	if world.Listed == nil {
@@ -90,9 +101,7 @@
 func (world *World) StartMember(one *Member) {
 	spot := member.Place{Name: one.Name, Kind: "proxy", Zone: fmt.Sprint("z", one.Region), Wire: one.Host + ":41", Outer: one.Host + ":80", Operate: one.Host + ":42",
 		Paces: world.Paces, Hold: world.Limits, Direct: true, ServesAlone: true, Routed: true, Wall: func() int64 { return time.Now().UnixMilli() + one.Jump }}
-	for _, core := range world.Cores[:3] {
-		spot.Seeds = append(spot.Seeds, core.Wire)
-	}
+	spot.Seeds = world.seedsFor(&one.Seeds)
 	one.threads, one.Counts = run.NewThreads(), run.NewCounts()
 	one.line = wire.NewLine(world.Net.Transport(one.Host))
 	one.Daemon = member.NewDaemon(spot, member.NewID(), one.line, one.threads, one.Counts)
@@ -159,9 +168,9 @@
 
 func (world *World) holds() []*member.Hold {
 	holds := []*member.Hold{}
-	for _, machine := range world.Cores {
-		if machine.life(world) != nil {
-			holds = append(holds, machine.Hold)
+	for _, machine := range world.machines() {
+		if hold := machine.hold(world); hold != nil {
+			holds = append(holds, hold)
 		}
 	}
 	return holds
--- a/sim/far_test.go
+++ b/sim/far_test.go
@@ -105,7 +105,7 @@
 		})
 		chaos := world.Chaos()
 		for until := time.Now().Add(2 * chaosSpan()); time.Now().Before(until); {
-			chaos.Harm(Kinds[chaos.random.IntN(len(Kinds))], chaos.random.IntN(len(world.Cores)))
+			chaos.Inject(CoreFaults[chaos.random.IntN(len(CoreFaults))], chaos.random.IntN(len(world.Cores)))
 			world.Rest(chaos.span(100*time.Millisecond, 4*time.Second))
 		}
 		racers.mutex.Lock()
@@ -149,7 +149,7 @@
 		if held := world.rosters(); len(held) != 1 {
 			world.broke("%v", held)
 		}
-		test.Logf("%d acknowledged, %d leaderships, %d windows told, harms %v", len(racers.acked), len(world.Leads), len(meters.told), chaos.Done)
+		test.Logf("%d acknowledged, %d leaderships, %d windows told, faults %v", len(racers.acked), len(world.Leads), len(meters.told), chaos.Done)
 		world.report(test)
 	})
 }
--- a/sim/net.go
+++ b/sim/net.go
@@ -30,6 +30,7 @@
 	conns     []*conn
 	cut       map[[2]string]bool
 	frozen    map[string]bool
+	gone      map[string]bool
 	lives     map[string]int
 	faults    Faults
 	slow      map[string]time.Duration
@@ -45,7 +46,7 @@
 )
 
 func NewNet(seed uint64) *Net {
-	return &Net{random: rand.New(rand.NewPCG(seed, 13)), listeners: map[string]*listener{}, cut: map[[2]string]bool{}, frozen: map[string]bool{}, lives: map[string]int{}, threads: run.NewThreads()}
+	return &Net{random: rand.New(rand.NewPCG(seed, 13)), listeners: map[string]*listener{}, cut: map[[2]string]bool{}, frozen: map[string]bool{}, gone: map[string]bool{}, lives: map[string]int{}, threads: run.NewThreads()}
 }
 
 func (net *Net) odds(of int) bool { return of > 0 && net.random.IntN(1000) < of }
@@ -81,6 +82,13 @@
 	return net.cut[[2]string{from, to}] || net.frozen[from] || net.frozen[to]
 }
 
+// away is whether one of two hosts is gone without a word.
+func (net *Net) away(from, to string) bool {
+	net.mutex.Lock()
+	defer net.mutex.Unlock()
+	return net.gone[from] || net.gone[to]
+}
+
 func (net *Net) change(turn func()) {
 	net.mutex.Lock()
 	turn()
@@ -126,17 +134,18 @@
 // a cut held back are lost, since nobody is left to send them again. What the
 // dead process had under way reaches nobody any more.
 func (net *Net) Kill(name string) {
+	for _, conn := range net.disconnect(name) {
+		conn.in.close(true)
+		conn.out.close(conn.out.shut())
+	}
+}
+
+// disconnect takes a host's listeners and connections out of the net: both ends
+// of each connection. What its process has under way reaches nobody any more.
+func (net *Net) disconnect(name string) []*conn {
 	net.mutex.Lock()
 	net.lives[name]++
-	kept, broken := []*conn{}, []*conn{}
-	for _, conn := range net.conns {
-		if host(string(conn.local)) == name || host(string(conn.remote)) == name {
-			broken = append(broken, conn)
-		} else {
-			kept = append(kept, conn)
-		}
-	}
-	net.conns = kept
+	broken := net.take(func(conn *conn) bool { return conn.joins(name) })
 	closing := []*listener{}
 	for address, open := range net.listeners {
 		if host(address) == name {
@@ -147,9 +156,53 @@
 	for _, open := range closing {
 		open.Close()
 	}
+	return broken
+}
+
+// take removes connections from the net's list; the caller holds the mutex.
+func (net *Net) take(wanted func(*conn) bool) []*conn {
+	kept, taken := []*conn{}, []*conn{}
+	for _, conn := range net.conns {
+		if wanted(conn) {
+			taken = append(taken, conn)
+		} else {
+			kept = append(kept, conn)
+		}
+	}
+	net.conns = kept
+	return taken
+}
+
+// Vanish takes a host away with no word to anybody: connections to it hang, and so
+// do attempts to connect, as long as it is gone.
+func (net *Net) Vanish(name string, gone bool) {
+	net.mutex.Lock()
+	net.gone[name] = gone
+	net.mutex.Unlock()
+	if !gone {
+		return
+	}
+	left := []*conn{}
+	for _, conn := range net.disconnect(name) {
+		if host(string(conn.local)) == name {
+			conn.abandon()
+		} else {
+			left = append(left, conn)
+		}
+	}
+	net.mutex.Lock()
+	net.conns = append(net.conns, left...)
+	net.mutex.Unlock()
+}
+
+// Reset breaks all connections between two hosts; both may connect again.
+func (net *Net) Reset(left, right string) {
+	net.mutex.Lock()
+	broken := net.take(func(conn *conn) bool { return conn.joins(left) && conn.joins(right) })
+	net.mutex.Unlock()
 	for _, conn := range broken {
 		conn.in.close(true)
-		conn.out.close(conn.out.shut())
+		conn.out.close(true)
 	}
 }
 
@@ -225,7 +278,7 @@
 	if limit, found := ctx.Deadline(); found && limit.Before(until) {
 		until = limit
 	}
-	for network.shut(from, host(to)) {
+	for network.shut(from, host(to)) || network.away(from, host(to)) {
 		if !time.Now().Before(until) {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded}
 		}
--- a/sim/platform_test.go
+++ b/sim/platform_test.go
@@ -43,7 +43,7 @@
 				world.Platform.Set(stays)
 			}
 			if random.IntN(6) == 0 {
-				chaos.Harm("kill-leader", 0)
+				chaos.Inject("kill-leader", 0)
 			}
 			for until := time.Now().Add(time.Duration(random.IntN(3000)) * time.Millisecond); time.Now().Before(until); {
 				held := map[string]bool{}
--- a/sim/recovery_test.go
+++ b/sim/recovery_test.go
@@ -22,10 +22,8 @@
 }
 
 func (world *World) startAll() {
-	for index := range world.Cores {
-		if world.Cores[index].life(world) == nil {
-			world.StartCore(index)
-		}
+	for _, machine := range world.machines() {
+		world.start(machine)
 	}
 	for _, one := range world.Members {
 		if !one.Alive {
@@ -66,7 +64,7 @@
 }
 
 func (world *World) sound() bool {
-	for _, machine := range world.Cores {
+	for _, machine := range world.machines() {
 		if core := machine.life(world); core == nil || !core.Sound() {
 			return false
 		}
--- a/sim/stale_test.go
+++ b/sim/stale_test.go
@@ -23,11 +23,11 @@
 				world.broke("no leader before round %d", round)
 			}
 			world.Rest(500 * time.Millisecond)
-			chaos.Harm(kind, 0)
+			chaos.Inject(kind, 0)
 		}
 		ledger.Stop()
 		world.judge(ledger)
-		test.Logf("%d acknowledged, %d leaderships, harms %v", len(ledger.Acked), len(world.Leads), chaos.Done)
+		test.Logf("%d acknowledged, %d leaderships, faults %v", len(ledger.Acked), len(world.Leads), chaos.Done)
 		world.report(test)
 	})
 }
--- a/sim/world.go
+++ b/sim/world.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"orchidjunction/control"
@@ -26,6 +25,8 @@
 	Net      *Net
 	Seed     uint64
 	Cores    []*Core
+	Removed  []*Core
+	Seeds    []string
 	Daemons  []*Daemon
 	Backends []*Backend
 	Platform *stand.Platform
@@ -42,10 +43,13 @@
 	windows []judge.Window
 	reports bool
 	lives   int
-	planned bool
-	Shape   func(machine *Core, place *control.Place)
-	Paces   member.Paces
-	Limits  member.HoldLimits
+	// laidOut counts the core machines that there ever were.
+	laidOut   int
+	replacing *rand.Rand
+	planned   bool
+	Shape     func(machine *Core, place *control.Place)
+	Paces     member.Paces
+	Limits    member.HoldLimits
 
 	Members  []*Member
 	Requests func(*Member) []wire.WindowCount
@@ -53,31 +57,6 @@
 	Listed   func(page string) control.Listing
 }
 
-// Lead is one leadership that came to stand.
-type Lead struct {
-	Core   int
-	Ballot wire.Ballot
-	At     time.Time
-}
-
-// Core is one core machine of the world.
-type Core struct {
-	ID      int
-	Host    string
-	Wire    string
-	Operate string
-	Disk    *Disk
-	Core    *control.Core
-	Alive   bool
-	threads *run.Threads
-	servers []*http.Server
-	line    *wire.Line
-	starts  uint64
-	jump    atomic.Int64
-	wiped   bool
-	Hold    *member.Hold
-}
-
 // Daemon is one directory node or proxy of the world.
 type Daemon struct {
 	Name    string
@@ -122,10 +101,10 @@
 }
 
 func newWorld(net *Net, base int, seed uint64, cores int) *World {
-	world := &World{Net: net, Base: base, Seed: seed, random: rand.New(rand.NewPCG(seed, 17)), threads: run.NewThreads(), applied: map[uint64]string{}}
+	world := &World{Net: net, Base: base, Seed: seed, random: rand.New(rand.NewPCG(seed, 17)), threads: run.NewThreads(), applied: map[uint64]string{}, laidOut: cores, replacing: rand.New(rand.NewPCG(seed, 41))}
 	for index := range cores {
 		host := fmt.Sprintf("10.%d.0.%d", base, index+1)
-		world.Cores = append(world.Cores, &Core{ID: index + 1, Host: host, Wire: host + ":41", Operate: host + ":42", Disk: NewDisk(seed + uint64(index))})
+		world.Cores = append(world.Cores, newCore(index+1, host, NewDisk(seed+uint64(index))))
 	}
 	return world
 }
@@ -147,78 +126,6 @@
 	return server
 }
 
-// StartCore starts a core on whatever its disk holds.
-func (world *World) StartCore(index int) {
-	machine := world.Cores[index]
-	place := control.Place{ID: machine.ID, Zone: "z", Wire: machine.Wire, Operate: machine.Operate, Found: true, Platform: world.platformAddress(), Beat: Beat, Suspect: Suspect, Seed: world.Seed + machine.starts*1000}
-	machine.starts++
-	for _, other := range world.Cores {
-		if other != machine {
-			place.Peers = append(place.Peers, control.Peer{ID: other.ID, Address: other.Wire})
-		}
-	}
-	place.Wall = func() int64 { return time.Now().UnixMilli() + machine.jump.Load() }
-	if world.Shape != nil {
-		world.Shape(machine, &place)
-		if mishap := place.Check(); mishap != nil {
-			world.broke("%s: %v", machine.Host, mishap)
-		}
-	}
-	place.Observe = func(_ control.Standing, ballot wire.Ballot) { world.led(machine, ballot) }
-	machine.threads = run.NewThreads()
-	machine.line = wire.NewLine(world.Net.Transport(machine.Host))
-	counts := run.NewCounts()
-	core, mishap := control.NewCore(place, machine.Disk, machine.line, machine.threads, counts)
-	if mishap != nil {
-		world.broke("core %d does not start: %v", machine.ID, mishap)
-		return
-	}
-	world.mutex.Lock()
-	machine.Core, machine.Alive = core, true
-	world.mutex.Unlock()
-	door := wire.NewDoor(counts)
-	core.Register(door)
-	addresses := []string{}
-	for _, other := range world.Cores {
-		addresses = append(addresses, other.Wire)
-	}
-	finder := member.NewFinder(machine.line, machine.threads, addresses).Paced(world.Paces)
-	machine.Hold = member.NewHold(finder, machine.line, counts).Within(world.Limits)
-	operate := member.NewOperate(fmt.Sprint(machine.ID), machine.Hold, counts, core.Settings, core.Sound)
-	machine.servers = []*http.Server{world.serve(machine.threads, machine.Wire, door), world.serve(machine.threads, machine.Operate, operate)}
-	finder.Run()
-	core.Run()
-}
-
-// led judges each leadership as it comes to stand: its ballot must by then be
-// lasting at a majority, and no register it left behind may be newer.
-func (world *World) led(leader *Core, ballot wire.Ballot) {
-	promised, rewritten := 0, 0
-	for _, machine := range world.Cores {
-		store, mishap := control.OpenStore(machine.Disk.Copy())
-		if mishap != nil {
-			continue
-		}
-		state := store.State()
-		if !state.Promised.Less(ballot) {
-			promised++
-		}
-		if !state.Accepted[wire.SettingsRegister].Ballot.Less(ballot) {
-			rewritten++
-		}
-	}
-	need := len(world.Cores)/2 + 1
-	if promised < need {
-		world.broke("core %d leads under %s, fenced at %d of %d", leader.ID, ballot, promised, need)
-	}
-	if rewritten < need {
-		world.broke("core %d leads under %s, re-written at %d of %d", leader.ID, ballot, rewritten, need)
-	}
-	world.mutex.Lock()
-	world.Leads = append(world.Leads, Lead{Core: leader.ID, Ballot: ballot, At: time.Now()})
-	world.mutex.Unlock()
-}
-
 // ends is whether something lived until now.
 func (world *World) ends(alive *bool) bool {
 	world.mutex.Lock()
@@ -228,16 +135,6 @@
 	return lived
 }
 
-// life is the core that runs on this machine now, nil when none does.
-func (machine *Core) life(world *World) *control.Core {
-	world.mutex.Lock()
-	defer world.mutex.Unlock()
-	if !machine.Alive {
-		return nil
-	}
-	return machine.Core
-}
-
 // life is the daemon that runs in this place now, nil when none does.
 func (daemon *Daemon) life(world *World) *member.Daemon {
 	world.mutex.Lock()
@@ -248,38 +145,6 @@
 	return daemon.Daemon
 }
 
-// KillCore ends a core at once; with power lost only synced data stays.
-func (world *World) KillCore(index int, power bool) {
-	machine := world.Cores[index]
-	if !world.ends(&machine.Alive) {
-		return
-	}
-	machine.Disk = machine.Disk.Sever(power)
-	world.Net.Kill(machine.Host)
-	machine.threads.Stop()
-	for _, server := range machine.servers {
-		server.Close()
-	}
-	machine.line.Close()
-}
-
-// TermCore is the platform's warning: the core steps down if it leads, then ends.
-func (world *World) TermCore(index int) {
-	machine := world.Cores[index]
-	if machine.life(world) == nil {
-		return
-	}
-	machine.Core.Retire(6 * time.Second)
-	world.KillCore(index, false)
-}
-
-// WipeCore ends a core and gives it an empty disk.
-func (world *World) WipeCore(index int) {
-	world.KillCore(index, true)
-	world.Cores[index].Disk = NewDisk(world.Seed + uint64(index) + 77)
-	world.Cores[index].wiped = true
-}
-
 // AddDaemon lays out a directory node or a proxy; StartDaemon starts it.
 func (world *World) AddDaemon(kind, zone string) *Daemon {
 	index := len(world.Daemons)
@@ -427,7 +292,7 @@
 // Doors are the operators' doors of all that live.
 func (world *World) Doors() []string {
 	doors := []string{}
-	for _, core := range world.Cores {
+	for _, core := range world.machines() {
 		if core.life(world) != nil {
 			doors = append(doors, core.Operate)
 		}
@@ -442,7 +307,7 @@
 
 // Leader is the index of the core that leads with all conditions standing, or -1.
 func (world *World) Leader() int {
-	for index, machine := range world.Cores {
+	for index, machine := range world.machines() {
 		if core := machine.life(world); core != nil && core.Leads() {
 			return index
 		}
@@ -474,8 +339,8 @@
 	for _, daemon := range world.Daemons {
 		world.KillDaemon(daemon)
 	}
-	for index := range world.Cores {
-		world.KillCore(index, false)
+	for _, machine := range world.everyMachine() {
+		world.kill(machine, false)
 	}
 	world.threads.Stop()
 	for _, backend := range world.Backends {
