--- /dev/null
+++ b/sim/trial_test.go
@@ -0,0 +1,207 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"sort"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/wire"
+)
+
+const (
+	syncSpan     = 4 * time.Second
+	newcomerGap  = time.Second
+	calmLimit    = 8 * time.Second
+	seatsLimit   = 15 * time.Second
+	orderRest    = 100 * time.Millisecond
+	evacuatedOne = "z-kept"
+)
+
+// trial is a far world whose cores are replaced while an operator orders one
+// routing on top of the other.
+type trial struct {
+	*World
+	test   *testing.T
+	name   string
+	random *rand.Rand
+	newest uint64
+	orders int
+}
+
+// newTrial is up, with one zone evacuated and one routing in force.
+func newTrial(test *testing.T, seed uint64, cores, members int, name string) *trial {
+	test.Helper()
+	one := &trial{World: NewFarWorld(seed, cores), test: test, name: fmt.Sprintf("%d cores, %s", cores, name), random: rand.New(rand.NewPCG(seed, 53)), newest: 1}
+	one.farUp(test, members)
+	one.calm(test)
+	if mishap := one.Evacuate(evacuatedOne, true); mishap != nil {
+		test.Fatal(one.name, mishap)
+	}
+	one.mustOrder("at first")
+	return one
+}
+
+// end reports what broke, and closes the world.
+func (one *trial) end() {
+	one.test.Helper()
+	one.report(one.test)
+	one.CloseFar()
+}
+
+func (one *trial) broke(format string, values ...any) {
+	one.World.broke("%s: %s", one.name, fmt.Sprintf(format, values...))
+}
+
+// span is a length of time by the seed.
+func (one *trial) span(least, most time.Duration) time.Duration {
+	return least + time.Duration(one.random.Int64N(int64(most-least)))
+}
+
+func (one *trial) restUntil(at time.Time) { one.Rest(time.Until(at)) }
+
+// order sends one routing by all doors in turn until it is acknowledged. Every
+// third answer is lost on its way to the operator, who sends the same again.
+func (one *trial) order(limit time.Duration) bool {
+	random := rand.New(rand.NewPCG(one.Seed, one.newest))
+	lost := random.IntN(3) == 0
+	for until, try := time.Now().Add(limit), random.IntN(9); time.Now().Before(until); try++ {
+		holds := one.holds()
+		if len(holds) == 0 {
+			one.Rest(orderRest)
+			continue
+		}
+		_, mishap := member.Send[wire.RouteChange, wire.RouteChangeTold](holds[try%len(holds)], "routechange", Whole(one.newest+1, one.newest))
+		switch {
+		case mishap == nil && lost:
+			lost = false
+			continue
+		case mishap == nil:
+			one.newest++
+			one.orders++
+			return true
+		case mishap.Retry == 0:
+			one.broke("%d on %d is refused: %v", one.newest+1, one.newest, mishap)
+			return false
+		}
+		one.Rest(orderRest)
+	}
+	return false
+}
+
+// mustOrder is an order in calm.
+func (one *trial) mustOrder(what string) {
+	if begin := time.Now(); !one.order(calmLimit) {
+		one.broke("%s: no acknowledgement in %v of calm", what, time.Since(begin))
+	}
+}
+
+// keepsAll is whether all that was acknowledged is there and known everywhere, and
+// orders are acknowledged.
+func (one *trial) keepsAll(what string) {
+	one.mustOrder(what)
+	book, mishap := one.Book()
+	switch {
+	case mishap != nil:
+		one.broke("%s: no read back: %v", what, mishap)
+	case book.Config.Version != one.newest:
+		one.broke("%s: %d was acknowledged, %d read back", what, one.newest, book.Config.Version)
+	case !slices.Contains(book.Evacuated, evacuatedOne):
+		one.broke("%s: the evacuation of %s is lost", what, evacuatedOne)
+	}
+	if took, whole := one.reached(one.newest, inForceSpan); !whole {
+		one.broke("%s: members hold %v after %v, %d was acknowledged", what, one.routings(), took, one.newest)
+	}
+}
+
+func (one *trial) routings() []uint64 {
+	held := []uint64{}
+	for _, member := range one.Members {
+		held = append(held, member.serves())
+	}
+	return held
+}
+
+var coreAddress = regexp.MustCompile(`10\.\d+\.\d+\.\d+:41`)
+
+// seats are the addresses of those that vote by what a disk holds.
+func seats(disk *Disk) []string {
+	store, mishap := control.OpenStore(disk.Copy())
+	if mishap != nil {
+		return nil
+	}
+	addresses := coreAddress.FindAllString(fmt.Sprint(store.State().Roster), -1)
+	sort.Strings(addresses)
+	return addresses
+}
+
+// votes waits until exactly these machines have a seat by all of their disks, and
+// use it.
+func (one *trial) votes(what string, machines []*Core) {
+	wanted := wires(machines)
+	sort.Strings(wanted)
+	agreed := func() bool {
+		for _, machine := range machines {
+			core := machine.life(one.World)
+			if core == nil || !core.Sound() || !slices.Equal(seats(machine.Disk), wanted) {
+				return false
+			}
+		}
+		return true
+	}
+	if one.Until(seatsLimit, agreed) {
+		return
+	}
+	for _, machine := range machines {
+		core := machine.life(one.World)
+		one.broke("%s: %s votes %v, its disk has the seats %v, want %v", what, machine.Host, core != nil && core.Sound(), seats(machine.Disk), wanted)
+	}
+}
+
+// settled is keepsAll, with a vote for each machine of the deployment.
+func (one *trial) settled(what string) {
+	one.keepsAll(what)
+	one.votes(what, one.machines())
+	one.keepsAll(what + ", all vote")
+}
+
+// survives loses machines for good, of those that were there before the newcomers,
+// and wants the rest to go on with everything.
+func (one *trial) survives(what string, indexes ...int) {
+	for _, index := range indexes {
+		one.LoseCore(index)
+	}
+	one.keepsAll(fmt.Sprintf("%s, then cores %v are lost", what, indexes))
+}
+
+// leader is the index of the core that leads.
+func (one *trial) leader() int {
+	if !one.Until(calmLimit, func() bool { return one.Leader() >= 0 }) {
+		one.broke("no leader")
+		return 0
+	}
+	return one.Leader()
+}
+
+// after is the index some places behind another.
+func (one *trial) after(index, offset int) int { return (index + offset) % len(one.Cores) }
+
+// meanwhile does something at the same time; wait is until that has ended.
+func (one *trial) meanwhile(do func()) (wait func()) {
+	done := atomic.Bool{}
+	one.threads.Start(func() {
+		do()
+		done.Store(true)
+	})
+	return func() {
+		if !one.Until(time.Minute, done.Load) {
+			one.broke("what went on meanwhile does not end")
+		}
+	}
+}
