--- a/sim/replace.go
+++ b/sim/replace.go
@@ -132,6 +132,13 @@
 	return machine
 }
 
+// removed are the machines that were replaced, the first one first.
+func (world *World) removed() []*Core {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return append([]*Core{}, world.Removed...)
+}
+
 // region is the number of the region that a far core stands in.
 func (machine *Core) region() int {
 	region := 0
