--- a/sim/far.go
+++ b/sim/far.go
@@ -18,6 +18,7 @@
 	farBeat    = 150 * time.Millisecond
 	farSuspect = 750 * time.Millisecond
 	farWay     = 55 * time.Millisecond
+	farReplace = time.Second
 	farSession = 500 * time.Millisecond
 )
 
@@ -66,6 +67,7 @@
 	place.Name, place.Found, place.Least = machine.Host, !machine.wiped, 3
 	place.Seeds = world.seedsFor(&machine.Seeds)
 	place.Beat, place.Suspect, place.Table = farBeat, farSuspect, 250*time.Millisecond
+	place.ReplaceAfter = farReplace
 	place.Direct, place.SessionSpan = true, 2500*time.Millisecond
 	place.Lister, place.GoneAfter = world.lists, 2
 	place.Metering = world.Metering
