--- a/control/election.go
+++ b/control/election.go
@@ -14,7 +14,7 @@
 }
 
 // firstPatience is that of a core that has heard of no leader since it started:
-// with a roster the cores stand one after the other, so that they don't race.
+// where cores know each other by a membership they stand one after the other, so that they don't race.
 func (core *Core) firstPatience() time.Duration {
 	if !core.place.enlists() {
 		return core.nextPatience()
@@ -107,7 +107,7 @@
 		core.sawRound(answer.Round)
 		core.learnMembers(answer.Members)
 	}
-	if core.members() != view {
+	if !core.members().same(view) {
 		core.counts.Add("prechecks_by_old_members", 1)
 		return false
 	}
@@ -216,8 +216,8 @@
 }
 
 func (core *Core) voterPromise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
-	if newer := core.newerMembers(message.Members); newer.Value.Serial > 0 {
-		return &wire.PromiseTold{Promised: core.voter.State().Promised, Members: newer}, nil
+	if known := core.members().accepted(); supersedes(known, message.Members) {
+		return &wire.PromiseTold{Promised: core.voter.State().Promised, Members: known}, nil
 	}
 	core.sawRound(message.Ballot.Round)
 	told, mishap := core.voter.Promise(message)
--- a/control/enlist.go
+++ b/control/enlist.go
@@ -112,14 +112,14 @@
 		return
 	}
 	view := viewOf(core.place.Wire, membership)
-	founds := core.opening() && view.votes()
+	founds := mayEnrol(core.opening(), view)
 	if founds {
 		if mishap := core.voter.Enrol(accepted); mishap != nil {
 			return
 		}
 	}
 	core.learnMembers(accepted)
-	core.counts.Add("rosters_adopted", 1)
+	core.counts.Add("memberships_joined", 1)
 	klog.Infof("core %d at %s: %d cores vote, a voter at once: %v", view.ID, view.Wire, len(membership.Voters), founds)
 	if founds {
 		core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
@@ -127,6 +127,9 @@
 	}
 }
 
+// mayEnrol is whether a core that first hears of a membership is a voter of it at once.
+func mayEnrol(opening bool, view *View) bool { return opening && view.votes() }
+
 func (core *Core) onEnlist(message *wire.Enlist) (*wire.EnlistTold, *wire.Mishap) {
 	if !core.members().known() {
 		core.enlisted.take(message.Address)
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -24,18 +24,22 @@
 	from       [wire.Registers]int
 	content    *content
 	routing    *route.Book
+	learners   []string
 }
 
 func (core *Core) establish(view *View, ballot wire.Ballot, revocation *Revocation) (*Leadership, *wire.Mishap) {
 	if !revocation.Complete {
 		return nil, wire.New(wire.StaleBallot, "revocation of %s is not complete", revocation.Revoked)
 	}
-	establishment := &Establishment{core: core, view: view, ballot: ballot, revocation: revocation}
+	establishment := &Establishment{core: core, view: view, ballot: ballot, revocation: revocation, learners: revocation.Learners}
 	for _, step := range []func() *wire.Mishap{establishment.promised, establishment.revoked, establishment.rewritten} {
 		if mishap := step(); mishap != nil {
 			return nil, mishap
 		}
 	}
+	if mishap := core.leadsBy(view, ballot); mishap != nil {
+		return nil, mishap
+	}
 	leadership := newLeadership(core, ballot, establishment)
 	if !leadership.beat() {
 		return nil, wire.New(wire.StaleBallot, "no majority took the first beat of %s", ballot)
@@ -43,6 +47,15 @@
 	return leadership, nil
 }
 
+// leadsBy makes the membership that was written again under a ballot the one that this
+// core counts by from then on. Its own replica may not have accepted that yet, and
+// meanwhile it may have learned a step of a former leader's that was never decided.
+func (core *Core) leadsBy(view *View, ballot wire.Ballot) *wire.Mishap {
+	rewritten := *view.Membership
+	_, mishap := core.countBy(&rewritten, ballot)
+	return mishap
+}
+
 // promised reuses the fence's promises; after a step-down it asks for its own.
 func (establishment *Establishment) promised() *wire.Mishap {
 	if establishment.revocation.Method == BallotFence && establishment.revocation.Ballot == establishment.ballot {
@@ -68,19 +81,32 @@
 	return nil
 }
 
-// rewritten writes the newest of all registers again under the ballot. None of those
-// that promised accepted a newer membership than the one that counted them: they
-// would have refused.
-func (establishment *Establishment) rewritten() *wire.Mishap {
-	core := establishment.core
-	for id, promise := range establishment.promises {
+// newestOf is, for each register, the newest value that those that promised accepted,
+// and which of them it is from.
+func newestOf(promises map[int]*wire.PromiseTold) (newest [wire.Registers]wire.Accepted, from [wire.Registers]int) {
+	for id, promise := range promises {
 		for register := range promise.Accepted {
-			if establishment.newest[register].Mark().Less(promise.Accepted[register].Mark()) {
-				establishment.newest[register], establishment.from[register] = promise.Accepted[register], id
+			if newest[register].Mark().Less(promise.Accepted[register].Mark()) {
+				newest[register], from[register] = promise.Accepted[register], id
 			}
 		}
 	}
-	establishment.newest[wire.MembersRegister] = establishment.view.accepted()
+	return newest, from
+}
+
+// takenOver is what a ballot takes over from those that promised it: the newest value
+// of each register, and the membership that counted them. None of them accepted a
+// newer membership with other voters: they would have refused.
+func takenOver(view *View, promises map[int]*wire.PromiseTold) (newest [wire.Registers]wire.Accepted, from [wire.Registers]int) {
+	newest, from = newestOf(promises)
+	newest[wire.MembersRegister] = view.accepted()
+	return newest, from
+}
+
+// rewritten writes what the ballot takes over again under it.
+func (establishment *Establishment) rewritten() *wire.Mishap {
+	core := establishment.core
+	establishment.newest, establishment.from = takenOver(establishment.view, establishment.promises)
 	settings := establishment.newest[wire.SettingsRegister].Value
 	texts, mishap := core.gatherTexts(establishment.view.address(establishment.from[wire.SettingsRegister]), settings, core.voter.State().Texts)
 	if mishap != nil {
--- a/control/replace.go
+++ b/control/replace.go
@@ -14,6 +14,8 @@
 	learnerSpan = 3
 	// leaveSpan is how long a voter's word that it ends is good for.
 	leaveSpan = time.Second
+	// leaveRetries bounds how long a voter that ends looks for a leader to tell.
+	leaveRetries = time.Second
 	// leaveLimit bounds how long a voter that ends waits for its successor.
 	leaveLimit = 3 * time.Second
 )
@@ -270,14 +272,12 @@
 		return mishap
 	}
 	core := leadership.core
-	next.Mark.Ballot = leadership.ballot
-	accepted := next.accepted()
-	core.learnMembers(accepted)
-	view := core.members()
-	if view.Mark != next.Mark {
+	view, mishap := core.countBy(next, leadership.ballot)
+	if mishap != nil {
 		core.revoke(leadership)
-		return wire.New(wire.StaleBallot, "a newer membership %v is known", view.Mark)
+		return mishap
 	}
+	accepted := view.accepted()
 	message := &wire.Accept{Ballot: leadership.ballot, Register: wire.MembersRegister, Value: accepted.Value}
 	if mishap := core.pushValue(view, message, nil); mishap != nil {
 		core.counts.Add("write_unknown", 1)
@@ -290,6 +290,18 @@
 	return nil
 }
 
+// countBy makes a membership, about to be written under a ballot, the one that this
+// core counts by; it fails where a newer one is known.
+func (core *Core) countBy(next *Membership, ballot wire.Ballot) (*View, *wire.Mishap) {
+	next.Mark.Ballot = ballot
+	core.learnMembers(next.accepted())
+	view := core.members()
+	if view.Mark != next.Mark {
+		return nil, wire.New(wire.StaleBallot, "a newer membership %v is known", view.Mark)
+	}
+	return view, nil
+}
+
 // onLeave takes a voter's word that it ends. It need not wait where no learner is
 // there to take its place, nor once it has no place left.
 func (core *Core) onLeave(message *wire.Leave) (*wire.LeaveTold, *wire.Mishap) {
@@ -310,24 +322,29 @@
 // leave is the end of a voter that does not lead: it keeps voting until a learner,
 // where there is one, has taken its place.
 func (core *Core) leave(until time.Time) {
-	if limit := time.Now().Add(leaveLimit); limit.Before(until) {
+	begin := time.Now()
+	if limit := begin.Add(leaveLimit); limit.Before(until) {
 		until = limit
 	}
-	for time.Now().Before(until) && core.members().votes() {
-		core.mutex.Lock()
-		leader := core.leader
-		core.mutex.Unlock()
-		if !leader.Known() || leader.Address == core.place.Wire {
-			return
-		}
-		told, fault := wire.Ask[wire.Leave, wire.LeaveTold](core.line, leader.Address, "leave", core.roundLimit(), &wire.Leave{Core: core.members().ID})
-		if fault != nil {
-			return
+	for time.Now().Before(until) && core.members().votes() && len(core.members().Peers) > 0 {
+		told, fault := core.announceLeave()
+		if fault == nil {
+			core.learnMembers(told.Members)
 		}
-		core.learnMembers(told.Members)
-		if !told.Wait {
+		if fault == nil && !told.Wait || fault != nil && time.Since(begin) > leaveRetries {
 			return
 		}
 		core.threads.Rest(core.place.Beat / 2)
 	}
 }
+
+// announceLeave tells the leader that this voter ends.
+func (core *Core) announceLeave() (*wire.LeaveTold, error) {
+	core.mutex.Lock()
+	leader := core.leader
+	core.mutex.Unlock()
+	if !leader.Known() || leader.Address == core.place.Wire {
+		return nil, wire.New(wire.NoLeader, "nobody leads")
+	}
+	return wire.Ask[wire.Leave, wire.LeaveTold](core.line, leader.Address, "leave", core.roundLimit(), &wire.Leave{Core: core.members().ID})
+}
--- a/control/restore.go
+++ b/control/restore.go
@@ -31,35 +31,24 @@
 		}
 		return
 	}
-	if core.members() != view || !view.mayLead(view.ID) || !view.fencesWithout(view.ID, agreed(told, func(answer *wire.RestoreTold) bool { return answer.Founded })) {
+	if !core.mayRestore(view, told) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
 	ballot, revoked := core.nextBallot(view)
 	promises := core.promisesOf(askPeers(core, view, func(peer Peer) (*wire.PromiseTold, error) {
-		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot, Members: view.Mark})
+		return wire.Ask[wire.Promise, wire.PromiseTold](core.line, peer.Address, "promise", core.roundLimit(), &wire.Promise{Ballot: ballot, Members: view.accepted()})
 	}, granted, never))
-	accepted, from := [wire.Registers]wire.Accepted{}, 0
-	for id, promise := range promises {
-		for register := range promise.Accepted {
-			if accepted[register].Mark().Less(promise.Accepted[register].Mark()) {
-				accepted[register] = promise.Accepted[register]
-				if wire.Register(register) == wire.SettingsRegister {
-					from = id
-				}
-			}
-		}
-	}
 	if !view.fencesWithout(view.ID, agreed(promises, granted)) {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	texts, mishap := core.gatherTexts(view.address(from), accepted[wire.SettingsRegister].Value, nil)
+	accepted, from := takenOver(view, promises)
+	texts, mishap := core.gatherTexts(view.address(from[wire.SettingsRegister]), accepted[wire.SettingsRegister].Value, nil)
 	if mishap != nil {
 		core.counts.Add("restores_short", 1)
 		return
 	}
-	accepted[wire.MembersRegister] = view.accepted()
 	if mishap := core.voter.Found(ballot, accepted, texts); mishap != nil {
 		return
 	}
@@ -72,6 +61,13 @@
 	}
 }
 
+// mayRestore is whether enough other replicas answered a blank voter that it may fence
+// them, by the membership that it asked them under.
+func (core *Core) mayRestore(view *View, told map[int]*wire.RestoreTold) bool {
+	founded := func(answer *wire.RestoreTold) bool { return answer.Founded }
+	return core.members().same(view) && view.mayLead(view.ID) && view.fencesWithout(view.ID, agreed(told, founded))
+}
+
 func (core *Core) begin() {
 	core.mutex.Lock()
 	core.heard = time.Now()
--- a/scale/point_test.go
+++ b/scale/point_test.go
@@ -16,12 +16,16 @@
 		begun := map[string]func() *wire.Mishap{
 			"scale-core": func() *wire.Mishap {
 				spec := CoreSpec{}
-				json.Unmarshal([]byte(os.Args[3]), &spec)
+				if err := json.Unmarshal([]byte(os.Args[3]), &spec); err != nil {
+					return wire.New(wire.BadFlag, "%v", err)
+				}
 				return RunCore(spec)
 			},
 			"scale-hollow": func() *wire.Mishap {
 				spec := HollowSpec{}
-				json.Unmarshal([]byte(os.Args[3]), &spec)
+				if err := json.Unmarshal([]byte(os.Args[3]), &spec); err != nil {
+					return wire.New(wire.BadFlag, "%v", err)
+				}
 				return RunHollow(spec)
 			},
 		}[os.Args[1]]
