A leaving core that is stopped meanwhile waits no more

Cause: Rest returns at once on stopped threads, and the loop of core.leave went on without any rest until its limit: a process at 100 % of a core after its disk failed while it left, and a simulated run (TestAllLosePowerDuringReplacement) whose virtual time stands still for ever. Seen: the stack of the run that didn't end, leave at replace.go:330 under Retire. After: the test ends.

--- a/control/replace.go
+++ b/control/replace.go
@@ -334,7 +334,9 @@
 		if fault == nil && !told.Wait || fault != nil && time.Since(begin) > leaveRetries {
 			return
 		}
-		core.threads.Rest(core.place.Beat / 2)
+		if !core.threads.Rest(core.place.Beat / 2) {
+			return
+		}
 	}
 }
 
