--- a/control/model_actions_test.go
+++ b/control/model_actions_test.go
@@ -12,6 +12,7 @@
 const (
 	modelDeliver   modelKind = "deliver"
 	modelRepeat    modelKind = "deliver and keep"
+	modelUnheard   modelKind = "deliver and lose the answer"
 	modelStand     modelKind = "stand"
 	modelGiveUp    modelKind = "give up"
 	modelTimeOut   modelKind = "time out"
@@ -43,6 +44,9 @@
 			continue
 		}
 		add(modelAction{kind: modelDeliver, machine: index})
+		if bounds.prompt && spent.losses < bounds.losses {
+			add(modelAction{kind: modelUnheard, machine: index})
+		}
 		if !packet.answers && spent.duplicates < bounds.duplicates {
 			add(modelAction{kind: modelRepeat, machine: index})
 		}
@@ -169,6 +173,13 @@
 	switch action.kind {
 	case modelDeliver:
 		world.deliver(world.take(action.machine))
+		if world.bounds.prompt {
+			world.answersAtOnce(false)
+		}
+	case modelUnheard:
+		spent.losses++
+		world.deliver(world.take(action.machine))
+		world.answersAtOnce(true)
 	case modelRepeat:
 		spent.duplicates++
 		world.deliver(world.flight[action.machine])
@@ -217,6 +228,17 @@
 	return world.ledger.broken
 }
 
+// answersAtOnce has the last message, where it is an answer, arrive or be lost. An
+// answer can bring about another one, of a leader to a learner that waits.
+func (world *modelWorld) answersAtOnce(lost bool) {
+	for last := len(world.flight) - 1; last >= 0 && world.flight[last].answers; last = len(world.flight) - 1 {
+		packet := world.take(last)
+		if !lost {
+			world.deliver(packet)
+		}
+	}
+}
+
 // losesPower cuts the power of a machine before what it does with a message is synced:
 // nothing, a part or all of what it wrote may be there afterwards, and nobody hears.
 func (world *modelWorld) losesPower(packet *modelPacket, much int) {
@@ -242,7 +264,7 @@
 // tell is an action in words, for the trace of a violation.
 func (world *modelWorld) tell(action modelAction) string {
 	switch action.kind {
-	case modelDeliver, modelRepeat, modelPowerLoss:
+	case modelDeliver, modelRepeat, modelPowerLoss, modelUnheard:
 		packet := world.flight[action.machine]
 		return fmt.Sprintf("%s %d->%d as %d %T%+v", action.kind, packet.from+1, packet.to+1, packet.as, packet.message, modelBrief(packet.message))
 	case modelReplace:
--- /dev/null
+++ b/control/model_digest_test.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sort"
+
+	"orchidjunction/wire"
+)
+
+// modelDigest collects what tells two states of the model apart.
+type modelDigest []byte
+
+func (digest *modelDigest) numbers(numbers ...int) {
+	for _, number := range numbers {
+		*digest = binary.AppendVarint(*digest, int64(number))
+	}
+}
+
+func (digest *modelDigest) text(text string) {
+	digest.numbers(len(text))
+	*digest = append(*digest, text...)
+}
+
+func (digest *modelDigest) flag(flags ...bool) {
+	for _, flag := range flags {
+		if flag {
+			digest.numbers(1)
+		} else {
+			digest.numbers(0)
+		}
+	}
+}
+
+func (digest *modelDigest) ballot(ballot wire.Ballot) {
+	digest.numbers(int(ballot.Round), ballot.Core)
+}
+
+func (digest *modelDigest) mark(mark wire.Mark) {
+	digest.ballot(mark.Ballot)
+	digest.numbers(int(mark.Serial))
+}
+
+func (digest *modelDigest) value(value wire.Value) {
+	digest.numbers(int(value.Serial))
+	digest.text(string(value.Body))
+}
+
+func (digest *modelDigest) accepted(all [wire.Registers]wire.Accepted) {
+	for _, accepted := range all {
+		digest.ballot(accepted.Ballot)
+		digest.value(accepted.Value)
+	}
+}
+
+func (digest *modelDigest) membership(membership *Membership) {
+	digest.mark(membership.Mark)
+	digest.numbers(membership.LastID, len(membership.Voters), len(membership.Next))
+	for _, peer := range append(slices.Clip(membership.Voters), membership.Next...) {
+		digest.numbers(peer.ID, modelIndex(peer.Address))
+	}
+}
+
+func (digest *modelDigest) state(state *State) {
+	digest.flag(state.Opening, state.Founded)
+	digest.ballot(state.Promised)
+	digest.accepted(state.Accepted)
+}
+
+func (digest *modelDigest) message(message any) {
+	packed, fault := wire.Pack(message)
+	if fault != nil {
+		panic(fault)
+	}
+	digest.text(string(packed))
+}
+
+// hash is a digest of the whole state, whatever the order of messages on their way.
+func (world *modelWorld) hash() [16]byte {
+	digest := make(modelDigest, 0, 2048)
+	spent := world.spent
+	digest.numbers(spent.candidates, spent.orders, spent.crashes, spent.powerLoss, spent.wipes, spent.steps, spent.enlists, spent.mends, spent.duplicates, spent.giveUps, spent.losses)
+	for _, machine := range world.machines {
+		digest.text(machine.digest())
+	}
+	packets := make([]string, 0, len(world.flight))
+	for _, packet := range world.flight {
+		packets = append(packets, packet.digest())
+	}
+	sort.Strings(packets)
+	for _, packet := range packets {
+		digest.text(packet)
+	}
+	digest.ledger(world.ledger)
+	whole := sha256.Sum256(digest)
+	return [16]byte(whole[:16])
+}
+
+// digest is a message's; it is kept, since messages don't change.
+func (packet *modelPacket) digest() string {
+	if packet.digested == "" {
+		digest := modelDigest{}
+		digest.numbers(packet.from, packet.to, packet.life, packet.call, packet.as, int(packet.register))
+		digest.flag(packet.answers, packet.amnesiac)
+		if told, beats := packet.message.(*wire.BeatTold); beats {
+			untimed := *told
+			untimed.NowMs, untimed.AnchorMs = 0, 0
+			digest.message(&untimed)
+		} else {
+			digest.message(packet.message)
+		}
+		packet.digested = string(digest)
+	}
+	return packet.digested
+}
+
+// digest is a machine's; it is kept until the machine changes.
+func (machine *modelMachine) digest() string {
+	if machine.digested == "" {
+		digest := modelDigest{}
+		digest.numbers(machine.lives, int(machine.voted), int(machine.forgotten))
+		if machine.process == nil {
+			digest.state(modelLasting(machine.disk))
+		} else {
+			digest.process(machine.process)
+		}
+		machine.digested = string(digest)
+	}
+	return machine.digested
+}
+
+// modelLasting is what a stopped machine's disk holds, read by the real store.
+func modelLasting(disk *modelDisk) *State {
+	store, mishap := OpenStore(disk.clone())
+	if mishap != nil {
+		panic(mishap)
+	}
+	return &store.state
+}
+
+func (digest *modelDigest) process(process *modelProcess) {
+	digest.state(process.core.voter.State())
+	digest.membership(process.core.members().Membership)
+	digest.numbers(process.life, process.calls, process.enlisting, int(process.core.round))
+	digest.ballot(process.core.leader.Ballot)
+	digest.accepted(process.core.committed)
+	if survey := process.survey; survey != nil {
+		digest.numbers(1, survey.call)
+		digest.mark(survey.view.Mark)
+		for _, id := range slices.Sorted(maps.Keys(survey.told)) {
+			digest.numbers(id)
+			digest.message(survey.told[id])
+		}
+	}
+	if candidacy := process.candidacy; candidacy != nil {
+		digest.numbers(2, candidacy.call)
+		digest.ballot(candidacy.ballot)
+		digest.mark(candidacy.view.Mark)
+		for _, id := range slices.Sorted(maps.Keys(candidacy.promises)) {
+			digest.numbers(id)
+			digest.accepted(candidacy.promises[id].Accepted)
+		}
+	}
+	if push := process.push; push != nil {
+		digest.numbers(3, push.call, push.leaving)
+		digest.text(string(push.purpose) + push.learner)
+		digest.ballot(push.ballot)
+		if push.view != nil {
+			digest.membership(push.view.Membership)
+		}
+		for register := range wire.Registers {
+			digest.numbers(int(push.took[register]))
+			digest.value(push.values[register])
+		}
+	}
+	if admission := process.admission; admission != nil {
+		digest.numbers(4, admission.call, int(admission.took))
+		digest.text(admission.asked.digest() + admission.history)
+		digest.mark(admission.view.Mark)
+	}
+	if leadership := process.leadership; leadership != nil {
+		digest.numbers(5)
+		digest.ballot(leadership.ballot)
+		for _, value := range leadership.values {
+			digest.value(value)
+		}
+	}
+}
+
+func (digest *modelDigest) ledger(ledger *modelLedger) {
+	for register := range ledger.history {
+		digest.text(ledger.history[register] + "/" + ledger.acknowledged[register])
+		digest.ballot(ledger.under[register])
+	}
+	digest.membership(ledger.version)
+	for _, ballot := range slices.SortedFunc(maps.Keys(ledger.leaders), compareBallots) {
+		digest.ballot(ballot)
+		digest.numbers(ledger.leaders[ballot])
+	}
+	for _, id := range slices.Sorted(maps.Keys(ledger.given)) {
+		digest.numbers(id, modelIndex(ledger.given[id]))
+	}
+	for _, proposal := range slices.SortedFunc(slices.Values(ledger.proposals), compareProposals) {
+		digest.ballot(proposal.ballot)
+		digest.numbers(int(proposal.register), len(proposal.versions), int(proposal.acceptors))
+		digest.value(proposal.value)
+		digest.flag(proposal.decided)
+	}
+}
+
+func compareBallots(left, right wire.Ballot) int {
+	if left.Less(right) {
+		return -1
+	}
+	if right.Less(left) {
+		return 1
+	}
+	return 0
+}
+
+func compareProposals(left, right modelProposal) int {
+	if order := compareBallots(left.ballot, right.ballot); order != 0 {
+		return order
+	}
+	if left.register != right.register {
+		return int(left.register - right.register)
+	}
+	return int(left.value.Serial) - int(right.value.Serial)
+}
--- a/control/model_machine_test.go
+++ b/control/model_machine_test.go
@@ -20,6 +20,7 @@
 	// and forgotten those of earlier disks; neither is known to the rules.
 	voted     modelIDs
 	forgotten modelIDs
+	digested  string
 }
 
 // modelIDs is a set of voters' IDs, or of machines.
--- a/control/model_world_test.go
+++ b/control/model_world_test.go
@@ -24,6 +24,10 @@
 	mends      int
 	duplicates int
 	giveUps    int
+	// prompt has every answer arrive at once, but for so many that are lost. Otherwise
+	// answers are messages like others.
+	prompt bool
+	losses int
 	// timeOuts lets a process that waits for nothing more begin anew.
 	timeOuts bool
 	// cuts lets a walk cut machines off for a while.
@@ -32,7 +36,7 @@
 
 // modelSpent is how often each bounded action was taken.
 type modelSpent struct {
-	candidates, orders, crashes, powerLoss, wipes, steps, enlists, mends, duplicates, giveUps, cuts int
+	candidates, orders, crashes, powerLoss, wipes, steps, enlists, mends, duplicates, giveUps, losses int
 }
 
 // modelPacket is one message on its way: a request, or the answer to one. Answers reach
@@ -48,6 +52,7 @@
 	answers  bool
 	// amnesiac marks an answer of a replica that voted under this ID and lost that disk.
 	amnesiac bool
+	digested string
 }
 
 // modelWorld is the state of all machines and of all that is on its way.
@@ -120,6 +125,7 @@
 		world.machines[index] = world.machines[index].clone()
 		world.owned = world.owned.with(index)
 	}
+	world.machines[index].digested = ""
 	return world.machines[index]
 }
 
@@ -147,15 +153,38 @@
 	return packet
 }
 
-// prune drops answers to calls that ended: nobody would look at them.
+// prune drops messages that can't matter any more.
 func (world *modelWorld) prune() {
-	world.flight = slices.DeleteFunc(world.flight, func(packet *modelPacket) bool {
-		if !packet.answers {
-			return false
-		}
-		process := world.machines[packet.to].process
-		return process == nil || process.life != packet.life || !process.waitsFor(packet.call)
-	})
+	world.flight = slices.DeleteFunc(world.flight, world.idle)
+}
+
+// idle is whether a message can't matter any more: an answer to a call that ended, or
+// a request of such a call that is too old for a disk that will not be lost.
+func (world *modelWorld) idle(packet *modelPacket) bool {
+	asker := world.machines[packet.from].process
+	if packet.answers {
+		asker = world.machines[packet.to].process
+	}
+	if asker != nil && asker.life == packet.life && asker.waitsFor(packet.call) {
+		return false
+	}
+	if packet.answers {
+		return true
+	}
+	teller := world.machines[packet.to].process
+	if teller == nil || world.spent.wipes < world.bounds.wipes {
+		return false
+	}
+	promised := teller.core.voter.State().Promised
+	switch message := packet.message.(type) {
+	case *wire.Promise:
+		return message.Ballot.Less(promised)
+	case *wire.Accept:
+		return message.Ballot.Less(promised)
+	case *wire.Beat, *wire.Restore:
+		return true
+	}
+	return false
 }
 
 func (process *modelProcess) waitsFor(call int) bool {
