control: errors that were dropped are handled or their reason is given

A voter begun while the claims' ring was full (or the claims' disk refused) never got its mark of whole claims again: mendClaims retries only by others that are whole, so at the first start, where none is, it stayed unwhole until the book's span was over. It is now tried again at repairPace; claims_not_begun counts it. Folder.Sync returns the error of Close. Unused code of the model tests and PlatformReader.done removed.

--- a/control/disk.go
+++ b/control/disk.go
@@ -2,6 +2,7 @@
 package control
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -57,6 +58,6 @@
 	if fault != nil {
 		return fault
 	}
-	defer handle.Close()
-	return handle.Sync()
+	fault = handle.Sync()
+	return errors.Join(fault, handle.Close())
 }
--- a/control/journal.go
+++ b/control/journal.go
@@ -142,7 +142,7 @@
 func (journal *Journal) take(file File, number uint64, size int64, fault error) *wire.Mishap {
 	if fault != nil {
 		if file != nil {
-			file.Close()
+			_ = file.Close() // its sync or its naming failed already
 		}
 		journal.fault = storeFault(wire.DiskFault, fault, "begin %s", numbered(journal.name, number))
 		return journal.fault
@@ -171,8 +171,8 @@
 		fault = disk.Sync()
 	}
 	if fault != nil {
-		file.Close()
-		disk.Remove(draft)
+		_ = file.Close()       // fault says more
+		_ = disk.Remove(draft) // overwritten when its name is used again
 		return nil, fault
 	}
 	return file, nil
@@ -225,7 +225,7 @@
 
 func (journal *Journal) Close() {
 	if journal.file != nil {
-		journal.file.Close()
+		_ = journal.file.Close() // all that was answered is synced
 	}
 }
 
@@ -247,7 +247,7 @@
 	}
 	for _, name := range names {
 		if strings.HasSuffix(name, draftSuffix) {
-			disk.Remove(name)
+			_ = disk.Remove(name) // overwritten when its name is used again
 		}
 	}
 	return nil
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -235,7 +235,11 @@
 	for register := range committed {
 		if told.Marks[register].Less(committed[register]) {
 			leadership.core.counts.Add("copies_mended", 1)
-			leadership.core.offerTo(peer, &wire.Accept{Ballot: leadership.ballot, Register: wire.Register(register), Value: values[register]}, now.texts, leadership.core.roundLimit())
+			value := &wire.Accept{Ballot: leadership.ballot, Register: wire.Register(register), Value: values[register]}
+			answer, fault := leadership.core.offerTo(peer, value, now.texts, leadership.core.roundLimit())
+			if fault != nil || !answer.Taken { // its next answer to a beat shows that it still lacks it
+				leadership.core.counts.Add("copies_not_mended", 1)
+			}
 		}
 	}
 }
--- a/control/model_actions_test.go
+++ b/control/model_actions_test.go
@@ -185,7 +185,7 @@
 		machine := world.own(action.machine)
 		machine.start()
 		if voter := machine.process.core.voter; world.rules.blankDiskVotes && voter.Blank() {
-			voter.Enrol(newModelFirst(world.bounds).accepted())
+			modelMust(voter.Enrol(newModelFirst(world.bounds).accepted()))
 		}
 	case modelStand:
 		spent.candidates++
--- a/control/model_ledger_test.go
+++ b/control/model_ledger_test.go
@@ -71,21 +71,6 @@
 	return ledger
 }
 
-func (ledger *modelLedger) clone() *modelLedger {
-	next := *ledger
-	next.proposals = slices.Clone(ledger.proposals)
-	next.given, next.leaders = cloneMap(ledger.given), cloneMap(ledger.leaders)
-	return &next
-}
-
-func cloneMap[Key comparable, Held any](held map[Key]Held) map[Key]Held {
-	next := make(map[Key]Held, len(held))
-	for key, value := range held {
-		next[key] = value
-	}
-	return next
-}
-
 func (ledger *modelLedger) violated(invariant, format string, values ...any) {
 	if ledger.broken != nil {
 		return
--- a/control/model_mutants_test.go
+++ b/control/model_mutants_test.go
@@ -145,7 +145,7 @@
 	{name: "a learner forgets who votes", form: modelEmptied, breaks: []string{acknowledgedIsKept, quorumsMeet, onlyVotersCount}, detailed: true,
 		mutate: func(rules *modelRules) {
 			rules.beginEmpty = func(core *Core, ballot wire.Ballot) {
-				core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil)
+				modelBeginEmpty(core, ballot)
 			}
 		}},
 	{name: "a leader counts by what it heard", form: modelThree, breaks: []string{oneVoterPerStep, acknowledgedIsKept, quorumsMeet},
@@ -160,7 +160,7 @@
 
 // modelBeginEmpty begins without a look at the membership.
 func modelBeginEmpty(core *Core, ballot wire.Ballot) {
-	core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil)
+	modelMust(core.voter.Found(ballot, [wire.Registers]wire.Accepted{}, nil))
 }
 
 // modelMutantWalks bound the search for one mutant.
--- a/control/model_walk_test.go
+++ b/control/model_walk_test.go
@@ -241,6 +241,6 @@
 func modelTrace(form *modelWalkForm, rules *modelRules, seed uint64, outcomesOnly bool) string {
 	walk := newModelWalk(rules, form, seed)
 	walk.world.tracing, walk.world.ledger.outcomesOnly = true, outcomesOnly
-	walk.run(modelWalkSteps)
+	_ = walk.run(modelWalkSteps) // its violation is known
 	return strings.Join(walk.world.trace, "\n")
 }
--- a/control/model_world_test.go
+++ b/control/model_world_test.go
@@ -32,7 +32,7 @@
 
 // modelSpent is how often each bounded action was taken.
 type modelSpent struct {
-	candidates, orders, crashes, powerLoss, wipes, steps, enlists, mends, duplicates, giveUps, cuts int
+	candidates, orders, crashes, powerLoss, wipes, steps, enlists, mends, duplicates, giveUps int
 }
 
 // modelPacket is one message on its way: a request, or the answer to one. Answers reach
@@ -92,26 +92,21 @@
 		machine.start()
 		voter := machine.process.core.voter
 		if index < bounds.founders {
-			voter.Open()
+			modelMust(voter.Open())
 		}
 		if index < bounds.founders-bounds.late {
-			voter.Enrol(first.accepted())
+			modelMust(voter.Enrol(first.accepted()))
 		}
 		machine.disk.lying = lying
 	}
 	return world
 }
 
-// clone shares with this world what neither changes: each clones a machine before its
-// first change of it.
-func (world *modelWorld) clone() *modelWorld {
-	next := *world
-	world.owned, next.owned = 0, 0
-	next.machines = slices.Clone(world.machines)
-	next.flight = slices.Clone(world.flight)
-	next.ledger = world.ledger.clone()
-	next.trace = slices.Clip(world.trace)
-	return &next
+// modelMust ends the run where a step of the setting up failed.
+func modelMust(mishap *wire.Mishap) {
+	if mishap != nil {
+		panic(mishap)
+	}
 }
 
 // own is a machine that may be changed.
--- a/control/platform.go
+++ b/control/platform.go
@@ -72,13 +72,6 @@
 	return reader
 }
 
-// done is whether a whole list was read.
-func (reader *PlatformReader) done() bool {
-	reader.mutex.Lock()
-	defer reader.mutex.Unlock()
-	return reader.whole
-}
-
 // begin starts a leadership's reading from the table it holds, so that a first
 // list that lags or shifted between pages takes nothing away. Where there is no
 // table, a list read a moment ago stands.
--- a/control/power_test.go
+++ b/control/power_test.go
@@ -108,14 +108,16 @@
 		for round := range 12 {
 			if random.IntN(3) == 0 {
 				disk.DieAfter(1 + random.IntN(10))
-				witness.open(disk)
+				_ = witness.open(disk) // dies on the way or not
 				disk = disk.Sever(random.IntN(2) == 0)
 			}
 			if mishap := witness.open(disk); mishap != nil {
 				names, _ := disk.List()
 				test.Fatalf("seed %d round %d: %v, files %v", seed, round, mishap, names)
 			}
-			witness.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+			if mishap := witness.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap != nil {
+				test.Fatalf("seed %d: founding: %v", seed, mishap)
+			}
 			disk.DieAfter(1 + random.IntN(120))
 			for witness.step() {
 			}
@@ -148,7 +150,9 @@
 			if mishap := witness.open(disk); mishap != nil {
 				test.Fatalf("seed %d: %v", seed, mishap)
 			}
-			witness.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+			if mishap := witness.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap != nil {
+				test.Fatalf("seed %d: founding: %v", seed, mishap)
+			}
 			for range random.IntN(9) {
 				if !witness.step() {
 					test.Fatalf("seed %d: refused by a sound disk", seed)
@@ -164,7 +168,7 @@
 						if _, mishap := witness.voter.Promise(witness.promise(witness.promised)); mishap == nil {
 							test.Fatalf("seed %d: promised by a disk that refuses", seed)
 						}
-						witness.voter.Repair()
+						_ = witness.voter.Repair() // the disk may still refuse
 					}
 					witness.step()
 				}
--- a/control/refusal.go
+++ b/control/refusal.go
@@ -98,8 +98,12 @@
 	for register, held := range core.voter.State().Marks() {
 		value := leadership.value(wire.Register(register))
 		if held.Less(wire.Mark{Ballot: leadership.ballot, Serial: value.Serial}) {
+			told, mishap := core.voter.Accept(&wire.Accept{Ballot: leadership.ballot, Register: wire.Register(register), Value: value, Texts: texts})
+			if mishap != nil || !told.Taken { // tried again at the next turn, while this core leads
+				core.counts.Add("own_copies_not_mended", 1)
+				continue
+			}
 			core.counts.Add("own_copies_mended", 1)
-			core.voter.Accept(&wire.Accept{Ballot: leadership.ballot, Register: wire.Register(register), Value: value, Texts: texts})
 		}
 	}
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -26,7 +26,7 @@
 	if untouched && core.place.Found {
 		if mishap := core.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap == nil {
 			klog.Infof("core %d: founded", view.ID)
-			core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
+			core.beginClaims()
 			core.begin()
 		}
 		return
@@ -61,6 +61,27 @@
 	}
 }
 
+// beginClaims marks the claims of a new voter as whole, since nothing was kept on its
+// disk before. While its claims' ring is full or its disk refuses groups that is tried
+// again: until the mark lasts, this core counts as one that may have lost claims.
+func (core *Core) beginClaims() {
+	if core.markClaimsWhole() == nil {
+		return
+	}
+	core.threads.Start(func() {
+		for core.threads.Rest(repairPace) && core.markClaimsWhole() != nil {
+		}
+	})
+}
+
+func (core *Core) markClaimsWhole() *wire.Mishap {
+	mishap := core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
+	if mishap != nil {
+		core.counts.Add("claims_not_begun", 1)
+	}
+	return mishap
+}
+
 // mayRestore is whether enough other replicas answered a blank voter that it may fence
 // them, by the membership that it asked them under.
 func (core *Core) mayRestore(view *View, told map[int]*wire.RestoreTold) bool {
--- a/control/stall_test.go
+++ b/control/stall_test.go
@@ -21,7 +21,9 @@
 			test.Fatal(mishap)
 		}
 		voter := control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
-		voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+		if mishap := voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap != nil {
+			test.Fatal(mishap)
+		}
 		disk.Stall(true)
 		var early *wire.Mishap
 		threads.Start(func() { _, early = voter.Promise(&wire.Promise{Ballot: wire.Ballot{Round: 1, Core: 1}}) })
--- a/control/store.go
+++ b/control/store.go
@@ -146,9 +146,9 @@
 		return nil, mishap
 	}
 	if laid || len(snapshots) > 0 {
-		store.roll()
+		_ = store.roll() // Fault tells it until Repair succeeds
 	} else {
-		store.journal.begin(first)
+		_ = store.journal.begin(first) // as above
 	}
 	return store, nil
 }
@@ -219,7 +219,7 @@
 		store.journal.fault = storeFault(wire.DiskFault, fault, "snapshot %s", name)
 		return store.journal.fault
 	}
-	file.Close()
+	_ = file.Close() // its content is synced
 	if mishap := store.journal.begin(next); mishap != nil {
 		return mishap
 	}
@@ -232,8 +232,8 @@
 // files that opening passes over.
 func (store *Store) sweep(number uint64) {
 	unsynced := func() error { return nil }
-	sweep(store.disk, segmentName, number, unsynced)
-	sweep(store.disk, snapshotName, number, unsynced)
+	_ = sweep(store.disk, segmentName, number, unsynced)
+	_ = sweep(store.disk, snapshotName, number, unsynced)
 }
 
 func (store *Store) Close() { store.journal.Close() }
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -25,7 +25,9 @@
 		test.Fatal(mishap)
 	}
 	voter := control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
-	voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil)
+	if mishap := voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap != nil {
+		test.Fatal(mishap)
+	}
 	return voter
 }
 
@@ -36,10 +38,10 @@
 		ballot.Round++
 		ballot.Core = 1
 		if random.IntN(2) == 0 {
-			voter.Promise(&wire.Promise{Ballot: ballot})
+			_, _ = voter.Promise(&wire.Promise{Ballot: ballot}) // the state tells what was answered for
 			continue
 		}
-		voter.Accept(&wire.Accept{Ballot: ballot, Register: wire.Register(random.IntN(2)), Value: wire.Value{Serial: ballot.Round, Body: make([]byte, random.IntN(300_000))}})
+		_, _ = voter.Accept(&wire.Accept{Ballot: ballot, Register: wire.Register(random.IntN(2)), Value: wire.Value{Serial: ballot.Round, Body: make([]byte, random.IntN(300_000))}})
 	}
 	return *voter.State()
 }
@@ -153,7 +155,9 @@
 		return control.NewVoter(store, func(mishap *wire.Mishap) { test.Error(mishap) }, func(wire.Ballot) {})
 	}
 	whole := sim.NewDisk(1)
-	open(whole).Found(wire.Ballot{Round: 5, Core: 3}, accepted, nil)
+	if mishap := open(whole).Found(wire.Ballot{Round: 5, Core: 3}, accepted, nil); mishap != nil {
+		test.Fatal(mishap)
+	}
 	size := whole.Size("segment-0000000000000000")
 	for at := 0; at < size; at += 7 {
 		disk := whole.Fork()
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -169,14 +169,18 @@
 		}
 		bench.Run(fmt.Sprint(count, "-before"), func(bench *testing.B) {
 			for bench.Loop() {
-				wire.Codec{}.Marshal(&wire.FetchTold{Table: table})
+				if _, fault := (wire.Codec{}).Marshal(&wire.FetchTold{Table: table}); fault != nil {
+					bench.Fatal(fault)
+				}
 			}
 		})
 		bench.Run(fmt.Sprint(count, "-packed-once"), func(bench *testing.B) {
 			answers := &fetchedAnswers{}
 			for bench.Loop() {
 				told, _ := answers.of(&wire.FetchTold{Table: table})
-				wire.Codec{}.Marshal(told)
+				if _, fault := (wire.Codec{}).Marshal(told); fault != nil {
+					bench.Fatal(fault)
+				}
 			}
 		})
 	}
--- a/control/usage.go
+++ b/control/usage.go
@@ -307,6 +307,6 @@
 		return false
 	}
 	defer response.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(response.Body, 1<<16))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 1<<16)) // the status alone tells; the rest only frees the connection
 	return response.StatusCode >= 200 && response.StatusCode < 300
 }
--- a/control/who_test.go
+++ b/control/who_test.go
@@ -23,7 +23,12 @@
 	}
 	leadership, _ := core.leading()
 	ended := run.NewBell()
-	for _, duty := range []func(){func() { core.onWho(&wire.Who{}) }, func() { leadership.beat() }} {
+	ask := func() {
+		if _, mishap := core.onWho(&wire.Who{}); mishap != nil {
+			test.Error(mishap)
+		}
+	}
+	for _, duty := range []func(){ask, func() { leadership.beat() }} {
 		threads.Start(func() {
 			for range 100_000 {
 				duty()
