member, program: dropped errors handled

A listener that ends though nobody closed it is logged; before, its thread ended in silence. A waiting connection whose deadline cannot be set in a drain is closed. member/relay.go:16 asked Known() of the leader and did the same in both cases: the condition goes, behaviour is the same.

--- a/member/relay.go
+++ b/member/relay.go
@@ -13,9 +13,7 @@
 	for !daemon.threads.Stopping() {
 		parent := daemon.chooseParent()
 		if parent == "" {
-			if leader := daemon.Finder.Wait(time.Second); !leader.Known() {
-				continue
-			}
+			daemon.Finder.Wait(time.Second)
 			continue
 		}
 		version := daemon.Version()
--- a/program/far_test.go
+++ b/program/far_test.go
@@ -26,10 +26,10 @@
 		test.Fatal(fault)
 	}
 	set := 0
-	raw.Control(func(handle uintptr) {
+	opened := raw.Control(func(handle uintptr) {
 		set, fault = unix.GetsockoptInt(int(handle), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 	})
-	if fault != nil || set != 1500 {
-		test.Errorf("%d ms, %v", set, fault)
+	if opened != nil || fault != nil || set != 1500 {
+		test.Errorf("%d ms, %v, %v", set, fault, opened)
 	}
 }
--- a/program/framing_test.go
+++ b/program/framing_test.go
@@ -39,6 +39,14 @@
 	return conn
 }
 
+// say sends a text whole.
+func say(test *testing.T, conn net.Conn, text string) {
+	test.Helper()
+	if _, fault := io.WriteString(conn, text); fault != nil {
+		test.Error(fault)
+	}
+}
+
 // A body that reads like one of the library's refusals is handed on unchanged.
 func TestBodyLikeARefusalIsUnchanged(test *testing.T) {
 	refusal := "HTTP/1.1 400 Bad Request" + string(bareHead) + "400 Bad Request"
@@ -47,11 +55,11 @@
 		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		writer.WriteHeader(http.StatusOK)
 		writer.(http.Flusher).Flush()
-		io.WriteString(writer, body)
+		writer.Write([]byte(body))
 	}))
 	reader := bufio.NewReader(conn)
 	for range 2 {
-		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		say(test, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		response, fault := http.ReadResponse(reader, nil)
 		if fault != nil {
 			test.Fatal(fault)
@@ -60,7 +68,7 @@
 			test.Errorf("%d bytes of %d, beginning with %.60q: %v", len(got), len(body), got, fault)
 		}
 	}
-	io.WriteString(conn, "BLAH\r\n\r\n")
+	say(test, conn, "BLAH\r\n\r\n")
 	response, fault := http.ReadResponse(reader, nil)
 	if fault != nil || response.StatusCode != 400 || response.Header.Get("Content-Type") != "application/json" {
 		test.Errorf("a refusal after answers: %+v, %v", response, fault)
@@ -70,7 +78,7 @@
 // The library answers nothing in a handler's place: a success is a handler's own.
 func TestNoAnswerOfTheLibrarysOwn(test *testing.T) {
 	conn := listen(test, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNotFound) }))
-	io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n")
+	say(test, conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n")
 	response, fault := http.ReadResponse(bufio.NewReader(conn), nil)
 	if fault != nil || response.StatusCode != http.StatusNotFound {
 		test.Errorf("%+v, %v", response, fault)
--- a/program/program.go
+++ b/program/program.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -21,6 +22,7 @@
 	"orchidjunction/wire"
 )
 
+// Release is the version that the programs tell.
 const Release = "0.1.0"
 
 // Flags is one program's command line.
@@ -30,6 +32,7 @@
 	levels int
 }
 
+// NewFlags begins a program's command line with the flags that all programs have.
 func NewFlags(name, about string) *Flags {
 	flags := &Flags{Parser: flaggy.NewParser(name), name: name}
 	flags.Parser.Description = about
@@ -57,8 +60,11 @@
 	}
 	set := flag.NewFlagSet("log", flag.ContinueOnError)
 	klog.InitFlags(set)
-	set.Set("logtostderr", "true")
-	set.Set("v", strconv.Itoa(flags.levels))
+	for name, value := range map[string]string{"logtostderr": "true", "v": strconv.Itoa(flags.levels)} {
+		if fault := set.Set(name, value); fault != nil {
+			flags.Exit(wire.New(wire.BadFlag, "log: %v", fault))
+		}
+	}
 }
 
 // known refuses what flaggy would pass over in silence.
@@ -198,7 +204,12 @@
 
 // Serve accepts connections until the listener is drained or closed.
 func (listener *Listener) Serve(threads *run.Threads) {
-	threads.Start(func() { listener.server.Serve(listener.open) })
+	threads.Start(func() {
+		fault := listener.server.Serve(listener.open)
+		if !errors.Is(fault, http.ErrServerClosed) && !errors.Is(fault, net.ErrClosed) {
+			klog.Errorf("%s: takes no connections any more: %v", listener.open.Addr(), fault)
+		}
+	})
 }
 
 // Drain takes nothing new and waits for what is in flight, at most the grace. A
@@ -212,14 +223,15 @@
 			return true
 		}
 		if !time.Now().Before(until) {
-			listener.server.Close()
+			listener.Close()
 			return false
 		}
 		time.Sleep(drainPace)
 	}
 }
 
-func (listener *Listener) Close() { listener.server.Close() }
+// Close ends the listener and all its connections at once.
+func (listener *Listener) Close() { _ = listener.server.Close() } // what it cannot close is closed already
 
 // OnTerm calls the hook at SIGTERM or SIGINT.
 func OnTerm(threads *run.Threads, hook func()) {
--- a/program/standing.go
+++ b/program/standing.go
@@ -43,7 +43,9 @@
 	now := time.Now()
 	for conn, since := range standing.waiting {
 		if now.Sub(since) > freshConnection {
-			conn.SetReadDeadline(now)
+			if fault := conn.SetReadDeadline(now); fault != nil {
+				conn.Close()
+			}
 		}
 	}
 	return len(standing.waiting) + len(standing.serving)
--- a/program/standing_test.go
+++ b/program/standing_test.go
@@ -62,13 +62,10 @@
 	read.Add(1)
 	standing := newStanding()
 	listener := &Listener{open: slowListener{open, held, read}, standing: standing, server: &http.Server{ConnState: standing.turned,
-		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { io.WriteString(writer, "served") })}}
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.Write([]byte("served")) })}}
 	threads := run.NewThreads()
 	listener.Serve(threads)
-	ask := func(conn net.Conn) string {
-		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-		return ""
-	}
+	ask := func(conn net.Conn) { say(test, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }
 	answer := func(reader *bufio.Reader) string {
 		response, fault := http.ReadResponse(reader, nil)
 		if fault != nil {
--- a/program/typed_test.go
+++ b/program/typed_test.go
@@ -41,7 +41,7 @@
 		if fault != nil {
 			test.Fatal(fault)
 		}
-		io.WriteString(conn, text)
+		_, _ = io.WriteString(conn, text) // refused before all of an oversized one is read
 		response, fault := http.ReadResponse(bufio.NewReader(conn), nil)
 		if fault != nil {
 			test.Errorf("%.20q: %v", text, fault)
