--- a/sim/ask_test.go
+++ b/sim/ask_test.go
@@ -28,6 +28,6 @@
 	mishap := struct {
 		Code string `json:"code"`
 	}{}
-	json.Unmarshal(answer, &mishap)
+	_ = json.Unmarshal(answer, &mishap) // an answer that is no refusal has no code
 	return response.StatusCode, mishap.Code
 }
--- a/sim/core.go
+++ b/sim/core.go
@@ -262,7 +262,7 @@
 	disconnect(machine.Host)
 	machine.threads.Stop()
 	for _, server := range machine.servers {
-		server.Close()
+		_ = server.Close() // its listeners are the net's
 	}
 	machine.line.Close()
 }
--- a/sim/far.go
+++ b/sim/far.go
@@ -134,7 +134,7 @@
 	}
 	world.Net.Kill(one.Host)
 	one.threads.Stop()
-	one.server.Close()
+	_ = one.server.Close() // its listener is the net's
 	one.line.Close()
 }
 
--- a/sim/net.go
+++ b/sim/net.go
@@ -154,7 +154,7 @@
 	}
 	net.mutex.Unlock()
 	for _, open := range closing {
-		open.Close()
+		_ = open.Close() // never fails
 	}
 	return broken
 }
@@ -254,7 +254,7 @@
 	listener.wake.Broadcast()
 	listener.mutex.Unlock()
 	for _, conn := range waiting {
-		conn.Close()
+		_ = conn.Close() // never fails
 	}
 	return nil
 }
@@ -273,44 +273,46 @@
 
 type netConn = net.Conn
 
-func (network *Net) dial(ctx context.Context, from, to string, dead func() bool) (net.Conn, error) {
+func (net *Net) dial(ctx context.Context, from, to string, dead func() bool) (net.Conn, error) {
 	until := time.Now().Add(time.Second)
 	if limit, found := ctx.Deadline(); found && limit.Before(until) {
 		until = limit
 	}
-	for network.shut(from, host(to)) || network.away(from, host(to)) {
+	for net.shut(from, host(to)) || net.away(from, host(to)) {
 		if !time.Now().Before(until) {
-			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded}
+			return nil, dialFault(context.DeadlineExceeded)
 		}
 		time.Sleep(5 * time.Millisecond)
 		if ctx.Err() != nil {
-			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+			return nil, dialFault(ctx.Err())
 		}
 	}
-	network.mutex.Lock()
-	open := network.listeners[to]
+	net.mutex.Lock()
+	open := net.listeners[to]
 	if open == nil || dead() {
-		network.mutex.Unlock()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
+		net.mutex.Unlock()
+		return nil, dialFault(errRefused)
 	}
 	target := host(to)
-	there := newHalf(func() bool { return network.shut(from, target) })
-	back := newHalf(func() bool { return network.shut(target, from) })
-	near := &conn{in: back, out: there, local: address(from + ":1"), remote: address(to), net: network}
-	far := &conn{in: there, out: back, local: address(to), remote: address(from + ":1"), net: network}
-	network.conns = append(network.conns, near, far)
-	network.mutex.Unlock()
+	there := newHalf(func() bool { return net.shut(from, target) })
+	back := newHalf(func() bool { return net.shut(target, from) })
+	near := &conn{in: back, out: there, local: address(from + ":1"), remote: address(to), net: net}
+	far := &conn{in: there, out: back, local: address(to), remote: address(from + ":1"), net: net}
+	net.conns = append(net.conns, near, far)
+	net.mutex.Unlock()
 	open.mutex.Lock()
 	defer open.mutex.Unlock()
 	if open.closed {
-		near.Close()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errRefused}
+		_ = near.Close() // never fails
+		return nil, dialFault(errRefused)
 	}
 	open.waiting = append(open.waiting, far)
 	open.wake.Signal()
 	return near, nil
 }
 
+func dialFault(cause error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: cause} }
+
 // Transport carries a host's messages, with the net's faults.
 func (net *Net) Transport(from string) *Transport {
 	return &Transport{net: net, inner: &http.Transport{DialContext: net.Dialer(from), IdleConnTimeout: 20 * time.Second, MaxIdleConnsPerHost: 8}}
@@ -372,7 +374,7 @@
 	copied := request.Clone(ctx)
 	copied.Body = io.NopCloser(bytes.NewReader(body))
 	if response, fault := transport.inner.RoundTrip(copied); fault == nil {
-		io.Copy(io.Discard, response.Body)
+		_, _ = io.Copy(io.Discard, response.Body) // nobody waits for this answer
 		response.Body.Close()
 	}
 }
@@ -385,7 +387,7 @@
 	net.conns = nil
 	net.mutex.Unlock()
 	for _, conn := range conns {
-		conn.Close()
+		_ = conn.Close() // never fails
 	}
 }
 
--- a/sim/replace_test.go
+++ b/sim/replace_test.go
@@ -257,7 +257,7 @@
 			if machine != leaving {
 				one.term(machine)
 				one.Rest(one.span(50*time.Millisecond, 700*time.Millisecond))
-				one.World.start(machine)
+				one.start(machine)
 				one.Rest(syncSpan / 2)
 			}
 		}
@@ -367,7 +367,7 @@
 				one.Rest(away)
 				one.isolateMachine(machine, false)
 				one.Net.Freeze(machine.Host, false)
-				one.World.start(machine)
+				one.start(machine)
 				one.Rest(syncSpan)
 				one.settled("back")
 				for offset := range cores / 2 {
@@ -412,7 +412,7 @@
 				one.mutex.Lock()
 				one.Cores = append(one.Cores, newcomer)
 				one.mutex.Unlock()
-				one.World.start(newcomer)
+				one.start(newcomer)
 			}
 			one.Rest(2 * farSuspect)
 			before := one.leads()
@@ -514,7 +514,7 @@
 			for _, other := range current {
 				one.Net.Cut(newcomer.Host, other.Host, true)
 			}
-			one.World.start(newcomer)
+			one.start(newcomer)
 			for range 5 {
 				one.Rest(2 * time.Second)
 				for _, machine := range append(returned, newcomer) {
--- a/sim/scale_test.go
+++ b/sim/scale_test.go
@@ -52,7 +52,9 @@
 				slowest = max(slowest, world.everywhere(test, outcome.Serial))
 			}
 			large := map[string]any{}
-			json.Unmarshal(Settings(3000), &large)
+			if fault := json.Unmarshal(Settings(3000), &large); fault != nil {
+				test.Fatal(fault)
+			}
 			routes := map[string]any{}
 			for index := range 2000 {
 				routes[fmt.Sprintf("bulk-%d", index)] = map[string]any{"method": "GET", "path": fmt.Sprintf("/bulk/%d", index)}
--- a/sim/world.go
+++ b/sim/world.go
@@ -122,7 +122,7 @@
 		return &http.Server{}
 	}
 	server := &http.Server{Handler: handler}
-	threads.Start(func() { server.Serve(open) })
+	threads.Start(func() { _ = server.Serve(open) }) // ends when the server or its host does
 	return server
 }
 
@@ -219,7 +219,7 @@
 	world.Net.Kill(daemon.Host)
 	daemon.threads.Stop()
 	for _, server := range daemon.servers {
-		server.Close()
+		_ = server.Close() // its listeners are the net's
 	}
 	daemon.line.Close()
 }
@@ -261,7 +261,7 @@
 // Stop ends a backend as a crash does.
 func (world *World) StopBackend(backend *Backend) {
 	world.Net.Kill(host(backend.Listed.Address))
-	backend.server.Close()
+	_ = backend.server.Close() // its listener is the net's
 }
 
 // ServeBackend opens an address again, for another stand-in if need be.
@@ -344,10 +344,10 @@
 	}
 	world.threads.Stop()
 	for _, backend := range world.Backends {
-		backend.server.Close()
+		_ = backend.server.Close() // its listener is the net's
 	}
 	for _, server := range world.servers {
-		server.Close()
+		_ = server.Close() // its listeners are the net's
 	}
 	time.Sleep(10 * time.Second)
 	world.Net.Close()
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -28,7 +27,6 @@
 		request.Header.Set("Content-Type", kind)
 		recorder := httptest.NewRecorder()
 		door.ServeHTTP(recorder, request)
-		io.Copy(io.Discard, recorder.Body)
 		return recorder.Code
 	}
 	pack := func(change func(map[string]any)) []byte {
--- a/wire/part.go
+++ b/wire/part.go
@@ -7,7 +7,7 @@
 
 // Part names a branch of a register's content by the digest of its text.
 type Part struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack reads its tag by reflection
 	Path     string
 	Digest   string
 }
--- a/wire/squeeze.go
+++ b/wire/squeeze.go
@@ -11,9 +11,9 @@
 // Squeeze makes a body shorter where it is made once and sent to many.
 func Squeeze(body []byte) []byte {
 	buffer := bytes.Buffer{}
-	writer, _ := flate.NewWriter(&buffer, flate.DefaultCompression)
-	writer.Write(body)
-	writer.Close()
+	writer, _ := flate.NewWriter(&buffer, flate.DefaultCompression) // the level is a valid one
+	_, _ = writer.Write(body)                                       // a bytes.Buffer takes all of it
+	_ = writer.Close()                                              // as above
 	return buffer.Bytes()
 }
 
