--- a/route/config.go
+++ b/route/config.go
@@ -12,6 +12,7 @@
 // Kind says how often a request of a route may run.
 type Kind uint8
 
+// Kinds of routes; Repeats tells which of them may run more than once.
 const (
 	Once Kind = iota
 	Repeatable
--- a/route/index.go
+++ b/route/index.go
@@ -33,6 +33,7 @@
 	longest int
 }
 
+// NewIndex makes the index of a book that was checked.
 func NewIndex(book *Book) *Index {
 	config := &book.Config
 	index := &Index{Version: config.Version, Keyed: config.Keyed, Limits: config.Limits, Services: config.Services,
@@ -110,6 +111,7 @@
 	}
 }
 
+// TenantOf is the tenant that a key belongs to.
 func (index *Index) TenantOf(key string) (*Tenant, bool) {
 	tenant, known := index.keys[key]
 	return tenant, known
--- a/wire/ballot.go
+++ b/wire/ballot.go
@@ -8,6 +8,7 @@
 	Core  int    `json:"core"`
 }
 
+// Less is whether the ballot is older than another.
 func (ballot Ballot) Less(other Ballot) bool {
 	if ballot.Round != other.Round {
 		return ballot.Round < other.Round
@@ -15,6 +16,7 @@
 	return ballot.Core < other.Core
 }
 
+// String is the round and the core, as logs show them.
 func (ballot Ballot) String() string { return fmt.Sprintf("%d.%d", ballot.Round, ballot.Core) }
 
 // Mark is how new a register is: the ballot it was written under, then its serial.
@@ -23,6 +25,7 @@
 	Serial uint64 `json:"serial"`
 }
 
+// Less is whether the mark is older than another.
 func (mark Mark) Less(other Mark) bool {
 	if mark.Ballot != other.Ballot {
 		return mark.Ballot.Less(other.Ballot)
@@ -33,6 +36,7 @@
 // Marks are those of both registers.
 type Marks [Registers]Mark
 
+// Less compares by the first register in which the marks differ.
 func (marks Marks) Less(other Marks) bool {
 	for register := range marks {
 		if marks[register] != other[register] {
--- a/wire/change.go
+++ b/wire/change.go
@@ -9,6 +9,7 @@
 	Operator string
 }
 
+// Check refuses an ID of the wrong length and an unknown kind.
 func (change *Change) Check() *Mishap {
 	if change.ID == "" || len(change.ID) > 128 {
 		return New(BadMessage, "change id has %d letters, allowed 1 to 128", len(change.ID))
@@ -19,6 +20,7 @@
 	return nil
 }
 
+// ChangeTold is the serial that holds the change; Again tells that an earlier send of it was taken.
 type ChangeTold struct {
 	Serial uint64
 	Again  bool
@@ -31,6 +33,7 @@
 	Trail bool
 }
 
+// ReadTold brings the confirmed settings, and their trail where it was asked for.
 type ReadTold struct {
 	Serial uint64
 	Body   []byte
@@ -47,6 +50,7 @@
 	Detail string `json:"detail"`
 }
 
+// CoreStatus is one core as the leader sees it.
 type CoreStatus struct {
 	Core    int    `json:"core"`
 	Address string `json:"address"`
@@ -55,6 +59,7 @@
 	Marks   Marks  `json:"marks"`
 }
 
+// MemberStatus is one daemon as the leader sees it.
 type MemberStatus struct {
 	Member Member    `json:"member"`
 	Serial uint64    `json:"serial"`
@@ -65,6 +70,7 @@
 	Probes []Probe   `json:"probes,omitempty"`
 }
 
+// StatusTold is the fleet as the leader sees it.
 type StatusTold struct {
 	Leader     Leader            `json:"leader"`
 	State      string            `json:"state"`
--- a/wire/claim.go
+++ b/wire/claim.go
@@ -12,6 +12,7 @@
 // ClaimStage is how far the holder of a claim came.
 type ClaimStage int
 
+// Stages of a claim: its task runs, ran and its answer is known, or ended with an unknown outcome.
 const (
 	ClaimRunning ClaimStage = iota + 1
 	ClaimRan
@@ -52,6 +53,7 @@
 	Free    bool
 }
 
+// SettleTold confirms a Settle.
 type SettleTold struct{}
 
 // Holds asks a claim's holder what became of it; another process that has the
@@ -62,6 +64,7 @@
 	ID     string
 }
 
+// HoldsTold is what the holder knows of its claim.
 type HoldsTold struct {
 	Known bool
 	Held  Claimed
@@ -72,6 +75,7 @@
 	Claims []Claimed
 }
 
+// RetellTold confirms a Retell.
 type RetellTold struct{}
 
 // Pull asks a keeper or a core for what it remembers, a page at a time.
@@ -79,6 +83,7 @@
 	After uint64
 }
 
+// PullTold is one page of claims; Done tells that it is the last one.
 type PullTold struct {
 	Cores  int
 	Grown  bool
@@ -119,9 +124,16 @@
 	return nil
 }
 
-func (message *Claim) Check() *Mishap  { return message.Claimed.check() }
+// Check refuses a claim with missing or oversized fields.
+func (message *Claim) Check() *Mishap { return message.Claimed.check() }
+
+// Check refuses a claim with missing or oversized fields.
 func (message *Settle) Check() *Mishap { return message.Claimed.check() }
+
+// Check refuses the message where one of its claims is refused.
 func (message *Retell) Check() *Mishap { return checkAll(message.Claims, (*Claimed).check) }
+
+// Check refuses more than KeepMost entries of a sort, and any entry that is refused by itself.
 func (message *Keep) Check() *Mishap {
 	if len(message.Claims) > KeepMost || len(message.Retold) > KeepMost || len(message.Settles) > KeepMost {
 		return New(BadMessage, "%d claims, %d retold, %d settled", len(message.Claims), len(message.Retold), len(message.Settles))
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -13,6 +13,7 @@
 // Codec is msgpack on plain structs; a field nobody knows is refused.
 type Codec struct{}
 
+// Name is the codec in the content type of a message.
 func (Codec) Name() string { return "msgpack" }
 
 // Marshal gives bytes of their own also for a sealed message, since the sender
@@ -24,6 +25,7 @@
 	return pack(message)
 }
 
+// Unmarshal reads a message and checks it by its Check method, where it has one.
 func (Codec) Unmarshal(body []byte, message any) error {
 	if mishap := unpack(body, message); mishap != nil {
 		return mishap
@@ -58,5 +60,7 @@
 }
 
 // Pack and Unpack serve the store, which keeps the same structs.
-func Pack(message any) ([]byte, error)      { return pack(message) }
+func Pack(message any) ([]byte, error) { return pack(message) }
+
+// Unpack reads what Pack made; unknown fields and trailing bytes are refused.
 func Unpack(body []byte, message any) error { return unpack(body, message) }
--- a/wire/core.go
+++ b/wire/core.go
@@ -10,6 +10,8 @@
 	Members Mark
 }
 
+// PrecheckTold is whether a core would support the candidate, and what it knows
+// itself: whether it hears a leader, its marks, its highest round, a newer membership.
 type PrecheckTold struct {
 	Willing bool
 	Heard   bool
@@ -46,12 +48,15 @@
 	Texts    Texts
 }
 
+// AcceptTold is whether the value was taken; Lacks are digests of branches that are missing.
 type AcceptTold struct {
 	Taken    bool
 	Promised Ballot
 	Lacks    []string
 }
 
+// Beat is a leader's heartbeat. It tells what is committed and, while Duck is set, who
+// is to lead next.
 type Beat struct {
 	Ballot    Ballot
 	Leader    Leader
@@ -84,6 +89,7 @@
 	Learners []string
 }
 
+// StepDownTold is whether the core takes over.
 type StepDownTold struct {
 	Taken bool
 }
@@ -109,9 +115,13 @@
 	Sessions []Session
 }
 
+// TellTold confirms a Tell.
 type TellTold struct{}
 
+// Check refuses a ballot without a round or of a core out of range.
 func (message *Promise) Check() *Mishap { return message.Ballot.check() }
+
+// Check refuses an unknown register, a damaged branch and a bad ballot.
 func (message *Accept) Check() *Mishap {
 	if message.Register < 0 || message.Register >= Registers {
 		return New(BadMessage, "no register %d", message.Register)
@@ -121,7 +131,11 @@
 	}
 	return message.Ballot.check()
 }
+
+// Check refuses a ballot without a round or of a core out of range.
 func (message *Beat) Check() *Mishap { return message.Ballot.check() }
+
+// Check refuses a learner's address that is none, and a bad ballot.
 func (message *StepDown) Check() *Mishap {
 	for _, address := range message.Learners {
 		if mishap := (Peer{ID: 1, Address: address}).check(); mishap != nil {
@@ -130,8 +144,14 @@
 	}
 	return message.Ballot.check()
 }
+
+// Check refuses a core out of range.
 func (message *Precheck) Check() *Mishap { return checkCore(message.Core) }
-func (message *Restore) Check() *Mishap  { return checkCore(message.Core) }
+
+// Check refuses a core out of range.
+func (message *Restore) Check() *Mishap { return checkCore(message.Core) }
+
+// Check refuses a session that is refused by itself, and a core out of range.
 func (message *Tell) Check() *Mishap {
 	for index := range message.Sessions {
 		if mishap := message.Sessions[index].Check(); mishap != nil {
--- a/wire/door.go
+++ b/wire/door.go
@@ -16,10 +16,12 @@
 	known  map[string]bool
 }
 
+// NewDoor makes a door that takes nothing until messages are registered by Take.
 func NewDoor(counts *run.Counts) *Door {
 	return &Door{mux: http.NewServeMux(), counts: counts, known: map[string]bool{}}
 }
 
+// ServeHTTP refuses unknown messages and content types, and hands on the others.
 func (door *Door) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if !door.known[request.URL.Path] {
 		door.counts.Add("wire_unknown_message", 1)
--- a/wire/line.go
+++ b/wire/line.go
@@ -16,6 +16,7 @@
 	made   map[string]any
 }
 
+// NewLine makes a line over a transport.
 func NewLine(transport http.RoundTripper) *Line {
 	return &Line{client: &http.Client{Transport: transport}, made: map[string]any{}}
 }
@@ -23,6 +24,7 @@
 // Transport is what the line goes over.
 func (line *Line) Transport() http.RoundTripper { return line.client.Transport }
 
+// Close closes idle connections; calls under way go on.
 func (line *Line) Close() { line.client.CloseIdleConnections() }
 
 // Ask sends one message and waits for its answer at most the limit.
--- a/wire/member.go
+++ b/wire/member.go
@@ -9,6 +9,7 @@
 	Address string `json:"address"`
 }
 
+// Known is whether the teller knows who leads.
 func (leader Leader) Known() bool { return leader.Address != "" }
 
 // Member is one daemon as the others see it.
@@ -69,6 +70,7 @@
 	Upon    uint64
 }
 
+// Check refuses a session without a name, an incarnation, a known kind or an address.
 func (session *Session) Check() *Mishap {
 	if session.Member.Name == "" || session.Member.Incarnation == "" {
 		return New(BadMessage, "session without name or incarnation")
@@ -101,8 +103,10 @@
 	Usage       map[string]uint64
 }
 
+// CountTold confirms a Count.
 type CountTold struct{}
 
+// Check refuses a count that names no process.
 func (message *Count) Check() *Mishap {
 	if message.Incarnation == "" {
 		return New(BadMessage, "count without incarnation")
@@ -116,6 +120,7 @@
 	Number uint64 `json:"number"`
 }
 
+// Less is whether the mark is older than another.
 func (mark TableMark) Less(other TableMark) bool {
 	if mark.Ballot != other.Ballot {
 		return mark.Ballot.Less(other.Ballot)
@@ -141,6 +146,7 @@
 	Routing uint64
 }
 
+// WatchTold names the versions that the parent holds.
 type WatchTold struct {
 	Serial uint64
 	Table  TableMark
@@ -185,6 +191,7 @@
 // Who asks any daemon for the leader.
 type Who struct{}
 
+// WhoTold is the leader and the cores, as far as the teller knows, and its versions.
 type WhoTold struct {
 	Leader Leader
 	Duck   bool
@@ -199,6 +206,7 @@
 // Confirm asks the leader for the newest serial, proved by a beat after the ask.
 type Confirm struct{}
 
+// ConfirmTold names the leader's confirmed versions.
 type ConfirmTold struct {
 	Serial uint64
 	Table  TableMark
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -12,6 +12,7 @@
 // Kind names a mishap; operators and callers see it as a stable code.
 type Kind string
 
+// Kinds of mishaps. Their texts are stable: operators and callers act on them.
 const (
 	NotLeader      Kind = "not_leader"
 	Lameduck       Kind = "lameduck"
@@ -84,6 +85,7 @@
 	MayHaveRun = "unknown"
 )
 
+// Error is the kind, the cause and all details in one line.
 func (mishap *Mishap) Error() string {
 	text := string(mishap.Kind)
 	if mishap.Cause != "" {
@@ -95,6 +97,7 @@
 	return text
 }
 
+// New is a mishap of a kind with a formatted cause.
 func New(kind Kind, format string, values ...any) *Mishap {
 	return &Mishap{Kind: kind, Cause: fmt.Sprintf(format, values...)}
 }
--- a/wire/part.go
+++ b/wire/part.go
@@ -53,6 +53,7 @@
 	Digests []string
 }
 
+// PartsTold brings the branches that the teller holds.
 type PartsTold struct {
 	Texts Texts
 }
@@ -80,6 +81,7 @@
 	return nil
 }
 
+// Check refuses more than PartsMost branches.
 func (message *Parts) Check() *Mishap {
 	if len(message.Digests) > PartsMost {
 		return New(BadMessage, "%d branches asked for, allowed %d", len(message.Digests), PartsMost)
@@ -87,4 +89,5 @@
 	return nil
 }
 
+// Check refuses a branch that is not what its digest names.
 func (message *PartsTold) Check() *Mishap { return message.Texts.check() }
--- a/wire/register.go
+++ b/wire/register.go
@@ -3,6 +3,7 @@
 // Register names one of the whole values that the cores agree on.
 type Register int
 
+// The registers; Registers is their number.
 const (
 	SettingsRegister Register = iota
 	ReportsRegister
@@ -35,6 +36,7 @@
 	Value  Value
 }
 
+// Mark is how new the value is.
 func (accepted Accepted) Mark() Mark {
 	return Mark{Ballot: accepted.Ballot, Serial: accepted.Value.Serial}
 }
--- a/wire/routing.go
+++ b/wire/routing.go
@@ -14,6 +14,7 @@
 // RouteRead asks the leader for the confirmed routing.
 type RouteRead struct{}
 
+// RouteReadTold brings the confirmed routing, packed.
 type RouteReadTold struct {
 	Serial uint64
 	Body   []byte
@@ -30,11 +31,13 @@
 	Upon  uint64
 }
 
+// EvacuateTold is the register's serial, and how often the zone was evacuated and taken back.
 type EvacuateTold struct {
 	Serial  uint64
 	Changes uint64
 }
 
+// Check refuses a zone's name of the wrong length.
 func (message *Evacuate) Check() *Mishap {
 	if message.Zone == "" || len(message.Zone) > 200 {
 		return New(BadMessage, "evacuate: zone of %d letters", len(message.Zone))
--- a/wire/table.go
+++ b/wire/table.go
@@ -73,6 +73,7 @@
 	tableGoneMost  = 4096
 )
 
+// NewTableLog makes a log that knows no table yet.
 func NewTableLog() *TableLog {
 	return &TableLog{members: map[string]uint64{}, backends: map[string]uint64{}}
 }
