--- a/control/model_ledger_test.go
+++ b/control/model_ledger_test.go
@@ -267,3 +267,18 @@
 		ledger.violated(servedIsDecided, "machine %d serves %q of register %d, decided was %q", machine, value.Body, register, ledger.history[register])
 	}
 }
+
+func (ledger *modelLedger) clone() *modelLedger {
+	next := *ledger
+	next.proposals = slices.Clone(ledger.proposals)
+	next.given, next.leaders = cloneMap(ledger.given), cloneMap(ledger.leaders)
+	return &next
+}
+
+func cloneMap[Key comparable, Held any](held map[Key]Held) map[Key]Held {
+	next := make(map[Key]Held, len(held))
+	for key, value := range held {
+		next[key] = value
+	}
+	return next
+}
--- a/control/model_world_test.go
+++ b/control/model_world_test.go
@@ -107,6 +107,18 @@
 	return world
 }
 
+// clone shares with this world what neither changes: each clones a machine before its
+// first change of it.
+func (world *modelWorld) clone() *modelWorld {
+	next := *world
+	world.owned, next.owned = 0, 0
+	next.machines = slices.Clone(world.machines)
+	next.flight = slices.Clone(world.flight)
+	next.ledger = world.ledger.clone()
+	next.trace = slices.Clip(world.trace)
+	return &next
+}
+
 // modelMust ends the run where a step of the setting up failed.
 func modelMust(mishap *wire.Mishap) {
 	if mishap != nil {
