--- a/control/lameduck.go
+++ b/control/lameduck.go
@@ -64,7 +64,9 @@
 			core.counts.Add("handovers", 1)
 			return true
 		}
-		core.threads.Rest(core.place.Beat / 8)
+		if !core.threads.Rest(core.place.Beat / 8) {
+			return false
+		}
 	}
 	core.counts.Add("handovers_late", 1)
 	return false
