Claims of money keys outlive the replacement of a core

Cause: a claim lasts at a majority of cores, counted by their number alone. One kept at {1,3}, by proxies that still knew core 3 or while only the others had lost it, was new to {2,4} once core 4 had core 3's place and had read the claims of {1,2} back.

Now every answer of a core names the membership it was given under, a proxy counts by the newest voters named, a core notes the newest membership on disk before it tells its claims to another one, and being whole is one voter's word, by its ID.

--- /dev/null
+++ b/control/claimfence_test.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"testing"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// claimLogOn opens the claim log of a folder and runs its writing thread.
+func claimLogOn(test *testing.T, folder string) (*ClaimLog, func()) {
+	test.Helper()
+	threads := run.NewThreads()
+	log, mishap := openClaimLog(Folder(folder), 0, run.NewCounts(), func(mishap *wire.Mishap) { test.Error(mishap) })
+	if mishap != nil {
+		test.Fatal(mishap)
+	}
+	threads.Start(log.write)
+	return log, func() {
+		log.ring.Close()
+		threads.Wait()
+		log.journal.Close()
+	}
+}
+
+func claimOf(key string) *wire.Keep {
+	claimed := wire.Claimed{Key: wire.ClaimKey{Tenant: "t", Service: "s", Key: key}, ID: "id-" + key, Holder: "p/1", Stage: wire.ClaimRunning}
+	return &wire.Keep{Claims: []wire.Claim{{Claimed: claimed}}}
+}
+
+// Once another core was told the claims under a membership, nothing is kept that is
+// counted by an older one, also after a restart: the other core would never see it.
+func TestClaimsAreFencedByMembership(test *testing.T) {
+	former := firstMembership([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	step := former.replaced(3, "10.0.0.4:1")
+	step.Mark.Ballot = wire.Ballot{Round: 4, Core: 1}
+	again := firstMembership([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	again.Mark.Ballot = wire.Ballot{Round: 6, Core: 2}
+	folder := test.TempDir()
+	log, end := claimLogOn(test, folder)
+	for number, try := range []struct {
+		under   *Membership
+		restart bool
+		refused bool
+	}{
+		{under: former},
+		{under: step},
+		{under: former, refused: true},
+		{under: former, restart: true, refused: true},
+		{under: step},
+		{under: again},
+		{under: step, restart: true, refused: true},
+		{under: former},
+	} {
+		if try.restart {
+			end()
+			log, end = claimLogOn(test, folder)
+		}
+		wait := &keepWait{message: claimOf(string(rune('a' + number))), members: try.under.accepted()}
+		if mishap := log.put(wait); mishap != nil || wait.refused != try.refused {
+			test.Errorf("try %d: refused %v, %v", number, wait.refused, mishap)
+		}
+		if _, found := log.book.Held(wait.message.Claims[0].Claimed.Key); found == try.refused {
+			test.Errorf("try %d: kept %v", number, found)
+		}
+	}
+	end()
+}
+
+// What made a voter whole says nothing of the same disk under another ID, nor of a
+// core without a vote.
+func TestWholeClaimsAreOneVoters(test *testing.T) {
+	folder := test.TempDir()
+	members := firstMembership([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	log, end := claimLogOn(test, folder)
+	if mishap := log.put(&keepWait{message: &wire.Keep{}, members: members.accepted(), wholeAs: 2}); mishap != nil {
+		test.Fatal(mishap)
+	}
+	for range 2 {
+		if !log.Whole(2) || log.Whole(5) || log.Whole(0) {
+			test.Errorf("whole as 2: %v, as 5: %v, without a vote: %v", log.Whole(2), log.Whole(5), log.Whole(0))
+		}
+		end()
+		log, end = claimLogOn(test, folder)
+	}
+	end()
+}
--- a/control/claims.go
+++ b/control/claims.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
 	"orchidjunction/keep"
 	"orchidjunction/run"
 	"orchidjunction/wire"
@@ -31,32 +30,51 @@
 	base    time.Duration
 	ages    map[uint64]time.Duration
 
-	mutex sync.Mutex
-	wake  *sync.Cond
-	whole bool
-	ended bool
+	// members is the newest membership that anything here was kept or told under. Only
+	// the writing thread uses it once the log is open.
+	members wire.Accepted
+
+	mutex   sync.Mutex
+	wake    *sync.Cond
+	wholeAs int
+	asking  voterSince
+	ended   bool
+}
+
+// voterSince is from when on a voter keeps every claim that a quorum may count it for.
+type voterSince struct {
+	id int
+	at time.Time
 }
 
-// keepWait is one message under way to the disk.
+// keepWait is one message under way to the disk, kept under a membership. WholeAs is
+// the voter that lacks nothing once this lasts, 0 for none.
 type keepWait struct {
 	message *wire.Keep
-	whole   bool
+	members wire.Accepted
+	wholeAs int
 	told    []wire.ClaimTold
+	refused bool
 	mishap  *wire.Mishap
 	done    bool
 }
 
 // claimGroup is one synced step. At is the log's own age, which runs only while
-// the core does: clocks that jump, and time away, make nothing older.
+// the core does: clocks that jump, and time away, make nothing older. Core is the
+// voter that is whole. Members is there where the group raised it.
 type claimGroup struct {
 	At      time.Duration
 	Whole   bool
+	Core    int
+	Members *wire.Accepted
 	Claims  []wire.Claim
 	Retold  []wire.Claimed
 	Settles []wire.Settle
 }
 
-func openClaimLog(disk Disk, counts *run.Counts, fault func(*wire.Mishap)) (*ClaimLog, *wire.Mishap) {
+// openClaimLog reads the log. In groups of a release in which no voter was ever
+// replaced, the voter that is whole has the given ID.
+func openClaimLog(disk Disk, given int, counts *run.Counts, fault func(*wire.Mishap)) (*ClaimLog, *wire.Mishap) {
 	log := &ClaimLog{book: keep.NewBook(), ring: run.NewRing[*keepWait](claimsRing), counts: counts, fault: fault, ages: map[uint64]time.Duration{}}
 	log.wake = sync.NewCond(&log.mutex)
 	log.book.Remember(keep.MostSpan)
@@ -85,7 +103,15 @@
 	log.opened = time.Now()
 	for index := range groups {
 		log.lay(&groups[index], log.base-groups[index].At)
-		log.whole = log.whole || groups[index].Whole
+		if groups[index].Whole {
+			log.wholeAs = groups[index].Core
+		}
+		if groups[index].Whole && log.wholeAs == 0 {
+			log.wholeAs = given
+		}
+		if groups[index].Members != nil {
+			log.members = *groups[index].Members
+		}
 	}
 	return log, nil
 }
@@ -119,11 +145,16 @@
 		}
 		group, sizes := claimGroup{At: log.age()}, make([]int, len(waits))
 		for index, wait := range waits {
+			if wait.refused = !log.raise(&group, wait.members); wait.refused {
+				continue
+			}
 			sizes[index] = len(wait.message.Claims)
 			group.Claims = append(group.Claims, wait.message.Claims...)
 			group.Retold = append(group.Retold, wait.message.Retold...)
 			group.Settles = append(group.Settles, wait.message.Settles...)
-			group.Whole = group.Whole || wait.whole
+			if wait.wholeAs > 0 {
+				group.Whole, group.Core = true, wait.wholeAs
+			}
 		}
 		told := log.lay(&group, 0)
 		lasting := group
@@ -135,7 +166,9 @@
 		}
 		mishap := log.sync(&lasting)
 		log.mutex.Lock()
-		log.whole = log.whole || mishap == nil && group.Whole
+		if mishap == nil && group.Whole {
+			log.wholeAs = group.Core
+		}
 		for index, wait := range waits {
 			wait.told, told = told[:sizes[index]], told[sizes[index]:]
 			wait.mishap, wait.done = mishap, true
@@ -150,6 +183,18 @@
 	}
 }
 
+// raise notes the membership that something is kept under; false where one with other
+// voters was noted before, so that a quorum of this one may decide no more.
+func (log *ClaimLog) raise(group *claimGroup, members wire.Accepted) bool {
+	if wire.Supersedes(log.members, members) {
+		return false
+	}
+	if log.members.Mark().Less(members.Mark()) {
+		log.members, group.Members = members, &members
+	}
+	return true
+}
+
 // leave lets go of those who still wait once the ring is closed.
 func (log *ClaimLog) leave() {
 	log.mutex.Lock()
@@ -159,7 +204,7 @@
 }
 
 func (log *ClaimLog) sync(group *claimGroup) *wire.Mishap {
-	if len(group.Claims)+len(group.Retold)+len(group.Settles) == 0 && !group.Whole {
+	if len(group.Claims)+len(group.Retold)+len(group.Settles) == 0 && !group.Whole && group.Members == nil {
 		return nil
 	}
 	frame, mishap := packFrame(group)
@@ -178,12 +223,16 @@
 
 // roll begins a segment and removes those that hold only forgotten keys.
 func (log *ClaimLog) roll() *wire.Mishap {
-	whole := log.Whole()
+	first := claimGroup{At: log.age(), Core: log.whole()}
+	first.Whole = first.Core > 0
+	if log.members.Value.Serial > 0 {
+		first.Members = &log.members
+	}
 	if mishap := log.journal.begin(log.journal.number + 1); mishap != nil {
 		return mishap
 	}
-	if whole {
-		frame, mishap := packFrame(&claimGroup{At: log.age(), Whole: true})
+	if first.Whole || first.Members != nil {
+		frame, mishap := packFrame(&first)
 		if mishap != nil {
 			return mishap
 		}
@@ -205,11 +254,27 @@
 	return sweep(log.journal.disk, claimsName, keeps)
 }
 
-// Whole is whether nothing that was kept here, and is not yet forgotten, is lost.
-func (log *ClaimLog) Whole() bool {
+// Whole is whether a voter lacks nothing that it should hold and that is not yet
+// forgotten. It need not hold all: claims of a quorum without it are elsewhere.
+func (log *ClaimLog) Whole(id int) bool { return id > 0 && log.whole() == id }
+
+// whole is the voter that lacks nothing, 0 while none does.
+func (log *ClaimLog) whole() int {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
-	return log.whole || !log.opened.IsZero() && time.Since(log.opened) > log.book.Span()
+	if log.asking.id > 0 && time.Since(log.asking.at) > log.book.Span() {
+		return log.asking.id
+	}
+	return log.wholeAs
+}
+
+// countFrom notes since when a voter keeps all that it should, unless that was noted.
+func (log *ClaimLog) countFrom(id int, at time.Time) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	if log.asking.id != id {
+		log.asking = voterSince{id: id, at: at}
+	}
 }
 
 // put hands a message to the writing thread and waits until it lasts.
@@ -228,73 +293,3 @@
 	}
 	return wait.mishap
 }
-
-func (core *Core) onKeep(message *wire.Keep) (*wire.KeepTold, *wire.Mishap) {
-	if !core.members().votes() {
-		return nil, wire.New(wire.NotReady, "this core has no vote")
-	}
-	whole := core.claims.Whole()
-	wait := &keepWait{message: message}
-	if mishap := core.claims.put(wait); mishap != nil {
-		return nil, mishap
-	}
-	core.counts.Add("claims_kept", uint64(len(message.Claims)))
-	return &wire.KeepTold{Cores: len(core.members().Peers) + 1, Whole: whole, Told: wait.told}, nil
-}
-
-func (core *Core) onPull(pull *wire.Pull) (*wire.PullTold, *wire.Mishap) {
-	told := &wire.PullTold{Cores: len(core.members().Peers) + 1, Whole: core.claims.Whole()}
-	told.Claims, told.Last, told.Done = core.claims.book.Page(pull.After, claimsPage)
-	return told, nil
-}
-
-// mendClaims is the duty of a core that lost its claims: those of so many others
-// that no majority it was part of is missed make it whole again.
-func (core *Core) mendClaims() {
-	if now, mishap := core.content(); mishap == nil && now.serial > 0 {
-		core.claims.book.Remember(now.tree.Settings.Remember())
-	}
-	if core.claims.Whole() || core.voter.Blank() {
-		return
-	}
-	view := core.members()
-	if !view.votes() {
-		return
-	}
-	got, _ := run.Gather(core.threads, len(view.Peers), func(index int) (bool, error) {
-		return core.pullClaims(view.Peers[index])
-	}, func(map[int]bool, map[int]error) bool { return false })
-	wholes := map[int]bool{}
-	for index, whole := range got {
-		wholes[view.Peers[index].ID] = whole
-	}
-	if !view.fencesWithout(view.ID, func(id int) bool { return wholes[id] }) {
-		core.counts.Add("claims_not_mended", 1)
-		return
-	}
-	if core.claims.put(&keepWait{message: &wire.Keep{}, whole: true}) == nil {
-		core.counts.Add("claims_mended", 1)
-		klog.Infof("core %d: claims are whole again, told by %d cores", view.ID, len(wholes))
-	}
-}
-
-// pullClaims takes all of another core's claims, page by page.
-func (core *Core) pullClaims(peer Peer) (bool, error) {
-	for after, whole := uint64(0), true; ; {
-		told, fault := wire.Ask[wire.Pull, wire.PullTold](core.line, peer.Address, "pull", pullLimit, &wire.Pull{After: after})
-		if fault != nil {
-			return false, fault
-		}
-		for len(told.Claims) > 0 {
-			count := min(len(told.Claims), wire.KeepMost)
-			if mishap := core.claims.put(&keepWait{message: &wire.Keep{Retold: told.Claims[:count]}}); mishap != nil {
-				return false, mishap
-			}
-			told.Claims = told.Claims[count:]
-		}
-		if whole = whole && told.Whole; told.Done || !whole {
-			return whole, nil
-		}
-		after = told.Last
-	}
-}
--- a/control/core.go
+++ b/control/core.go
@@ -72,13 +72,16 @@
 	core.voter = NewVoter(store, core.diskFault, core.raised)
 	core.voter.learns = core.learnMembers
 	core.known.Store(place.view(core.voter.State().Voters()))
-	if core.claims, mishap = openClaimLog(disk, counts, core.diskFault); mishap != nil {
+	if core.claims, mishap = openClaimLog(disk, place.ID, counts, core.diskFault); mishap != nil {
 		return nil, mishap
 	}
 	core.chart = &Chart{now: Blank, counts: counts, core: core.members().ID}
 	if !core.voter.Blank() {
 		core.chart.now = Following
 	}
+	if kept := core.claims.members; kept.Value.Serial > firstSerial {
+		core.learnMembers(kept)
+	}
 	core.round = core.voter.State().Promised.Round
 	core.patience = core.firstPatience()
 	core.sessions = newSessions(place.SessionSpan)
@@ -399,7 +402,9 @@
 }
 
 // Sound is true while this core votes.
-func (core *Core) Sound() bool { return !core.voter.Blank() && core.members().votes() && core.Broken() == nil }
+func (core *Core) Sound() bool {
+	return !core.voter.Blank() && core.members().votes() && core.Broken() == nil
+}
 
 // Close lets go of the disk, after the threads ended.
 func (core *Core) Close() {
--- a/control/election.go
+++ b/control/election.go
@@ -216,7 +216,7 @@
 }
 
 func (core *Core) voterPromise(message *wire.Promise) (*wire.PromiseTold, *wire.Mishap) {
-	if known := core.members().accepted(); supersedes(known, message.Members) {
+	if known := core.members().accepted(); wire.Supersedes(known, message.Members) {
 		return &wire.PromiseTold{Promised: core.voter.State().Promised, Members: known}, nil
 	}
 	core.sawRound(message.Ballot.Round)
--- a/control/enlist.go
+++ b/control/enlist.go
@@ -122,7 +122,7 @@
 	core.counts.Add("memberships_joined", 1)
 	klog.Infof("core %d at %s: %d cores vote, a voter at once: %v", view.ID, view.Wire, len(membership.Voters), founds)
 	if founds {
-		core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
+		core.claims.put(&keepWait{message: &wire.Keep{}, members: accepted, wholeAs: view.ID})
 		core.begin()
 	}
 }
--- a/control/membership.go
+++ b/control/membership.go
@@ -22,6 +22,9 @@
 	LastID int
 }
 
+// firstSerial is that of the founding membership: no voter was ever replaced.
+const firstSerial = 1
+
 // firstMembership numbers founding cores by the order of their addresses.
 func firstMembership(addresses []string) *Membership {
 	sorted := slices.Clone(addresses)
@@ -35,7 +38,7 @@
 
 // givenMembership is the first version, made of peers that were named.
 func givenMembership(peers []Peer) *Membership {
-	membership := &Membership{Mark: wire.Mark{Serial: 1}, Voters: slices.Clone(peers)}
+	membership := &Membership{Mark: wire.Mark{Serial: firstSerial}, Voters: slices.Clone(peers)}
 	slices.SortFunc(membership.Voters, comparePeers)
 	for _, peer := range peers {
 		membership.LastID = max(membership.LastID, peer.ID)
@@ -64,10 +67,15 @@
 	if membership == nil {
 		return wire.Accepted{}
 	}
-	body, _ := wire.Pack(&wire.Voters{Current: membership.Voters, Next: membership.Next, LastID: membership.LastID})
+	body, _ := wire.Pack(membership.voters())
 	return wire.Accepted{Ballot: membership.Mark.Ballot, Value: wire.Value{Serial: membership.Mark.Serial, Body: body}}
 }
 
+// voters is the membership as the register's content.
+func (membership *Membership) voters() *wire.Voters {
+	return &wire.Voters{Current: membership.Voters, Next: membership.Next, LastID: membership.LastID}
+}
+
 func comparePeers(left, right Peer) int { return left.ID - right.ID }
 
 func compareAddresses(left, right string) int {
@@ -99,26 +107,9 @@
 	return all
 }
 
-func majorityOf(group []Peer) int { return len(group)/2 + 1 }
-
-func countIn(group []Peer, has func(id int) bool) int {
-	count := 0
-	for _, peer := range group {
-		if has(peer.ID) {
-			count++
-		}
-	}
-	return count
-}
-
 // quorum is whether those for which has is true decide.
 func (membership *Membership) quorum(has func(id int) bool) bool {
-	for _, group := range membership.groups() {
-		if countIn(group, has) < majorityOf(group) {
-			return false
-		}
-	}
-	return true
+	return membership.voters().Quorum(has)
 }
 
 // fencesWithout is whether the others for which has is true meet every quorum that
@@ -127,11 +118,11 @@
 func (membership *Membership) fencesWithout(lost int, has func(id int) bool) bool {
 	others := func(id int) bool { return id != lost && has(id) }
 	for _, group := range membership.groups() {
-		need := majorityOf(group)
+		need := wire.Majority(group)
 		if contains(group, lost) {
-			need = len(group) - majorityOf(group) + 1
+			need = len(group) - wire.Majority(group) + 1
 		}
-		if countIn(group, others) < need {
+		if wire.CountIn(group, others) < need {
 			return false
 		}
 	}
@@ -216,7 +207,7 @@
 	if !view.votes() {
 		return math.MaxInt
 	}
-	return majorityOf(view.Voters)
+	return wire.Majority(view.Voters)
 }
 
 // rank is this core's place among the voters, from 0.
--- a/control/restore.go
+++ b/control/restore.go
@@ -26,7 +26,7 @@
 	if untouched && core.place.Found {
 		if mishap := core.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap == nil {
 			klog.Infof("core %d: founded", view.ID)
-			core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
+			core.claims.put(&keepWait{message: &wire.Keep{}, members: view.accepted(), wholeAs: view.ID})
 			core.begin()
 		}
 		return
--- a/control/voter.go
+++ b/control/voter.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"sync/atomic"
 
 	"orchidjunction/run"
@@ -61,7 +60,7 @@
 	if !state.Founded {
 		return nil, wire.New(wire.Blank, "not restored yet")
 	}
-	if members := state.Accepted[wire.MembersRegister]; supersedes(members, message.Members) {
+	if members := state.Accepted[wire.MembersRegister]; wire.Supersedes(members, message.Members) {
 		return &wire.PromiseTold{Promised: state.Promised, Members: members}, nil
 	}
 	if ballot.Less(state.Promised) {
@@ -111,11 +110,6 @@
 	return &wire.AcceptTold{Taken: true, Promised: state.Promised}, nil
 }
 
-// supersedes is whether a membership is newer than another one and has other voters.
-func supersedes(held, asked wire.Accepted) bool {
-	return asked.Mark().Less(held.Mark()) && !bytes.Equal(asked.Value.Body, held.Value.Body)
-}
-
 // Found makes a blank disk a voter with what the others hold, accepted under its
 // own ballot: a copy is no vote for the ballot that it was written under.
 func (voter *Voter) Found(promised wire.Ballot, accepted [wire.Registers]wire.Accepted, texts wire.Texts) *wire.Mishap {
--- a/data/claims.go
+++ b/data/claims.go
@@ -261,7 +261,7 @@
 	}
 	asked := append(append([]wire.Member{}, others...), peers...)
 	got, _ := run.Gather(claims.proxy.threads, len(asked), func(index int) (*wire.PullTold, error) {
-		return pullAll(claims.proxy.daemon.Line(), asked[index].Wire, claims.keeper.Retell)
+		return pullAll(claims.proxy.daemon.Line(), asked[index].Wire, wire.Accepted{}, claims.keeper.Retell)
 	}, func(map[int]*wire.PullTold, map[int]error) bool { return false })
 	grown, wholes := 0, 0
 	for index, told := range got {
@@ -388,8 +388,10 @@
 	return &wire.ClaimTold{}
 }
 
-// poll is one round of asking for a claim.
+// poll is one round of asking for a claim. Roster is the membership by which the
+// cores that keep it are counted.
 type poll struct {
+	roster  Roster
 	rings   [][]wire.Member
 	members []wire.Member
 	got     map[int]claimAnswer
@@ -405,23 +407,15 @@
 	return refusal
 }
 
-// kept is whether a majority of cores keep the claim, and whether so many of
-// them are whole that nothing kept before was missed.
-func (poll *poll) kept() (lasting, whole bool) {
-	granted, wholes, need := 0, 0, 1
+// cores are the cores' answers.
+func (poll *poll) cores() *coreVotes {
+	votes := newCoreVotes(poll.roster)
 	for _, answer := range poll.got {
-		if answer.core == nil {
-			continue
-		}
-		need = max(need, answer.core.Cores/2+1)
-		if answer.told().Granted {
-			granted++
-			if answer.core.Whole {
-				wholes++
-			}
+		if answer.core != nil {
+			votes.add(answer.core.Members, answer.core.Core, answer.told().Granted, answer.core.Whole)
 		}
 	}
-	return granted >= need, wholes >= need
+	return votes
 }
 
 // quorums is whether the keepers that granted make a quorum of every ring; with
@@ -436,15 +430,47 @@
 	return enough(poll.rings, granting)
 }
 
-// ask sends the claim to all keepers and cores; one refusal is enough to stop.
-// A grant needs the keepers' quorum and lasts at a majority of cores. While the
-// cores are away, keepers whose memory is whole go on alone.
+// ask sends the claim to all keepers and cores, and again where the cores that vote
+// changed meanwhile.
 func (claims *Claims) ask(rings [][]wire.Member, members []wire.Member, claim *wire.Claim) (*wire.Claimed, bool) {
-	cores := claims.proxy.daemon.Finder.Cores()
 	away := claims.vault.Away()
-	got, _ := run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
+	round := claims.poll(rings, members, claim, away)
+	if round.cores().outdated() && round.refused() == nil && !round.granted(away) {
+		claims.proxy.counts.Add("claims_by_former_voters", 1)
+		round = claims.poll(rings, members, claim, away)
+	}
+	if refusal := round.refused(); refusal != nil {
+		return refusal, false
+	}
+	votes := round.cores()
+	claims.vault.found(votes.lasting())
+	if votes.lasting() {
+		return nil, round.quorums(!votes.whole())
+	}
+	if !round.quorums(true) {
+		return nil, false
+	}
+	claims.proxy.counts.Add("claims_without_core", 1)
+	claims.vault.owe(owed{retold: &claim.Claimed})
+	return nil, true
+}
+
+// granted is whether the answers suffice. A grant needs the keepers' quorum and lasts
+// at a majority of cores. While the cores are away, keepers whose memory is whole go
+// on alone.
+func (poll *poll) granted(away bool) bool {
+	votes := poll.cores()
+	return votes.lasting() && poll.quorums(!votes.whole()) || away && poll.quorums(true)
+}
+
+// poll sends the claim to all keepers and cores once; one refusal is enough to stop,
+// and so is an answer by other voters.
+func (claims *Claims) poll(rings [][]wire.Member, members []wire.Member, claim *wire.Claim, away bool) *poll {
+	roster, cores := claims.vault.counts()
+	round := &poll{roster: roster, rings: rings, members: members}
+	round.got, _ = run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
 		if index >= len(members) {
-			told, fault := claims.vault.ask(cores[index-len(members)], &wire.Keep{Claims: []wire.Claim{*claim}}, vaultLimit)
+			told, fault := claims.vault.ask(cores[index-len(members)], &wire.Keep{Members: roster.accepted, Claims: []wire.Claim{*claim}}, vaultLimit)
 			return claimAnswer{core: told}, fault
 		}
 		if members[index].Name == claims.proxy.daemon.Name() {
@@ -453,28 +479,12 @@
 		told, fault := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
 		return claimAnswer{keeper: told}, fault
 	}, func(got map[int]claimAnswer, _ map[int]error) bool {
-		poll := &poll{rings: rings, members: members, got: got}
-		if poll.refused() != nil {
-			return true
-		}
-		lasting, whole := poll.kept()
-		return lasting && poll.quorums(!whole) || away && poll.quorums(true)
+		now := *round
+		now.got = got
+		return now.refused() != nil || roster.voters != nil && now.cores().outdated() || now.granted(away)
 	})
-	poll := &poll{rings: rings, members: members, got: got}
-	if refusal := poll.refused(); refusal != nil {
-		return refusal, false
-	}
-	lasting, whole := poll.kept()
-	claims.vault.found(lasting)
-	if lasting {
-		return nil, poll.quorums(!whole)
-	}
-	if !poll.quorums(true) {
-		return nil, false
-	}
-	claims.proxy.counts.Add("claims_without_core", 1)
-	claims.vault.owe(owed{retold: &claim.Claimed})
-	return nil, true
+	claims.vault.learn(round.cores().newest)
+	return round
 }
 
 // askHolder asks the proxy that claimed a key; nil and not known when it is silent or gone.
--- /dev/null
+++ b/data/corevotes.go
@@ -0,0 +1,92 @@
+package data
+
+import (
+	"bytes"
+
+	"orchidjunction/wire"
+)
+
+// Roster is a membership of the cores as a proxy counts by it; its voters are nil
+// while none is known.
+type Roster struct {
+	accepted wire.Accepted
+	voters   *wire.Voters
+}
+
+// rosterOf reads a membership; one that can't be read is as good as none.
+func rosterOf(accepted wire.Accepted) Roster {
+	var voters wire.Voters
+	if accepted.Value.Serial == 0 || wire.Unpack(accepted.Value.Body, &voters) != nil || voters.Check() != nil {
+		return Roster{}
+	}
+	return Roster{accepted: accepted, voters: &voters}
+}
+
+// newer is the newer of two rosters.
+func (roster Roster) newer(other Roster) Roster {
+	if other.voters != nil && roster.accepted.Mark().Less(other.accepted.Mark()) {
+		return other
+	}
+	return roster
+}
+
+// same is whether two rosters have the same voters.
+func (roster Roster) same(other Roster) bool {
+	return bytes.Equal(roster.accepted.Value.Body, other.accepted.Value.Body)
+}
+
+// coreVote is what one core answered, under which membership.
+type coreVote struct {
+	roster Roster
+	core   int
+	taken  bool
+	whole  bool
+}
+
+// coreVotes are counted by the newest membership that any answer names; an answer
+// given under other voters than those counts for nothing.
+type coreVotes struct {
+	asked  Roster
+	newest Roster
+	votes  []coreVote
+}
+
+func newCoreVotes(asked Roster) *coreVotes { return &coreVotes{asked: asked, newest: asked} }
+
+// add takes an answer; one without a membership was given under that of the question.
+func (votes *coreVotes) add(members wire.Accepted, core int, taken, whole bool) {
+	roster := votes.asked
+	if members.Value.Serial > 0 {
+		roster = rosterOf(members)
+	}
+	votes.newest = votes.newest.newer(roster)
+	votes.votes = append(votes.votes, coreVote{roster: roster, core: core, taken: taken, whole: whole})
+}
+
+// has is which voters of the newest membership took the question; with wholes, only
+// those that lack nothing.
+func (votes *coreVotes) has(wholes bool) func(id int) bool {
+	return func(id int) bool {
+		for _, vote := range votes.votes {
+			if vote.core == id && vote.taken && vote.roster.same(votes.newest) && (vote.whole || !wholes) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// lasting is whether a quorum took the question.
+func (votes *coreVotes) lasting() bool {
+	return votes.newest.voters != nil && votes.newest.voters.Quorum(votes.has(false))
+}
+
+// whole is whether so many that took it lack nothing that no quorum is missed. Those
+// that are only joining don't count: nobody vouches yet for what they hold.
+func (votes *coreVotes) whole() bool {
+	voters := votes.newest.voters
+	return voters != nil && wire.CountIn(voters.Current, votes.has(true)) >= wire.Majority(voters.Current)
+}
+
+// outdated is whether the question counted by voters that are no more.
+func (votes *coreVotes) outdated() bool { return !votes.newest.same(votes.asked) }
--- a/data/vault.go
+++ b/data/vault.go
@@ -1,6 +1,7 @@
 package data
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +22,10 @@
 	proxy *Proxy
 	ring  *run.Ring[owed]
 
-	mutex sync.Mutex
-	away  time.Time
-	owing int
+	mutex  sync.Mutex
+	away   time.Time
+	owing  int
+	roster Roster
 }
 
 // owed is what the cores are yet to be told: a claim granted without them, or
@@ -53,6 +55,32 @@
 	}
 }
 
+// counts is the membership to count by, and the cores to ask: its voters, and all
+// that are known while a newer one was heard of.
+func (vault *Vault) counts() (Roster, []string) {
+	vault.mutex.Lock()
+	roster := vault.roster
+	vault.mutex.Unlock()
+	known, cores := vault.proxy.daemon.Finder.Members(), vault.proxy.daemon.Finder.Cores()
+	if roster.voters == nil {
+		return roster, cores
+	}
+	addresses := roster.voters.Addresses()
+	for _, core := range cores {
+		if roster.accepted.Mark().Less(known) && !slices.Contains(addresses, core) {
+			addresses = append(addresses, core)
+		}
+	}
+	return roster, addresses
+}
+
+// learn takes a membership that cores answered with.
+func (vault *Vault) learn(roster Roster) {
+	vault.mutex.Lock()
+	vault.roster = vault.roster.newer(roster)
+	vault.mutex.Unlock()
+}
+
 func (vault *Vault) ask(address string, message *wire.Keep, limit time.Duration) (*wire.KeepTold, error) {
 	return wire.Ask[wire.Keep, wire.KeepTold](vault.proxy.daemon.Line(), address, "keep", limit, message)
 }
@@ -110,48 +138,57 @@
 	}
 }
 
+// push tells the cores something; true once it lasts at a quorum.
 func (vault *Vault) push(message *wire.Keep) bool {
-	cores := vault.proxy.daemon.Finder.Cores()
+	roster, cores := vault.counts()
+	message.Members = roster.accepted
 	got, _ := run.Gather(vault.proxy.threads, len(cores), func(index int) (*wire.KeepTold, error) {
 		return vault.ask(cores[index], message, settleLimit)
-	}, func(got map[int]*wire.KeepTold, _ map[int]error) bool { return majority(got) })
-	return majority(got)
+	}, func(got map[int]*wire.KeepTold, _ map[int]error) bool { return keptBy(roster, got).lasting() })
+	votes := keptBy(roster, got)
+	vault.learn(votes.newest)
+	return votes.lasting()
 }
 
-func majority(got map[int]*wire.KeepTold) bool {
+func keptBy(roster Roster, got map[int]*wire.KeepTold) *coreVotes {
+	votes := newCoreVotes(roster)
 	for _, told := range got {
-		return len(got) > told.Cores/2
+		votes.add(told.Members, told.Core, !told.Refused, told.Whole)
 	}
-	return false
+	return votes
 }
 
 // recall reads back from the cores what a memory that is not whole lacks; only
 // a majority of whole cores makes it so.
 func (vault *Vault) recall(take func([]wire.Claimed)) bool {
-	cores := vault.proxy.daemon.Finder.Cores()
+	roster, cores := vault.counts()
 	got, _ := run.Gather(vault.proxy.threads, len(cores), func(index int) (*wire.PullTold, error) {
-		return pullAll(vault.proxy.daemon.Line(), cores[index], take)
+		return pullAll(vault.proxy.daemon.Line(), cores[index], roster.accepted, take)
 	}, func(map[int]*wire.PullTold, map[int]error) bool { return false })
-	wholes, need := 0, len(cores)/2+1
+	votes := newCoreVotes(roster)
 	for _, told := range got {
-		need = max(need, told.Cores/2+1)
-		if told.Whole {
-			wholes++
-		}
+		votes.add(told.Members, told.Core, true, told.Whole)
 	}
-	return wholes >= need
+	vault.learn(votes.newest)
+	return votes.whole()
 }
 
-// pullAll takes every page that a keeper or a core has; the last one is given.
-func pullAll(line *wire.Line, address string, take func([]wire.Claimed)) (*wire.PullTold, error) {
+// pullAll takes every page that a keeper or a core has. The last one is given, with
+// the membership under which the first one was told.
+func pullAll(line *wire.Line, address string, members wire.Accepted, take func([]wire.Claimed)) (*wire.PullTold, error) {
+	var first *wire.PullTold
 	for after, whole := uint64(0), true; ; {
-		told, fault := wire.Ask[wire.Pull, wire.PullTold](line, address, "pull", pullLimit, &wire.Pull{After: after})
+		told, fault := wire.Ask[wire.Pull, wire.PullTold](line, address, "pull", pullLimit, &wire.Pull{After: after, Members: members})
 		if fault != nil {
 			return nil, fault
 		}
+		if first == nil {
+			first = told
+		}
 		take(told.Claims)
 		whole = whole && told.Whole
-		if told.Whole = whole; told.Done {
+		if told.Done {
+			told.Whole, told.Members, told.Core = whole, first.Members, first.Core
 			return told, nil
 		}
 		after = told.Last
--- a/member/finder.go
+++ b/member/finder.go
@@ -75,6 +75,13 @@
 	return append([]string{}, finder.cores...)
 }
 
+// Members is the mark of the newest membership that was heard of.
+func (finder *Finder) Members() wire.Mark {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return finder.members
+}
+
 // Heard takes anyone's word of a leader; older ballots are passed over.
 func (finder *Finder) Heard(leader wire.Leader) {
 	finder.mutex.Lock()
--- /dev/null
+++ b/sim/replaced_test.go
@@ -0,0 +1,124 @@
+package sim
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"orchidjunction/control"
+	"orchidjunction/member"
+	"orchidjunction/run"
+	"orchidjunction/stand"
+	"orchidjunction/wire"
+)
+
+// Spare is a core machine beside the founding ones: it has seeds and no ID.
+type Spare struct {
+	*Core
+	counts *run.Counts
+}
+
+// StartSpare starts a core on an empty disk that finds the others by its seeds.
+func (world *World) StartSpare(number int) *Spare {
+	host := fmt.Sprintf("10.%d.1.%d", world.Base, number)
+	spare := &Spare{Core: &Core{Host: host, Wire: host + ":41", Operate: host + ":42", Disk: NewDisk(world.Seed + uint64(100+number))}, counts: run.NewCounts()}
+	seeds := []string{}
+	for _, core := range world.Cores {
+		seeds = append(seeds, core.Wire)
+	}
+	place := control.Place{Zone: "z", Wire: spare.Wire, Operate: spare.Operate, Seeds: seeds, Least: 1, Platform: world.platformAddress(), Beat: Beat, Suspect: Suspect, Seed: world.Seed + uint64(number)*7919}
+	if mishap := place.Check(); mishap != nil {
+		world.broke("spare %d: %v", number, mishap)
+	}
+	spare.threads, spare.line = run.NewThreads(), wire.NewLine(world.Net.Transport(host))
+	finder := member.NewFinder(spare.line, spare.threads, seeds)
+	place.MembersChanged = finder.Learn
+	core, mishap := control.NewCore(place, spare.Disk, spare.line, spare.threads, spare.counts)
+	if mishap != nil {
+		world.broke("spare %d does not start: %v", number, mishap)
+		return spare
+	}
+	spare.Core.Core, spare.Alive = core, true
+	door := wire.NewDoor(spare.counts)
+	core.Register(door)
+	spare.Hold = member.NewHold(finder, spare.line, spare.counts)
+	operate := member.NewOperate(fmt.Sprint("spare-", number), spare.Hold, spare.counts, core.Settings, core.Sound)
+	spare.servers = []*http.Server{world.serve(spare.threads, spare.Wire, door), world.serve(spare.threads, spare.Operate, operate)}
+	finder.Run()
+	core.Run()
+	return spare
+}
+
+// EndSpare ends a spare core at once.
+func (world *World) EndSpare(spare *Spare) {
+	if !world.ends(&spare.Alive) {
+		return
+	}
+	world.Net.Kill(spare.Host)
+	spare.threads.Stop()
+	for _, server := range spare.servers {
+		server.Close()
+	}
+	spare.line.Close()
+}
+
+// cutDaemons cuts a core from every daemon, or joins it to them again.
+func (world *World) cutDaemons(core *Core, cut bool) {
+	for _, daemon := range world.Daemons {
+		world.Net.Cut(core.Host, daemon.Host, cut)
+	}
+}
+
+// wholeClaims is whether a core says that it lacks no claim it should hold.
+func wholeClaims(core *Core) bool {
+	told, fault := wire.Ask[wire.Pull, wire.PullTold](core.line, core.Wire, "pull", time.Second, &wire.Pull{})
+	return fault == nil && told.Whole
+}
+
+// A core that the others lost, but not the proxies, is replaced. Before and after
+// that, keys are claimed at this core and at one other; then every proxy dies, and
+// only the cores that were not asked are there: no key may be new to them.
+func TestReplacedCoreKeepsNoClaimToItself(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		for _, zone := range []string{"e1", "w1", "s1"} {
+			world.AddBackend("meters", zone, stand.BackendPlace{WorkMs: 20, Room: 64})
+		}
+		world.up(test, 8)
+		if !world.Until(5*time.Second, func() bool { return world.keepers() == 6 }) {
+			test.Fatalf("%d keepers", world.keepers())
+		}
+		world.Rest(time.Second)
+		leader := world.Leader()
+		leads, stays, goes := world.Cores[leader], world.Cores[(leader+1)%3], world.Cores[(leader+2)%3]
+		world.cutDaemons(leads, true)
+		tries := world.pay(10, 1000)
+		world.Net.Cut(goes.Host, leads.Host, true)
+		world.Net.Cut(goes.Host, stays.Host, true)
+		spare := world.StartSpare(1)
+		defer world.EndSpare(spare)
+		world.Net.Cut(goes.Host, spare.Host, true)
+		if !world.Until(10*time.Second, func() bool { return spare.Core.Core.Sound() && wholeClaims(spare.Core) }) {
+			test.Fatal("the spare core does not vote with all claims")
+		}
+		tries = append(tries, world.pay(20, 0)...)
+		for _, daemon := range world.Daemons {
+			world.KillDaemon(daemon)
+		}
+		world.KillCore((leader+2)%3, true)
+		world.cutDaemons(leads, false)
+		world.cutDaemons(stays, true)
+		for _, daemon := range world.Daemons {
+			world.StartDaemon(daemon)
+		}
+		if !world.Until(15*time.Second, world.ready) {
+			world.broke("not ready in 15 s")
+		}
+		_, replays := world.payAgain(tries)
+		details := world.judge(nil, stand.OriginReport{Tries: tries})
+		test.Logf("%s, %d replayed", details["no key charged twice"], replays)
+		world.report(test)
+	})
+}
--- a/wire/claim.go
+++ b/wire/claim.go
@@ -74,33 +74,47 @@
 
 type RetellTold struct{}
 
-// Pull asks a keeper or a core for what it remembers, a page at a time.
+// Pull asks a keeper or a core for what it remembers, a page at a time. Members is
+// the membership by which the asker counts cores: a core keeps nothing under an older
+// one with other voters once it has answered.
 type Pull struct {
-	After uint64
+	After   uint64
+	Members Accepted
 }
 
+// PullTold holds one page. Members is the membership of the answering core where it
+// knows another one than the asker, and Core is its ID in it.
 type PullTold struct {
-	Cores  int
-	Grown  bool
-	Whole  bool
-	Claims []Claimed
-	Last   uint64
-	Done   bool
+	Members Accepted
+	Core    int
+	Grown   bool
+	Whole   bool
+	Claims  []Claimed
+	Last    uint64
+	Done    bool
 }
 
 // Keep asks a core to claim keys, and to keep what was claimed without it and
-// what became of claims; all of it lasts once it answers.
+// what became of claims; all of it lasts once it answers. Members is the membership
+// by which the asker counts the answers; an asker that knows none leaves that to the
+// core's own.
 type Keep struct {
+	Members Accepted
 	Claims  []Claim
 	Retold  []Claimed
 	Settles []Settle
 }
 
-// KeepTold answers each claim; a core that is not whole may have lost some.
+// KeepTold answers each claim; a core that is not whole may have lost some. Members
+// is the membership that the core kept them under where that is another one than the
+// asker's, and Core is its ID in it. Refused is true where nothing was kept, since this
+// core is none of the voters or their membership just changed.
 type KeepTold struct {
-	Cores int
-	Whole bool
-	Told  []ClaimTold
+	Members Accepted
+	Core    int
+	Refused bool
+	Whole   bool
+	Told    []ClaimTold
 }
 
 // KeepMost is how much one message may hold of each.
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -1,6 +1,10 @@
 package wire
 
-import "net/netip"
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+)
 
 // Peer is one core machine that votes. Its ID is never given to another machine.
 type Peer struct {
@@ -59,6 +63,48 @@
 	Members Accepted
 }
 
+// Majority is how many of a group decide.
+func Majority(group []Peer) int { return len(group)/2 + 1 }
+
+// CountIn is how many of a group has is true for.
+func CountIn(group []Peer, has func(id int) bool) int {
+	count := 0
+	for _, peer := range group {
+		if has(peer.ID) {
+			count++
+		}
+	}
+	return count
+}
+
+// Quorum is whether those for which has is true decide: a majority of the current
+// voters and, during a replacement, of the next ones too.
+func (voters *Voters) Quorum(has func(id int) bool) bool {
+	if CountIn(voters.Current, has) < Majority(voters.Current) {
+		return false
+	}
+	return len(voters.Next) == 0 || CountIn(voters.Next, has) >= Majority(voters.Next)
+}
+
+// Addresses are those of all voters of both groups, each once.
+func (voters *Voters) Addresses() []string {
+	addresses := []string{}
+	for _, group := range [][]Peer{voters.Current, voters.Next} {
+		for _, peer := range group {
+			if !slices.Contains(addresses, peer.Address) {
+				addresses = append(addresses, peer.Address)
+			}
+		}
+	}
+	return addresses
+}
+
+// Supersedes is whether an accepted membership is newer than another one and has
+// other voters: a quorum counted by the other one may then decide no more.
+func Supersedes(held, asked Accepted) bool {
+	return asked.Mark().Less(held.Mark()) && !bytes.Equal(asked.Value.Body, held.Value.Body)
+}
+
 // Check refuses an address that is none.
 func (message *Enlist) Check() *Mishap {
 	return Peer{ID: 1, Address: message.Address}.check()
