Operators see who votes, remove a core by hand and add one by seeds

The removal is an order to the leader: it gives the place to a learner that holds everything, is refused while none does (no_learner), acknowledged once the membership is decided, and again when re-sent. A leader that is to go hands over first. A leader that just began doesn't refuse yet: it may not know the learners (seen failing: true learners refused after a hand-over). Two orders at once took steps upon each other's (seen failing); replace looks again within the turn of the writes.

--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -19,13 +19,14 @@
 func main() {
 	flags := program.NewFlags("ojcore", "a core machine of orchidjunction: keeps settings on disk and elects the leader")
 	place := control.Place{}
-	data, peers := "", []string{}
+	data, peers, seeds := "", []string{}, []string{}
 	beat, suspect, grace := 75, 300, 6000
-	flags.Parser.Int(&place.ID, "", "id", "this core's id, 1 to 99")
+	flags.Parser.Int(&place.ID, "", "id", "this core's id, 1 to 99, where it founds the system")
 	flags.Parser.String(&place.Zone, "", "zone", "zone this core stands in")
 	flags.Parser.String(&place.Wire, "", "wire", "IP:port for the system's own processes")
 	flags.Parser.String(&place.Operate, "", "operate", "IP:port for operators")
 	flags.Parser.StringSlice(&peers, "", "peer", "another core as id=IP:port; once per core")
+	flags.Parser.StringSlice(&seeds, "", "seed", "IP:port of a core that may know who votes, for a new core instead of --id and --peer; once per core")
 	flags.Parser.String(&data, "", "data", "data folder; only this one is written")
 	flags.Parser.String(&place.Platform, "", "platform", "IP:port of the platform's list")
 	flags.Parser.Bool(&place.Found, "", "found", "let a blank disk found a new system when every core is blank")
@@ -41,6 +42,7 @@
 		}
 		place.Peers = append(place.Peers, control.Peer{ID: number, Address: address})
 	}
+	flags.Exit(takeSeeds(&place, seeds))
 	place.Beat, place.Suspect = time.Duration(beat)*time.Millisecond, time.Duration(suspect)*time.Millisecond
 	place.Seed = uint64(time.Now().UnixNano())
 	flags.Exit(place.Check())
@@ -56,6 +58,8 @@
 	}
 	threads, counts := run.NewThreads(), run.NewCounts()
 	line := wire.NewLine(program.Transport())
+	finder := member.NewFinder(line, threads, knownCores(&place))
+	place.MembersChanged = finder.Learn
 	core, mishap := control.NewCore(place, control.Folder(data), line, threads, counts)
 	if mishap != nil {
 		fmt.Fprintf(os.Stderr, "ojcore: %v\n", mishap)
@@ -63,13 +67,8 @@
 	}
 	door := wire.NewDoor(counts)
 	core.Register(door)
-	addresses := []string{place.Wire}
-	for _, peer := range place.Peers {
-		addresses = append(addresses, peer.Address)
-	}
-	finder := member.NewFinder(line, threads, addresses)
 	hold := member.NewHold(finder, line, counts)
-	name := fmt.Sprintf("core-%d", place.ID)
+	name := nameOf(&place)
 	operate := member.NewOperate(name, hold, counts, core.Settings, core.Sound)
 	wired, mishap := program.Listen(place.Wire, door, 64<<10)
 	flags.Exit(mishap)
--- /dev/null
+++ b/cmd/ojcore/seeds.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+
+	"orchidjunction/control"
+	"orchidjunction/wire"
+)
+
+// takeSeeds makes a core that was given seeds one that joins a running system.
+func takeSeeds(place *control.Place, seeds []string) *wire.Mishap {
+	if len(seeds) == 0 {
+		if place.ID == 0 {
+			return wire.New(wire.BadFlag, "--id or --seed must be given")
+		}
+		return nil
+	}
+	if place.ID != 0 || len(place.Peers) > 0 {
+		return wire.New(wire.BadFlag, "--seed: a core that joins gets its id from the others; leave out --id and --peer")
+	}
+	if place.Found {
+		return wire.New(wire.BadFlag, "--found: a core that joins founds nothing; leave it out beside --seed")
+	}
+	if slices.Contains(seeds, place.Wire) {
+		return wire.New(wire.BadFlag, "--seed: %s is this core's own --wire", place.Wire)
+	}
+	place.Seeds, place.Least = seeds, 1
+	return nil
+}
+
+// knownCores are the cores' addresses that the flags name.
+func knownCores(place *control.Place) []string {
+	addresses := []string{place.Wire}
+	for _, peer := range place.Peers {
+		addresses = append(addresses, peer.Address)
+	}
+	return append(addresses, place.Seeds...)
+}
+
+// nameOf is what logs and counters call this core.
+func nameOf(place *control.Place) string {
+	if place.ID > 0 {
+		return fmt.Sprintf("core-%d", place.ID)
+	}
+	return "core-at-" + place.Wire
+}
--- /dev/null
+++ b/cmd/ojcore/seeds_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"orchidjunction/control"
+)
+
+func TestSeedsAreCheckedAgainstOtherFlags(test *testing.T) {
+	for _, try := range []struct {
+		place control.Place
+		seeds []string
+		says  string
+	}{
+		{control.Place{Wire: "10.0.0.4:1"}, nil, "--id or --seed"},
+		{control.Place{Wire: "10.0.0.4:1", ID: 1}, nil, ""},
+		{control.Place{Wire: "10.0.0.4:1", ID: 1}, []string{"10.0.0.1:1"}, "leave out --id"},
+		{control.Place{Wire: "10.0.0.4:1", Peers: []control.Peer{{ID: 2, Address: "10.0.0.2:1"}}}, []string{"10.0.0.1:1"}, "--peer"},
+		{control.Place{Wire: "10.0.0.4:1", Found: true}, []string{"10.0.0.1:1"}, "--found"},
+		{control.Place{Wire: "10.0.0.4:1"}, []string{"10.0.0.4:1"}, "own --wire"},
+		{control.Place{Wire: "10.0.0.4:1"}, []string{"10.0.0.1:1", "10.0.0.2:1"}, ""},
+	} {
+		place := try.place
+		mishap := takeSeeds(&place, try.seeds)
+		if try.says == "" && mishap != nil || try.says != "" && (mishap == nil || !strings.Contains(mishap.Cause, try.says)) {
+			test.Errorf("%+v %v: %v, want %q", try.place, try.seeds, mishap, try.says)
+		}
+		if mishap == nil && len(place.Seeds) != len(try.seeds) {
+			test.Errorf("%+v: seeds %v", try.place, place.Seeds)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/ojctl/cores.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"orchidjunction/program"
+	"orchidjunction/wire"
+)
+
+// orderRest is the pause before an order without a clear answer is sent again.
+const orderRest = 300 * time.Millisecond
+
+// coreCommands adds `core list` and `core remove`.
+func (command *errand) coreCommands(flags *program.Flags, uses map[*flaggy.Subcommand]func(*errand) *wire.Mishap) {
+	core := flaggy.NewSubcommand("core")
+	core.Description = "lists the cores that vote, or removes one: core list, core remove ID"
+	list := flaggy.NewSubcommand("list")
+	list.Description = "lists the voters, the voters to come and the learners"
+	remove := flaggy.NewSubcommand("remove")
+	remove.Description = "gives a core's vote to a waiting learner at once"
+	remove.AddPositionalValue(&command.name, "id", 1, true, "the core's ID as the list shows it")
+	core.AttachSubcommand(list, 1)
+	core.AttachSubcommand(remove, 1)
+	flags.Parser.AttachSubcommand(core, 1)
+	uses[core] = func(command *errand) *wire.Mishap {
+		switch {
+		case list.Used:
+			return command.listCores()
+		case remove.Used:
+			return command.removeCore()
+		}
+		return wire.New(wire.BadFlag, "want core list or core remove ID")
+	}
+}
+
+func (command *errand) listCores() *wire.Mishap {
+	membership, mishap := command.client.Cores()
+	if mishap != nil {
+		return mishap
+	}
+	showMembership(membership)
+	return nil
+}
+
+// showMembership prints a membership, one core a line.
+func showMembership(membership *wire.MembershipStatus) {
+	fmt.Printf("membership %d, ballot %s\n", membership.Version, membership.Ballot)
+	showVoters("voter", membership.Voters)
+	showVoters("next", membership.Next)
+	for _, learner := range membership.Learners {
+		fmt.Printf("learner   - %-21s seen %s, silent %d ms, synced %s\n", learner.Address, mark(learner.Seen), learner.Silent, mark(learner.Synced))
+	}
+}
+
+func showVoters(kind string, voters []wire.VoterStatus) {
+	for _, voter := range voters {
+		leaving := ""
+		if voter.Leaving {
+			leaving = ", leaving"
+		}
+		fmt.Printf("%-7s %3d %-21s seen %s, silent %d ms%s\n", kind, voter.ID, voter.Address, mark(voter.Seen), voter.Silent, leaving)
+	}
+}
+
+// removeCore sends the removal, and again while its outcome is unknown: once removed,
+// a core stays so, and the order is acknowledged.
+func (command *errand) removeCore() *wire.Mishap {
+	id, fault := strconv.Atoi(command.name)
+	if fault != nil || id < 1 || id > wire.PeerMost {
+		return wire.New(wire.BadFlag, "core remove: %q is no core's ID; core list shows them", command.name)
+	}
+	removed, mishap := command.client.RemoveCore(id)
+	for try := 1; try < tries && asksAgain(mishap); try++ {
+		time.Sleep(orderRest)
+		removed, mishap = command.client.RemoveCore(id)
+	}
+	if mishap != nil {
+		return mishap
+	}
+	show(removed)
+	if removed.Again {
+		fmt.Fprintf(os.Stderr, "ojctl: core %d had no vote any more\n", id)
+	}
+	return nil
+}
+
+// asksAgain is whether an order may be sent again to learn its outcome.
+func asksAgain(mishap *wire.Mishap) bool {
+	return mishap != nil && (mishap.Kind == wire.OutcomeUnknown || mishap.Kind == wire.NotStarted || mishap.Kind == wire.Unreachable)
+}
--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -82,6 +82,7 @@
 	add("aims", "reports against service-level aims, from the counters of all daemons", (*errand).aims, func(subcommand *flaggy.Subcommand) {
 		subcommand.AddPositionalValue(&command.file, "file", 1, true, "aims as OpenSLO documents")
 	})
+	command.coreCommands(flags, uses)
 	add("status", "shows the leader, the cores and every daemon", (*errand).status, nil)
 	flags.Parse()
 	for subcommand, run := range uses {
@@ -100,7 +101,7 @@
 		end(run(command))
 		return
 	}
-	flags.Exit(wire.New(wire.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history, aims or status"))
+	flags.Exit(wire.New(wire.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history, aims, core or status"))
 }
 
 // end prints a mishap and turns it into the exit status that scripts read.
@@ -316,6 +317,7 @@
 		fmt.Printf("  [%s] %s (%s)\n", mark(condition.Holds), condition.Name, condition.Detail)
 	}
 	fmt.Printf("settings serial %d, table %s/%d, %d backends\n", status.Serial, status.Table.Ballot, status.Table.Number, len(status.Backends))
+	showMembership(&status.Membership)
 	for _, core := range status.Cores {
 		fmt.Printf("core %d %-21s voter %s seen %s serial %d under %s\n", core.Core, core.Address, mark(core.Voter), mark(core.Seen), core.Marks[0].Serial, core.Marks[0].Ballot)
 	}
--- a/control/core.go
+++ b/control/core.go
@@ -96,6 +96,9 @@
 
 // Run starts the core's duties.
 func (core *Core) Run() {
+	if view := core.members(); view.known() {
+		core.place.MembersChanged(view.Mark, view.addresses())
+	}
 	core.threads.OnStop(core.news.Ring)
 	core.threads.OnStop(core.prompt.Ring)
 	core.threads.Start(core.elect)
@@ -153,6 +156,7 @@
 	wire.Take(door, "evacuate", answer(core.onEvacuate))
 	wire.Take(door, "enlist", answer(core.onEnlist))
 	wire.Take(door, "leave", answer(core.onLeave))
+	wire.Take(door, "removal", answer(core.onRemoval))
 	wire.Take(door, "read", answer(core.onRead))
 	wire.Take(door, "status", answer(core.onStatus))
 	wire.Take(door, "count", answer(core.onCount))
--- /dev/null
+++ b/control/memberstatus.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"orchidjunction/wire"
+)
+
+// membershipStatus is who votes as this core knows it; a leader also tells who was
+// seen and who waits for a place.
+func (core *Core) membershipStatus(leadership *Leadership) wire.MembershipStatus {
+	view := core.members()
+	status := wire.MembershipStatus{Version: view.Mark.Serial, Ballot: view.Mark.Ballot, Learners: []wire.LearnerStatus{}}
+	status.Voters = core.voterStatus(leadership, view.Voters)
+	if view.changing() {
+		status.Next = core.voterStatus(leadership, view.Next)
+	}
+	if leadership != nil {
+		status.Learners = leadership.learnerStatus(view)
+	}
+	return status
+}
+
+func (core *Core) voterStatus(leadership *Leadership, group []Peer) []wire.VoterStatus {
+	all := []wire.VoterStatus{}
+	for _, peer := range group {
+		status := wire.VoterStatus{ID: peer.ID, Address: peer.Address}
+		switch {
+		case peer.Address == core.place.Wire:
+			status.Seen = true
+		case leadership != nil:
+			silent, leaving := leadership.succession.silence(peer.ID, leadership.since)
+			status.Silent, status.Seen, status.Leaving = silent.Milliseconds(), silent < core.place.Suspect, leaving
+		}
+		all = append(all, status)
+	}
+	return all
+}
+
+// silence is how long ago a voter answered, counted from a leadership's beginning
+// where it never did, and whether it announced its end.
+func (succession *Succession) silence(id int, since time.Time) (time.Duration, bool) {
+	succession.mutex.Lock()
+	defer succession.mutex.Unlock()
+	if answered := succession.answered[id]; answered.After(since) {
+		since = answered
+	}
+	return time.Since(since), time.Since(succession.leaving[id]) < leaveSpan
+}
+
+// learnerStatus are the learners by address.
+func (leadership *Leadership) learnerStatus(view *View) []wire.LearnerStatus {
+	suspect, succession := leadership.core.place.Suspect, leadership.succession
+	waiting := succession.waiting(learnerSpan*suspect, view)
+	succession.mutex.Lock()
+	defer succession.mutex.Unlock()
+	all := []wire.LearnerStatus{}
+	for _, peer := range waiting {
+		held := succession.learners[peer.Address]
+		if held == nil {
+			continue
+		}
+		status := wire.LearnerStatus{Address: peer.Address, Silent: time.Since(held.asked).Milliseconds()}
+		if held.report != nil {
+			status.Silent = time.Since(held.answered).Milliseconds()
+			status.Seen = time.Since(held.answered) < suspect
+			status.Synced = held.report.Taken && held.report.Voter && leadership.near(held.report.Marks)
+		}
+		all = append(all, status)
+	}
+	slices.SortFunc(all, func(left, right wire.LearnerStatus) int { return compareAddresses(left.Address, right.Address) })
+	return all
+}
--- /dev/null
+++ b/control/removal.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+	"orchidjunction/wire"
+)
+
+// removalRetry is when to ask again for a removal, in milliseconds.
+const removalRetry = 500
+
+// onRemoval gives a voter's place to a learner at once. Where the leader itself is to
+// go, it hands the lead over, and the order goes on to the next one. The same order
+// again finds the core gone and is acknowledged.
+func (core *Core) onRemoval(message *wire.Removal) (*wire.RemovalTold, *wire.Mishap) {
+	leadership, mishap := core.leading()
+	if mishap != nil {
+		return nil, mishap
+	}
+	if mishap := leadership.confirm(core.roundLimit()); mishap != nil {
+		return nil, mishap
+	}
+	view, mishap := leadership.settledView()
+	if mishap != nil {
+		return nil, mishap
+	}
+	place := slices.IndexFunc(view.Voters, func(peer Peer) bool { return peer.ID == message.Core })
+	if message.Core > view.LastID {
+		return nil, wire.New(wire.NotFound, "no core %d ever voted; the last one is %d", message.Core, view.LastID)
+	}
+	if place < 0 {
+		return &wire.RemovalTold{Version: view.Mark.Serial, Again: true}, nil
+	}
+	address, found := leadership.readyLearner(view)
+	if !found && time.Since(leadership.since) < learnerSpan*core.place.Suspect {
+		return nil, &wire.Mishap{Kind: wire.NotStarted, Cause: "the leader just began and may not know the learners yet", Retry: removalRetry}
+	}
+	if !found {
+		return nil, wire.New(wire.NoLearner, "no learner holds everything yet, so core %d keeps its place; start a new core and ask again", message.Core)
+	}
+	if message.Core == view.ID {
+		return nil, leadership.handOverForRemoval()
+	}
+	klog.Infof("core %d: core %d is removed by order", view.ID, message.Core)
+	leadership.replace(view.Voters[place], address)
+	return leadership.removed(message.Core)
+}
+
+// settledView is the membership that this leadership had decided, after the step
+// under way was ended.
+func (leadership *Leadership) settledView() (*View, *wire.Mishap) {
+	core := leadership.core
+	if core.members().changing() {
+		leadership.settleMembers()
+	}
+	if mishap := leadership.holds(); mishap != nil {
+		return nil, mishap
+	}
+	view := core.members()
+	decided := wire.Mark{Ballot: leadership.ballot, Serial: leadership.value(wire.MembersRegister).Serial}
+	if view.changing() || view.Mark != decided {
+		return nil, &wire.Mishap{Kind: wire.NotStarted, Cause: "another replacement is under way", Retry: removalRetry}
+	}
+	return view, nil
+}
+
+// readyLearner is a learner that may take a place now.
+func (leadership *Leadership) readyLearner(view *View) (string, bool) {
+	span := leadership.core.place.Suspect
+	if len(leadership.succession.waiting(learnerSpan*span, view)) == 0 || view.LastID >= wire.PeerMost {
+		return "", false
+	}
+	return leadership.succession.ready(span, leadership.near)
+}
+
+// removed acknowledges a removal that was decided. One that was written but not
+// decided may come about all the same.
+func (leadership *Leadership) removed(id int) (*wire.RemovalTold, *wire.Mishap) {
+	view, mishap := leadership.settledView()
+	if mishap != nil {
+		return nil, &wire.Mishap{Kind: wire.OutcomeUnknown, Cause: "the removal may come about: " + mishap.Error(), Retry: removalRetry}
+	}
+	if contains(view.Voters, id) {
+		return nil, &wire.Mishap{Kind: wire.NotStarted, Cause: "the learner did not take the place", Retry: removalRetry}
+	}
+	return &wire.RemovalTold{Version: view.Mark.Serial}, nil
+}
+
+// handOverForRemoval makes another voter the leader. This core then votes and follows
+// until the order reaches the new leader.
+func (leadership *Leadership) handOverForRemoval() *wire.Mishap {
+	core, passed := leadership.core, map[int]bool{}
+	until := time.Now().Add(core.place.writeLimit())
+	for time.Now().Before(until) {
+		heir, found := leadership.heir(passed)
+		if !found {
+			break
+		}
+		passed[heir.ID] = true
+		if leadership.handOver(heir, until) {
+			break
+		}
+	}
+	core.revoke(leadership)
+	return &wire.Mishap{Kind: wire.NotLeader, Cause: "the leader is to be removed and stepped down"}
+}
--- a/control/replace.go
+++ b/control/replace.go
@@ -187,7 +187,10 @@
 func (leadership *Leadership) replace(leaving Peer, address string) {
 	core := leadership.core
 	leadership.writes.Take()
-	mishap := leadership.catchUp(Peer{Address: address})
+	mishap := leadership.mayReplace(leaving, address)
+	if mishap == nil {
+		mishap = leadership.catchUp(Peer{Address: address})
+	}
 	if mishap == nil {
 		step := core.members().replaced(leaving.ID, address)
 		leadership.succession.joined(step.LastID)
@@ -203,6 +206,16 @@
 	leadership.settleMembers()
 }
 
+// mayReplace refuses a step that was chosen before another one, by an order or by the
+// leader's duty.
+func (leadership *Leadership) mayReplace(leaving Peer, address string) *wire.Mishap {
+	view := leadership.core.members()
+	if view.changing() || !contains(view.Voters, leaving.ID) || view.has(address) {
+		return wire.New(wire.NotStarted, "membership %d is another one meanwhile", view.Mark.Serial)
+	}
+	return nil
+}
+
 // catchUp brings a replica all registers as they are; it fails unless that has all.
 func (leadership *Leadership) catchUp(peer Peer) *wire.Mishap {
 	leadership.mutex.Lock()
--- a/control/status.go
+++ b/control/status.go
@@ -12,6 +12,7 @@
 	told := &wire.StatusTold{Leader: core.leader, Serial: core.committed[wire.SettingsRegister].Value.Serial, Table: core.table.Mark, Backends: core.table.Backends}
 	leadership := core.leadership
 	core.mutex.Unlock()
+	told.Membership = core.membershipStatus(leadership)
 	told.State = string(core.chart.Now())
 	told.Counts = core.counts.All()
 	state := core.voter.State()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,7 @@
 	origin      *Process
 	listed      []stand.Listed
 	port        int
+	added       int
 	codes       []string
 	windows     []judge.Window
 	ledger      *judge.Ledger
@@ -183,10 +184,17 @@
 	return append(append([]*Process{}, fleet.Directories...), fleet.Proxies...)
 }
 
+// cores are those that are not replaced, while a scenario may replace some.
+func (fleet *Fleet) cores() []*Process {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return append([]*Process{}, fleet.Cores...)
+}
+
 // Operator asks some daemons on the operators' side, this one first.
 func (fleet *Fleet) Operator(first int) *operator.Client {
 	doors := []string{}
-	daemons := append(fleet.daemons(), fleet.Cores...)
+	daemons := append(fleet.daemons(), fleet.cores()...)
 	for turn := range len(daemons) {
 		doors = append(doors, daemons[(first+turn)%len(daemons)].Operate)
 	}
@@ -323,7 +331,7 @@
 	if mishap != nil {
 		return nil
 	}
-	for _, process := range fleet.Cores {
+	for _, process := range fleet.cores() {
 		if process.Wire == status.Leader.Address {
 			return process
 		}
@@ -429,7 +437,7 @@
 // Doors are the operators' doors of all that live.
 func (fleet *Fleet) Doors() []string {
 	doors := []string{}
-	for _, process := range append(fleet.daemons(), fleet.Cores...) {
+	for _, process := range append(fleet.daemons(), fleet.cores()...) {
 		if process.Alive() {
 			doors = append(doors, process.Operate)
 		}
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -42,6 +42,7 @@
 	"in-turn":        {About: "every machine of ours is restarted in turn", Planned: true, Harm: restartedInTurn},
 	"frozen":         {About: "the leader, a proxy and a directory freeze", Harm: frozen},
 	"disk-lost":      {About: "each core loses its disk, one after another", Harm: coreDiskLost},
+	"cores-replaced": {About: "each core is replaced by a new one: one gone for good, one by plan, then the leader", Planned: true, Harm: coresReplaced},
 	"core-gone":      {About: "all cores are killed for a while", Harm: coreGone},
 	"all-down":       {About: "every process of ours is killed at once", Harm: allDown},
 	"storm":          {About: "dozens of operators change a large tree through all daemons while the leader changes", Planned: true, Harm: storm},
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -44,9 +44,12 @@
 // outgoingPorts begin here; a daemon that restarts could find its own taken.
 const outgoingPorts = 32768
 
+// newCores is how many cores a scenario may add.
+const newCores = 3
+
 // Ports is how many ports the fleet takes from its base on.
 func (spec *Spec) Ports() int {
-	return 2*spec.Cores + 3*(spec.Directories+spec.Proxies+spec.Guests) + spec.Backends + 1
+	return 2*(spec.Cores+newCores) + 3*(spec.Directories+spec.Proxies+spec.Guests) + spec.Backends + 1
 }
 
 // Check refuses what could not run, before anything starts.
--- a/member/operate.go
+++ b/member/operate.go
@@ -33,6 +33,8 @@
 	operate.mux.HandleFunc("POST /v1/check", operate.check)
 	operate.mux.HandleFunc("GET /v1/changes", operate.trail)
 	operate.mux.HandleFunc("GET /v1/status", operate.status)
+	operate.mux.HandleFunc("GET /v1/cores", operate.cores)
+	operate.mux.HandleFunc("DELETE /v1/cores/{id}", operate.remove)
 	operate.mux.HandleFunc("GET /v1/counts", func(writer http.ResponseWriter, _ *http.Request) { Answer(writer, http.StatusOK, counts.All()) })
 	operate.mux.HandleFunc("GET /v1/health", operate.health)
 	operate.mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
@@ -187,6 +189,37 @@
 	Answer(writer, http.StatusOK, told)
 }
 
+// cores tells who votes, who is about to and who waits.
+func (operate *Operate) cores(writer http.ResponseWriter, _ *http.Request) {
+	told, mishap := Send[wire.Status, wire.StatusTold](operate.hold, "status", &wire.Status{})
+	if mishap != nil {
+		Refuse(writer, mishap)
+		return
+	}
+	Answer(writer, http.StatusOK, told.Membership)
+}
+
+type removalDocument struct {
+	Version uint64 `json:"version"`
+	Again   bool   `json:"again,omitempty"`
+}
+
+// remove gives a core's vote to a learner; the same order again is acknowledged.
+func (operate *Operate) remove(writer http.ResponseWriter, request *http.Request) {
+	id, fault := strconv.Atoi(request.PathValue("id"))
+	if fault != nil || id < 1 || id > wire.PeerMost {
+		Refuse(writer, wire.New(wire.BadRequest, "%q is no core's ID: want 1 to %d", request.PathValue("id"), wire.PeerMost))
+		return
+	}
+	told, mishap := Send[wire.Removal, wire.RemovalTold](operate.hold, "removal", &wire.Removal{Core: id})
+	if mishap != nil {
+		Refuse(writer, mishap)
+		return
+	}
+	operate.counts.Add("operator_removals", 1)
+	Answer(writer, http.StatusOK, removalDocument{Version: told.Version, Again: told.Again})
+}
+
 func (operate *Operate) health(writer http.ResponseWriter, _ *http.Request) {
 	serial, _ := operate.local()
 	status := http.StatusOK
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -113,3 +114,21 @@
 	status := &wire.StatusTold{}
 	return status, client.Ask(http.MethodGet, "/v1/status", nil, status)
 }
+
+// Cores tells who votes and who waits for a vote.
+func (client *Client) Cores() (*wire.MembershipStatus, *wire.Mishap) {
+	membership := &wire.MembershipStatus{}
+	return membership, client.Ask(http.MethodGet, "/v1/cores", nil, membership)
+}
+
+// Removed is a removal that was decided, by the membership's version.
+type Removed struct {
+	Version uint64 `json:"version"`
+	Again   bool   `json:"again,omitempty"`
+}
+
+// RemoveCore gives a core's vote to a waiting learner.
+func (client *Client) RemoveCore(id int) (*Removed, *wire.Mishap) {
+	removed := &Removed{}
+	return removed, client.Ask(http.MethodDelete, fmt.Sprintf("/v1/cores/%d", id), nil, removed)
+}
--- /dev/null
+++ b/sim/removal_test.go
@@ -0,0 +1,188 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"orchidjunction/operator"
+	"orchidjunction/wire"
+)
+
+// voters are the IDs of those that vote, as an operators' door tells.
+func voters(membership *wire.MembershipStatus) string {
+	ids := []int{}
+	for _, voter := range membership.Voters {
+		ids = append(ids, voter.ID)
+	}
+	return fmt.Sprint(ids)
+}
+
+// membership asks an operators' door until it answers.
+func (world *World) membership(test *testing.T, client *operator.Client) *wire.MembershipStatus {
+	test.Helper()
+	var told *wire.MembershipStatus
+	var mishap *wire.Mishap
+	if !world.Until(10*time.Second, func() bool { told, mishap = client.Cores(); return mishap == nil }) {
+		test.Fatalf("who votes: %v", mishap)
+	}
+	return told
+}
+
+// remove sends the order until its answer is clear.
+func (world *World) remove(client *operator.Client, id int) (*operator.Removed, *wire.Mishap) {
+	removed, mishap := client.RemoveCore(id)
+	for try := 0; try < 10 && mishap != nil && mishap.Kind.Status() >= 500; try++ {
+		world.Rest(300 * time.Millisecond)
+		removed, mishap = client.RemoveCore(id)
+	}
+	return removed, mishap
+}
+
+// reportWithSpares leaves out what World judges of leaderships: it counts the disks of
+// the founding cores alone.
+func (world *World) reportWithSpares(test *testing.T) {
+	test.Helper()
+	for _, broken := range world.Broken {
+		if !strings.Contains(broken, " leads under ") {
+			test.Error(broken)
+		}
+	}
+}
+
+// An operator removes cores by hand, the leader too: each order is refused while no
+// learner is ready, acknowledged once decided, and acknowledged again.
+func TestOperatorRemovesCores(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		world.up(test, 2)
+		client := world.Client(world.Daemons[1].Operate)
+		leader := world.Leader()
+		goes, stays := world.Cores[(leader+1)%3], world.Cores[(leader+2)%3]
+		if _, mishap := world.remove(client, goes.ID); mishap == nil || mishap.Kind != wire.NoLearner {
+			test.Errorf("removed without a learner: %v", mishap)
+		}
+		if _, mishap := world.remove(client, 9); mishap == nil || mishap.Kind != wire.NotFound {
+			test.Errorf("removed one that never was: %v", mishap)
+		}
+		if told := world.membership(test, client); voters(told) != "[1 2 3]" || told.Version != 1 || len(told.Learners) != 0 || len(told.Next) != 0 {
+			test.Errorf("at first %+v", told)
+		}
+		for number, order := range []struct {
+			remove int
+			left   []int
+		}{{goes.ID, []int{stays.ID, leader + 1, 4}}, {leader + 1, []int{stays.ID, 4, 5}}} {
+			spare := world.StartSpare(number + 1)
+			defer world.EndSpare(spare)
+			ready := func() bool {
+				told := world.membership(test, client)
+				return slices.ContainsFunc(told.Learners, func(one wire.LearnerStatus) bool { return one.Address == spare.Wire && one.Synced && one.Seen })
+			}
+			if !world.Until(10*time.Second, ready) {
+				test.Errorf("the learner isn't ready: %+v", world.membership(test, client))
+			}
+			begin := time.Now()
+			removed, mishap := world.remove(client, order.remove)
+			if mishap != nil {
+				test.Fatalf("core %d is not removed: %v", order.remove, mishap)
+			}
+			test.Logf("core %d removed after %v: version %d", order.remove, time.Since(begin), removed.Version)
+			slices.Sort(order.left)
+			if told := world.membership(test, client); voters(told) != fmt.Sprint(order.left) || told.Version != removed.Version || len(told.Next) != 0 {
+				test.Errorf("order %d: %+v", number, told)
+			}
+			if again, mishap := world.remove(client, order.remove); mishap != nil || !again.Again {
+				test.Errorf("the same order again: %+v %v", again, mishap)
+			}
+			if mishap := world.change(client, uint64(number)); mishap != nil {
+				test.Errorf("a change after order %d: %v", number, mishap)
+			}
+			for index, core := range world.Cores {
+				if core.ID == order.remove {
+					world.KillCore(index, true)
+				}
+			}
+		}
+		world.reportWithSpares(test)
+	})
+}
+
+// change makes a change of the settings in force.
+func (world *World) change(client *operator.Client, number uint64) *wire.Mishap {
+	var mishap *wire.Mishap
+	world.Until(10*time.Second, func() bool {
+		var held *operator.Settings
+		if held, mishap = client.Read(false); mishap != nil {
+			return false
+		}
+		_, mishap = client.Put(operator.Change{Base: held.Serial, Change: fmt.Sprint("change-", number), Settings: Settings(900 + int(number))})
+		return mishap == nil
+	})
+	return mishap
+}
+
+// Two operators remove two cores at once while one learner waits, and then one core
+// while two wait: one place is given at a time, and one for each core removed.
+func TestRemovalsRace(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		world.up(test, 2)
+		leader := world.Leader()
+		others := []int{(leader+1)%3 + 1, (leader+2)%3 + 1}
+		clients := []*operator.Client{world.Client(world.Daemons[0].Operate), world.Client(world.Daemons[1].Operate)}
+		learners := func(count int) func() bool {
+			return func() bool {
+				told, synced := world.membership(test, clients[0]), 0
+				for _, one := range told.Learners {
+					if one.Synced {
+						synced++
+					}
+				}
+				return synced >= count
+			}
+		}
+		race := func(ids []int) (removed int) {
+			answers := make(chan *wire.Mishap, len(ids))
+			for index, id := range ids {
+				world.threads.Start(func() {
+					_, mishap := world.remove(clients[index], id)
+					answers <- mishap
+				})
+			}
+			for range ids {
+				if mishap := <-answers; mishap == nil {
+					removed++
+				} else if mishap.Kind != wire.NoLearner {
+					test.Errorf("refused: %v", mishap)
+				}
+			}
+			return removed
+		}
+		spare := world.StartSpare(1)
+		defer world.EndSpare(spare)
+		world.Until(10*time.Second, learners(1))
+		if removed := race(others); removed != 1 {
+			test.Errorf("%d of two cores removed for one learner", removed)
+		}
+		told := world.membership(test, clients[0])
+		if len(told.Voters) != 3 || told.Version != 3 {
+			test.Errorf("after the first race %+v", told)
+		}
+		for number := range 2 {
+			more := world.StartSpare(2 + number)
+			defer world.EndSpare(more)
+		}
+		world.Until(10*time.Second, learners(2))
+		if removed := race([]int{4, 4}); removed != 2 {
+			test.Errorf("%d of two orders for one core acknowledged", removed)
+		}
+		if told := world.membership(test, clients[0]); len(told.Voters) != 3 || told.Version != 5 {
+			test.Errorf("after the second race %+v", told)
+		}
+		world.reportWithSpares(test)
+	})
+}
--- a/wire/change.go
+++ b/wire/change.go
@@ -65,7 +65,39 @@
 	Probes []Probe   `json:"probes,omitempty"`
 }
 
+// VoterStatus is a core that votes. Seen is whether it answered the leader within the
+// suspicion span, Silent how many milliseconds ago it did, and Leaving whether it
+// announced its end.
+type VoterStatus struct {
+	ID      int    `json:"id"`
+	Address string `json:"address"`
+	Seen    bool   `json:"seen"`
+	Silent  int64  `json:"silent"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// LearnerStatus is a core that waits for a voter's place. Synced is whether it holds
+// all that was decided, or nearly so, and may take one.
+type LearnerStatus struct {
+	Address string `json:"address"`
+	Seen    bool   `json:"seen"`
+	Silent  int64  `json:"silent"`
+	Synced  bool   `json:"synced"`
+}
+
+// MembershipStatus is who votes. Next is there during a replacement: the voters to
+// come. Only the leader knows who was seen, and the learners.
+type MembershipStatus struct {
+	Version  uint64          `json:"version"`
+	Ballot   Ballot          `json:"ballot"`
+	Voters   []VoterStatus   `json:"voters"`
+	Next     []VoterStatus   `json:"next,omitempty"`
+	Learners []LearnerStatus `json:"learners"`
+}
+
 type StatusTold struct {
+	Membership MembershipStatus `json:"membership"`
+
 	Leader     Leader            `json:"leader"`
 	State      string            `json:"state"`
 	Revocation string            `json:"revocation"`
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -51,6 +51,18 @@
 	Ballot   Ballot
 }
 
+// Removal is an operator's order to give a voter's place to a learner at once.
+type Removal struct {
+	Core int
+}
+
+// RemovalTold says that the core has no vote, decided by a quorum. Again is true where
+// it had none before the order came.
+type RemovalTold struct {
+	Version uint64
+	Again   bool
+}
+
 // Leave announces that a core ends for good, as far as it knows: a learner that
 // holds everything may take its place. The core asks until it has no part left.
 type Leave struct {
@@ -110,6 +122,9 @@
 	return Peer{ID: 1, Address: message.Address}.check()
 }
 
+// Check refuses an ID out of range.
+func (message *Removal) Check() *Mishap { return checkCore(message.Core) }
+
 // Check refuses an ID out of range.
 func (message *Leave) Check() *Mishap { return checkCore(message.Core) }
 
--- a/wire/mishap.go
+++ b/wire/mishap.go
@@ -56,6 +56,7 @@
 	ZoneEmptied    Kind = "zone_emptied"
 	AimMissed      Kind = "aim_missed"
 	DamagedPart    Kind = "damaged_part"
+	NoLearner      Kind = "no_learner"
 )
 
 // Detail is one wrong thing in an operator's settings.
@@ -118,7 +119,7 @@
 // Status is the HTTP status an outer side gives for a kind.
 func (kind Kind) Status() int {
 	switch kind {
-	case StaleBase, StaleVersion, KeyBusy:
+	case StaleBase, StaleVersion, KeyBusy, NoLearner:
 		return http.StatusConflict
 	case Invalid, BadRequest, BadMessage, KeyRequired:
 		return http.StatusBadRequest
