Daemons keep their session at a core that votes

Cause: a daemon kept its core as an index into a list that now changes its order and ends with seeds that vote no more. One that answered, removed but alive as a learner, got the session and told nobody of it; dead seeds were asked before voters. Now the core is kept by address, voters go before seeds, those that failed lately come last.

Mutations seen failing in member/corechoice_test.go: seeds taken as voters, the list's first core each time, an older membership taken, no mark in what daemons tell. The index itself: a session at the removed core. Ruled out: sharing leaders between daemons, which the finder passes over by ballot anyway.

--- /dev/null
+++ b/member/corechoice_test.go
@@ -0,0 +1,145 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// doors is a net without sockets: each host has a door or is dead.
+type doors map[string]*wire.Door
+
+func (all doors) RoundTrip(request *http.Request) (*http.Response, error) {
+	door := all[request.URL.Host]
+	if door == nil {
+		return nil, wire.New(wire.Unreached, "%s is dead", request.URL.Host)
+	}
+	recorder := httptest.NewRecorder()
+	door.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+func coreAt(number int) string { return fmt.Sprintf("10.0.0.%d:41", number) }
+
+func coresAt(numbers ...int) []string {
+	all := []string{}
+	for _, number := range numbers {
+		all = append(all, coreAt(number))
+	}
+	return all
+}
+
+func versionMark(round, serial uint64) wire.Mark {
+	return wire.Mark{Ballot: wire.Ballot{Round: round, Core: 1}, Serial: serial}
+}
+
+func daemonOn(all doors, seeds []string) *Daemon {
+	place := Place{Name: "p1", Kind: "proxy", Zone: "e1", Wire: "10.0.1.1:41", Outer: "10.0.1.1:80", Operate: "10.0.1.1:42", Seeds: seeds}
+	return NewDaemon(place, "i1", wire.NewLine(all), run.NewThreads(), run.NewCounts())
+}
+
+// saysMembers opens a core's door: it knows a membership, and a leader or none.
+func (all doors) saysMembers(number int, mark wire.Mark, cores []string, leader wire.Leader, sessions map[string]int) {
+	door := wire.NewDoor(run.NewCounts())
+	wire.Take(door, "session", func(context.Context, *wire.Session) (*wire.SessionTold, error) {
+		sessions[coreAt(number)]++
+		return &wire.SessionTold{Members: mark, Cores: cores, Leader: leader}, nil
+	})
+	all[coreAt(number)] = door
+}
+
+// A session is kept at a voter, whatever order the cores' list comes in: a seed that
+// lost its vote may answer as if all were well, and what it is told reaches nobody.
+func TestSessionIsKeptAtAVoter(test *testing.T) {
+	all, sessions := doors{}, map[string]int{}
+	leader := wire.Leader{Ballot: wire.Ballot{Round: 9, Core: 5}, Core: 5, Address: coreAt(5)}
+	now := coresAt(4, 5, 6)
+	for _, number := range []int{4, 5, 6} {
+		all.saysMembers(number, versionMark(9, 7), now, leader, sessions)
+	}
+	all.saysMembers(3, versionMark(9, 7), now, leader, sessions)
+	daemon := daemonOn(all, coresAt(1, 2, 3))
+	for range 3 {
+		daemon.session()
+	}
+	if sessions[coreAt(3)] != 1 {
+		test.Fatalf("the only seed that lives was not asked once: %v", sessions)
+	}
+	for round := range 12 {
+		daemon.mutex.Lock()
+		daemon.failed[daemon.core] = time.Now().Add(-time.Duration(round) * aloneSpan / 8)
+		daemon.mutex.Unlock()
+		daemon.session()
+	}
+	if sessions[coreAt(3)] != 1 || daemon.counts.Get("sessions_failed") != 2 {
+		test.Errorf("kept at a core without a vote, or asked dead seeds: %v, %d failed", sessions, daemon.counts.Get("sessions_failed"))
+	}
+	at := daemon.core
+	daemon.Finder.Learn(versionMark(9, 9), coresAt(7, 6, 5, 4))
+	if daemon.session(); daemon.core != at {
+		test.Errorf("the session moved from %s to %s though the core votes on", at, daemon.core)
+	}
+	daemon.Finder.Learn(versionMark(9, 11), coresAt(1, 2, 8))
+	if daemon.sessionCore() == at {
+		test.Error("the session stays at a core that votes no more")
+	}
+}
+
+// A removed core that returns knows an older membership and an older leader; neither
+// replaces what a daemon knows.
+func TestRemovedCoreMisleadsNobody(test *testing.T) {
+	all, sessions := doors{}, map[string]int{}
+	leader := wire.Leader{Ballot: wire.Ballot{Round: 9, Core: 5}, Core: 5, Address: coreAt(5)}
+	former := wire.Leader{Ballot: wire.Ballot{Round: 3, Core: 1}, Core: 1, Address: coreAt(1)}
+	all.saysMembers(5, versionMark(9, 7), coresAt(4, 5, 6), leader, sessions)
+	all.saysMembers(1, versionMark(3, 1), coresAt(1, 2, 3), former, sessions)
+	daemon := daemonOn(all, coresAt(1, 2, 3))
+	daemon.session()
+	if daemon.Finder.Leader() != former {
+		test.Fatalf("the first that answers is %v", daemon.Finder.Leader())
+	}
+	daemon.Finder.Learn(versionMark(9, 7), coresAt(4, 5, 6))
+	for range 4 {
+		daemon.session()
+	}
+	if daemon.Finder.Leader() != leader || sessions[coreAt(1)] != 1 {
+		test.Errorf("leader %v, sessions %v", daemon.Finder.Leader(), sessions)
+	}
+	daemon.Finder.Learn(versionMark(3, 1), coresAt(1, 2, 3))
+	daemon.Finder.Heard(former)
+	if voters, _ := daemon.Finder.Voters(); daemon.Finder.Leader() != leader || voters[0] != coreAt(4) {
+		test.Errorf("misled: leader %v, voters %v", daemon.Finder.Leader(), voters)
+	}
+}
+
+// A daemon that was cut off while all cores that it knows were replaced learns of the
+// new ones from another daemon.
+func TestDaemonsTellEachOtherWhoVotes(test *testing.T) {
+	all := doors{}
+	other := daemonOn(all, coresAt(1, 2, 3))
+	other.Finder.Learn(versionMark(9, 7), coresAt(4, 5, 6))
+	door := wire.NewDoor(run.NewCounts())
+	other.Register(door)
+	all["10.0.1.2:41"] = door
+	daemon := daemonOn(all, coresAt(1, 2, 3))
+	daemon.version.Store(&Version{Table: &wire.Table{Members: []wire.Member{{Name: "p1", Wire: "10.0.1.1:41"}, {Name: "p2", Wire: "10.0.1.2:41"}, {Name: "p3", Wire: "10.0.1.3:41"}}}})
+	daemon.reach.heardCore(time.Now())
+	if daemon.asksAround() {
+		test.Error("asks while a core is reached")
+	}
+	daemon.reach.heardCore(time.Now().Add(-time.Minute))
+	if !daemon.asksAround() || daemon.asksAround() {
+		test.Error("does not ask, or asks twice at once")
+	}
+	daemon.askAround()
+	voters, others := daemon.Finder.Voters()
+	if fmt.Sprint(voters) != fmt.Sprint(coresAt(4, 5, 6)) || fmt.Sprint(others) != fmt.Sprint(coresAt(1, 2, 3)) {
+		test.Errorf("voters %v, others %v", voters, others)
+	}
+}
--- a/member/daemon.go
+++ b/member/daemon.go
@@ -91,7 +91,7 @@
 	catching    atomic.Bool
 
 	mutex     sync.Mutex
-	core      int
+	core      string
 	told      wire.SessionTold
 	heard     time.Time
 	behind    time.Time
@@ -106,6 +106,7 @@
 	ends      time.Time
 	parent    string
 	failed    map[string]time.Time
+	around    time.Time
 	led       wire.Ballot
 }
 
@@ -204,6 +205,9 @@
 		klog.Infof("%s: stood still, asks for a newly confirmed serial", daemon.place.Name)
 		daemon.doubt()
 	}
+	if daemon.asksAround() {
+		daemon.threads.Start(daemon.askAround)
+	}
 }
 
 func (daemon *Daemon) Register(door *wire.Door) {
@@ -275,16 +279,12 @@
 func (daemon *Daemon) session() {
 	daemon.saying.Take()
 	defer daemon.saying.Give()
-	cores := daemon.Finder.Cores()
 	version := daemon.Version()
 	asked := time.Now()
 	daemon.mutex.Lock()
-	parent, index, gone := daemon.parent, daemon.core, daemon.gone && daemon.place.Direct
+	parent, gone := daemon.parent, daemon.gone && daemon.place.Direct
 	daemon.mutex.Unlock()
-	core := cores[index%len(cores)]
-	if daemon.place.Direct {
-		core = daemon.chooseCore()
-	}
+	core := daemon.sessionCore()
 	now := daemon.Now()
 	session := &wire.Session{Member: daemon.member(), Serial: version.Serial, Table: version.Table.Mark, Parent: parent, Probes: daemon.probes(), Usage: daemon.usage(),
 		Routing: version.Routing, NowMs: now, Gone: gone}
@@ -293,10 +293,7 @@
 	trip := time.Since(asked)
 	daemon.mutex.Lock()
 	if fault != nil {
-		daemon.core++
-		if daemon.place.Direct {
-			daemon.failed[core] = time.Now()
-		}
+		daemon.failed[core] = time.Now()
 		daemon.mutex.Unlock()
 		daemon.counts.Add("sessions_failed", 1)
 		if daemon.place.Direct {
@@ -309,7 +306,7 @@
 	if told.Leader.Known() {
 		daemon.reach.heardCore(asked)
 	} else if daemon.place.Direct || daemon.reach.quiet() {
-		daemon.core++
+		daemon.failed[core] = time.Now()
 	}
 	if !version.behind(told.Serial, told.Routing, told.Table) {
 		daemon.behind = time.Time{}
--- a/member/direct.go
+++ b/member/direct.go
@@ -76,7 +76,7 @@
 // another core, one after the other. A new leadership is heard whatever its core
 // did before.
 func (daemon *Daemon) chooseCore() string {
-	leader, cores := daemon.Finder.Leader(), daemon.Finder.Cores()
+	leader := daemon.Finder.Leader()
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	if leader.Known() && daemon.led.Less(leader.Ballot) {
@@ -86,12 +86,7 @@
 	if leader.Known() && time.Since(daemon.failed[leader.Address]) > aloneSpan {
 		return leader.Address
 	}
-	for offset := range cores {
-		if core := cores[(daemon.core+offset)%len(cores)]; time.Since(daemon.failed[core]) > aloneSpan {
-			return core
-		}
-	}
-	return cores[daemon.core%len(cores)]
+	return daemon.nextCore()
 }
 
 // silent forgets a leader that did not answer, and waits for no news of it.
--- a/member/finder.go
+++ b/member/finder.go
@@ -24,6 +24,7 @@
 
 	mutex   sync.Mutex
 	cores   []string
+	voting  int
 	members wire.Mark
 	leader  wire.Leader
 	dropped wire.Ballot
@@ -33,7 +34,7 @@
 const finderIdle = time.Minute
 
 func NewFinder(line *wire.Line, threads *run.Threads, cores []string) *Finder {
-	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, seeds: slices.Clone(cores), cores: slices.Clone(cores)}
+	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, seeds: slices.Clone(cores), cores: slices.Clone(cores), voting: len(cores)}
 }
 
 // Paced sets how often a leader is looked for.
@@ -82,6 +83,13 @@
 	return finder.members
 }
 
+// Voters are the cores that vote as far as is known, and the seeds that do not.
+func (finder *Finder) Voters() (voters, others []string) {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return slices.Clone(finder.cores[:finder.voting]), slices.Clone(finder.cores[finder.voting:])
+}
+
 // Heard takes anyone's word of a leader; older ballots are passed over.
 func (finder *Finder) Heard(leader wire.Leader) {
 	finder.mutex.Lock()
@@ -155,7 +163,7 @@
 	if len(cores) == 0 || !finder.members.Less(members) {
 		return
 	}
-	finder.members, finder.cores = members, slices.Clone(cores)
+	finder.members, finder.cores, finder.voting = members, slices.Clone(cores), len(cores)
 	for _, seed := range finder.seeds {
 		if !slices.Contains(finder.cores, seed) {
 			finder.cores = append(finder.cores, seed)
--- a/member/relay.go
+++ b/member/relay.go
@@ -164,5 +164,5 @@
 }
 
 func (daemon *Daemon) onWho(context.Context, *wire.Who) (*wire.WhoTold, error) {
-	return &wire.WhoTold{Leader: daemon.Finder.Leader(), Cores: daemon.Finder.Cores(), Serial: daemon.Version().Serial}, nil
+	return &wire.WhoTold{Leader: daemon.Finder.Leader(), Members: daemon.Finder.Members(), Cores: daemon.votingCores(), Serial: daemon.Version().Serial}, nil
 }
