--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -17,7 +17,8 @@
 )
 
 // coresReplaced replaces every founding core: one that is gone for good, one by plan
-// (the new one first, then SIGTERM), and the leader by plan.
+// (the new one first, then SIGTERM), and the leader by plan. Then daemons restart with
+// the new cores as their seeds.
 func coresReplaced(fleet *Fleet) {
 	for _, step := range []struct {
 		name    string
@@ -37,6 +38,21 @@
 		}
 	}
 	fleet.rest(0.1)
+	for _, daemon := range []*Process{fleet.Proxies[0], fleet.Directories[0]} {
+		fleet.reseed(daemon)
+		fleet.stop(daemon, syscall.SIGTERM, 100*time.Millisecond)
+		fleet.rest(0.05)
+	}
+}
+
+// reseed names the cores of now among a daemon's flags, for its next start.
+func (fleet *Fleet) reseed(daemon *Process) {
+	cores := fleet.cores()
+	for index, argument := range daemon.arguments {
+		if argument == "--seed" && len(cores) > 0 {
+			daemon.arguments[index+1], cores = cores[0].Wire, cores[1:]
+		}
+	}
 }
 
 // coreWhich is the leader, or a founding core that doesn't lead.
--- a/sim/replaced_test.go
+++ b/sim/replaced_test.go
@@ -122,3 +122,48 @@
 		world.report(test)
 	})
 }
+
+// Every core is replaced, one after the other, each for good. Each newcomer comes to
+// lack no claim, and the last three know the keys that only the first three were told.
+func TestClaimsOutliveEveryFoundingCore(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewWorld(seed, 3)
+		defer world.Close()
+		for _, zone := range []string{"e1", "w1", "s1"} {
+			world.AddBackend("meters", zone, stand.BackendPlace{WorkMs: 20, Room: 64})
+		}
+		world.up(test, 8)
+		if !world.Until(5*time.Second, func() bool { return world.keepers() == 6 }) {
+			test.Fatalf("%d keepers", world.keepers())
+		}
+		world.Rest(time.Second)
+		tries := world.pay(20, 0)
+		for number := range 3 {
+			index := (int(seed) + number) % 3
+			spare := world.replaceCore(test, index, number+1)
+			begin := time.Now()
+			if !world.Until(10*time.Second, func() bool { return wholeClaims(spare.Core) }) {
+				test.Fatalf("replacement %d: the newcomer still lacks claims", number+1)
+			}
+			test.Logf("replacement %d: whole after another %v", number+1, time.Since(begin))
+			world.Cores[index] = spare.Core
+			tries = append(tries, world.pay(10, 1000*(number+1))...)
+		}
+		for _, daemon := range world.Daemons {
+			world.KillDaemon(daemon)
+		}
+		for _, daemon := range world.Daemons {
+			world.StartDaemon(daemon)
+		}
+		if !world.Until(15*time.Second, world.ready) {
+			world.broke("not ready in 15 s")
+		}
+		_, replays := world.payAgain(tries)
+		details := world.judge(nil, stand.OriginReport{Tries: tries})
+		test.Logf("%s, %d replayed", details["no key charged twice"], replays)
+		if replays == 0 {
+			test.Error("nothing was replayed")
+		}
+		world.reportWithSpares(test)
+	})
+}
