No first version from a core without a vote; one file asks for a claim

A daemon that starts takes a first version from any core before a leader stands. A removed core that returns has one that was in force when it was removed, and told it to daemons that knew it votes no more: member/corechoice_test.go, seen failing with the check off.

--- /dev/null
+++ b/data/poll.go
@@ -0,0 +1,121 @@
+package data
+
+import (
+	"orchidjunction/run"
+	"orchidjunction/wire"
+)
+
+// claimAnswer is a keeper's or a core's.
+type claimAnswer struct {
+	keeper *wire.ClaimTold
+	core   *wire.KeepTold
+}
+
+func (answer claimAnswer) told() *wire.ClaimTold {
+	if answer.keeper != nil {
+		return answer.keeper
+	}
+	if len(answer.core.Told) == 1 {
+		return &answer.core.Told[0]
+	}
+	return &wire.ClaimTold{}
+}
+
+// poll is one round of asking for a claim. Roster is the membership by which the
+// cores that keep it are counted.
+type poll struct {
+	roster  Roster
+	rings   [][]wire.Member
+	members []wire.Member
+	got     map[int]claimAnswer
+}
+
+// refused is what somebody holds of the key; what is settled tells most.
+func (poll *poll) refused() (refusal *wire.Claimed) {
+	for _, answer := range poll.got {
+		if told := answer.told(); !told.Granted && told.Held.ID != "" && (refusal == nil || refusal.Stage == wire.ClaimRunning) {
+			refusal = &told.Held
+		}
+	}
+	return refusal
+}
+
+// cores are the cores' answers.
+func (poll *poll) cores() *coreVotes {
+	votes := newCoreVotes(poll.roster)
+	for _, answer := range poll.got {
+		if answer.core != nil {
+			votes.add(answer.core.Members, answer.core.Core, answer.told().Granted, answer.core.Whole)
+		}
+	}
+	return votes
+}
+
+// quorums is whether the keepers that granted make a quorum of every ring; with
+// wholes, only those whose memory is whole count.
+func (poll *poll) quorums(wholes bool) bool {
+	granting := []wire.Member{}
+	for index, answer := range poll.got {
+		if answer.keeper != nil && answer.keeper.Granted && (answer.keeper.Whole || !wholes) {
+			granting = append(granting, poll.members[index])
+		}
+	}
+	return enough(poll.rings, granting)
+}
+
+// ask sends the claim to all keepers and cores, and again where the cores that vote
+// changed meanwhile.
+func (claims *Claims) ask(rings [][]wire.Member, members []wire.Member, claim *wire.Claim) (*wire.Claimed, bool) {
+	away := claims.vault.Away()
+	round := claims.poll(rings, members, claim, away)
+	if round.cores().outdated() && round.refused() == nil && !round.granted(away) {
+		claims.proxy.counts.Add("claims_by_former_voters", 1)
+		round = claims.poll(rings, members, claim, away)
+	}
+	if refusal := round.refused(); refusal != nil {
+		return refusal, false
+	}
+	votes := round.cores()
+	claims.vault.found(votes.lasting())
+	if votes.lasting() {
+		return nil, round.quorums(!votes.whole())
+	}
+	if !round.quorums(true) {
+		return nil, false
+	}
+	claims.proxy.counts.Add("claims_without_core", 1)
+	claims.vault.owe(owed{retold: &claim.Claimed})
+	return nil, true
+}
+
+// granted is whether the answers suffice. A grant needs the keepers' quorum and lasts
+// at a majority of cores. While the cores are away, keepers whose memory is whole go
+// on alone.
+func (poll *poll) granted(away bool) bool {
+	votes := poll.cores()
+	return votes.lasting() && poll.quorums(!votes.whole()) || away && poll.quorums(true)
+}
+
+// poll sends the claim to all keepers and cores once; one refusal is enough to stop,
+// and so is an answer by other voters.
+func (claims *Claims) poll(rings [][]wire.Member, members []wire.Member, claim *wire.Claim, away bool) *poll {
+	roster, cores := claims.vault.counts()
+	round := &poll{roster: roster, rings: rings, members: members}
+	round.got, _ = run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
+		if index >= len(members) {
+			told, fault := claims.vault.ask(cores[index-len(members)], &wire.Keep{Members: roster.accepted, Claims: []wire.Claim{*claim}}, vaultLimit)
+			return claimAnswer{core: told}, fault
+		}
+		if members[index].Name == claims.proxy.daemon.Name() {
+			return claimAnswer{keeper: claims.grant(claim)}, nil
+		}
+		told, fault := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
+		return claimAnswer{keeper: told}, fault
+	}, func(got map[int]claimAnswer, _ map[int]error) bool {
+		now := *round
+		now.got = got
+		return now.refused() != nil || roster.voters != nil && now.cores().outdated() || now.granted(away)
+	})
+	claims.vault.learn(round.cores().newest)
+	return round
+}
--- a/member/corechoice_test.go
+++ b/member/corechoice_test.go
@@ -143,3 +143,26 @@
 		test.Errorf("voters %v, others %v", voters, others)
 	}
 }
+
+// What a core without a vote tells before a leader stands is not taken for a first
+// version: it may be what was in force when it was removed.
+func TestNoFirstVersionFromARemovedCore(test *testing.T) {
+	for number, try := range []struct {
+		learned wire.Mark
+		taken   bool
+	}{{wire.Mark{}, true}, {versionMark(9, 7), false}} {
+		all := doors{}
+		door := wire.NewDoor(run.NewCounts())
+		wire.Take(door, "who", func(context.Context, *wire.Who) (*wire.WhoTold, error) {
+			return &wire.WhoTold{Members: versionMark(3, 1), Cores: coresAt(1, 2, 3), Routing: 4}, nil
+		})
+		all[coreAt(1)] = door
+		place := Place{Name: "p1", Kind: "proxy", Zone: "e1", Wire: "10.0.1.1:41", Outer: "10.0.1.1:80", Operate: "10.0.1.1:42", Seeds: coresAt(1, 2, 3), Direct: true, Routed: true}
+		daemon := NewDaemon(place, "i1", wire.NewLine(all), run.NewThreads(), run.NewCounts())
+		daemon.Finder.Learn(try.learned, coresAt(4, 5, 6))
+		daemon.Finder.seek()
+		if begun := daemon.counts.Get("begun_before_a_leader") > 0; begun != try.taken {
+			test.Errorf("try %d: begun %v", number, begun)
+		}
+	}
+}
--- a/member/finder.go
+++ b/member/finder.go
@@ -147,7 +147,9 @@
 			return false, fault
 		}
 		finder.Learn(told.Members, told.Cores)
-		finder.told(cores[index], told)
+		if finder.votes(cores[index]) {
+			finder.told(cores[index], told)
+		}
 		if !told.Duck {
 			finder.Heard(told.Leader)
 		}
@@ -155,6 +157,14 @@
 	}, func(map[int]bool, map[int]error) bool { return finder.Leader().Known() })
 }
 
+// votes is whether a core votes as far as is known: one that does no more may tell
+// what was in force when it did.
+func (finder *Finder) votes(core string) bool {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return slices.Contains(finder.cores[:finder.voting], core)
+}
+
 // Learn takes the addresses of the voting cores under a membership's mark, unless a
 // newer one is known. Seeds that vote no more are asked after all others.
 func (finder *Finder) Learn(members wire.Mark, cores []string) {
