--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -1,4 +1,5 @@
-// ojcore is a core machine: it votes, and leads when its turn comes.
+// Command ojcore is a core: it votes in elections, leads when it is elected, and
+// keeps settings, usage reports and idempotency keys on its disk.
 package main
 
 import (
@@ -36,8 +37,8 @@
 	flags.Parse()
 	for _, text := range peers {
 		id, address, _ := strings.Cut(text, "=")
-		number, fault := strconv.Atoi(id)
-		if fault != nil {
+		number, err := strconv.Atoi(id)
+		if err != nil {
 			flags.Exit(wire.New(wire.BadFlag, "--peer: %q is not id=IP:port", text))
 		}
 		place.Peers = append(place.Peers, control.Peer{ID: number, Address: address})
@@ -53,8 +54,8 @@
 	if data == "" {
 		flags.Exit(wire.New(wire.BadFlag, "--data must be given"))
 	}
-	if fault := os.MkdirAll(data, 0o700); fault != nil {
-		flags.Exit(wire.New(wire.BadFlag, "--data: %v", fault))
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		flags.Exit(wire.New(wire.BadFlag, "--data: %v", err))
 	}
 	threads, counts := run.NewThreads(), run.NewCounts()
 	line := wire.NewLine(program.Transport())
@@ -92,8 +93,4 @@
 	})
 	threads.Wait()
 	core.Close()
-	if mishap := core.Broken(); mishap != nil {
-		fmt.Fprintf(os.Stderr, "ojcore: %v\n", mishap)
-		os.Exit(3)
-	}
 }
--- a/control/claims.go
+++ b/control/claims.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
 	"orchidjunction/keep"
 	"orchidjunction/run"
 	"orchidjunction/wire"
@@ -25,7 +26,8 @@
 	journal *Journal
 	ring    *run.Ring[*keepWait]
 	counts  *run.Counts
-	fault   func(*wire.Mishap)
+	pending *claimGroup
+	refused time.Time
 	opened  time.Time
 	base    time.Duration
 	ages    map[uint64]time.Duration
@@ -74,8 +76,8 @@
 
 // openClaimLog reads the log. In groups of a release in which no voter was ever
 // replaced, the voter that is whole has the given ID.
-func openClaimLog(disk Disk, given int, counts *run.Counts, fault func(*wire.Mishap)) (*ClaimLog, *wire.Mishap) {
-	log := &ClaimLog{book: keep.NewBook(), ring: run.NewRing[*keepWait](claimsRing), counts: counts, fault: fault, ages: map[uint64]time.Duration{}}
+func openClaimLog(disk Disk, given int, counts *run.Counts) (*ClaimLog, *wire.Mishap) {
+	log := &ClaimLog{book: keep.NewBook(), ring: run.NewRing[*keepWait](claimsRing), counts: counts, ages: map[uint64]time.Duration{}}
 	log.wake = sync.NewCond(&log.mutex)
 	log.book.Remember(keep.MostSpan)
 	segments, mishap := numbers(disk, claimsName)
@@ -87,7 +89,7 @@
 		first = segments[0]
 	}
 	groups := []claimGroup{}
-	log.journal, mishap = OpenJournal(disk, claimsName, first, func(segment uint64, payload []byte) *wire.Mishap {
+	log.journal, mishap = loadJournal(disk, claimsName, first, func(segment uint64, payload []byte) *wire.Mishap {
 		group := claimGroup{}
 		if fault := wire.Unpack(payload, &group); fault != nil {
 			return wire.AsMishap(fault)
@@ -100,6 +102,7 @@
 	if mishap != nil {
 		return nil, mishap
 	}
+	log.journal.rewrite()
 	log.opened = time.Now()
 	for index := range groups {
 		log.lay(&groups[index], log.base-groups[index].At)
@@ -135,7 +138,8 @@
 	return told
 }
 
-// write is the duty of the writing thread.
+// write is the duty of the writing thread. While the disk refuses groups, nothing is
+// laid in the book and those who wait are told so at once.
 func (log *ClaimLog) write() {
 	for {
 		waits := log.ring.Take(claimsGroup)
@@ -143,44 +147,94 @@
 			log.leave()
 			return
 		}
-		group, sizes := claimGroup{At: log.age()}, make([]int, len(waits))
-		for index, wait := range waits {
-			if wait.refused = !log.raise(&group, wait.members); wait.refused {
-				continue
-			}
-			sizes[index] = len(wait.message.Claims)
-			group.Claims = append(group.Claims, wait.message.Claims...)
-			group.Retold = append(group.Retold, wait.message.Retold...)
-			group.Settles = append(group.Settles, wait.message.Settles...)
-			if wait.wholeAs > 0 {
-				group.Whole, group.Core = true, wait.wholeAs
-			}
+		mishap, told := log.repair(), []wire.ClaimTold(nil)
+		if mishap == nil {
+			told, mishap = log.writeGroup(waits)
 		}
-		told := log.lay(&group, 0)
-		lasting := group
-		lasting.Claims = nil
-		for index := range told {
-			if told[index].Granted {
-				lasting.Claims = append(lasting.Claims, group.Claims[index])
-			}
+		log.answer(waits, told, mishap)
+	}
+}
+
+// writeGroup lays and syncs what came as one group, but for what comes under a
+// membership that is no more.
+func (log *ClaimLog) writeGroup(waits []*keepWait) ([]wire.ClaimTold, *wire.Mishap) {
+	group := claimGroup{At: log.age()}
+	for _, wait := range waits {
+		if wait.refused = !log.raise(&group, wait.members); !wait.refused {
+			group.add(wait)
 		}
-		mishap := log.sync(&lasting)
-		log.mutex.Lock()
-		if mishap == nil && group.Whole {
-			log.wholeAs = group.Core
+	}
+	told := log.lay(&group, 0)
+	lasting := group
+	lasting.Claims = nil
+	for index := range told {
+		if told[index].Granted {
+			lasting.Claims = append(lasting.Claims, group.Claims[index])
 		}
-		for index, wait := range waits {
-			wait.told, told = told[:sizes[index]], told[sizes[index]:]
-			wait.mishap, wait.done = mishap, true
+	}
+	mishap := log.syncWhole(&lasting)
+	if mishap != nil {
+		log.refuse(&lasting, mishap)
+	}
+	return told, mishap
+}
+
+// add puts a message, and whom it makes whole, into the group.
+func (group *claimGroup) add(wait *keepWait) {
+	group.Claims = append(group.Claims, wait.message.Claims...)
+	group.Retold = append(group.Retold, wait.message.Retold...)
+	group.Settles = append(group.Settles, wait.message.Settles...)
+	if wait.wholeAs > 0 {
+		group.Whole, group.Core = true, wait.wholeAs
+	}
+}
+
+// answer gives each waiting message what became of it. What was told is in order of
+// the claims of all messages that were not refused.
+func (log *ClaimLog) answer(waits []*keepWait, told []wire.ClaimTold, mishap *wire.Mishap) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	for _, wait := range waits {
+		if mishap == nil && !wait.refused {
+			count := len(wait.message.Claims)
+			wait.told, told = told[:count], told[count:]
 		}
-		log.wake.Broadcast()
-		log.mutex.Unlock()
-		if mishap != nil {
-			log.fault(mishap)
-			log.leave()
-			return
+		wait.mishap, wait.done = mishap, true
+	}
+	log.wake.Broadcast()
+}
+
+// refuse keeps the group that the disk refused, since the book holds it already: it
+// is written before any later one is answered.
+func (log *ClaimLog) refuse(group *claimGroup, mishap *wire.Mishap) {
+	log.pending, log.refused = group, time.Now()
+	log.counts.Add("claim_disk_faults", 1)
+	klog.Errorf("claims: refused until the disk takes writes again: %v", mishap)
+}
+
+// repair is nil while the journal takes groups. After a fault it tries at a pace to
+// rewrite the last segment and to append what the book holds beyond it.
+func (log *ClaimLog) repair() *wire.Mishap {
+	fault := log.journal.fault
+	if fault == nil {
+		return nil
+	}
+	if time.Since(log.refused) < repairPace {
+		return fault
+	}
+	log.refused = time.Now()
+	if mishap := log.journal.rewrite(); mishap != nil {
+		return mishap
+	}
+	if log.pending != nil {
+		if mishap := log.syncWhole(log.pending); mishap != nil {
+			return mishap
 		}
+		log.pending = nil
 	}
+	log.counts.Add("claim_disk_repairs", 1)
+	klog.Infof("claims: the disk takes writes again")
+	return nil
 }
 
 // raise notes the membership that something is kept under; false where one with other
@@ -203,6 +257,17 @@
 	log.mutex.Unlock()
 }
 
+// syncWhole syncs a group, and notes the voter that it makes whole.
+func (log *ClaimLog) syncWhole(group *claimGroup) *wire.Mishap {
+	mishap := log.sync(group)
+	if mishap == nil && group.Whole {
+		log.mutex.Lock()
+		log.wholeAs = group.Core
+		log.mutex.Unlock()
+	}
+	return mishap
+}
+
 func (log *ClaimLog) sync(group *claimGroup) *wire.Mishap {
 	if len(group.Claims)+len(group.Retold)+len(group.Settles) == 0 && !group.Whole && group.Members == nil {
 		return nil
@@ -240,6 +305,14 @@
 			return mishap
 		}
 	}
+	log.sweep()
+	return nil
+}
+
+// sweep removes what is forgotten, oldest first, each removal synced by itself:
+// of several that a power loss may undo one by one, an older one could come back
+// and leave a gap. What the disk does not let go now goes at the next sweep.
+func (log *ClaimLog) sweep() {
 	keeps := log.journal.number
 	for number, newest := range log.ages {
 		if log.age()-newest < log.book.Span() {
@@ -251,7 +324,9 @@
 			delete(log.ages, number)
 		}
 	}
-	return sweep(log.journal.disk, claimsName, keeps)
+	if mishap := sweep(log.journal.disk, claimsName, keeps, log.journal.disk.Sync); mishap != nil {
+		log.counts.Add("claim_sweeps_short", 1)
+	}
 }
 
 // Whole is whether a voter lacks nothing that it should hold and that is not yet
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -42,6 +42,9 @@
 func newLeadership(core *Core, ballot wire.Ballot, establishment *Establishment) *Leadership {
 	leadership := &Leadership{core: core, ballot: ballot, revocation: establishment.revocation, since: time.Now(), content: establishment.content, routing: establishment.routing,
 		reports: map[int]*wire.BeatTold{}, confirmed: run.NewBell(), writes: run.NewTurn(), succession: newSuccession()}
+	for _, address := range establishment.learners {
+		leadership.succession.enlisted(address)
+	}
 	for register := range establishment.newest {
 		leadership.values[register] = establishment.newest[register].Value
 		leadership.rewritten[register] = establishment.newest[register].Value.Serial
@@ -226,7 +229,7 @@
 	}
 	values, now := leadership.values, leadership.content
 	leadership.mutex.Unlock()
-	if !told.Taken || !told.Voter {
+	if !told.Taken || !told.Voter || told.Refuses {
 		return
 	}
 	for register := range committed {
@@ -268,7 +271,7 @@
 	view := leadership.core.members()
 	for _, peer := range view.Peers {
 		told := leadership.reports[peer.ID]
-		if told == nil || !view.mayLead(peer.ID) || !told.Voter || !told.Taken || passed[peer.ID] {
+		if told == nil || !view.mayLead(peer.ID) || !told.Voter || !told.Taken || told.Refuses || passed[peer.ID] {
 			continue
 		}
 		if !found || fitter(told.Marks, told.Reach, peer.ID, leadership.reports[best.ID].Marks, leadership.reports[best.ID].Reach, best.ID) {
--- a/data/poll.go
+++ b/data/claim_poll.go
@@ -5,6 +5,22 @@
 	"orchidjunction/wire"
 )
 
+// enough is whether the granting members make a quorum of every ring.
+func enough(rings [][]wire.Member, granting []wire.Member) bool {
+	for _, ring := range rings {
+		count := 0
+		for _, keeper := range ring {
+			if among(granting, keeper.Name) {
+				count++
+			}
+		}
+		if len(ring) == 0 || count < quorum(len(ring)) {
+			return false
+		}
+	}
+	return len(rings) > 0
+}
+
 // claimAnswer is a keeper's or a core's.
 type claimAnswer struct {
 	keeper *wire.ClaimTold
@@ -66,7 +82,7 @@
 // ask sends the claim to all keepers and cores, and again where the cores that vote
 // changed meanwhile.
 func (claims *Claims) ask(rings [][]wire.Member, members []wire.Member, claim *wire.Claim) (*wire.Claimed, bool) {
-	away := claims.vault.Away()
+	away := claims.coreStore.unavailable()
 	round := claims.poll(rings, members, claim, away)
 	if round.cores().outdated() && round.refused() == nil && !round.granted(away) {
 		claims.proxy.counts.Add("claims_by_former_voters", 1)
@@ -76,7 +92,7 @@
 		return refusal, false
 	}
 	votes := round.cores()
-	claims.vault.found(votes.lasting())
+	claims.coreStore.recordContact(votes.lasting())
 	if votes.lasting() {
 		return nil, round.quorums(!votes.whole())
 	}
@@ -84,7 +100,7 @@
 		return nil, false
 	}
 	claims.proxy.counts.Add("claims_without_core", 1)
-	claims.vault.owe(owed{retold: &claim.Claimed})
+	claims.coreStore.enqueue(pendingUpdate{retold: &claim.Claimed})
 	return nil, true
 }
 
@@ -99,23 +115,23 @@
 // poll sends the claim to all keepers and cores once; one refusal is enough to stop,
 // and so is an answer by other voters.
 func (claims *Claims) poll(rings [][]wire.Member, members []wire.Member, claim *wire.Claim, away bool) *poll {
-	roster, cores := claims.vault.counts()
+	roster, cores := claims.coreStore.coresToAsk()
 	round := &poll{roster: roster, rings: rings, members: members}
 	round.got, _ = run.Gather(claims.proxy.threads, len(members)+len(cores), func(index int) (claimAnswer, error) {
 		if index >= len(members) {
-			told, fault := claims.vault.ask(cores[index-len(members)], &wire.Keep{Members: roster.accepted, Claims: []wire.Claim{*claim}}, vaultLimit)
-			return claimAnswer{core: told}, fault
+			told, err := claims.coreStore.ask(cores[index-len(members)], &wire.Keep{Members: roster.accepted, Claims: []wire.Claim{*claim}}, coreStoreLimit)
+			return claimAnswer{core: told}, err
 		}
 		if members[index].Name == claims.proxy.daemon.Name() {
 			return claimAnswer{keeper: claims.grant(claim)}, nil
 		}
-		told, fault := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
-		return claimAnswer{keeper: told}, fault
+		told, err := wire.Ask[wire.Claim, wire.ClaimTold](claims.proxy.daemon.Line(), members[index].Wire, "claim", claimLimit, claim)
+		return claimAnswer{keeper: told}, err
 	}, func(got map[int]claimAnswer, _ map[int]error) bool {
 		now := *round
 		now.got = got
 		return now.refused() != nil || roster.voters != nil && now.cores().outdated() || now.granted(away)
 	})
-	claims.vault.learn(round.cores().newest)
+	claims.coreStore.learn(round.cores().newest)
 	return round
 }
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -1,4 +1,7 @@
-// Package fleet runs and harms a whole fleet of real processes on one machine.
+// Package fleet runs a whole deployment of real processes on one machine and
+// injects faults into it. A Spec says its size, a Fleet starts its Processes, a
+// Scenario injects faults while callers and operators work, and Fleet.Play returns
+// the verdicts of package judge.
 package fleet
 
 import (
@@ -13,7 +16,9 @@
 	"orchidjunction/wire"
 )
 
-// Process is one program of the fleet, and can be started again.
+// Process is one program of the fleet; it can be started again after it ended.
+// Outer, Wire and Operate are the addresses (host:port) at which it serves callers,
+// other daemons and operators.
 type Process struct {
 	Name      string
 	Kind      string
@@ -34,26 +39,27 @@
 	code    int
 }
 
+// Start starts the process unless it runs. Its output is appended to its log file.
 func (process *Process) Start() *wire.Mishap {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	if process.alive {
 		return nil
 	}
-	log, fault := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if fault != nil {
-		return wire.New(wire.DiskFault, "%v", fault)
+	log, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return wire.New(wire.DiskFault, "%v", err)
 	}
 	command := exec.Command(process.path, process.arguments...)
 	command.Stdout, command.Stderr = log, log
-	if fault := command.Start(); fault != nil {
-		log.Close()
-		return wire.New(wire.BadFlag, "%s: %v", process.Name, fault)
+	if err := command.Start(); err != nil {
+		_ = log.Close() // nothing was written
+		return wire.New(wire.BadFlag, "%s: %v", process.Name, err)
 	}
 	process.command, process.alive = command, true
 	process.threads.Start(func() {
-		command.Wait()
-		log.Close()
+		_ = command.Wait() // its exit code is read below
+		_ = log.Close()    // the process wrote through a descriptor of its own
 		process.mutex.Lock()
 		process.alive, process.code = false, command.ProcessState.ExitCode()
 		process.wake.Broadcast()
@@ -62,21 +68,24 @@
 	return nil
 }
 
+// Signal sends a signal to the process if it runs.
 func (process *Process) Signal(signal syscall.Signal) {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	if process.alive {
-		process.command.Process.Signal(signal)
+		_ = process.command.Process.Signal(signal) // one that just ended needs none
 	}
 }
 
+// Alive reports whether the process runs.
 func (process *Process) Alive() bool {
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	return process.alive
 }
 
-// Wait gives the exit code once the process has ended, or kills it at the limit.
+// Wait returns the exit code once the process has ended; it kills the process after
+// the limit.
 func (process *Process) Wait(limit time.Duration) int {
 	beat := time.AfterFunc(limit, func() { process.Signal(syscall.SIGKILL) })
 	defer beat.Stop()
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -1,5 +1,7 @@
-// Package stand holds the stand-ins for all that is outside: backends, the
-// platform and the callers. What they saw is what verdicts are made of.
+// Package stand holds stand-ins for what is outside the system, for the simulator
+// and for real processes: backends (Backend), the platform (Platform) and callers
+// (Origin). Each follows its side of the interface, can be told to misbehave, and
+// records what it saw for package judge.
 package stand
 
 import (
@@ -14,9 +16,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
-// BackendPlace is what a backend stand-in is.
+// BackendPlace is the identity and behaviour of a Backend. WorkMs is the time that
+// a request takes, ColdMs how long the backend is slow after its start, both in
+// milliseconds; GentleRate is the requests a second that it takes meanwhile, Room
+// the requests that it takes at once. Journal, if set, is the file that records are
+// appended to.
 type BackendPlace struct {
 	Service     string
 	Instance    string
@@ -28,7 +36,7 @@
 	Journal     string
 }
 
-// Backend answers by the contract, remembers all, and can be told to misbehave.
+// Backend is an HTTP handler that behaves as a backend and records each request.
 type Backend struct {
 	place BackendPlace
 	since time.Time
@@ -43,33 +51,38 @@
 	journal  *os.File
 }
 
+// NewBackend returns a backend that starts now. The error is that of opening its
+// journal.
 func NewBackend(place BackendPlace) (*Backend, error) {
 	backend := &Backend{place: place, since: time.Now(), seen: Witness{Instance: place.Instance, Service: place.Service, Gentle: place.GentleRate}}
 	if place.Journal == "" {
 		return backend, nil
 	}
-	journal, fault := os.OpenFile(place.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	journal, err := os.OpenFile(place.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	backend.journal = journal
-	if fault == nil {
+	if err == nil {
 		backend.write(journalLine{Begin: &backend.seen})
 	}
-	return backend, fault
+	return backend, err
 }
 
 func (backend *Backend) write(line journalLine) {
 	if backend.journal != nil {
 		body, _ := json.Marshal(line)
-		backend.journal.Write(append(body, '\n'))
+		if _, err := backend.journal.Write(append(body, '\n')); err != nil {
+			klog.Errorf("journal: %v", err)
+		}
 	}
 }
 
+// Place returns the identity and behaviour that the backend was made with.
 func (backend *Backend) Place() BackendPlace { return backend.place }
 
 func (backend *Backend) cold() bool {
 	return time.Since(backend.since) < time.Duration(backend.place.ColdMs)*time.Millisecond
 }
 
-// Leave marks the backend as leaving, as a warned machine does.
+// Leave marks the backend as leaving, as a machine does that was told to stop.
 func (backend *Backend) Leave() {
 	backend.mutex.Lock()
 	if backend.leaving.IsZero() {
@@ -78,14 +91,14 @@
 	backend.mutex.Unlock()
 }
 
-// Misbehave makes the next count tasks end in the named way.
+// Misbehave makes the next count requests end with the named fault.
 func (backend *Backend) Misbehave(fault string, count int) {
 	backend.mutex.Lock()
 	backend.fault, backend.faults = fault, count
 	backend.mutex.Unlock()
 }
 
-// Seen is what this incarnation saw so far.
+// Seen returns what this incarnation has recorded so far.
 func (backend *Backend) Seen() Witness {
 	backend.mutex.Lock()
 	defer backend.mutex.Unlock()
@@ -94,13 +107,15 @@
 	return seen
 }
 
+// ServeHTTP answers identity requests, the commands under /stand/ and requests of
+// callers.
 func (backend *Backend) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	switch {
-	case request.URL.Path == "/oj/identity":
+	switch request.URL.Path {
+	case "/oj/identity":
 		backend.identity(writer)
-	case request.URL.Path == "/stand/leave":
+	case "/stand/leave":
 		backend.Leave()
-	case request.URL.Path == "/stand/fault":
+	case "/stand/fault":
 		count, _ := strconv.Atoi(request.URL.Query().Get("count"))
 		backend.Misbehave(request.URL.Query().Get("mode"), count)
 	default:
@@ -160,8 +175,8 @@
 // work runs one task. Money is charged before the answer, as a backend that
 // loses its answer would have done.
 func (backend *Backend) work(writer http.ResponseWriter, request *http.Request) {
-	body, fault := io.ReadAll(io.LimitReader(request.Body, 64<<20))
-	if fault != nil {
+	body, err := io.ReadAll(io.LimitReader(request.Body, 64<<20))
+	if err != nil {
 		return
 	}
 	number, misbehaviour := backend.take(request)
@@ -217,7 +232,7 @@
 
 // workMs is longer where the caller says so.
 func (backend *Backend) workMs(request *http.Request) int {
-	if asked, fault := strconv.Atoi(request.URL.Query().Get("work")); fault == nil {
+	if asked, err := strconv.Atoi(request.URL.Query().Get("work")); err == nil {
 		return min(max(asked, 0), 30_000)
 	}
 	return backend.place.WorkMs
@@ -234,10 +249,10 @@
 
 // hijack writes raw bytes and breaks the connection.
 func hijack(writer http.ResponseWriter, text string) {
-	conn, _, fault := http.NewResponseController(writer).Hijack()
-	if fault != nil {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	io.WriteString(conn, text)
+	_, _ = io.WriteString(conn, text) // the caller is gone
 	conn.Close()
 }
--- a/wire/core.go
+++ b/wire/core.go
@@ -62,9 +62,12 @@
 	NowMs     int64
 }
 
+// BeatTold is a core's answer to a beat. One whose disk refuses writes or does not
+// answer takes the beat, as its promise stands, and can accept nothing.
 type BeatTold struct {
 	Taken    bool
 	Voter    bool
+	Refuses  bool
 	Promised Ballot
 	Marks    Marks
 	Reach    int
@@ -72,10 +75,13 @@
 	NowMs    int64
 }
 
+// StepDown asks a core to take over the lead. It names the addresses of the learners,
+// so that one of them can take the place of a leader that ends.
 type StepDown struct {
-	Ballot Ballot
-	From   int
-	Marks  Marks
+	Ballot   Ballot
+	From     int
+	Marks    Marks
+	Learners []string
 }
 
 type StepDownTold struct {
@@ -115,8 +121,15 @@
 	}
 	return message.Ballot.check()
 }
-func (message *Beat) Check() *Mishap     { return message.Ballot.check() }
-func (message *StepDown) Check() *Mishap { return message.Ballot.check() }
+func (message *Beat) Check() *Mishap { return message.Ballot.check() }
+func (message *StepDown) Check() *Mishap {
+	for _, address := range message.Learners {
+		if mishap := (Peer{ID: 1, Address: address}).check(); mishap != nil {
+			return mishap
+		}
+	}
+	return message.Ballot.check()
+}
 func (message *Precheck) Check() *Mishap { return checkCore(message.Core) }
 func (message *Restore) Check() *Mishap  { return checkCore(message.Core) }
 func (message *Tell) Check() *Mishap {
