--- a/control/begin_claims_test.go
+++ b/control/begin_claims_test.go
@@ -21,14 +21,14 @@
 		}
 		for core.claims.ring.Put(&keepWait{message: &wire.Keep{}}) {
 		}
-		core.beginClaims()
-		if core.claims.Whole() || counts.Get("claims_not_begun") != 1 {
-			test.Errorf("whole %v, not begun %d times", core.claims.Whole(), counts.Get("claims_not_begun"))
+		core.beginClaims(1)
+		if core.claims.Whole(1) || counts.Get("claims_not_begun") != 1 {
+			test.Errorf("whole %v, not begun %d times", core.claims.Whole(1), counts.Get("claims_not_begun"))
 		}
 		threads.OnStop(core.claims.ring.Close)
 		threads.Start(core.claims.write)
 		threads.Rest(2 * repairPace)
-		if !core.claims.Whole() {
+		if !core.claims.Whole(1) {
 			test.Error("not whole though the ring has room")
 		}
 		time.Sleep(time.Minute)
--- a/control/claims.go
+++ b/control/claims.go
@@ -32,32 +32,51 @@
 	base    time.Duration
 	ages    map[uint64]time.Duration
 
-	mutex sync.Mutex
-	wake  *sync.Cond
-	whole bool
-	ended bool
+	// members is the newest membership that anything here was kept or told under. Only
+	// the writing thread uses it once the log is open.
+	members wire.Accepted
+
+	mutex   sync.Mutex
+	wake    *sync.Cond
+	wholeAs int
+	asking  voterSince
+	ended   bool
+}
+
+// voterSince is from when on a voter keeps every claim that a quorum may count it for.
+type voterSince struct {
+	id int
+	at time.Time
 }
 
-// keepWait is one message under way to the disk.
+// keepWait is one message under way to the disk, kept under a membership. WholeAs is
+// the voter that lacks nothing once this lasts, 0 for none.
 type keepWait struct {
 	message *wire.Keep
-	whole   bool
+	members wire.Accepted
+	wholeAs int
 	told    []wire.ClaimTold
+	refused bool
 	mishap  *wire.Mishap
 	done    bool
 }
 
 // claimGroup is one synced step. At is the log's own age, which runs only while
-// the core does: clocks that jump, and time away, make nothing older.
+// the core does: clocks that jump, and time away, make nothing older. Core is the
+// voter that is whole. Members is there where the group raised it.
 type claimGroup struct {
 	At      time.Duration
 	Whole   bool
+	Core    int
+	Members *wire.Accepted
 	Claims  []wire.Claim
 	Retold  []wire.Claimed
 	Settles []wire.Settle
 }
 
-func openClaimLog(disk Disk, counts *run.Counts) (*ClaimLog, *wire.Mishap) {
+// openClaimLog reads the log. In groups of a release in which no voter was ever
+// replaced, the voter that is whole has the given ID.
+func openClaimLog(disk Disk, given int, counts *run.Counts) (*ClaimLog, *wire.Mishap) {
 	log := &ClaimLog{book: keep.NewBook(), ring: run.NewRing[*keepWait](claimsRing), counts: counts, ages: map[uint64]time.Duration{}}
 	log.wake = sync.NewCond(&log.mutex)
 	log.book.Remember(keep.MostSpan)
@@ -83,11 +102,19 @@
 	if mishap != nil {
 		return nil, mishap
 	}
-	log.journal.rewrite()
+	_ = log.journal.rewrite() // the journal keeps its fault, and repair tries again
 	log.opened = time.Now()
 	for index := range groups {
 		log.lay(&groups[index], log.base-groups[index].At)
-		log.whole = log.whole || groups[index].Whole
+		if groups[index].Whole {
+			log.wholeAs = groups[index].Core
+		}
+		if groups[index].Whole && log.wholeAs == 0 {
+			log.wholeAs = given
+		}
+		if groups[index].Members != nil {
+			log.members = *groups[index].Members
+		}
 	}
 	return log, nil
 }
@@ -120,22 +147,22 @@
 			log.leave()
 			return
 		}
-		mishap, told, whole := log.repair(), []wire.ClaimTold(nil), false
+		mishap, told := log.repair(), []wire.ClaimTold(nil)
 		if mishap == nil {
-			told, whole, mishap = log.writeGroup(waits)
+			told, mishap = log.writeGroup(waits)
 		}
-		log.answer(waits, told, whole, mishap)
+		log.answer(waits, told, mishap)
 	}
 }
 
-// writeGroup lays and syncs what came as one group.
-func (log *ClaimLog) writeGroup(waits []*keepWait) ([]wire.ClaimTold, bool, *wire.Mishap) {
+// writeGroup lays and syncs what came as one group, but for what comes under a
+// membership that is no more.
+func (log *ClaimLog) writeGroup(waits []*keepWait) ([]wire.ClaimTold, *wire.Mishap) {
 	group := claimGroup{At: log.age()}
 	for _, wait := range waits {
-		group.Claims = append(group.Claims, wait.message.Claims...)
-		group.Retold = append(group.Retold, wait.message.Retold...)
-		group.Settles = append(group.Settles, wait.message.Settles...)
-		group.Whole = group.Whole || wait.whole
+		if wait.refused = !log.raise(&group, wait.members); !wait.refused {
+			group.add(wait)
+		}
 	}
 	told := log.lay(&group, 0)
 	lasting := group
@@ -145,20 +172,30 @@
 			lasting.Claims = append(lasting.Claims, group.Claims[index])
 		}
 	}
-	mishap := log.sync(&lasting)
+	mishap := log.syncWhole(&lasting)
 	if mishap != nil {
 		log.refuse(&lasting, mishap)
 	}
-	return told, group.Whole, mishap
+	return told, mishap
+}
+
+// add puts a message, and whom it makes whole, into the group.
+func (group *claimGroup) add(wait *keepWait) {
+	group.Claims = append(group.Claims, wait.message.Claims...)
+	group.Retold = append(group.Retold, wait.message.Retold...)
+	group.Settles = append(group.Settles, wait.message.Settles...)
+	if wait.wholeAs > 0 {
+		group.Whole, group.Core = true, wait.wholeAs
+	}
 }
 
-// answer gives each waiting message what became of it.
-func (log *ClaimLog) answer(waits []*keepWait, told []wire.ClaimTold, whole bool, mishap *wire.Mishap) {
+// answer gives each waiting message what became of it. What was told is in order of
+// the claims of all messages that were not refused.
+func (log *ClaimLog) answer(waits []*keepWait, told []wire.ClaimTold, mishap *wire.Mishap) {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
-	log.whole = log.whole || mishap == nil && whole
 	for _, wait := range waits {
-		if mishap == nil {
+		if mishap == nil && !wait.refused {
 			count := len(wait.message.Claims)
 			wait.told, told = told[:count], told[count:]
 		}
@@ -189,13 +226,10 @@
 	if mishap := log.journal.rewrite(); mishap != nil {
 		return mishap
 	}
-	if pending := log.pending; pending != nil {
-		if mishap := log.sync(pending); mishap != nil {
+	if log.pending != nil {
+		if mishap := log.syncWhole(log.pending); mishap != nil {
 			return mishap
 		}
-		log.mutex.Lock()
-		log.whole = log.whole || pending.Whole
-		log.mutex.Unlock()
 		log.pending = nil
 	}
 	log.counts.Add("claim_disk_repairs", 1)
@@ -203,6 +237,18 @@
 	return nil
 }
 
+// raise notes the membership that something is kept under; false where one with other
+// voters was noted before, so that a quorum of this one may decide no more.
+func (log *ClaimLog) raise(group *claimGroup, members wire.Accepted) bool {
+	if wire.Supersedes(log.members, members) {
+		return false
+	}
+	if log.members.Mark().Less(members.Mark()) {
+		log.members, group.Members = members, &members
+	}
+	return true
+}
+
 // leave lets go of those who still wait once the ring is closed.
 func (log *ClaimLog) leave() {
 	log.mutex.Lock()
@@ -211,8 +257,19 @@
 	log.mutex.Unlock()
 }
 
+// syncWhole syncs a group, and notes the voter that it makes whole.
+func (log *ClaimLog) syncWhole(group *claimGroup) *wire.Mishap {
+	mishap := log.sync(group)
+	if mishap == nil && group.Whole {
+		log.mutex.Lock()
+		log.wholeAs = group.Core
+		log.mutex.Unlock()
+	}
+	return mishap
+}
+
 func (log *ClaimLog) sync(group *claimGroup) *wire.Mishap {
-	if len(group.Claims)+len(group.Retold)+len(group.Settles) == 0 && !group.Whole {
+	if len(group.Claims)+len(group.Retold)+len(group.Settles) == 0 && !group.Whole && group.Members == nil {
 		return nil
 	}
 	frame, mishap := packFrame(group)
@@ -231,12 +288,16 @@
 
 // roll begins a segment and removes those that hold only forgotten keys.
 func (log *ClaimLog) roll() *wire.Mishap {
-	whole := log.Whole()
+	first := claimGroup{At: log.age(), Core: log.whole()}
+	first.Whole = first.Core > 0
+	if log.members.Value.Serial > 0 {
+		first.Members = &log.members
+	}
 	if mishap := log.journal.begin(log.journal.number + 1); mishap != nil {
 		return mishap
 	}
-	if whole {
-		frame, mishap := packFrame(&claimGroup{At: log.age(), Whole: true})
+	if first.Whole || first.Members != nil {
+		frame, mishap := packFrame(&first)
 		if mishap != nil {
 			return mishap
 		}
@@ -268,11 +329,27 @@
 	}
 }
 
-// Whole is whether nothing that was kept here, and is not yet forgotten, is lost.
-func (log *ClaimLog) Whole() bool {
+// Whole is whether a voter lacks nothing that it should hold and that is not yet
+// forgotten. It need not hold all: claims of a quorum without it are elsewhere.
+func (log *ClaimLog) Whole(id int) bool { return id > 0 && log.whole() == id }
+
+// whole is the voter that lacks nothing, 0 while none does.
+func (log *ClaimLog) whole() int {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	if log.asking.id > 0 && time.Since(log.asking.at) > log.book.Span() {
+		return log.asking.id
+	}
+	return log.wholeAs
+}
+
+// countFrom notes since when a voter keeps all that it should, unless that was noted.
+func (log *ClaimLog) countFrom(id int, at time.Time) {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
-	return log.whole || !log.opened.IsZero() && time.Since(log.opened) > log.book.Span()
+	if log.asking.id != id {
+		log.asking = voterSince{id: id, at: at}
+	}
 }
 
 // put hands a message to the writing thread and waits until it lasts.
@@ -291,73 +368,3 @@
 	}
 	return wait.mishap
 }
-
-func (core *Core) onKeep(message *wire.Keep) (*wire.KeepTold, *wire.Mishap) {
-	if !core.members().votes() {
-		return nil, wire.New(wire.NotReady, "this core has no vote")
-	}
-	whole := core.claims.Whole()
-	wait := &keepWait{message: message}
-	if mishap := core.claims.put(wait); mishap != nil {
-		return nil, mishap
-	}
-	core.counts.Add("claims_kept", uint64(len(message.Claims)))
-	return &wire.KeepTold{Cores: len(core.members().Peers) + 1, Whole: whole, Told: wait.told}, nil
-}
-
-func (core *Core) onPull(pull *wire.Pull) (*wire.PullTold, *wire.Mishap) {
-	told := &wire.PullTold{Cores: len(core.members().Peers) + 1, Whole: core.claims.Whole()}
-	told.Claims, told.Last, told.Done = core.claims.book.Page(pull.After, claimsPage)
-	return told, nil
-}
-
-// mendClaims is the duty of a core that lost its claims: those of so many others
-// that no majority it was part of is missed make it whole again.
-func (core *Core) mendClaims() {
-	if now, mishap := core.content(); mishap == nil && now.serial > 0 {
-		core.claims.book.Remember(now.tree.Settings.Remember())
-	}
-	if core.claims.Whole() || core.voter.Blank() {
-		return
-	}
-	view := core.members()
-	if !view.votes() {
-		return
-	}
-	got, _ := run.Gather(core.threads, len(view.Peers), func(index int) (bool, error) {
-		return core.pullClaims(view.Peers[index])
-	}, func(map[int]bool, map[int]error) bool { return false })
-	wholes := map[int]bool{}
-	for index, whole := range got {
-		wholes[view.Peers[index].ID] = whole
-	}
-	if !view.fencesWithout(view.ID, func(id int) bool { return wholes[id] }) {
-		core.counts.Add("claims_not_mended", 1)
-		return
-	}
-	if core.claims.put(&keepWait{message: &wire.Keep{}, whole: true}) == nil {
-		core.counts.Add("claims_mended", 1)
-		klog.Infof("core %d: claims are whole again, told by %d cores", view.ID, len(wholes))
-	}
-}
-
-// pullClaims takes all of another core's claims, page by page.
-func (core *Core) pullClaims(peer Peer) (bool, error) {
-	for after, whole := uint64(0), true; ; {
-		told, fault := wire.Ask[wire.Pull, wire.PullTold](core.line, peer.Address, "pull", pullLimit, &wire.Pull{After: after})
-		if fault != nil {
-			return false, fault
-		}
-		for len(told.Claims) > 0 {
-			count := min(len(told.Claims), wire.KeepMost)
-			if mishap := core.claims.put(&keepWait{message: &wire.Keep{Retold: told.Claims[:count]}}); mishap != nil {
-				return false, mishap
-			}
-			told.Claims = told.Claims[count:]
-		}
-		if whole = whole && told.Whole; told.Done || !whole {
-			return whole, nil
-		}
-		after = told.Last
-	}
-}
--- a/control/core.go
+++ b/control/core.go
@@ -71,13 +71,16 @@
 	core.voter = NewVoter(store, core.diskFault, core.raised)
 	core.voter.learns = core.learnMembers
 	core.known.Store(place.view(core.voter.State().Voters()))
-	if core.claims, mishap = openClaimLog(disk, counts); mishap != nil {
+	if core.claims, mishap = openClaimLog(disk, place.ID, counts); mishap != nil {
 		return nil, mishap
 	}
 	core.chart = &Chart{now: Blank, counts: counts, core: core.members().ID}
 	if !core.voter.Blank() {
 		core.chart.now = Following
 	}
+	if kept := core.claims.members; kept.Value.Serial > firstSerial {
+		core.learnMembers(kept)
+	}
 	if fault := store.Fault(); fault != nil {
 		core.diskFault(fault)
 	}
@@ -95,6 +98,9 @@
 
 // Run starts the core's duties.
 func (core *Core) Run() {
+	if view := core.members(); view.known() {
+		core.place.MembersChanged(view.Mark, view.addresses())
+	}
 	core.threads.OnStop(core.news.Ring)
 	core.threads.OnStop(core.prompt.Ring)
 	core.threads.Start(core.elect)
@@ -153,6 +159,7 @@
 	wire.Take(door, "evacuate", answer(core.onEvacuate))
 	wire.Take(door, "enlist", answer(core.onEnlist))
 	wire.Take(door, "leave", answer(core.onLeave))
+	wire.Take(door, "removal", answer(core.onRemoval))
 	wire.Take(door, "read", answer(core.onRead))
 	wire.Take(door, "status", answer(core.onStatus))
 	wire.Take(door, "count", answer(core.onCount))
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -15,7 +15,7 @@
 
 // OpenTestClaims opens a log that remembers keys for keep.FirstSpan.
 func OpenTestClaims(disk Disk, segment int64) (*TestClaims, *wire.Mishap) {
-	log, mishap := openClaimLog(disk, run.NewCounts())
+	log, mishap := openClaimLog(disk, 0, run.NewCounts())
 	if mishap != nil {
 		return nil, mishap
 	}
@@ -29,8 +29,7 @@
 	if mishap := claims.log.repair(); mishap != nil {
 		return nil, mishap
 	}
-	told, _, mishap := claims.log.writeGroup([]*keepWait{{message: message}})
-	return told, mishap
+	return claims.log.writeGroup([]*keepWait{{message: message}})
 }
 
 func (claims *TestClaims) Held(key wire.ClaimKey) (wire.Claimed, bool) {
--- a/control/model_mutants_test.go
+++ b/control/model_mutants_test.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	for _, group := range view.groups() {
-		if countIn(group, func(id int) bool { return id == view.ID || has(id) }) < majorityOf(group)-1 {
+		if wire.CountIn(group, func(id int) bool { return id == view.ID || has(id) }) < wire.Majority(group)-1 {
 			return false
 		}
 	}
@@ -39,7 +39,7 @@
 
 // modelFirstGroup counts a majority of the former voters only, also during a step.
 func modelFirstGroup(view *View, has func(id int) bool) bool {
-	return view.votes() && countIn(view.Voters, has) >= majorityOf(view.Voters)
+	return view.votes() && wire.CountIn(view.Voters, has) >= wire.Majority(view.Voters)
 }
 
 // modelOldest takes over the oldest values in place of the newest.
@@ -161,7 +161,7 @@
 }
 
 func modelFenceTooFew(view *View, lost int, has func(id int) bool) bool {
-	return countIn(view.Voters, func(id int) bool { return id != lost && has(id) }) >= len(view.Voters)-majorityOf(view.Voters)
+	return wire.CountIn(view.Voters, func(id int) bool { return id != lost && has(id) }) >= len(view.Voters)-wire.Majority(view.Voters)
 }
 
 // modelFoundAsVotes takes over copies as if this replica had accepted them.
--- a/control/restore.go
+++ b/control/restore.go
@@ -26,7 +26,7 @@
 	if untouched && core.place.Found {
 		if mishap := core.voter.Found(wire.Ballot{}, [wire.Registers]wire.Accepted{}, nil); mishap == nil {
 			klog.Infof("core %d: founded", view.ID)
-			core.beginClaims()
+			core.beginClaims(view.ID)
 			core.begin()
 		}
 		return
@@ -64,18 +64,24 @@
 // beginClaims marks the claims of a new voter as whole, since nothing was kept on its
 // disk before. While its claims' ring is full or its disk refuses groups that is tried
 // again: until the mark lasts, this core counts as one that may have lost claims.
-func (core *Core) beginClaims() {
-	if core.markClaimsWhole() == nil {
+func (core *Core) beginClaims(id int) {
+	if core.markClaimsWhole(id) == nil {
 		return
 	}
 	core.threads.Start(func() {
-		for core.threads.Rest(repairPace) && core.markClaimsWhole() != nil {
+		for core.threads.Rest(repairPace) && core.markClaimsWhole(id) != nil {
 		}
 	})
 }
 
-func (core *Core) markClaimsWhole() *wire.Mishap {
-	mishap := core.claims.put(&keepWait{message: &wire.Keep{}, whole: true})
+// markClaimsWhole notes that a voter lacks no claims; one that lost its vote meanwhile
+// has nothing to note.
+func (core *Core) markClaimsWhole(id int) *wire.Mishap {
+	view := core.members()
+	if view.ID != id {
+		return nil
+	}
+	mishap := core.claims.put(&keepWait{message: &wire.Keep{}, members: view.accepted(), wholeAs: view.ID})
 	if mishap != nil {
 		core.counts.Add("claims_not_begun", 1)
 	}
--- a/data/claims.go
+++ b/data/claims.go
@@ -92,7 +92,7 @@
 	}
 	asked := append(append([]wire.Member{}, others...), peers...)
 	got, _ := run.Gather(claims.proxy.threads, len(asked), func(index int) (*wire.PullTold, error) {
-		return pullAll(claims.proxy.daemon.Line(), asked[index].Wire, claims.keeper.Retell)
+		return pullAll(claims.proxy.daemon.Line(), asked[index].Wire, wire.Accepted{}, claims.keeper.Retell)
 	}, func(map[int]*wire.PullTold, map[int]error) bool { return false })
 	grown, wholes := 0, 0
 	for index, told := range got {
--- a/data/core_store.go
+++ b/data/core_store.go
@@ -1,6 +1,7 @@
 package data
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	mutex    sync.Mutex
 	failedAt time.Time
 	pending  int
+	roster   Roster
 }
 
 // pendingUpdate is an update that the cores don't have yet: a claim granted without
@@ -56,6 +58,32 @@
 	}
 }
 
+// coresToAsk returns the membership to count by and the addresses to ask: those of its
+// voters, and of all known cores while a newer membership was heard of.
+func (store *coreStore) coresToAsk() (Roster, []string) {
+	store.mutex.Lock()
+	roster := store.roster
+	store.mutex.Unlock()
+	known, cores := store.proxy.daemon.Finder.Members(), store.proxy.daemon.Finder.Cores()
+	if roster.voters == nil {
+		return roster, cores
+	}
+	addresses := roster.voters.Addresses()
+	for _, core := range cores {
+		if roster.accepted.Mark().Less(known) && !slices.Contains(addresses, core) {
+			addresses = append(addresses, core)
+		}
+	}
+	return roster, addresses
+}
+
+// learn records a membership that cores answered with, if it is newer.
+func (store *coreStore) learn(roster Roster) {
+	store.mutex.Lock()
+	store.roster = store.roster.newer(roster)
+	store.mutex.Unlock()
+}
+
 func (store *coreStore) ask(address string, message *wire.Keep, limit time.Duration) (*wire.KeepTold, error) {
 	return wire.Ask[wire.Keep, wire.KeepTold](store.proxy.daemon.Line(), address, "keep", limit, message)
 }
@@ -113,48 +141,59 @@
 	}
 }
 
+// sendToMajority sends an update to the cores. It returns whether a majority of the
+// cores that vote has it.
 func (store *coreStore) sendToMajority(message *wire.Keep) bool {
-	cores := store.proxy.daemon.Finder.Cores()
+	roster, cores := store.coresToAsk()
+	message.Members = roster.accepted
 	got, _ := run.Gather(store.proxy.threads, len(cores), func(index int) (*wire.KeepTold, error) {
 		return store.ask(cores[index], message, settleLimit)
-	}, func(got map[int]*wire.KeepTold, _ map[int]error) bool { return majority(got) })
-	return majority(got)
+	}, func(got map[int]*wire.KeepTold, _ map[int]error) bool { return keptBy(roster, got).lasting() })
+	votes := keptBy(roster, got)
+	store.learn(votes.newest)
+	return votes.lasting()
 }
 
-func majority(got map[int]*wire.KeepTold) bool {
+// keptBy returns the votes of the cores that answered an update.
+func keptBy(roster Roster, got map[int]*wire.KeepTold) *coreVotes {
+	votes := newCoreVotes(roster)
 	for _, told := range got {
-		return len(got) > told.Cores/2
+		votes.add(told.Members, told.Core, !told.Refused, told.Whole)
 	}
-	return false
+	return votes
 }
 
 // restore passes every claim that the cores hold to take. It returns whether a
-// majority of cores answered that hold all claims.
+// majority of the cores that vote answered and hold all claims.
 func (store *coreStore) restore(take func([]wire.Claimed)) bool {
-	cores := store.proxy.daemon.Finder.Cores()
+	roster, cores := store.coresToAsk()
 	got, _ := run.Gather(store.proxy.threads, len(cores), func(index int) (*wire.PullTold, error) {
-		return pullAll(store.proxy.daemon.Line(), cores[index], take)
+		return pullAll(store.proxy.daemon.Line(), cores[index], roster.accepted, take)
 	}, func(map[int]*wire.PullTold, map[int]error) bool { return false })
-	wholes, need := 0, len(cores)/2+1
+	votes := newCoreVotes(roster)
 	for _, told := range got {
-		need = max(need, told.Cores/2+1)
-		if told.Whole {
-			wholes++
-		}
+		votes.add(told.Members, told.Core, true, told.Whole)
 	}
-	return wholes >= need
+	store.learn(votes.newest)
+	return votes.whole()
 }
 
-// pullAll passes every page of claims of a proxy or core to take and returns the last.
-func pullAll(line *wire.Line, address string, take func([]wire.Claimed)) (*wire.PullTold, error) {
+// pullAll passes every page of claims of a proxy or core to take. It returns the last
+// page, with the membership under which the first one was told.
+func pullAll(line *wire.Line, address string, members wire.Accepted, take func([]wire.Claimed)) (*wire.PullTold, error) {
+	var first *wire.PullTold
 	for after, whole := uint64(0), true; ; {
-		told, err := wire.Ask[wire.Pull, wire.PullTold](line, address, "pull", pullLimit, &wire.Pull{After: after})
+		told, err := wire.Ask[wire.Pull, wire.PullTold](line, address, "pull", pullLimit, &wire.Pull{After: after, Members: members})
 		if err != nil {
 			return nil, err
 		}
+		if first == nil {
+			first = told
+		}
 		take(told.Claims)
 		whole = whole && told.Whole
-		if told.Whole = whole; told.Done {
+		if told.Done {
+			told.Whole, told.Members, told.Core = whole, first.Members, first.Core
 			return told, nil
 		}
 		after = told.Last
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,7 @@
 	origin      *Process
 	listed      []stand.Listed
 	port        int
+	added       int
 	codes       []string
 	windows     []judge.Window
 	ledger      *judge.Ledger
@@ -108,11 +109,18 @@
 	return append(append([]*Process{}, fleet.Directories...), fleet.Proxies...)
 }
 
+// cores returns the cores that are not replaced, while a scenario may replace some.
+func (fleet *Fleet) cores() []*Process {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return append([]*Process{}, fleet.Cores...)
+}
+
 // Operator returns a client that calls all daemons in turn, beginning with the one
 // of this index.
 func (fleet *Fleet) Operator(first int) *operator.Client {
 	doors := []string{}
-	daemons := append(fleet.daemons(), fleet.Cores...)
+	daemons := append(fleet.daemons(), fleet.cores()...)
 	for turn := range len(daemons) {
 		doors = append(doors, daemons[(first+turn)%len(daemons)].Operate)
 	}
@@ -125,7 +133,7 @@
 	if mishap != nil {
 		return nil
 	}
-	for _, process := range fleet.Cores {
+	for _, process := range fleet.cores() {
 		if process.Wire == status.Leader.Address {
 			return process
 		}
@@ -163,7 +171,7 @@
 // Doors returns the operators' addresses of all processes that run.
 func (fleet *Fleet) Doors() []string {
 	doors := []string{}
-	for _, process := range append(fleet.daemons(), fleet.Cores...) {
+	for _, process := range append(fleet.daemons(), fleet.cores()...) {
 		if process.Alive() {
 			doors = append(doors, process.Operate)
 		}
--- a/fleet/scenario.go
+++ b/fleet/scenario.go
@@ -43,6 +43,7 @@
 	"in-turn":        {About: "every machine of ours is restarted in turn", Planned: true, Inject: restartedInTurn},
 	"frozen":         {About: "the leader, a proxy and a directory freeze", Inject: frozen},
 	"disk-lost":      {About: "each core loses its disk, one after another", Inject: coreDiskLost},
+	"cores-replaced": {About: "each core is replaced by a new one: one gone for good, one by plan, then the leader", Planned: true, Inject: coresReplaced},
 	"core-gone":      {About: "all cores are killed for a while", Inject: coreGone},
 	"all-down":       {About: "every process of ours is killed at once", Inject: allDown},
 	"storm":          {About: "dozens of operators change a large tree through all daemons while the leader changes", Planned: true, Inject: storm},
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -47,9 +47,12 @@
 // outgoingPorts begin here; a daemon that restarts could find its own taken.
 const outgoingPorts = 32768
 
+// newCores is the number of cores that a scenario may add.
+const newCores = 3
+
 // Ports returns the number of ports that the fleet takes.
 func (spec *Spec) Ports() int {
-	return 2*spec.Cores + 3*(spec.Directories+spec.Proxies+spec.Guests) + spec.Backends + 1
+	return 2*(spec.Cores+newCores) + 3*(spec.Directories+spec.Proxies+spec.Guests) + spec.Backends + 1
 }
 
 // Check reads the settings and returns wire.BadFlag or wire.Invalid for what could
--- a/member/finder.go
+++ b/member/finder.go
@@ -24,6 +24,7 @@
 
 	mutex   sync.Mutex
 	cores   []string
+	voting  int
 	members wire.Mark
 	leader  wire.Leader
 	dropped wire.Ballot
@@ -33,7 +34,7 @@
 const finderIdle = time.Minute
 
 func NewFinder(line *wire.Line, threads *run.Threads, cores []string) *Finder {
-	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, seeds: slices.Clone(cores), cores: slices.Clone(cores)}
+	return &Finder{line: line, threads: threads, bell: run.NewBell(), wanted: run.NewBell(), paces: Paces{}.filled(), told: func(string, *wire.WhoTold) {}, seeds: slices.Clone(cores), cores: slices.Clone(cores), voting: len(cores)}
 }
 
 // Paced sets how often a leader is looked for.
@@ -75,6 +76,20 @@
 	return append([]string{}, finder.cores...)
 }
 
+// Members is the mark of the newest membership that was heard of.
+func (finder *Finder) Members() wire.Mark {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return finder.members
+}
+
+// Voters are the cores that vote as far as is known, and the seeds that do not.
+func (finder *Finder) Voters() (voters, others []string) {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return slices.Clone(finder.cores[:finder.voting]), slices.Clone(finder.cores[finder.voting:])
+}
+
 // Heard takes anyone's word of a leader; older ballots are passed over.
 func (finder *Finder) Heard(leader wire.Leader) {
 	finder.mutex.Lock()
@@ -132,7 +147,9 @@
 			return false, fault
 		}
 		finder.Learn(told.Members, told.Cores)
-		finder.told(cores[index], told)
+		if finder.votes(cores[index]) {
+			finder.told(cores[index], told)
+		}
 		if !told.Duck {
 			finder.Heard(told.Leader)
 		}
@@ -140,6 +157,14 @@
 	}, func(map[int]bool, map[int]error) bool { return finder.Leader().Known() })
 }
 
+// votes is whether a core votes as far as is known: one that does no more may tell
+// what was in force when it did.
+func (finder *Finder) votes(core string) bool {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	return slices.Contains(finder.cores[:finder.voting], core)
+}
+
 // Learn takes the addresses of the voting cores under a membership's mark, unless a
 // newer one is known. Seeds that vote no more are asked after all others.
 func (finder *Finder) Learn(members wire.Mark, cores []string) {
@@ -148,7 +173,7 @@
 	if len(cores) == 0 || !finder.members.Less(members) {
 		return
 	}
-	finder.members, finder.cores = members, slices.Clone(cores)
+	finder.members, finder.cores, finder.voting = members, slices.Clone(cores), len(cores)
 	for _, seed := range finder.seeds {
 		if !slices.Contains(finder.cores, seed) {
 			finder.cores = append(finder.cores, seed)
