--- a/sim/replace_run_test.go
+++ b/sim/replace_run_test.go
@@ -14,7 +14,7 @@
 
 // SurvivedCoreFaults are the cores' own that lose no more than a deployment survives.
 var (
-	SurvivedCoreFaults = []string{"kill", "power", "term", "freeze", "cut", "one-way", "reset", "stall", "wipe", "all", "faults"}
+	SurvivedCoreFaults = []string{"kill", "power", "term", "freeze", "cut", "one-way", "reset", "stall", "wipe", "all", "faults", "refuse", "full", "refuse-restart"}
 	SurvivedLinkFaults = []string{"freeze", "cut", "one-way", "reset", "faults"}
 )
 
