--- a/sim/replaced_test.go
+++ b/sim/replaced_test.go
@@ -76,6 +76,20 @@
 	return fault == nil && told.Whole
 }
 
+// upWithKeepers starts the system with a backend in each zone, and waits until all
+// proxies keep keys.
+func (world *World) upWithKeepers(test *testing.T) {
+	test.Helper()
+	for _, zone := range []string{"e1", "w1", "s1"} {
+		world.AddBackend("meters", zone, stand.BackendPlace{WorkMs: 20, Room: 64})
+	}
+	world.up(test, 8)
+	if !world.Until(5*time.Second, func() bool { return world.keepers() == 6 }) {
+		test.Fatalf("%d keepers", world.keepers())
+	}
+	world.Rest(time.Second)
+}
+
 // A core that the others lost, but not the proxies, is replaced. Before and after
 // that, keys are claimed at this core and at one other; then every proxy dies, and
 // only the cores that were not asked are there: no key may be new to them.
@@ -83,14 +97,7 @@
 	each(test, func(test *testing.T, seed uint64) {
 		world := NewWorld(seed, 3)
 		defer world.Close()
-		for _, zone := range []string{"e1", "w1", "s1"} {
-			world.AddBackend("meters", zone, stand.BackendPlace{WorkMs: 20, Room: 64})
-		}
-		world.up(test, 8)
-		if !world.Until(5*time.Second, func() bool { return world.keepers() == 6 }) {
-			test.Fatalf("%d keepers", world.keepers())
-		}
-		world.Rest(time.Second)
+		world.upWithKeepers(test)
 		leader := world.Leader()
 		leads, stays, goes := world.Cores[leader], world.Cores[(leader+1)%3], world.Cores[(leader+2)%3]
 		world.cutDaemons(leads, true)
@@ -129,14 +136,7 @@
 	each(test, func(test *testing.T, seed uint64) {
 		world := NewWorld(seed, 3)
 		defer world.Close()
-		for _, zone := range []string{"e1", "w1", "s1"} {
-			world.AddBackend("meters", zone, stand.BackendPlace{WorkMs: 20, Room: 64})
-		}
-		world.up(test, 8)
-		if !world.Until(5*time.Second, func() bool { return world.keepers() == 6 }) {
-			test.Fatalf("%d keepers", world.keepers())
-		}
-		world.Rest(time.Second)
+		world.upWithKeepers(test)
 		tries := world.pay(20, 0)
 		for number := range 3 {
 			index := (int(seed) + number) % 3
