Routing comes into force while the leader has no list of backends

The leader makes its first table when the first session is there; if its own list is not read to the end and that session knows no table, the table is incomplete, and newer than all others. Every daemon takes it, and a proxy puts nothing in force while its table is incomplete: it stays on the routing it began with until the leader has read the list. Nothing recovered the backends either, since only newer tables were looked for.

Ruled out: the daemon's choice of core, a wait without end, fetch time-outs (all bounded), a wrong mark of what is committed (terms and serials compare).

Now a daemon keeps the newest whole table beside the newest one and serves by it with the newest routing, and a leader without a list takes the backends of an older table that a daemon has or, before its first table, another core.

TestRoutingComesIntoForceWithoutAList fails with the former condition.

--- a/agent/readiness.go
+++ b/agent/readiness.go
@@ -25,16 +25,16 @@
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	wasPaused := time.Since(daemon.lastPulse) > daemon.intervals.maxPause()
-	if !isWarm || wasPaused || !version.Table.Complete {
+	if !isWarm || wasPaused {
 		return false
 	}
 	if daemon.config.Routed {
 		mayServeAlone := daemon.config.ServesAlone && time.Since(daemon.unconfirmedSince) > failedCoreTimeout
 		isCut = isCut && !daemon.config.ServesAlone
-		return (daemon.confirmed || mayServeAlone) && !isCut && version.RoutingSerial > 0
+		return (daemon.confirmed || mayServeAlone) && !isCut && version.Servable()
 	}
 	isLate := daemon.newestSeen > version.Serial && time.Since(daemon.newestSeenAt) > maxBehind
-	return daemon.confirmed && !isCut && !isLate && version.Serial > 0
+	return daemon.confirmed && !isCut && !isLate && version.Serial > 0 && version.Table.Complete
 }
 
 // ObserveSerial takes a serial that a backend has seen. If it is newer than the one in
--- a/agent/version.go
+++ b/agent/version.go
@@ -15,6 +15,18 @@
 	Table         *message.Table
 	RoutingSerial uint64
 	Routing       *routing.State
+
+	completeTable *message.Table // the newest that was complete, nil if none was yet
+}
+
+// ServingTable returns the newest table that was made of a whole list of backends, nil if
+// there was none. A new leader that cannot read the platform's list makes tables without
+// backends; a proxy goes on with those that it knew.
+func (version *Version) ServingTable() *message.Table { return version.completeTable }
+
+// Servable reports whether a proxy that serves by the routing can serve by this version.
+func (version *Version) Servable() bool {
+	return version.Routing != nil && version.RoutingSerial > 0 && version.completeTable != nil
 }
 
 // Body returns the whole text of the settings.
@@ -43,6 +55,9 @@
 		next.RoutingSerial, next.Routing = response.Routing, routing
 	}
 	next.Table = newerTable(version.Table, response)
+	if next.Table.Complete {
+		next.completeTable = next.Table
+	}
 	return &next, nil
 }
 
--- /dev/null
+++ b/agent/version_test.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"testing"
+
+	"orchidjunction/message"
+	"orchidjunction/routing"
+	"orchidjunction/rpc"
+)
+
+// A new leader that cannot read the platform's list names no backends. A routing that is
+// newer comes into force all the same, with the backends that were known before.
+func TestRoutingComesIntoForceWithoutAList(test *testing.T) {
+	tableOf := func(term uint64, isComplete bool, names ...string) *message.Table {
+		table := &message.Table{Version: message.TableVersion{Term: message.Term{Number: term, Core: 1}, Number: 1}, Complete: isComplete}
+		for _, name := range names {
+			table.Backends = append(table.Backends, message.Backend{Name: name})
+		}
+		return table
+	}
+	responseOf := func(serial uint64, table *message.Table) *message.FetchResponse {
+		body, err := rpc.Marshal(&routing.State{Config: routing.Config{Version: serial}})
+		if err != nil {
+			test.Fatal(err)
+		}
+		return &message.FetchResponse{Routing: serial, RoutingBody: body, Table: table}
+	}
+	version := &Version{Table: &message.Table{}}
+	for _, step := range []struct {
+		name     string
+		response *message.FetchResponse
+		servable bool
+		routing  uint64
+		backends int
+	}{
+		{"nothing known of backends", responseOf(1, tableOf(1, false)), false, 1, 0},
+		{"a list", responseOf(2, tableOf(2, true, "a", "b")), true, 2, 2},
+		{"the next leader has none", responseOf(3, tableOf(3, false)), true, 3, 2},
+		{"nor the one after", responseOf(4, tableOf(4, false)), true, 4, 2},
+		{"which reads one", responseOf(5, tableOf(5, true, "c")), true, 5, 1},
+	} {
+		next, err := version.with(step.response, message.Chunks{})
+		if err != nil {
+			test.Fatal(step.name, err)
+		}
+		if next.Servable() != step.servable || next.Routing.Config.Version != step.routing {
+			test.Errorf("%s: servable %v, routing %d", step.name, next.Servable(), next.Routing.Config.Version)
+		}
+		if step.servable && len(next.ServingTable().Backends) != step.backends {
+			test.Errorf("%s: serves by %d backends, want %d", step.name, len(next.ServingTable().Backends), step.backends)
+		}
+		if next.Table != step.response.Table {
+			test.Errorf("%s: the newest table is not kept", step.name)
+		}
+		version = next
+	}
+}
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -69,8 +69,7 @@
 // leads, cores say what they know to be committed.
 func (daemon *Daemon) fetchFirstVersion(core string, response *message.LeaderResponse) {
 	version := daemon.Version()
-	hasVersion := version.RoutingSerial > 0 && version.Table.Complete
-	if hasVersion || !version.isBehind(0, response.Routing, response.Table) {
+	if version.Servable() || !version.isBehind(0, response.Routing, response.Table) {
 		return
 	}
 	daemon.counters.Add("begun_before_a_leader", 1)
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -83,8 +83,8 @@
 	dialer := &net.Dialer{Control: process.SetUserTimeout(backendUserTimeout), KeepAliveConfig: keepAlive}
 	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
-		if version.Routing != nil && version.RoutingSerial > 0 && version.Table.Complete {
-			plane.Apply(version.Routing, version.Table)
+		if version.Servable() {
+			plane.Apply(version.Routing, version.ServingTable())
 		}
 	}, nil)
 	daemon.SetWindows(plane.Windows)
--- a/control/table.go
+++ b/control/table.go
@@ -163,8 +163,27 @@
 	core.setTable(next)
 }
 
-// recoverTable fetches the newest table from a daemon that still holds what the cores lost.
+// recoverTable returns a table as the cores have lost it but some process still holds it:
+// the newest that a daemon has, or else, if no backends are known here, one with backends
+// that a daemon or another core has. It returns the given table if there is none.
 func (core *Core) recoverTable(table *message.Table, sessions []trackedSession) *message.Table {
+	if recovered := core.newerTable(table, sessions); recovered != nil {
+		core.counters.Add("tables_rebuilt", 1)
+		return recovered
+	}
+	if _, isComplete := core.backends.Backends(); isComplete || table.Complete {
+		return table
+	}
+	source := core.completeTable(table, sessions)
+	if source == nil {
+		return table
+	}
+	core.counters.Add("tables_completed", 1)
+	return &message.Table{Version: table.Version, Members: table.Members, Backends: source.Backends, Complete: true}
+}
+
+// newerTable fetches the newest table that a daemon has, nil if none is newer.
+func (core *Core) newerTable(table *message.Table, sessions []trackedSession) *message.Table {
 	newest, source := table.Version, ""
 	for _, tracked := range sessions {
 		if newest.Less(tracked.session.Table) {
@@ -172,17 +191,58 @@
 		}
 	}
 	if source == "" {
-		return table
+		return nil
 	}
 	recovered, err := core.fetchTable(source, table)
 	if err != nil || recovered == nil {
 		core.counters.Add("tables_not_rebuilt", 1)
-		return table
+		return nil
 	}
-	core.counters.Add("tables_rebuilt", 1)
 	return recovered
 }
 
+// completeTable fetches a table with backends that is older than the given one: from the
+// daemon with the newest or, before this leadership's first table, from another core.
+// It returns nil if there is none.
+func (core *Core) completeTable(table *message.Table, sessions []trackedSession) *message.Table {
+	newest, source := message.TableVersion{}, ""
+	for _, tracked := range sessions {
+		if newest.Less(tracked.session.Table) && tracked.session.Table.Less(table.Version) {
+			newest, source = tracked.session.Table, tracked.session.Member.InternalAddress
+		}
+	}
+	if source != "" {
+		recovered, err := core.fetchTable(source, &message.Table{})
+		if err == nil && recovered != nil && recovered.Complete {
+			return recovered
+		}
+	}
+	if table.Version.Term.Number > 0 {
+		return nil
+	}
+	isComplete := func(recovered *message.Table) bool { return recovered.Complete }
+	responses := callPeers(core, core.membership(), func(peer message.Peer) (*message.Table, error) {
+		return core.heldTable(peer.Address)
+	}, isComplete, func(has func(id int) bool) bool {
+		return slices.ContainsFunc(core.membership().Peers, func(peer message.Peer) bool { return has(peer.ID) })
+	})
+	for _, recovered := range responses {
+		if recovered.Complete {
+			return recovered
+		}
+	}
+	return nil
+}
+
+// heldTable fetches whichever table a process at an address holds, an empty one if it has none.
+func (core *Core) heldTable(address string) (*message.Table, error) {
+	table, err := core.fetchTable(address, &message.Table{})
+	if err == nil && table == nil {
+		table = &message.Table{}
+	}
+	return table, err
+}
+
 // followTable fetches the leader's table at the other cores.
 func (core *Core) followTable() {
 	core.mutex.Lock()
--- a/harness/simulation/regions.go
+++ b/harness/simulation/regions.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"orchidjunction/agent"
@@ -30,14 +31,16 @@
 
 // FarDaemon is a daemon without a data plane.
 type FarDaemon struct {
-	Name       string
-	Host       string
-	Region     int
-	Daemon     *agent.Daemon
-	Counters   *metrics.Counters
-	Alive      bool
-	Jump       int64
-	Seeds      []string
+	Name     string
+	Host     string
+	Region   int
+	Daemon   *agent.Daemon
+	Counters *metrics.Counters
+	Alive    bool
+	Jump     int64
+	Seeds    []string
+	// inForce is the version of the routing that the data plane serves by.
+	inForce    atomic.Uint64
 	goroutines *concurrent.Group
 	server     *http.Server
 	client     *rpc.Client
@@ -134,7 +137,11 @@
 	one.client = rpc.NewClient(world.Net.Transport(one.Host))
 	one.Daemon = agent.NewDaemon(spot, agent.NewID(), one.client, one.goroutines, one.Counters)
 	last := uint64(0)
+	one.inForce.Store(0)
 	one.Daemon.OnVersion(func(version *agent.Version) {
+		if version.Servable() {
+			one.inForce.Store(version.Routing.Config.Version)
+		}
 		if version.RoutingSerial < last {
 			world.broke("%s slid from routing %d to %d", one.Name, last, version.RoutingSerial)
 		}
@@ -143,6 +150,7 @@
 	if world.Requests != nil {
 		one.Daemon.SetWindows(func() []message.WindowCount { return world.Requests(one) })
 	}
+	world.Net.Vanish(one.Host, false)
 	server := rpc.NewServer(one.Counters)
 	one.Daemon.Register(server)
 	one.server = world.serve(one.goroutines, spot.InternalAddress, server)
@@ -161,6 +169,18 @@
 	one.client.Close()
 }
 
+// PowerOffMember ends a daemon as a loss of power does: nobody hears of it, and whoever
+// connects to its machine waits until StartMember.
+func (world *World) PowerOffMember(one *FarDaemon) {
+	if !world.ends(&one.Alive) {
+		return
+	}
+	world.Net.Vanish(one.Host, true)
+	one.goroutines.Stop()
+	_ = one.server.Close() // its listener is the net's
+	one.client.Close()
+}
+
 // CloseFar ends the members, then all else.
 func (world *World) CloseFar() {
 	for _, one := range world.Members {
--- /dev/null
+++ b/harness/simulation/total_loss_test.go
@@ -0,0 +1,175 @@
+package simulation
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"orchidjunction/discovery"
+	"orchidjunction/message"
+)
+
+// listTrouble is what becomes of the platform's list after a total loss of power.
+type listTrouble string
+
+const (
+	listSound  listTrouble = "list sound"
+	listBusy   listTrouble = "list puts off"
+	listSilent listTrouble = "list silent"
+	listFaulty listTrouble = "list refuses"
+)
+
+// totalLoss is a deployment whose machines all lose power soon after an order.
+type totalLoss struct {
+	*World
+	random  *rand.Rand
+	version uint64
+	trouble listTrouble
+	from    time.Time // when the trouble of the list begins, and
+	until   time.Time // when it ends
+}
+
+func newTotalLoss(test *testing.T, seed uint64, cores int) *totalLoss {
+	test.Helper()
+	loss := &totalLoss{World: NewFarWorld(seed, cores), random: rand.New(rand.NewPCG(seed, 97)), version: 1, trouble: listSound}
+	loss.Listed = loss.list
+	loss.farUp(test, 6)
+	return loss
+}
+
+// list is the platform's list, or what its trouble makes of it.
+func (loss *totalLoss) list(string) discovery.Page {
+	if time.Now().After(loss.from) && time.Now().Before(loss.until) {
+		switch loss.trouble {
+		case listBusy:
+			return discovery.Page{Err: errors.New("too many calls"), RetryAfter: 300 * time.Millisecond}
+		case listSilent:
+			loss.Rest(2 * time.Second)
+			return discovery.Page{Err: errors.New("no answer")}
+		case listFaulty:
+			return discovery.Page{Err: errors.New("unavailable")}
+		}
+	}
+	backends := []message.Backend{}
+	for index := range 5 {
+		backends = append(backends, message.Backend{Name: fmt.Sprint("b", index), Service: "desk", Address: "10.9.9.9:80", Capacity: 4})
+	}
+	return discovery.Page{Backends: backends}
+}
+
+func (loss *totalLoss) span(least, most time.Duration) time.Duration {
+	return least + time.Duration(loss.random.Int64N(int64(most-least)))
+}
+
+// powerOffAll takes the power of every machine at the same moment.
+func (loss *totalLoss) powerOffAll() {
+	for _, machine := range loss.machines() {
+		loss.end(machine, true, func(host string) { loss.Net.Vanish(host, true) })
+		loss.Net.Vanish(machine.Host, true)
+	}
+	for _, one := range loss.Members {
+		loss.PowerOffMember(one)
+	}
+}
+
+// returnAll starts all machines in any order within a time.
+func (loss *totalLoss) returnAll(within time.Duration) {
+	starts := []func(){}
+	for _, machine := range loss.machines() {
+		starts = append(starts, func() {
+			loss.Net.Vanish(machine.Host, false)
+			loss.start(machine)
+		})
+	}
+	for _, one := range loss.Members {
+		starts = append(starts, func() { loss.StartMember(one) })
+	}
+	loss.random.Shuffle(len(starts), func(left, right int) { starts[left], starts[right] = starts[right], starts[left] })
+	for _, start := range starts {
+		start()
+		loss.Rest(loss.span(0, 2*within/time.Duration(len(starts))))
+	}
+}
+
+// orderNext sends the next routing until it is acknowledged or the time is over, and
+// reports that it was.
+func (loss *totalLoss) orderNext(limit time.Duration) bool {
+	for until := time.Now().Add(limit); time.Now().Before(until); loss.Rest(orderRest) {
+		if len(loss.holds()) == 0 {
+			continue
+		}
+		if err := loss.Put(loss.version+1, loss.version); err == nil {
+			loss.version++
+			return true
+		}
+	}
+	return false
+}
+
+// judgeInForce wants an acknowledged version in force at all members, unless nobody has a
+// list of backends yet: what one of them knows, the leader tells the others.
+func (loss *totalLoss) judgeInForce(what string, wanted uint64) {
+	serving := 0
+	for _, one := range loss.Members {
+		inForce := one.inForce.Load()
+		if inForce > 0 {
+			serving++
+		}
+		if inForce > 0 && inForce < wanted {
+			version := one.Daemon.Version()
+			loss.broke(
+				"%s: %s serves by %d, %d was acknowledged; it holds routing %d, table %v, complete %v",
+				what, one.Name, inForce, wanted, version.RoutingSerial, version.Table.Version, version.Table.Complete,
+			)
+		}
+	}
+	if serving > 0 && serving < len(loss.Members) {
+		loss.broke("%s: %d of %d members know the backends", what, serving, len(loss.Members))
+	}
+}
+
+// All machines lose power 5 to 400 ms after an order was sent and come back in any order,
+// at times while the platform's list cannot be read. Every daemon in touch serves by the
+// acknowledged version in time, whatever it began with.
+func TestAcknowledgedIsInForceAfterTotalLoss(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		for _, trouble := range []listTrouble{listSound, listBusy, listSilent, listFaulty} {
+			loss := newTotalLoss(test, seed, 3+2*int(seed%2))
+			for round := range 3 {
+				loss.calm(test)
+				if seed%2 == 1 && round == 0 {
+					loss.ReplaceCore(int(seed)%len(loss.Cores), time.Second)
+					loss.calm(test)
+				}
+				loss.goroutines.Start(func() { loss.orderNext(30 * time.Second) })
+				loss.Rest(loss.span(5*time.Millisecond, 400*time.Millisecond))
+				loss.powerOffAll()
+				loss.Rest(loss.span(400*time.Millisecond, 1500*time.Millisecond))
+				loss.trouble, loss.from = trouble, time.Now().Add(loss.span(0, 800*time.Millisecond))
+				loss.until = loss.from.Add(loss.span(time.Second, 20*time.Second))
+				loss.returnAll(300 * time.Millisecond)
+				back := time.Now()
+				wanted := uint64(round) + 2
+				if !loss.Until(20*time.Second, func() bool { return loss.version >= wanted }) {
+					loss.broke("%s, round %d: %d is not acknowledged", trouble, round, wanted)
+				}
+				latest := back.Add(contactSpan)
+				if now := time.Now(); now.After(latest) {
+					latest = now
+				}
+				loss.Rest(time.Until(latest.Add(inForceSpan)))
+				loss.judgeInForce(fmt.Sprintf("%s, round %d", trouble, round), wanted)
+				loss.Rest(time.Until(loss.until.Add(contactSpan + inForceSpan)))
+				for _, one := range loss.Members {
+					if inForce := one.inForce.Load(); inForce != wanted {
+						loss.broke("%s, round %d: in calm %s serves by %d, %d was acknowledged", trouble, round, one.Name, inForce, wanted)
+					}
+				}
+			}
+			loss.report(test)
+			loss.CloseFar()
+		}
+	})
+}
