Usage of open windows is kept on the disks of a quorum, and flushed each 250 ms

Cause of missed duties: until a window was sealed, 3.5 to 8 s after its end, what proxies had reported stood in the leader's memory alone. A leader lost together with proxies took their part of the window with it, a loss of all power everything; a killed proxy its last half second and what it had sent within 150 ms.

Now counts are copied, with what changed, each 250 ms to as many voters as make a quorum with the leader; each core that holds counts has them in a log on its disk; a new leader asks all voters for theirs before it seals early. Proxies report each 250 ms, and to another voter while the leader is silent for 300 ms.

Ruled out: a bill that is estimated; counts in a register.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -64,6 +64,7 @@
 	catchingUp   atomic.Bool
 	sessionLock  *concurrent.Lock // held over a heartbeat of the session
 	sentCounts   sentCounts
+	countsFlush  countsFlush
 	countedUsage map[string]uint64
 
 	// mutex guards what follows.
@@ -183,6 +184,9 @@
 	}
 	if daemon.intervals.UsageCount > 0 {
 		daemon.goroutines.Every(concurrent.Fixed(daemon.intervals.UsageCount), daemon.sendUsage)
+		if daemon.config.DirectSessions {
+			daemon.goroutines.Every(concurrent.Fixed(daemon.intervals.UsageCount), daemon.flushCounts)
+		}
 	}
 }
 
--- a/agent/session.go
+++ b/agent/session.go
@@ -52,7 +52,9 @@
 	begin := time.Now()
 	core := daemon.sessionCore()
 	session := daemon.newSession(core)
+	daemon.countsFlush.sessionBegins(begin)
 	response, err := rpc.Call(daemon.client, core, message.MethodSession, daemon.intervals.callTimeout(), session)
+	daemon.countsFlush.sessionEnds()
 	roundTrip := time.Since(begin)
 	if err != nil {
 		daemon.sessionFailed(core)
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -21,6 +21,8 @@
 	watchTimeout       = 2500 * time.Millisecond
 	pulseInterval      = 500 * time.Millisecond
 	checkReachInterval = 500 * time.Millisecond
+	// usageInterval is how long a count is known to this process alone.
+	usageInterval = 250 * time.Millisecond
 	// backendUserTimeout is the time in which bytes that were sent to a backend must be
 	// acknowledged.
 	backendUserTimeout = 700 * time.Millisecond
@@ -45,7 +47,7 @@
 		Seeds:           internalSeeds(settings),
 		Intervals: agent.Intervals{
 			Session: sessionInterval, Watch: watchTimeout, FindLeader: findInterval,
-			Pulse: pulseInterval, CheckReach: checkReachInterval, UsageCount: -1,
+			Pulse: pulseInterval, CheckReach: checkReachInterval, UsageCount: usageInterval,
 		},
 		ForwardLimits:  agent.ForwardLimits{Attempt: attemptTimeout},
 		DirectSessions: true,
--- a/control/core.go
+++ b/control/core.go
@@ -44,13 +44,14 @@
 	founding *Founding
 
 	// What the core knows of daemons, backends and usage.
-	sessions   *Sessions
-	probeHints *ProbeHints
-	backends   *discovery.Reader
-	usage      *usage.Sums
-	windows    *usage.Windows
-	reporting  reporting
-	claims     *idempotency.Log
+	sessions    *Sessions
+	probeHints  *ProbeHints
+	backends    *discovery.Reader
+	usage       *usage.Sums
+	windows     *usage.Windows
+	reporting   reporting
+	usageCopies *usageCopies
+	claims      *idempotency.Log
 
 	platformClient *http.Client
 	readsBackends  bool
@@ -95,6 +96,9 @@
 	if kept := core.claims.Membership(); kept.Value.Serial > consensus.InitialSerial {
 		core.learnMembership(kept)
 	}
+	if core.config.Metering.Report != nil {
+		core.usageCopies.open(usage.OpenWindowLog(disk, core.windows))
+	}
 	if err := store.Err(); err != nil {
 		core.diskFailed(err)
 	}
@@ -127,6 +131,7 @@
 		contentLock:  concurrent.NewLock(),
 		tables:       newTableState(),
 	}
+	core.usageCopies = newUsageCopies(core)
 	core.replica = replica.New(store, replica.Callbacks{
 		DiskFailed:         core.diskFailed,
 		PromiseRaised:      core.promiseRaised,
@@ -175,6 +180,9 @@
 	}
 	switch {
 	case config.Metering.Report != nil:
+		every(concurrent.Fixed(journalInterval), core.journalUsage)
+		every(concurrent.Fixed(copyInterval), core.copyUsage)
+		every(core.leaderInterval(concurrent.Fixed(fetchCountsInterval)), core.fetchUsage)
 		every(core.leaderInterval(concurrent.Fixed(windowInterval)), core.sealWindows)
 		every(core.leaderInterval(concurrent.Fixed(windowInterval)), core.reportWindows)
 	case config.PlatformAddress != "":
@@ -198,6 +206,7 @@
 func (core *Core) Close() {
 	core.replica.Close()
 	core.claims.Close()
+	core.usageCopies.close()
 	core.client.Close()
 }
 
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -27,6 +27,8 @@
 	rpc.Handle(server, message.MethodLeave, handler(core.onLeave))
 	rpc.Handle(server, message.MethodShareSessions, handler(core.onShareSessions))
 	rpc.Handle(server, message.MethodFetchChunks, handler(core.onFetchChunks))
+	rpc.Handle(server, message.MethodCopyCounts, handler(core.onCopyCounts))
+	rpc.Handle(server, message.MethodFetchCounts, handler(core.onFetchCounts))
 }
 
 // registerChanges registers operators' orders and reads, which go to the leader.
@@ -48,6 +50,7 @@
 	rpc.Handle(server, message.MethodWatch, handler(core.onWatch))
 	rpc.Handle(server, message.MethodFetch, handler(core.onFetch))
 	rpc.Handle(server, message.MethodUsageCount, handler(core.onUsageCount))
+	rpc.Handle(server, message.MethodWindowCounts, handler(core.onWindowCounts))
 	rpc.Handle(server, message.MethodRecordClaims, handler(core.onRecordClaims))
 	rpc.Handle(server, message.MethodFetchClaims, handler(core.onFetchClaims))
 }
--- a/control/window_reports.go
+++ b/control/window_reports.go
@@ -88,6 +88,18 @@
 	return time.Since(reporting.startedAt) >= quiet && !isFormer
 }
 
+// onWindowCounts takes what a process reports between two heartbeats. A core that does not
+// lead keeps it on its disk for the next leader, which asks for it.
+func (core *Core) onWindowCounts(request *message.WindowCountsRequest) (*message.WindowCountsResponse, error) {
+	core.windows.AddBetween(request)
+	if _, err := core.currentLeadership(); err != nil {
+		if err := core.usageCopies.journal(); err != nil {
+			return nil, err
+		}
+	}
+	return &message.WindowCountsResponse{Process: core.windows.Process()}, nil
+}
+
 // windowState returns this core's leadership and the state of its reports register, nil
 // if there is none to work on.
 func (core *Core) windowState() (*Leadership, *usage.WindowState) {
@@ -177,7 +189,8 @@
 	if sinceEnd < config.SettleAfter {
 		return false
 	}
-	if !core.windows.AwaitsProcess(window, end) && core.windows.AllReported(core.Table(), end) {
+	isCounted := core.usageCopies.hasCounts(leadership)
+	if isCounted && !core.windows.AwaitsProcess(window, end) && core.windows.AllReported(core.Table(), end) {
 		return true
 	}
 	latest := max(config.SettleLatest, config.SettleAfter+windowSilence)
--- a/harness/simulation/regions.go
+++ b/harness/simulation/regions.go
@@ -55,7 +55,7 @@
 		Watch:      2500 * time.Millisecond,
 		FindLeader: 100 * time.Millisecond,
 		Pulse:      500 * time.Millisecond,
-		UsageCount: -1,
+		UsageCount: 250 * time.Millisecond,
 	}
 	world.Limits = agent.ForwardLimits{Attempt: 700 * time.Millisecond}
 	for index, machine := range world.Cores {
--- a/hostproxy/usage_meter.go
+++ b/hostproxy/usage_meter.go
@@ -30,7 +30,7 @@
 }
 
 // assumedRunningMs is after how long without a refusal a request counts as begun.
-const assumedRunningMs = 150
+const assumedRunningMs = 20
 
 func newUsageMeter(window time.Duration, now func() int64) *UsageMeter {
 	return &UsageMeter{
--- a/message/methods.go
+++ b/message/methods.go
@@ -14,6 +14,8 @@
 	MethodClaim rpc.Method[ClaimRequest, ClaimResponse] = "claim"
 	// MethodCompleteClaim tells a key replica how the request of a key ended.
 	MethodCompleteClaim rpc.Method[CompleteClaimRequest, CompleteClaimResponse] = "settle"
+	// MethodCopyCounts gives a core a copy of the counts of windows.
+	MethodCopyCounts rpc.Method[CopyCountsRequest, CopyCountsResponse] = "copycounts"
 	// MethodEvacuate begins or ends the evacuation of a zone.
 	MethodEvacuate rpc.Method[EvacuateRequest, EvacuateResponse] = "evacuate"
 	// MethodFetch fetches the version and table in force.
@@ -22,6 +24,8 @@
 	MethodFetchChunks rpc.Method[FetchChunksRequest, FetchChunksResponse] = "parts"
 	// MethodFetchClaims fetches the idempotency keys that a core or a replica holds.
 	MethodFetchClaims rpc.Method[FetchClaimsRequest, FetchClaimsResponse] = "pull"
+	// MethodFetchCounts fetches the counts of windows that a core holds.
+	MethodFetchCounts rpc.Method[FetchCountsRequest, FetchCountsResponse] = "fetchcounts"
 	// MethodHeartbeat is the leader's heartbeat to a core.
 	MethodHeartbeat rpc.Method[HeartbeatRequest, HeartbeatResponse] = "beat"
 	// MethodJoin asks the leader to take a core in as a learner.
@@ -62,6 +66,8 @@
 	MethodTransferLeadership rpc.Method[TransferLeadershipRequest, TransferLeadershipResponse] = "stepdown"
 	// MethodUsageCount reports usage to the leader.
 	MethodUsageCount rpc.Method[UsageCountRequest, UsageCountResponse] = "count"
+	// MethodWindowCounts reports the counts of windows to the leader.
+	MethodWindowCounts rpc.Method[WindowCountsRequest, WindowCountsResponse] = "windowcounts"
 	// MethodWatch waits for a newer version or table.
 	MethodWatch rpc.Method[WatchRequest, WatchResponse] = "watch"
 )
--- a/message/session.go
+++ b/message/session.go
@@ -77,3 +77,50 @@
 	}
 	return nil
 }
+
+// WindowCountsRequest tells the leader, between two heartbeats of a session, what a process
+// counted in windows. The fields are as in a Session.
+type WindowCountsRequest struct {
+	Incarnation string
+	Windows     []WindowCount
+	NowMs       int64
+	BaseProcess uint64
+}
+
+// WindowCountsResponse confirms a WindowCountsRequest. Process identifies the leader's process.
+type WindowCountsResponse struct{ Process uint64 }
+
+// Check refuses counts that name no process.
+func (request *WindowCountsRequest) Check() error {
+	if request.Incarnation == "" {
+		return rpc.Errorf(rpc.BadMessage, "counts without incarnation")
+	}
+	return nil
+}
+
+// ProcessCounts is what one process of a daemon counted in windows. Ended says that it
+// counts no more.
+type ProcessCounts struct {
+	Name        string
+	Incarnation string
+	Ended       bool
+	Windows     []WindowCount
+}
+
+// CopyCountsRequest gives a core a copy of counts, for the case that the sender is lost with
+// those that counted. Counts are all or, if BaseProcess is not 0, what changed since that
+// process of the receiver got the last copy.
+type CopyCountsRequest struct {
+	Counts      []ProcessCounts
+	BaseProcess uint64
+}
+
+// CopyCountsResponse confirms a copy that is durable. Process identifies the receiver's
+// process; if it is not the request's BaseProcess, everything must be sent again.
+type CopyCountsResponse struct{ Process uint64 }
+
+// FetchCountsRequest asks a core for all counts that it holds.
+type FetchCountsRequest struct{}
+
+// FetchCountsResponse has all counts that a core holds.
+type FetchCountsResponse struct{ Counts []ProcessCounts }
--- a/usage/windows.go
+++ b/usage/windows.go
@@ -1,10 +1,8 @@
 package usage
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 
 	"orchidjunction/message"
@@ -48,21 +46,27 @@
 	process uint64
 
 	mutex         sync.Mutex
-	counts        map[int64]map[string]map[string]uint64 // by window, process and tenant
-	reportedUntil map[string]int64                       // by process, in its own milliseconds
-	ended         map[string]bool                        // processes
-	incarnations  map[string]string                      // processes by the daemons' names
-	reported      map[int64]bool                         // windows
+	counts        map[int64]map[string]map[string]windowCount // by window, process and tenant
+	changes       uint64                                      // of counts, so far
+	reportedUntil map[string]int64                            // by process, in its own milliseconds
+	ended         map[string]bool                             // processes
+	incarnations  map[string]string                           // processes by the daemons' names
+	names         map[string]string                           // daemons' names by their processes
+	reported      map[int64]bool                              // windows
 }
 
+// windowCount is a count, and as which of all changes it was set last.
+type windowCount struct{ requests, change uint64 }
+
 // NewWindows returns Windows without counts.
 func NewWindows() *Windows {
 	return &Windows{
 		process:       rand.Uint64() | 1,
-		counts:        map[int64]map[string]map[string]uint64{},
+		counts:        map[int64]map[string]map[string]windowCount{},
 		reportedUntil: map[string]int64{},
 		ended:         map[string]bool{},
 		incarnations:  map[string]string{},
+		names:         map[string]string{},
 		reported:      map[int64]bool{},
 	}
 }
@@ -82,31 +86,52 @@
 	if former := windows.incarnations[session.Member.Name]; former != "" && former != incarnation {
 		windows.ended[former] = true
 	}
-	windows.incarnations[session.Member.Name] = incarnation
+	windows.incarnations[session.Member.Name], windows.names[incarnation] = incarnation, session.Member.Name
 	for _, count := range session.Windows {
 		windows.addCount(incarnation, count)
 	}
 }
 
+// AddBetween takes the counts that a process reports between two heartbeats of its session.
+func (windows *Windows) AddBetween(request *message.WindowCountsRequest) {
+	windows.mutex.Lock()
+	defer windows.mutex.Unlock()
+	if windows.isAddedTo(request.BaseProcess) {
+		windows.reportedUntil[request.Incarnation] = max(windows.reportedUntil[request.Incarnation], request.NowMs)
+	}
+	for _, count := range request.Windows {
+		windows.addCount(request.Incarnation, count)
+	}
+}
+
 // isComplete reports whether a session's counts, with those known here, are all that its
 // process counted: changes since what was reported to another process are not.
 func (windows *Windows) isComplete(session *message.Session) bool {
-	return session.BaseProcess == 0 || session.BaseProcess == windows.process
+	return windows.isAddedTo(session.BaseProcess)
+}
+
+// isAddedTo reports whether counts that add to what a process of a core knows are complete
+// with what is known here.
+func (windows *Windows) isAddedTo(process uint64) bool {
+	return process == 0 || process == windows.process
 }
 
 func (windows *Windows) addCount(incarnation string, count message.WindowCount) {
 	byProcess := windows.counts[count.Window]
 	if byProcess == nil {
-		byProcess = map[string]map[string]uint64{}
+		byProcess = map[string]map[string]windowCount{}
 		windows.counts[count.Window] = byProcess
 	}
 	byTenant := byProcess[incarnation]
 	if byTenant == nil {
-		byTenant = map[string]uint64{}
+		byTenant = map[string]windowCount{}
 		byProcess[incarnation] = byTenant
 	}
 	for tenant, requests := range count.Tenants {
-		byTenant[tenant] = max(byTenant[tenant], requests)
+		if requests > byTenant[tenant].requests {
+			windows.changes++
+			byTenant[tenant] = windowCount{requests: requests, change: windows.changes}
+		}
 	}
 }
 
@@ -121,10 +146,10 @@
 	counts := []message.WindowCount{}
 	for window, byProcess := range windows.counts {
 		if byTenant := byProcess[session.Member.Incarnation]; len(byTenant) > 0 {
-			counts = append(counts, message.WindowCount{Window: window, Tenants: maps.Clone(byTenant)})
+			counts = append(counts, message.WindowCount{Window: window, Tenants: changedSince(byTenant, 0)})
 		}
 	}
-	slices.SortFunc(counts, func(left, right message.WindowCount) int { return cmp.Compare(left.Window, right.Window) })
+	sortByWindow(counts)
 	return counts, true
 }
 
@@ -144,10 +169,8 @@
 	defer windows.mutex.Unlock()
 	sum := map[string]uint64{}
 	for _, byTenant := range windows.counts[window] {
-		for tenant, requests := range byTenant {
-			if requests > 0 {
-				sum[tenant] += requests
-			}
+		for tenant, count := range byTenant {
+			sum[tenant] += count.requests
 		}
 	}
 	return sum
@@ -160,7 +183,7 @@
 	defer windows.mutex.Unlock()
 	for _, counted := range []int64{window - 1, window} {
 		for incarnation := range windows.counts[counted] {
-			if !windows.ended[incarnation] && windows.reportedUntil[incarnation] < endMs {
+			if !windows.hasEnded(incarnation) && windows.reportedUntil[incarnation] < endMs {
 				return true
 			}
 		}
@@ -188,9 +211,12 @@
 func (windows *Windows) Forget(before, lengthMs int64) {
 	windows.mutex.Lock()
 	defer windows.mutex.Unlock()
-	maps.DeleteFunc(windows.counts, func(window int64, _ map[string]map[string]uint64) bool { return window < before })
+	maps.DeleteFunc(windows.counts, func(window int64, _ map[string]map[string]windowCount) bool { return window < before })
 	maps.DeleteFunc(windows.reportedUntil, func(_ string, at int64) bool { return at/lengthMs < before })
-	maps.DeleteFunc(windows.ended, func(incarnation string, _ bool) bool { return windows.reportedUntil[incarnation] == 0 })
+	counted := windows.countedProcesses()
+	isForgotten := func(incarnation string) bool { return windows.reportedUntil[incarnation] == 0 && !counted[incarnation] }
+	maps.DeleteFunc(windows.ended, func(incarnation string, _ bool) bool { return isForgotten(incarnation) })
+	maps.DeleteFunc(windows.names, func(incarnation, _ string) bool { return isForgotten(incarnation) })
 	maps.DeleteFunc(windows.reported, func(window int64, _ bool) bool { return window < before })
 }
 
