Long responses and copies of counts are compressed; headers and the search for the leader shorter

Now responses over 2 KB are compressed for callers that accept it (HTTP's own negotiation, so former releases go on), counts are compressed in the message, calls name their program in two letters and carry no date, and the search for a leader slows down to a third while none is found.

Tests: TestLongResponsesAreCompressed.

--- a/agent/leader_finder.go
+++ b/agent/leader_finder.go
@@ -10,8 +10,15 @@
 	"orchidjunction/rpc"
 )
 
-// maxFinderIdle bounds how long the search for the leader pauses while nobody waits.
-const maxFinderIdle = time.Minute
+const (
+	// maxFinderIdle bounds how long the search for the leader pauses while nobody waits.
+	maxFinderIdle = time.Minute
+	// Each search pauses searchSlowdown/searchSlowdownBase as long as the one before, up to
+	// maxSearchSlowdown times the first: an election takes many times as long as a question.
+	searchSlowdown     = 3
+	searchSlowdownBase = 2
+	maxSearchSlowdown  = 3
+)
 
 // LeaderFinder knows the leader and the cores, and searches for the leader while somebody
 // waits for it. It is safe for concurrent use.
@@ -59,15 +66,21 @@
 func (finder *LeaderFinder) Run() {
 	finder.goroutines.OnStop(finder.wanted.Notify)
 	finder.goroutines.OnStop(finder.leaderFound.Notify)
-	finder.goroutines.Start(func() {
-		for finder.goroutines.Sleep(finder.intervals.FindLeader) {
-			if seen := finder.wanted.Count(); finder.idle() {
-				finder.wanted.Wait(seen, maxFinderIdle)
-			} else {
-				finder.findLeader()
-			}
+	finder.goroutines.Start(finder.search)
+}
+
+// search asks the cores for the leader while somebody waits for it, at first often.
+func (finder *LeaderFinder) search() {
+	pause := finder.intervals.FindLeader
+	for finder.goroutines.Sleep(pause) {
+		if seen := finder.wanted.Count(); finder.idle() {
+			pause = finder.intervals.FindLeader
+			finder.wanted.Wait(seen, maxFinderIdle)
+			continue
 		}
-	})
+		finder.findLeader()
+		pause = min(pause*searchSlowdown/searchSlowdownBase, maxSearchSlowdown*finder.intervals.FindLeader)
+	}
 }
 
 // idle reports whether nobody waits for a leader.
--- a/control/usage_copies.go
+++ b/control/usage_copies.go
@@ -122,7 +122,11 @@
 	if len(counts) == 0 {
 		return true
 	}
-	request := &message.CopyCountsRequest{Counts: counts, BaseProcess: known.process}
+	body, err := message.EncodeCounts(counts)
+	if err != nil {
+		return false
+	}
+	request := &message.CopyCountsRequest{Body: body, BaseProcess: known.process}
 	response, err := rpc.Call(core.client, address, message.MethodCopyCounts, core.callTimeout(), request)
 	if err != nil {
 		core.counters.Add("usage_copies_failed", 1)
@@ -145,7 +149,11 @@
 // onCopyCounts takes a copy and answers once it is on the disk. A disk that refuses is no
 // reason to refuse the copy: it is in the memory of two cores then.
 func (core *Core) onCopyCounts(request *message.CopyCountsRequest) (*message.CopyCountsResponse, error) {
-	core.windows.AddCopies(request.Counts)
+	counts, err := message.DecodeCounts(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	core.windows.AddCopies(counts)
 	_ = core.usageCopies.journal()
 	return &message.CopyCountsResponse{Process: core.windows.Process()}, nil
 }
@@ -153,7 +161,11 @@
 // onFetchCounts returns all counts that this core holds.
 func (core *Core) onFetchCounts(*message.FetchCountsRequest) (*message.FetchCountsResponse, error) {
 	counts, _ := core.windows.ChangedSince(0)
-	return &message.FetchCountsResponse{Counts: counts}, nil
+	body, err := message.EncodeCounts(counts)
+	if err != nil {
+		return nil, err
+	}
+	return &message.FetchCountsResponse{Body: body}, nil
 }
 
 // fetchUsage is a new leader's task to fetch the counts that former leaders left at the
@@ -179,7 +191,11 @@
 	if err != nil {
 		return nil, err
 	}
-	core.windows.AddCopies(response.Counts)
+	counts, err := message.DecodeCounts(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	core.windows.AddCopies(counts)
 	copies.mutex.Lock()
 	defer copies.mutex.Unlock()
 	if copies.term == term {
--- a/message/compress.go
+++ b/message/compress.go
@@ -19,18 +19,26 @@
 	return buffer.Bytes()
 }
 
+// decompress returns what Compress compressed.
+func decompress(body []byte) ([]byte, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxDecompressedBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(plain) > maxDecompressedBytes {
+		return nil, rpc.Errorf(rpc.BadMessage, "more than %d bytes", maxDecompressedBytes)
+	}
+	return plain, nil
+}
+
 // DecompressRouting returns the routing's body as it was before it was compressed.
 func (response *FetchResponse) DecompressRouting() ([]byte, error) {
 	if !response.RoutingCompressed {
 		return response.RoutingBody, nil
 	}
-	reader := flate.NewReader(bytes.NewReader(response.RoutingBody))
-	body, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes+1))
+	body, err := decompress(response.RoutingBody)
 	if err != nil {
 		return nil, rpc.Errorf(rpc.BadMessage, "routing of %d compressed bytes: %w", len(response.RoutingBody), err)
 	}
-	if len(body) > maxDecompressedBytes {
-		return nil, rpc.Errorf(rpc.BadMessage, "routing of more than %d bytes", maxDecompressedBytes)
-	}
 	return body, nil
 }
--- a/message/session.go
+++ b/message/session.go
@@ -108,10 +108,10 @@
 }
 
 // CopyCountsRequest gives a core a copy of counts, for the case that the sender is lost with
-// those that counted. Counts are all or, if BaseProcess is not 0, what changed since that
-// process of the receiver got the last copy.
+// those that counted. Body is what EncodeCounts made of all counts or, if BaseProcess is not
+// 0, of what changed since that process of the receiver got the last copy.
 type CopyCountsRequest struct {
-	Counts      []ProcessCounts
+	Body        []byte
 	BaseProcess uint64
 }
 
@@ -122,5 +122,30 @@
 // FetchCountsRequest asks a core for all counts that it holds.
 type FetchCountsRequest struct{}
 
-// FetchCountsResponse has all counts that a core holds.
-type FetchCountsResponse struct{ Counts []ProcessCounts }
+// FetchCountsResponse has all counts that a core holds, as EncodeCounts makes them.
+type FetchCountsResponse struct{ Body []byte }
+
+// EncodeCounts returns counts encoded and compressed.
+func EncodeCounts(counts []ProcessCounts) ([]byte, error) {
+	body, err := rpc.Marshal(counts)
+	if err != nil {
+		return nil, err
+	}
+	return Compress(body), nil
+}
+
+// DecodeCounts returns the counts that EncodeCounts encoded.
+func DecodeCounts(body []byte) ([]ProcessCounts, error) {
+	if len(body) == 0 {
+		return nil, nil
+	}
+	plain, err := decompress(body)
+	if err != nil {
+		return nil, rpc.Errorf(rpc.BadMessage, "counts of %d bytes: %w", len(body), err)
+	}
+	counts := []ProcessCounts{}
+	if err := rpc.Unmarshal(plain, &counts); err != nil {
+		return nil, err
+	}
+	return counts, nil
+}
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -9,6 +9,9 @@
 	"connectrpc.com/connect"
 )
 
+// userAgent is what a call says of its sender's program.
+const userAgent = "oj"
+
 // Client calls other processes by their addresses. It is safe for concurrent use.
 type Client struct {
 	httpClient *http.Client
@@ -73,8 +76,18 @@
 	}
 	created := connect.NewClient[Request, Response](client.httpClient, url,
 		connect.WithCodec(Codec{}),
-		connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithAcceptCompression(compressionName, newDecompressor, newCompressor),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(withShortUserAgent)),
 		connect.WithReadMaxBytes(maxMessageBytes))
 	client.clients[url] = created
 	return created
 }
+
+// withShortUserAgent replaces the long name that package connect gives itself: calls are
+// many, and their headers cross regions.
+func withShortUserAgent(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		request.Header().Set("User-Agent", userAgent)
+		return next(ctx, request)
+	}
+}
--- /dev/null
+++ b/rpc/compression_test.go
@@ -0,0 +1,82 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"orchidjunction/metrics"
+)
+
+type testRequest struct{ Size int }
+
+type testResponse struct{ Body []byte }
+
+const testMethod Method[testRequest, testResponse] = "compressed"
+
+// recorder notes the headers of the last call, and takes off what callers of a former
+// release do not send.
+type recorder struct {
+	inner        http.RoundTripper
+	isFormer     bool
+	request      http.Header
+	responseSize int64
+	encoding     string
+	hasDate      bool
+}
+
+func (recorder *recorder) RoundTrip(request *http.Request) (*http.Response, error) {
+	if recorder.isFormer {
+		request.Header.Del("Accept-Encoding")
+		request.Header.Set("Accept-Encoding", "identity")
+	}
+	recorder.request = request.Header.Clone()
+	response, err := recorder.inner.RoundTrip(request)
+	if err == nil {
+		recorder.responseSize = response.ContentLength
+		recorder.encoding = response.Header.Get("Content-Encoding")
+		recorder.hasDate = response.Header.Get("Date") != ""
+	}
+	return response, err
+}
+
+// Long responses are compressed for callers that accept it, short ones and those to a
+// former release are not; all arrive whole. Headers that nobody reads are not sent.
+func TestLongResponsesAreCompressed(test *testing.T) {
+	server := NewServer(metrics.NewCounters())
+	Handle(server, testMethod, func(_ context.Context, request *testRequest) (*testResponse, error) {
+		return &testResponse{Body: bytes.Repeat([]byte("a backend in a zone;"), request.Size/20)}, nil
+	})
+	listening := httptest.NewServer(server)
+	defer listening.Close()
+	for _, step := range []struct {
+		name       string
+		isFormer   bool
+		size       int
+		compressed bool
+	}{
+		{"short", false, 200, false},
+		{"long", false, 40_000, true},
+		{"long, for a former release", true, 40_000, false},
+	} {
+		recorder := &recorder{inner: http.DefaultTransport, isFormer: step.isFormer}
+		address := strings.TrimPrefix(listening.URL, "http://")
+		response, err := Call(NewClient(recorder), address, testMethod, time.Second, &testRequest{Size: step.size})
+		if err != nil || len(response.Body) != step.size {
+			test.Fatalf("%s: %v", step.name, err)
+		}
+		if isCompressed := recorder.encoding != ""; isCompressed != step.compressed {
+			test.Errorf("%s: encoding %q", step.name, recorder.encoding)
+		}
+		if step.compressed && recorder.responseSize > int64(step.size/10) {
+			test.Errorf("%s: %d bytes", step.name, recorder.responseSize)
+		}
+		if recorder.hasDate || len(recorder.request.Get("User-Agent")) > 2 {
+			test.Errorf("%s: sent headers %v, date %v", step.name, recorder.request, recorder.hasDate)
+		}
+	}
+}
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -39,6 +39,7 @@
 		return
 	}
 	request.Body = http.MaxBytesReader(writer, request.Body, maxMessageBytes+1)
+	writer.Header()["Date"] = nil // not sent: calls are many, and nobody reads it
 	server.mux.ServeHTTP(writer, request)
 }
 
@@ -61,7 +62,8 @@
 		},
 		connect.WithCodec(countingCodec{counters: server.counters}),
 		connect.WithReadMaxBytes(maxMessageBytes),
-		connect.WithCompression("gzip", nil, nil),
+		connect.WithCompression(compressionName, newDecompressor, newCompressor),
+		connect.WithCompressMinBytes(minCompressedBytes),
 		connect.WithRecover(server.recovered))
 	server.mux.Handle(path, handler)
 }
