--- a/control/handlers.go
+++ b/control/handlers.go
@@ -25,6 +25,7 @@
 	rpc.Handle(server, message.MethodReplicaState, handler(core.onReplicaState))
 	rpc.Handle(server, message.MethodJoin, handler(core.onJoin))
 	rpc.Handle(server, message.MethodLeave, handler(core.onLeave))
+	rpc.Handle(server, message.MethodLeaveVoter, handler(core.onLeaveVoter))
 	rpc.Handle(server, message.MethodShareSessions, handler(core.onShareSessions))
 	rpc.Handle(server, message.MethodFetchChunks, handler(core.onFetchChunks))
 	rpc.Handle(server, message.MethodCopyCounts, handler(core.onCopyCounts))
--- a/control/leave.go
+++ b/control/leave.go
@@ -15,21 +15,35 @@
 	leaveTimeout = 3 * time.Second
 )
 
-// onLeave takes a voter's announcement that it ends. The voter need not wait if no
-// learner is there to take its place, nor once it has no place.
+// onLeave takes the announcement of a voter of a former release, which names its ID alone.
+// Only the ID of a decided voter is certainly its own.
 func (core *Core) onLeave(request *message.LeaveRequest) (*message.LeaveResponse, error) {
+	return core.takeLeave(func(voter message.Peer, isDecided bool) bool { return voter.ID == request.Core && isDecided })
+}
+
+// onLeaveVoter takes a voter's announcement that it ends.
+func (core *Core) onLeaveVoter(request *message.LeaveVoterRequest) (*message.LeaveResponse, error) {
+	return core.takeLeave(func(voter message.Peer, _ bool) bool {
+		return voter.ID == request.Core && voter.Address == request.Address
+	})
+}
+
+// takeLeave notes that the voter which a caller names ends. The voter need not wait if no
+// learner is there to take its place, nor if it has none.
+func (core *Core) takeLeave(isCaller func(voter message.Peer, isDecided bool) bool) (*message.LeaveResponse, error) {
 	leadership, err := core.currentLeadership()
 	if err != nil {
 		return nil, err
 	}
 	view := core.membership()
 	hasSuccessor := len(leadership.waitingLearners(view)) > 0 || view.Changing()
-	isVoter := consensus.ContainsPeer(view.Voters, request.Core) || consensus.ContainsPeer(view.Next, request.Core)
-	if !isVoter || !hasSuccessor {
-		return &message.LeaveResponse{Membership: view.Accepted()}, nil
+	for _, voter := range view.All() {
+		if hasSuccessor && isCaller(voter, consensus.ContainsPeer(view.Voters, voter.ID)) {
+			leadership.replacements.announceLeaving(voter.ID)
+			return &message.LeaveResponse{Wait: true}, nil
+		}
 	}
-	leadership.replacements.announceLeaving(request.Core)
-	return &message.LeaveResponse{Wait: true}, nil
+	return &message.LeaveResponse{Membership: view.Accepted()}, nil
 }
 
 // leaveMembership is the end of a voter that does not lead: it keeps voting until a
@@ -60,6 +74,12 @@
 	if !leader.Known() || leader.Address == core.config.InternalAddress {
 		return nil, rpc.Errorf(rpc.NoLeader, "nobody leads")
 	}
-	request := &message.LeaveRequest{Core: core.membership().ID}
-	return rpc.Call(core.client, leader.Address, message.MethodLeave, core.callTimeout(), request)
+	id, address := core.membership().ID, core.config.InternalAddress
+	request := &message.LeaveVoterRequest{Core: id, Address: address}
+	response, err := rpc.Call(core.client, leader.Address, message.MethodLeaveVoter, core.callTimeout(), request)
+	if rpc.CodeOf(err) == rpc.UnknownMessage {
+		former := &message.LeaveRequest{Core: id}
+		return rpc.Call(core.client, leader.Address, message.MethodLeave, core.callTimeout(), former)
+	}
+	return response, err
 }
--- a/message/golden_test.go
+++ b/message/golden_test.go
@@ -68,6 +68,7 @@
 		"Removal":         &RemoveVoterRequest{},
 		"RemovalTold":     &RemoveVoterResponse{},
 		"Leave":           &LeaveRequest{},
+		"LeaveVoter":      &LeaveVoterRequest{},
 		"LeaveTold":       &LeaveResponse{},
 		"Parts":           &FetchChunksRequest{},
 		"PartsTold":       &FetchChunksResponse{},
--- a/message/membership.go
+++ b/message/membership.go
@@ -165,6 +165,13 @@
 	Core int
 }
 
+// LeaveVoterRequest is a LeaveRequest that says at which address the voter is. A core may
+// keep an ID of a step that was never decided, which another one has got since.
+type LeaveVoterRequest struct {
+	Core    int
+	Address string
+}
+
 // LeaveResponse tells a leaving voter whether to wait until its place is taken.
 type LeaveResponse struct {
 	Wait       bool
@@ -173,3 +180,11 @@
 
 // Check refuses an ID out of range.
 func (request *LeaveRequest) Check() error { return checkCoreID(request.Core) }
+
+// Check refuses an ID out of range and an address of another form than IP:port.
+func (request *LeaveVoterRequest) Check() error {
+	if err := checkCoreID(request.Core); err != nil {
+		return err
+	}
+	return rpc.CheckAddress("address", request.Address)
+}
--- a/message/methods.go
+++ b/message/methods.go
@@ -34,6 +34,8 @@
 	MethodLeader rpc.Method[LeaderRequest, LeaderResponse] = "who"
 	// MethodLeave tells the leader that a core is about to end.
 	MethodLeave rpc.Method[LeaveRequest, LeaveResponse] = "leave"
+	// MethodLeaveVoter tells the leader that the voter at an address is about to end.
+	MethodLeaveVoter rpc.Method[LeaveVoterRequest, LeaveResponse] = "leavevoter"
 	// MethodMergeClaims gives a key replica keys that it lacks.
 	MethodMergeClaims rpc.Method[MergeClaimsRequest, MergeClaimsResponse] = "retell"
 	// MethodPreVote asks whether a candidacy has a chance.
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -43,8 +43,9 @@
 }
 
 // CallContext is a Call that also ends when ctx does. All errors it returns are of
-// type *Error: ConnectFailed if the message was certainly not sent, Unreachable if no
-// response came, else what the other process answered.
+// type *Error: ConnectFailed if the message was certainly not sent, UnknownMessage if the
+// other process does not know the method, Unreachable if no response came, else what the
+// other process answered.
 func CallContext[Request, Response any](
 	ctx context.Context,
 	client *Client,
--- a/rpc/error.go
+++ b/rpc/error.go
@@ -214,6 +214,9 @@
 	if errors.As(err, &dialed) && dialed.Op == "dial" {
 		return &Error{Code: ConnectFailed, Message: err.Error(), cause: err}
 	}
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return &Error{Code: UnknownMessage, Message: err.Error(), cause: err}
+	}
 	return &Error{Code: Unreachable, Message: err.Error(), cause: err}
 }
 
