--- a/harness/simulation/leave_test.go
+++ b/harness/simulation/leave_test.go
@@ -40,7 +40,13 @@
 			caller := rpc.NewClient(one.Net.Transport(voter.Host))
 			leave := func(address string) (*message.LeaveResponse, error) {
 				if isFormer && address == voter.InternalAddress {
-					return rpc.Call(caller, one.machine(leader).InternalAddress, message.MethodLeave, time.Second, &message.LeaveRequest{Core: id})
+					return rpc.Call(
+						caller,
+						one.machine(leader).InternalAddress,
+						message.MethodLeave,
+						time.Second,
+						&message.LeaveRequest{Core: id},
+					)
 				}
 				return rpc.Call(caller, one.machine(leader).InternalAddress, message.MethodLeaveVoter, time.Second,
 					&message.LeaveVoterRequest{Core: id, Address: address})
@@ -77,7 +83,15 @@
 		caller := rpc.NewClient(world.Net.Transport("10.8.0.1"))
 		defer caller.Close()
 		const unknown rpc.Method[message.LeaveRequest, message.LeaveResponse] = "not-there"
-		if _, err := rpc.Call(caller, world.Cores[0].InternalAddress, unknown, time.Second, &message.LeaveRequest{Core: 1}); rpc.CodeOf(err) != rpc.UnknownMessage {
+		if _, err := rpc.Call(
+			caller,
+			world.Cores[0].InternalAddress,
+			unknown,
+			time.Second,
+			&message.LeaveRequest{Core: 1},
+		); rpc.CodeOf(
+			err,
+		) != rpc.UnknownMessage {
 			test.Errorf("%v has the code %s", err, rpc.CodeOf(err))
 		}
 	})
--- a/routing/former_test.go
+++ b/routing/former_test.go
@@ -35,7 +35,11 @@
 // A register of a former release is read whole: routes, evacuated and restored zones, and
 // the orders that were taken.
 func TestStateOfFormerReleaseIsRead(test *testing.T) {
-	config := Config{Version: 9, Services: []Service{{Name: "desk"}}, Routes: []Route{{Name: "r", Host: "h", Prefix: "/a/", Service: "desk"}}}
+	config := Config{
+		Version:  9,
+		Services: []Service{{Name: "desk"}},
+		Routes:   []Route{{Name: "r", Host: "h", Prefix: "/a/", Service: "desk"}},
+	}
 	applied := []appliedChange{{Version: 3, Digest: "three"}, {Version: 9, Digest: "nine"}}
 	for name, former := range map[string]any{
 		"first release":  &firstState{Config: config, Evacuated: []string{"z1"}, Trail: applied},
