A candidate waits for all but the silent leader, and gives way to one it promised

Cause: where the leader's machine falls silent, a candidate asked everybody before it stood and waited 375 ms for the one whose silence made it stand.

Now the pre-vote waits for all voters but that leader, and a candidate gives way if it promised a term or saw a leader since it began. Rules of agreement are as they were: fewer terms are asked for.

--- a/control/election.go
+++ b/control/election.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -89,7 +90,7 @@
 	core.mutex.Lock()
 	seenBefore := core.election.leaderSeenAt
 	core.mutex.Unlock()
-	deferred = core.campaign(deferred || isFirst)
+	deferred = core.campaign(deferred || isFirst, seenBefore)
 	pause := core.random.between(core.config.HeartbeatInterval/2, core.config.SuspicionTimeout)
 	if isFirst {
 		pause = core.random.between(core.config.HeartbeatInterval/2, core.config.HeartbeatInterval) + core.firstElectionTimeout()
@@ -103,8 +104,10 @@
 }
 
 // campaign runs one candidacy: pre-vote, revocation by a fence, establishment. It returns
-// true if it deferred to a better candidate.
-func (core *Core) campaign(mayNotDefer bool) bool {
+// true if it deferred to a better candidate. It gives way to a candidate that this core
+// promised its term to, or a leader that it saw, later than seenBefore: raising the term
+// above theirs would end what is about to be established.
+func (core *Core) campaign(mayNotDefer bool, seenBefore time.Time) bool {
 	if !core.diskWritable() || !core.role.transition(Prechecking) {
 		return false
 	}
@@ -117,6 +120,10 @@
 	case preVoteDeferred:
 		return true
 	}
+	if core.sawLeaderSince(seenBefore) {
+		core.counters.Add("candidacies_given_up", 1)
+		return false
+	}
 	if !core.role.transition(Revoking) {
 		return false
 	}
@@ -130,6 +137,14 @@
 	return false
 }
 
+// sawLeaderSince reports whether this core saw a leader, or promised a term to a candidate,
+// since it last looked.
+func (core *Core) sawLeaderSince(seenBefore time.Time) bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return !core.election.leaderSeenAt.Equal(seenBefore)
+}
+
 // preVoteResult is what came of asking the other voters before a candidacy.
 type preVoteResult int
 
@@ -146,7 +161,7 @@
 	request := &message.PreVoteRequest{Core: view.ID, Versions: own.Versions, Membership: view.Version}
 	responses := callPeers(core, view, func(peer message.Peer) (*message.PreVoteResponse, error) {
 		return rpc.Call(core.client, peer.Address, message.MethodPreVote, core.callTimeout()/2, request)
-	}, func(*message.PreVoteResponse) bool { return true }, waitForAll)
+	}, func(*message.PreVoteResponse) bool { return true }, core.allButLeader(view))
 	own.Reachable = 1 + len(responses)
 	leaderAlive := false
 	for _, response := range responses {
@@ -171,6 +186,17 @@
 	return preVoteLost
 }
 
+// allButLeader returns what says whether all other voters have answered, but for the leader
+// whose silence makes this core a candidate: it is not waited for.
+func (core *Core) allButLeader(view *consensus.View) func(has func(id int) bool) bool {
+	core.mutex.Lock()
+	silent := core.election.leader.Term.Core
+	core.mutex.Unlock()
+	return func(has func(id int) bool) bool {
+		return !slices.ContainsFunc(view.Peers, func(peer message.Peer) bool { return peer.ID != silent && !has(peer.ID) })
+	}
+}
+
 // hasBetterCandidate reports whether a voter that answered goes before this core.
 func hasBetterCandidate(view *consensus.View, own consensus.Candidate, responses map[int]*message.PreVoteResponse) bool {
 	for id, response := range responses {
