--- a/harness/simulation/total_loss_test.go
+++ b/harness/simulation/total_loss_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -173,3 +174,63 @@
 		}
 	})
 }
+
+// All machines lose power at the same moment, daemons too, and as many cores lose their
+// disks as a quorum outlives: no process remembers anything. What was acknowledged is read
+// back and in force, an order sent again is known, and terms and IDs go on.
+func TestAcknowledgedOutlivesPowerAndDisks(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		loss := newTotalLoss(test, seed, 3+2*int(seed%2))
+		zones := []string{}
+		for round := range 4 {
+			loss.calm(test)
+			zone := fmt.Sprint("z", round)
+			if err := loss.Evacuate(zone, true); err != nil {
+				test.Fatal(err)
+			}
+			zones = append(zones, zone)
+			if !loss.orderNext(calmLimit) {
+				test.Fatal("no acknowledgement in calm")
+			}
+			acknowledged := loss.version
+			if round%2 == 1 {
+				loss.goroutines.Start(func() { loss.orderNext(time.Second) })
+				loss.Rest(loss.span(5*time.Millisecond, 400*time.Millisecond))
+			}
+			loss.powerOffAll()
+			for offset := range len(loss.Cores) / 2 {
+				loss.WipeCore((int(seed) + round + offset) % len(loss.Cores))
+			}
+			loss.Rest(loss.span(400*time.Millisecond, 1500*time.Millisecond))
+			loss.returnAll(300 * time.Millisecond)
+			loss.calm(test)
+			loss.judgeBook(fmt.Sprint("round ", round), acknowledged, zones)
+			loss.Rest(contactSpan + inForceSpan)
+			loss.judgeInForce(fmt.Sprint("round ", round), acknowledged)
+		}
+		loss.report(test)
+		loss.CloseFar()
+	})
+}
+
+// judgeBook wants what was acknowledged in the confirmed routing, and the newest order
+// acknowledged again when it is sent again. It goes on from what is in force.
+func (loss *totalLoss) judgeBook(what string, acknowledged uint64, zones []string) {
+	state, err := loss.Book()
+	if err != nil {
+		loss.broke("%s: no read back: %v", what, err)
+		return
+	}
+	if state.Config.Version < acknowledged {
+		loss.broke("%s: %d was acknowledged, %d read back", what, acknowledged, state.Config.Version)
+	}
+	for _, zone := range zones {
+		if !slices.Contains(state.Evacuated, zone) {
+			loss.broke("%s: the evacuation of %s is lost", what, zone)
+		}
+	}
+	if err := loss.Put(acknowledged, acknowledged-1); err != nil {
+		loss.broke("%s: %d sent again: %v", what, acknowledged, err)
+	}
+	loss.version = state.Config.Version
+}
