--- a/agent/counts_flush.go
+++ b/agent/counts_flush.go
@@ -13,6 +13,9 @@
 // until counts are sent to another core. It is longer than a round trip between regions.
 const silentAfter = 300 * time.Millisecond
 
+// maxVoterChoice spreads the daemons over the voters while the leader is silent.
+const maxVoterChoice = 1 << 10
+
 // countsFlush is what the reports of counts between two heartbeats need to know of the
 // session, and what was sent while that got no answer.
 type countsFlush struct {
@@ -22,7 +25,7 @@
 
 	// Used by the reports alone.
 	elsewhere sentCounts
-	core      int // of the voters, that got the last
+	core      int // of the voters, that got the last; another one at each daemon to begin with
 }
 
 func (flush *countsFlush) sessionBegins(at time.Time) {
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,6 +107,7 @@
 		unconfirmedSince: now,
 	}
 	daemon.connectivity.reachedCore(now)
+	daemon.countsFlush.core = rand.IntN(maxVoterChoice)
 	daemon.LeaderFinder = NewLeaderFinder(client, goroutines, config.Seeds).WithIntervals(daemon.intervals)
 	if config.DirectSessions && config.Routed {
 		daemon.LeaderFinder.onResponse = daemon.fetchFirstVersion
