Long responses share one compressor: hundreds at once took a core's memory

Each response that was compressed had a gzip writer of most of a megabyte, and 295 daemons fetch their first table at once.

Now all responses of a process share one writer, held while a message is compressed in memory.

Test: TestManyCompressedResponsesAtOnce.

--- a/rpc/compression.go
+++ b/rpc/compression.go
@@ -2,6 +2,8 @@
 
 import (
 	"compress/gzip"
+	"io"
+	"sync"
 
 	"connectrpc.com/connect"
 )
@@ -13,11 +15,47 @@
 	minCompressedBytes = 2048
 )
 
-// newCompressor returns a compressor that spares the processor: cores send many daemons the
-// same at once.
-func newCompressor() connect.Compressor {
-	writer, _ := gzip.NewWriterLevel(nil, gzip.BestSpeed) // the level is a valid one
-	return writer
+// sharedWriter is the one gzip writer of the process, which takes most of a megabyte: a core
+// answers hundreds of daemons at once. It is held from the first byte of a message to its
+// end, which is in memory. The level spares the processor.
+var sharedWriter struct {
+	mutex sync.Mutex
+	gzip  *gzip.Writer
+}
+
+// compressor compresses one message after the other with the shared writer. It implements
+// connect.Compressor.
+type compressor struct {
+	target io.Writer
+	holds  bool // the shared writer
+}
+
+func newCompressor() connect.Compressor { return &compressor{} }
+
+// Reset begins a message that is written to target.
+func (compressor *compressor) Reset(target io.Writer) { compressor.target = target }
+
+// Write adds to the message. The first call waits for the shared writer.
+func (compressor *compressor) Write(body []byte) (int, error) {
+	if !compressor.holds {
+		sharedWriter.mutex.Lock()
+		compressor.holds = true
+		if sharedWriter.gzip == nil {
+			sharedWriter.gzip, _ = gzip.NewWriterLevel(nil, gzip.BestSpeed) // the level is a valid one
+		}
+		sharedWriter.gzip.Reset(compressor.target)
+	}
+	return sharedWriter.gzip.Write(body)
+}
+
+// Close ends the message.
+func (compressor *compressor) Close() error {
+	if !compressor.holds {
+		return nil
+	}
+	defer sharedWriter.mutex.Unlock()
+	compressor.holds = false
+	return sharedWriter.gzip.Close()
 }
 
 func newDecompressor() connect.Decompressor { return &gzip.Reader{} }
--- a/rpc/compression_test.go
+++ b/rpc/compression_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,3 +85,49 @@
 		}
 	}
 }
+
+// Hundreds of callers that ask for a long response at once get it whole, and the compressors
+// together hold the memory of one.
+func TestManyCompressedResponsesAtOnce(test *testing.T) {
+	const callers = 300
+	compressors := []*compressor{}
+	for range callers {
+		compressors = append(compressors, newCompressor().(*compressor))
+	}
+	body := bytes.Repeat([]byte("a backend in a zone;"), 5000)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	targets := make([]bytes.Buffer, callers)
+	var group sync.WaitGroup
+	for index, one := range compressors {
+		group.Go(func() {
+			one.Reset(&targets[index])
+			for part := range slices.Chunk(body, 7000) {
+				if _, err := one.Write(part); err != nil {
+					test.Error(err)
+				}
+			}
+			if err := one.Close(); err != nil {
+				test.Error(err)
+			}
+			one.Reset(io.Discard)
+		})
+	}
+	group.Wait()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 8<<20 {
+		test.Errorf("%d compressors hold %d bytes", callers, grown)
+	}
+	for index := range targets {
+		reader, err := gzip.NewReader(&targets[index])
+		if err != nil {
+			test.Fatal(err)
+		}
+		if plain, err := io.ReadAll(reader); err != nil || !bytes.Equal(plain, body) {
+			test.Fatalf("response %d: %d bytes, %v", index, len(plain), err)
+		}
+	}
+	runtime.KeepAlive(compressors)
+}
--- a/usage/window_log.go
+++ b/usage/window_log.go
@@ -80,7 +80,9 @@
 }
 
 // Holds reports whether the first changes of the windows, so many, are on the disk.
-func (log *WindowLog) Holds(changes uint64) bool { return log.journal != nil && log.appended >= changes }
+func (log *WindowLog) Holds(changes uint64) bool {
+	return log.journal != nil && log.appended >= changes
+}
 
 // begin writes all counts into a new snapshot, begins its segment, and removes the files
 // before them.
