--- a/usage/window_copies.go
+++ b/usage/window_copies.go
@@ -39,13 +39,6 @@
 	return counts, windows.changes
 }
 
-// Changes returns how many changes of counts there were so far.
-func (windows *Windows) Changes() uint64 {
-	windows.mutex.Lock()
-	defer windows.mutex.Unlock()
-	return windows.changes
-}
-
 // AddCopies takes counts that another core, or the disk, knew. They tell nothing of until
 // when a process has reported.
 func (windows *Windows) AddCopies(copies []message.ProcessCounts) {
