--- a/control/usage_copies.go
+++ b/control/usage_copies.go
@@ -72,12 +72,8 @@
 // journal writes to the disk what was counted since the last time. Those that call it while
 // the disk is busy share the next write.
 func (copies *usageCopies) journal() error {
-	wanted := copies.core.windows.Changes()
 	copies.logLock.Lock()
 	defer copies.logLock.Unlock()
-	if copies.log.Holds(wanted) {
-		return nil
-	}
 	err := copies.log.Append()
 	if err != nil {
 		copies.core.counters.Add("usage_log_refused", 1)
--- a/usage/window_log.go
+++ b/usage/window_log.go
@@ -79,11 +79,6 @@
 	return nil
 }
 
-// Holds reports whether the first changes of the windows, so many, are on the disk.
-func (log *WindowLog) Holds(changes uint64) bool {
-	return log.journal != nil && log.appended >= changes
-}
-
 // begin writes all counts into a new snapshot, begins its segment, and removes the files
 // before them.
 func (log *WindowLog) begin() error {
