--- a/cmd/ojcluster/main.go
+++ b/cmd/ojcluster/main.go
@@ -1,6 +1,6 @@
 // Command ojcluster runs a deployment of real processes on this machine, injects the
-// faults of a scenario and prints the verdicts. It also measures how the system
-// scales.
+// faults of a scenario and prints the verdicts. It also writes the
+// tables of the capacity page.
 package main
 
 import (
@@ -90,9 +90,10 @@
 	flags.Parser.Int(&given.spec.Changes, "", "changes", "settings changes a second, about")
 	flags.Parser.Int(&given.spec.Tries, "", "tries", "tries that a caller makes for one task")
 	flags.Parser.Bool(&given.untimed, "", "untimed", "show the verdicts that a slow machine could fail, but do not count them")
-	measured := scaleFlags(flags)
+	capacity := capacityFlags(flags)
 	flags.Parse()
-	if measured.play(flags) {
+	if capacity.command.Used {
+		flags.Exit(capacity.write())
 		os.Exit(0)
 	}
 	return given
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -7,6 +7,10 @@
 	"orchidjunction/rpc"
 )
 
+// maxFetches is how many fetches are answered at the same time: a response may be a table
+// of thousands of backends.
+const maxFetches = 48
+
 // Register makes a server answer the calls to this core. The names are those of former
 // releases, which run side by side with this one.
 func (core *Core) Register(server *rpc.Server) {
@@ -50,6 +54,7 @@
 	rpc.Handle(server, message.MethodSession, handler(core.onSession))
 	rpc.Handle(server, message.MethodWatch, handler(core.onWatch))
 	rpc.Handle(server, message.MethodFetch, handler(core.onFetch))
+	rpc.LimitCalls(server, message.MethodFetch, maxFetches)
 	rpc.Handle(server, message.MethodUsageCount, handler(core.onUsageCount))
 	rpc.Handle(server, message.MethodWindowCounts, handler(core.onWindowCounts))
 	rpc.Handle(server, message.MethodRecordClaims, handler(core.onRecordClaims))
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -19,11 +19,12 @@
 	mux      *http.ServeMux
 	counters *metrics.Counters
 	paths    map[string]bool
+	limits   map[string]*callLimit // by path
 }
 
 // NewServer returns a server that answers no call yet.
 func NewServer(counters *metrics.Counters) *Server {
-	return &Server{mux: http.NewServeMux(), counters: counters, paths: map[string]bool{}}
+	return &Server{mux: http.NewServeMux(), counters: counters, paths: map[string]bool{}, limits: map[string]*callLimit{}}
 }
 
 // ServeHTTP answers a call, 404 for an unknown message and 415 for another content type.
@@ -40,6 +41,12 @@
 	}
 	request.Body = http.MaxBytesReader(writer, request.Body, maxMessageBytes+1)
 	writer.Header()["Date"] = nil // not sent: calls are many, and nobody reads it
+	if limit := server.limits[request.URL.Path]; limit != nil {
+		if !limit.enter(request) {
+			return
+		}
+		defer limit.leave()
+	}
 	server.mux.ServeHTTP(writer, request)
 }
 
