--- a/harness/simulation/halves_test.go
+++ b/harness/simulation/halves_test.go
@@ -51,10 +51,11 @@
 
 // order sends routings one after the other, by any core's entry point, until a time.
 func (halves *halves) order(until time.Time) {
+	random := rand.New(rand.NewPCG(halves.Seed, 103))
 	for time.Now().Before(until) {
 		if holds := halves.holds(); len(holds) > 0 {
 			version := halves.acknowledged.Load()
-			hold := holds[halves.random.IntN(len(holds))]
+			hold := holds[random.IntN(len(holds))]
 			if _, err := agent.Forward(hold, message.MethodRoutingChange, WholeChange(version+1, version)); err == nil {
 				halves.acknowledged.Store(version + 1)
 			}
--- a/harness/simulation/total_loss_test.go
+++ b/harness/simulation/total_loss_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,24 +27,31 @@
 type totalLoss struct {
 	*World
 	random  *rand.Rand
-	version uint64
-	trouble listTrouble
-	from    time.Time // when the trouble of the list begins, and
-	until   time.Time // when it ends
+	version atomic.Uint64 // acknowledged
+	list    atomic.Pointer[listState]
+}
+
+// listState is a trouble of the list, and when it begins and ends.
+type listState struct {
+	trouble     listTrouble
+	from, until time.Time
 }
 
 func newTotalLoss(test *testing.T, seed uint64, cores int) *totalLoss {
 	test.Helper()
-	loss := &totalLoss{World: NewFarWorld(seed, cores), random: rand.New(rand.NewPCG(seed, 97)), version: 1, trouble: listSound}
-	loss.Listed = loss.list
+	loss := &totalLoss{World: NewFarWorld(seed, cores), random: rand.New(rand.NewPCG(seed, 97))}
+	loss.version.Store(1)
+	loss.list.Store(&listState{trouble: listSound})
+	loss.Listed = loss.listed
 	loss.farUp(test, 6)
 	return loss
 }
 
-// list is the platform's list, or what its trouble makes of it.
-func (loss *totalLoss) list(string) discovery.Page {
-	if time.Now().After(loss.from) && time.Now().Before(loss.until) {
-		switch loss.trouble {
+// listed is the platform's list, or what its trouble makes of it.
+func (loss *totalLoss) listed(string) discovery.Page {
+	state := loss.list.Load()
+	if time.Now().After(state.from) && time.Now().Before(state.until) {
+		switch state.trouble {
 		case listBusy:
 			return discovery.Page{Err: errors.New("too many calls"), RetryAfter: 300 * time.Millisecond}
 		case listSilent:
@@ -101,8 +109,9 @@
 		if len(loss.holds()) == 0 {
 			continue
 		}
-		if err := loss.Put(loss.version+1, loss.version); err == nil {
-			loss.version++
+		version := loss.version.Load()
+		if err := loss.Put(version+1, version); err == nil {
+			loss.version.Store(version + 1)
 			return true
 		}
 	}
@@ -148,12 +157,13 @@
 				loss.Rest(loss.span(5*time.Millisecond, 400*time.Millisecond))
 				loss.powerOffAll()
 				loss.Rest(loss.span(400*time.Millisecond, 1500*time.Millisecond))
-				loss.trouble, loss.from = trouble, time.Now().Add(loss.span(0, 800*time.Millisecond))
-				loss.until = loss.from.Add(loss.span(time.Second, 20*time.Second))
+				from := time.Now().Add(loss.span(0, 800*time.Millisecond))
+				until := from.Add(loss.span(time.Second, 20*time.Second))
+				loss.list.Store(&listState{trouble: trouble, from: from, until: until})
 				loss.returnAll(300 * time.Millisecond)
 				back := time.Now()
 				wanted := uint64(round) + 2
-				if !loss.Until(20*time.Second, func() bool { return loss.version >= wanted }) {
+				if !loss.Until(20*time.Second, func() bool { return loss.version.Load() >= wanted }) {
 					loss.broke("%s, round %d: %d is not acknowledged", trouble, round, wanted)
 				}
 				latest := back.Add(contactSpan)
@@ -162,7 +172,7 @@
 				}
 				loss.Rest(time.Until(latest.Add(inForceSpan)))
 				loss.judgeInForce(fmt.Sprintf("%s, round %d", trouble, round), wanted)
-				loss.Rest(time.Until(loss.until.Add(contactSpan + inForceSpan)))
+				loss.Rest(time.Until(until.Add(contactSpan + inForceSpan)))
 				for _, one := range loss.Members {
 					if inForce := one.inForce.Load(); inForce != wanted {
 						loss.broke("%s, round %d: in calm %s serves by %d, %d was acknowledged", trouble, round, one.Name, inForce, wanted)
@@ -192,7 +202,7 @@
 			if !loss.orderNext(calmLimit) {
 				test.Fatal("no acknowledgement in calm")
 			}
-			acknowledged := loss.version
+			acknowledged := loss.version.Load()
 			if round%2 == 1 {
 				loss.goroutines.Start(func() { loss.orderNext(time.Second) })
 				loss.Rest(loss.span(5*time.Millisecond, 400*time.Millisecond))
@@ -232,5 +242,5 @@
 	if err := loss.Put(acknowledged, acknowledged-1); err != nil {
 		loss.broke("%s: %d sent again: %v", what, acknowledged, err)
 	}
-	loss.version = state.Config.Version
+	loss.version.Store(state.Config.Version)
 }
