--- a/harness/sweep/page.go
+++ b/harness/sweep/page.go
@@ -56,6 +56,9 @@
 
 // figure writes a number with three digits, and larger ones whole.
 func figure(value float64) string {
+	if value == 0 { // also a zero with a sign
+		return "0"
+	}
 	if value >= 1000 {
 		return strconv.FormatFloat(value, 'f', 0, 64)
 	}
