--- a/agent/connectivity.go
+++ b/agent/connectivity.go
@@ -58,6 +58,14 @@
 	return time.Since(connectivity.coreReachedAt) > coresSilentAfter
 }
 
+// coreContactAge returns how long ago the newest heartbeat was sent that a core answered
+// which follows a leader.
+func (connectivity *connectivity) coreContactAge() time.Duration {
+	connectivity.mutex.Lock()
+	defer connectivity.mutex.Unlock()
+	return time.Since(connectivity.coreReachedAt)
+}
+
 // cutChanged returns whether this daemon is cut off, and whether that has changed since
 // the last call.
 func (connectivity *connectivity) cutChanged() (isCut, changed bool) {
--- a/agent/gauges.go
+++ b/agent/gauges.go
@@ -20,6 +20,7 @@
 	gauge("table_term", func() float64 { return float64(daemon.Version().Table.Version.Term.Number) })
 	gauge("table_members", func() float64 { return float64(len(daemon.Version().Table.Members)) })
 	gauge("table_backends", func() float64 { return float64(len(daemon.Version().Table.Backends)) })
+	gauge("core_contact_age_seconds", func() float64 { return daemon.connectivity.coreContactAge().Seconds() })
 	gauge("leader_known", func() float64 { return asFigure(daemon.LeaderFinder.Leader().Known()) })
 	gauge("leader_term", func() float64 { return float64(daemon.LeaderFinder.Leader().Term.Number) })
 }
--- a/agent/updates.go
+++ b/agent/updates.go
@@ -30,6 +30,7 @@
 // of the chunks, then for those that are missing here. A process that moved on meanwhile
 // is asked again.
 func (daemon *Daemon) fetch(ctx context.Context, address string) bool {
+	begin := time.Now()
 	for range fetchAttempts {
 		version := daemon.Version()
 		request := &message.FetchRequest{Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial}
@@ -41,7 +42,9 @@
 		err = chunks.Fetch(daemon.client, address, daemon.intervals.fetchTimeout(), missing)
 		if err == nil {
 			daemon.counters.Add("branches_fetched", uint64(len(missing)))
-			return daemon.applyUpdate(response, chunks)
+			applied := daemon.applyUpdate(response, chunks)
+			daemon.counters.Histogram("update_fetch_seconds").Observe(time.Since(begin))
+			return applied
 		}
 		daemon.counters.Add("branches_"+string(rpc.CodeOf(err)), 1)
 		if rpc.CodeOf(err) != rpc.CorruptChunk {
--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -104,6 +104,10 @@
 		held.target.release(connection)
 		return nil, unsent
 	}
+	proxy.figures.sending(request, proxy.clock())
+	if held.isWithdrawn() {
+		proxy.counters.Add("attempts_sent_withdrawn", 1)
+	}
 	before := request.mayHaveRun
 	request.mayHaveRun = true
 	begun := proxy.usageMeter.begin(request.tenantName())
--- a/hostproxy/figures.go
+++ b/hostproxy/figures.go
@@ -40,6 +40,7 @@
 type figures struct {
 	waiting    map[routing.Kind]*metrics.Histogram
 	connecting map[routing.Kind]*metrics.Histogram
+	sendDelay  map[routing.Kind]*metrics.Histogram // of an attempt, from the choice of its backend to its first byte
 	backends   map[routing.Kind]*metrics.Histogram
 	whole      map[routing.Kind][]*metrics.Histogram // by result
 	added      *metrics.Histogram
@@ -49,6 +50,7 @@
 	made := &figures{
 		waiting:    map[routing.Kind]*metrics.Histogram{},
 		connecting: map[routing.Kind]*metrics.Histogram{},
+		sendDelay:  map[routing.Kind]*metrics.Histogram{},
 		backends:   map[routing.Kind]*metrics.Histogram{},
 		whole:      map[routing.Kind][]*metrics.Histogram{},
 		added:      counters.Histogram("request_added_seconds"),
@@ -57,6 +59,7 @@
 		label := metrics.Label{Name: "kind", Value: name}
 		made.waiting[kind] = counters.Histogram("request_wait_seconds", label)
 		made.connecting[kind] = counters.Histogram("request_connect_seconds", label)
+		made.sendDelay[kind] = counters.Histogram("attempt_send_delay_seconds", label)
 		made.backends[kind] = counters.Histogram("request_backend_seconds", label)
 		for _, result := range resultNames {
 			made.whole[kind] = append(
@@ -68,6 +71,11 @@
 	return made
 }
 
+// sending observes an attempt of which the first byte is about to be sent.
+func (figures *figures) sending(request *request, now time.Time) {
+	figures.sendDelay[request.route.Kind].Observe(now.Sub(request.chosenAt))
+}
+
 // answering observes what the proxy added to a request whose answer's head is about to be
 // written.
 func (figures *figures) answering(request *request, now time.Time) {
--- a/hostproxy/forward.go
+++ b/hostproxy/forward.go
@@ -18,7 +18,8 @@
 	for {
 		waitBegin := proxy.clock()
 		candidate, connections := proxy.nextBackend(request, waitUntil)
-		request.spent.waiting += proxy.clock().Sub(waitBegin)
+		request.chosenAt = proxy.clock()
+		request.spent.waiting += request.chosenAt.Sub(waitBegin)
 		if candidate == nil {
 			proxy.giveUp(request)
 			return
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -66,6 +66,7 @@
 	deadline time.Time
 
 	tried      []*target
+	chosenAt   time.Time // when the newest attempt's backend was chosen
 	attempts   int
 	lastAnswer *answer
 	mayHaveRun bool
--- a/hostproxy/target.go
+++ b/hostproxy/target.go
@@ -37,6 +37,7 @@
 // target is one incarnation of a backend as this process knows it; it outlives views.
 type target struct {
 	backend message.Backend
+	offer   *offer // nil while no view has the target as a candidate
 
 	mutex          sync.Mutex
 	idle           []*connection
@@ -125,6 +126,13 @@
 	target.mutex.Unlock()
 }
 
+// runningHere is how many requests this process has at the target.
+func (target *target) runningHere() int {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.running
+}
+
 // takeIdle gives an idle connection that is still sound.
 func (target *target) takeIdle(now time.Time) *connection {
 	for {
--- a/hostproxy/view.go
+++ b/hostproxy/view.go
@@ -1,6 +1,7 @@
 package hostproxy
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 	target     *target
 	region     string
 	distance   distance
+	offer      context.Context // done once a view in force does not have the target as a candidate
 	warmAt     int64
 	owned      bool
 	warmupRate float64
@@ -55,8 +57,9 @@
 	led := table.Version.Term.Number > 0
 	proxy.shareLimits(view, led)
 	proxy.addBackends(view, table.Backends, proxies, led)
-	proxy.retireUnlisted(table.Backends)
 	proxy.view.Store(view)
+	proxy.withdrawOthers(view, table.Version)
+	proxy.retireUnlisted(table.Backends)
 	proxy.capacityFreed.Notify()
 }
 
@@ -145,6 +148,7 @@
 			target:     held,
 			region:     proxy.config.Regions[backend.Zone],
 			distance:   proxy.config.distance(backend.Zone),
+			offer:      held.offerIn(view),
 			warmAt:     backend.WarmAtMs,
 			owned:      mayWarm && owner(backend, proxies, proxy.config.Regions) == proxy.config.Name,
 			warmupRate: ownerWarmupRate(service.WarmupRate, proxy.config.WarmupExcess, proxy.config.WarmupExtra),
