The product's own proxy does not send to a backend withdrawn during the dial either

A dial also made an unlisted target healthy again.

Change: after connecting, the target is checked against what is in force; a task that has not been sent goes to another with the attempt and the budget that it has. The dial itself goes on to its end.

--- a/serviceproxy/attempt.go
+++ b/serviceproxy/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,10 +23,20 @@
 	cancel      context.CancelFunc
 }
 
+// errWithdrawn is why a task was not sent to a target that was withdrawn since it was picked.
+var errWithdrawn = errors.New("the backend was withdrawn before the task was sent")
+
 // sendTo sends the task to one target. It returns the target's response and whether the
-// task may have run there.
+// task may have run there; errWithdrawn if the target may get nothing any more.
 func (task *task) sendTo(target *Target) (*Response, bool, error) {
 	connection, incarnation, err := target.connection(task.deadline)
+	if task.isWithdrawn(target) {
+		if err == nil {
+			connection.close()
+		}
+		target.leave()
+		return nil, false, errWithdrawn
+	}
 	if err != nil {
 		target.leave()
 		return nil, false, err
@@ -47,6 +58,13 @@
 	return sending.receive(response)
 }
 
+// isWithdrawn is whether a target may be sent nothing by what is in force now, which may be
+// newer than the task's plan.
+func (task *task) isWithdrawn(target *Target) bool {
+	routes, backend := task.proxy.plan.Load().routes, target.backend()
+	return target.isWithdrawn() || routes.drained[backend.Zone] || routes.gone[backend.Name]
+}
+
 // giveBack ends the attempt and keeps its connection for another. It closes the rest of a
 // response that was streamed, if there is one.
 func (sending *attempt) giveBack(rest io.ReadCloser) {
--- a/serviceproxy/target.go
+++ b/serviceproxy/target.go
@@ -37,6 +37,7 @@
 	probed        bool
 	failures      int
 	wrong         bool
+	closed        bool // no longer listed
 	inFlight      int
 	idle          []*BackendConn
 	warmupLimiter *rate.Limiter
@@ -137,12 +138,25 @@
 func (target *Target) usable() (bool, float64) {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	if !target.healthy() || target.identity.Leaving || target.backend().Leaving {
+	if !target.healthy() || target.leaves() {
 		return false, 0
 	}
 	return true, target.identity.Utilization + float64(target.inFlight)*0.05
 }
 
+// leaves is whether the backend says or the list shows that it should get nothing more. The
+// caller holds the mutex.
+func (target *Target) leaves() bool {
+	return target.closed || target.identity.Leaving || target.backend().Leaving
+}
+
+// isWithdrawn is whether the target may be sent nothing more.
+func (target *Target) isWithdrawn() bool {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.leaves()
+}
+
 // admit takes one place at the target; a cold one gives only its gentle share.
 func (target *Target) admit() bool {
 	target.mutex.Lock()
@@ -246,7 +260,7 @@
 func (target *Target) close() {
 	target.mutex.Lock()
 	stale := target.idle
-	target.idle, target.wrong = nil, true
+	target.idle, target.wrong, target.closed = nil, true, true
 	target.mutex.Unlock()
 	for _, connection := range stale {
 		connection.close()
--- a/serviceproxy/task_send.go
+++ b/serviceproxy/task_send.go
@@ -1,6 +1,7 @@
 package serviceproxy
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -38,16 +39,22 @@
 }
 
 // sendUntilAnswered picks a backend and sends until a response is whole, or another send
-// is unsafe, out of budget or out of time.
+// is unsafe, out of budget or out of time. A task whose backend was withdrawn before it was
+// sent goes to another with the attempt and the budget that it has.
 func (task *task) sendUntilAnswered() error {
 	var last error = &rpc.Error{Code: rpc.NoBackend, Message: "no backend can take this now", RetryAfterMs: retryAfterMs, Outcome: rpc.NotRun}
 	mayRun := false
-	for sends := range task.route.Attempts {
-		target, found := task.nextTarget(sends > 0)
+	for sends, isPaid := 0, false; sends < task.route.Attempts; {
+		target, found := task.nextTarget(sends > 0, isPaid)
 		if !found {
 			break
 		}
 		response, ran, err := task.sendTo(target)
+		if isPaid = errors.Is(err, errWithdrawn); isPaid {
+			task.proxy.counters.Add("sends_taken_back", 1)
+			continue
+		}
+		sends++
 		task.sent = task.sent || ran
 		if ran && !mayRun {
 			task.proxy.usage.Add(task.plan.routes.TenantName(task.tenant), 1)
@@ -65,9 +72,10 @@
 	return task.final(last, mayRun)
 }
 
-// nextTarget picks a backend that was not tried; a resend needs the retry budget.
-func (task *task) nextTarget(resend bool) (*Target, bool) {
-	if resend && !task.proxy.budget.allow() {
+// nextTarget picks a backend that was not tried; a resend needs the retry budget, unless
+// that was asked already.
+func (task *task) nextTarget(resend, isPaid bool) (*Target, bool) {
+	if resend && !isPaid && !task.proxy.budget.allow() {
 		task.proxy.counters.Add("resends_refused", 1)
 		return nil, false
 	}
@@ -77,6 +85,9 @@
 	}
 	task.tried[target] = true
 	task.state.advance(Assigned)
+	if isPaid {
+		return target, true
+	}
 	if resend {
 		task.proxy.counters.Add("resends", 1)
 	} else {
