Figure of the wait on a proxy's own link, by a model of its queue

Whether the time goes by on this machine's own link could not be told.

link_wait_seconds is, for each attempt, what the link was given before and cannot have carried yet by its stated rate. Nothing is decided by it.

--- a/hostproxy/figures.go
+++ b/hostproxy/figures.go
@@ -44,6 +44,7 @@
 	backends   map[routing.Kind]*metrics.Histogram
 	whole      map[routing.Kind][]*metrics.Histogram // by result
 	added      *metrics.Histogram
+	linkWait   *metrics.Histogram // of attempts, on this machine's own link
 }
 
 func newFigures(counters *metrics.Counters) *figures {
@@ -54,6 +55,7 @@
 		backends:   map[routing.Kind]*metrics.Histogram{},
 		whole:      map[routing.Kind][]*metrics.Histogram{},
 		added:      counters.Histogram("request_added_seconds"),
+		linkWait:   counters.Histogram("link_wait_seconds"),
 	}
 	for kind, name := range kindNames {
 		label := metrics.Label{Name: "kind", Value: name}
--- a/hostproxy/shaper.go
+++ b/hostproxy/shaper.go
@@ -36,6 +36,23 @@
 	urgentBytes float64
 	urgentRate  float64
 	updatedAt   time.Time
+	queue       linkQueue
+}
+
+// linkQueue is a model of the link's own queue: what was given to the link and it cannot
+// have carried yet by its stated rate.
+type linkQueue struct {
+	bytes     float64
+	updatedAt time.Time
+}
+
+// add puts bytes at the end of the queue. It returns how long they wait for those before
+// them.
+func (queue *linkQueue) add(bytes int, capacity float64, now time.Time) time.Duration {
+	carried := now.Sub(queue.updatedAt).Seconds() * capacity
+	ahead := max(0, queue.bytes-carried)
+	queue.bytes, queue.updatedAt = ahead+float64(bytes), now
+	return time.Duration(ahead / capacity * float64(time.Second))
 }
 
 // newShaper is nil for a link without a bound.
@@ -102,6 +119,18 @@
 	shaper.urgentBytes += float64(bytes)
 	shaper.updateRate(now)
 	shaper.mutex.Unlock()
+	shaper.enqueue(bytes, now)
+}
+
+// enqueue notes that bytes were given to the link. It returns how long they wait there for
+// those before them.
+func (shaper *Shaper) enqueue(bytes int, now time.Time) time.Duration {
+	if shaper == nil {
+		return 0
+	}
+	shaper.mutex.Lock()
+	defer shaper.mutex.Unlock()
+	return shaper.queue.add(bytes, shaper.capacity, now)
 }
 
 // updateRate sets what is left for large answers by what small ones took of late.
@@ -129,6 +158,7 @@
 		if err := shaper.bulk.WaitN(ctx, part); err != nil {
 			return err
 		}
+		shaper.enqueue(part, time.Now())
 		bytes -= part
 	}
 	return nil
--- a/hostproxy/shaper_test.go
+++ b/hostproxy/shaper_test.go
@@ -137,3 +137,18 @@
 		}
 	})
 }
+
+// The wait on the link is what was given to it before and it cannot have carried yet.
+func TestLinkQueue(test *testing.T) {
+	begin := time.Now()
+	queue := linkQueue{updatedAt: begin}
+	for _, step := range []struct {
+		after  time.Duration
+		bytes  int
+		waited time.Duration
+	}{{0, 1000, 0}, {0, 500, time.Second}, {time.Second, 0, 500 * time.Millisecond}, {3 * time.Second, 100, 0}} {
+		if waited := queue.add(step.bytes, 1000, begin.Add(step.after)); waited != step.waited {
+			test.Errorf("%d bytes after %s waited %s", step.bytes, step.after, waited)
+		}
+	}
+}
