--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -18,6 +18,9 @@
 	answered outcome = iota
 	// unsent: no byte of the request reached the backend.
 	unsent
+	// withdrawn: no byte was sent, because a view has come into force that does not have
+	// the backend as a candidate.
+	withdrawn
 	// refused: the backend says that it did not run the request.
 	refused
 	// lost: the request may have run, and there is no answer to trust.
@@ -56,7 +59,8 @@
 }
 
 // connect gives a connection to the target, an idle one or a new one; nil when there
-// is none to have.
+// is none to have. A dial ends at once when its target is withdrawn, and says nothing
+// of the target then.
 func (proxy *Proxy) connect(held *candidate, most int, limit time.Time) *connection {
 	if taken := held.target.takeIdle(proxy.clock()); taken != nil {
 		return taken
@@ -73,11 +77,14 @@
 	if until := begin.Add(patience); until.Before(limit) {
 		limit = until
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	ctx, cancel := context.WithDeadline(held.offer, limit)
 	conn, err := proxy.dial(ctx, "tcp", held.target.backend.Address)
 	cancel()
 	if err != nil {
 		held.target.unreserve()
+		if held.isWithdrawn() {
+			return nil
+		}
 		held.target.failed(proxy.clock(), true)
 		proxy.counters.Add("connections_failed", 1)
 		return nil
@@ -88,7 +95,8 @@
 }
 
 // attempt sends the request to one backend and reads what it answers. One that may
-// have run already, and may run only once, is sent nowhere.
+// have run already, and may run only once, is sent nowhere; nor is one to a backend that
+// was withdrawn since it was chosen.
 func (proxy *Proxy) attempt(request *request, held *candidate, limit int) (*answer, outcome) {
 	if request.mayHaveRun && !request.route.Kind.IsIdempotent() {
 		proxy.counters.Add("repeats_prevented", 1)
@@ -97,6 +105,12 @@
 	connectBegin := proxy.clock()
 	connection := proxy.connect(held, limit, request.deadline)
 	request.spent.connecting += proxy.clock().Sub(connectBegin)
+	if held.isWithdrawn() {
+		if connection != nil {
+			held.target.release(connection)
+		}
+		return nil, withdrawn
+	}
 	if connection == nil {
 		return nil, unsent
 	}
@@ -104,6 +118,10 @@
 		held.target.release(connection)
 		return nil, unsent
 	}
+	proxy.figures.sending(request, proxy.clock())
+	if held.isWithdrawn() {
+		proxy.counters.Add("attempts_sent_withdrawn", 1)
+	}
 	before := request.mayHaveRun
 	request.mayHaveRun = true
 	begun := proxy.usageMeter.begin(request.tenantName())
@@ -177,6 +195,7 @@
 // of them may have arrived.
 func (proxy *Proxy) send(connection *connection, head, body []byte) (bool, error) {
 	connection.upload = nil
+	proxy.figures.linkWait.Observe(proxy.outbound.enqueue(len(head)+len(body), proxy.clock()))
 	if len(body) <= smallBody {
 		count, err := connection.conn.Write(append(head, body...))
 		return count > 0, err
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -66,7 +66,9 @@
 	deadline time.Time
 
 	tried      []*target
+	chosenAt   time.Time // when the newest attempt's backend was chosen
 	attempts   int
+	retryPaid  bool // the budget was asked for the attempt that comes next
 	lastAnswer *answer
 	mayHaveRun bool
 
