Early success: the rest of a body is still sent to its backend

Cause: exchange gave the connection back as soon as the answer was read, and release closed one that was answered early under the goroutine that still wrote the body.

Change: after a success (below 400) the body is sent on in the background until the route's timeout, and the connection is closed in two steps, so that unread bytes don't reset what is under way. A stopping proxy waits for such uploads within its grace.

--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -91,6 +91,7 @@
 	}, nil)
 	daemon.SetWindows(plane.Windows)
 	daemon.SetWarm(plane.Ready)
+	daemon.OnRetire(plane.FinishUploads)
 	server := rpc.NewServer(node.counters)
 	daemon.Register(server)
 	lookups := platform.NewLookup(node.source.Settings, func() *message.Table { return daemon.Version().Table },
--- a/hostproxy/answer.go
+++ b/hostproxy/answer.go
@@ -20,12 +20,13 @@
 	refusalDrain = 50 * time.Millisecond
 )
 
-// answer is a backend's answer: whole, or its head with the rest still to read.
+// answer is a backend's answer: whole, or its head with the rest still to read. release
+// gives its connection back, and tells whether the answer was read whole.
 type answer struct {
 	response  *http.Response
 	body      []byte
 	remainder io.Reader
-	release   func(sound bool)
+	release   func(whole bool)
 }
 
 // headKind is what the head of an answer means to the request that waits for one.
--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -127,9 +127,7 @@
 		held.target.failed(begin, false)
 		return nil, unsent
 	}
-	stop := context.AfterFunc(request.context, func() {
-		_ = connection.conn.SetDeadline(time.Unix(1, 0)) // fails where the connection is closed, and nobody waits at it
-	})
+	stop := context.AfterFunc(request.context, connection.interrupt)
 	head := proxy.requestHead(request, held.target.backend.Name, request.deadline.Sub(begin))
 	if sent, err := proxy.send(connection, head, request.body); err != nil {
 		stop()
@@ -140,15 +138,25 @@
 		}
 		return nil, unsent
 	}
+	if stop() {
+		stop = context.AfterFunc(request.context, func() {
+			_ = connection.conn.SetReadDeadline(time.Unix(1, 0)) // fails where nobody waits at it any more
+		})
+	}
 	answer, ended := proxy.receive(request, held, connection, stop)
 	switch now := proxy.clock(); ended {
 	case answered:
-		answer.release = func(sound bool) {
-			proxy.release(held.target, connection, stop() && sound)
+		answer.release = func(whole bool) {
+			waited := stop()
+			if whole && connection.owesBody(answer) {
+				proxy.finishUpload(request, held.target, connection)
+				return
+			}
+			proxy.release(held.target, connection, waited && whole && !answer.response.Close)
 		}
 		held.target.served(now.Sub(begin), request.stats.mean(request.route), answer.response.StatusCode < 500)
 		if answer.remainder == nil {
-			answer.release(!answer.response.Close)
+			answer.release(true)
 		}
 	case lost:
 		stop()
--- a/hostproxy/connection.go
+++ b/hostproxy/connection.go
@@ -23,8 +23,8 @@
 	maxHead          = 256 << 10
 )
 
-// connection carries one request at a time to one backend. It is early when an answer
-// came before its request was sent whole: the backend may not read the rest of it.
+// connection carries one request at a time to one backend. answeredEarly is set when an
+// answer came before its request was sent whole: no other request can follow it.
 type connection struct {
 	conn          net.Conn
 	head          *io.LimitedReader
@@ -92,3 +92,18 @@
 }
 
 func (connection *connection) close() { connection.conn.Close() }
+
+// interrupt ends what reads from the connection or writes to it.
+func (connection *connection) interrupt() {
+	_ = connection.conn.SetDeadline(time.Unix(1, 0)) // fails where the connection is closed, and nobody waits at it
+}
+
+// halfCloser is a connection whose sending side can be closed by itself, as TCP's can.
+type halfCloser interface{ CloseWrite() error }
+
+// closeWrite tells the backend that nothing more comes.
+func (connection *connection) closeWrite() {
+	if half, able := connection.conn.(halfCloser); able {
+		_ = half.CloseWrite() // fails where the connection is closed already
+	}
+}
--- a/hostproxy/pipe_test.go
+++ b/hostproxy/pipe_test.go
@@ -138,6 +138,12 @@
 	return nil
 }
 
+// CloseWrite ends what this end sends; it goes on reading.
+func (pipe *pipe) CloseWrite() error {
+	pipe.out.end(io.EOF)
+	return nil
+}
+
 func (pipe *pipe) reset() {
 	pipe.in.abandon(true)
 	pipe.out.end(syscall.ECONNRESET)
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -40,6 +40,7 @@
 	queues          waitQueues
 	inFlight        inFlightCounts
 	bodies          bodyMemory
+	uploads         *pendingUploads
 	inbound         *Shaper
 	outbound        *Shaper
 	transfers       *TransferLimiter
@@ -66,6 +67,7 @@
 		capacityFreed:   concurrent.NewCondition(),
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
+		uploads:         newPendingUploads(),
 		evacuated:       map[string]bool{},
 		withheldHeaders: map[string]bool{},
 	}
--- a/hostproxy/response.go
+++ b/hostproxy/response.go
@@ -103,7 +103,7 @@
 		copied, err := io.Copy(writer, answer.remainder)
 		size += int(copied)
 		whole := err == nil && (answer.response.ContentLength < 0 || int64(size) == answer.response.ContentLength)
-		answer.release(whole && !answer.response.Close)
+		answer.release(whole)
 		if !whole {
 			proxy.counters.Add("answers_cut_short", 1)
 			panic(http.ErrAbortHandler)
