Log and measure the way of a drain from the platform's list to the proxies

Operators could not tell whether a request reached a backend over drain_ms after the list showed that it leaves because the list is read slowly, because an update reaches a proxy late, or because the request lay in its proxy (docs/incidents/drain-and-short.md). Adds a histogram of the time of one reading of the list, counters of calls, and a log line at each step: read by the leader, in the leader's table with its version, in force at each proxy. No logic changed.

--- a/agent/updates.go
+++ b/agent/updates.go
@@ -83,6 +83,11 @@
 		klog.Infof("%s: routing %d in force, version %d", daemon.config.Name, next.RoutingSerial, next.Routing.Config.Version)
 		daemon.counters.Add("routings_in_force", 1)
 	}
+	if leaving := message.NewlyLeaving(before.Table.Backends, next.Table.Backends); leaving > 0 {
+		version := next.Table.Version
+		klog.Infof("%s: table %d of term %s in force: %d backends newly leaving", daemon.config.Name, version.Number, version.Term, leaving)
+		daemon.counters.Add("backends_newly_leaving", uint64(leaving))
+	}
 }
 
 // onWatch waits until something is newer here than what another daemon holds.
--- a/control/table.go
+++ b/control/table.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"orchidjunction/message"
 	"orchidjunction/rpc"
 )
@@ -82,6 +84,10 @@
 	}
 	core.counters.Add("tables", 1)
 	core.setTable(next)
+	if leaving := message.NewlyLeaving(former.Backends, next.Backends); leaving > 0 {
+		version := next.Version
+		klog.Infof("core %d: table %d of term %s: %d backends newly leaving", core.membership().ID, version.Number, version.Term, leaving)
+	}
 }
 
 // nextTable returns the table that follows a former one.
--- a/discovery/reader.go
+++ b/discovery/reader.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"orchidjunction/message"
 	"orchidjunction/metrics"
 )
@@ -61,6 +63,7 @@
 type Reader struct {
 	options  Options
 	counters *metrics.Counters
+	readTime *metrics.Histogram
 
 	mutex       sync.Mutex
 	backends    map[string]message.Backend
@@ -73,7 +76,13 @@
 
 // NewReader returns a Reader that has read nothing.
 func NewReader(options Options, counters *metrics.Counters) *Reader {
-	return &Reader{options: options, counters: counters, backends: map[string]message.Backend{}, missed: map[string]int{}}
+	return &Reader{
+		options:  options,
+		counters: counters,
+		readTime: counters.Histogram("backend_list_read_seconds"),
+		backends: map[string]message.Backend{},
+		missed:   map[string]int{},
+	}
 }
 
 // Reset begins a leadership's reading with the backends of the table that it holds, so
@@ -123,6 +132,7 @@
 // whole list, or a list longer than the allowed burst would never end. Sleep pauses and
 // returns false when the process stops; Read ends early when goesOn returns false.
 func (reader *Reader) Read(sleep func(time.Duration) bool, goesOn func() bool) {
+	begin := time.Now()
 	list := &list{backends: map[string]message.Backend{}}
 	name, retries := "", 0
 	for pages := 0; ; {
@@ -145,12 +155,16 @@
 		pages++
 	}
 	reader.counters.Add("platform_reads_whole", 1)
-	reader.take(list)
+	reader.readTime.Observe(time.Since(begin))
+	if leaving := reader.take(list); leaving > 0 {
+		klog.Infof("backend list: %d backends newly leaving, in a reading of %v", leaving, time.Since(begin))
+	}
 }
 
 func (reader *Reader) page(name string) Page {
 	ctx, cancel := context.WithTimeout(context.Background(), pageTimeout)
 	defer cancel()
+	reader.counters.Add("platform_list_calls", 1)
 	return reader.options.Lister(ctx, name)
 }
 
@@ -181,8 +195,9 @@
 	return refused
 }
 
-// take takes a list that was read to its end.
-func (reader *Reader) take(list *list) {
+// take takes a list that was read to its end and returns how many backends it is the
+// first to call leaving.
+func (reader *Reader) take(list *list) (newlyLeaving int) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
 	reader.retryAfter = 0
@@ -191,14 +206,18 @@
 		former, found := reader.backends[name]
 		if next := reader.merge(former, backend); !found || next != former {
 			reader.backends[name], reader.sorted = next, nil
+			if next.Leaving && !former.Leaving {
+				newlyLeaving++
+			}
 		}
 		delete(reader.missed, name)
 	}
 	if list.shifted {
 		reader.counters.Add("platform_lists_shifted", 1)
-		return
+		return newlyLeaving
 	}
 	reader.dropMissing(list)
+	return newlyLeaving
 }
 
 // dropMissing removes the backends that several lists in a row lack.
--- a/message/table.go
+++ b/message/table.go
@@ -93,6 +93,25 @@
 	return next, true
 }
 
+// NewlyLeaving returns how many backends of a list leave that did not in a former list.
+// Both are sorted by name.
+func NewlyLeaving(former, next []Backend) int {
+	if len(former) > 0 && len(next) > 0 && &former[0] == &next[0] {
+		return 0
+	}
+	count := 0
+	for _, backend := range next {
+		for len(former) > 0 && former[0].Name < backend.Name {
+			former = former[1:]
+		}
+		wasLeaving := len(former) > 0 && former[0].Name == backend.Name && former[0].Leaving
+		if backend.Leaving && !wasLeaving {
+			count++
+		}
+	}
+	return count
+}
+
 func memberName(member *Member) string { return member.Name }
 
 func backendName(backend *Backend) string { return backend.Name }
--- a/message/table_test.go
+++ b/message/table_test.go
@@ -110,3 +110,16 @@
 		test.Errorf("%+v", delta)
 	}
 }
+
+// Only a backend that leaves and did not in the former list is newly leaving, whether the
+// former list had it or not.
+func TestNewlyLeavingCountsEachBackendOnce(test *testing.T) {
+	former := []Backend{{Name: "a"}, {Name: "b", Leaving: true}, {Name: "c"}, {Name: "gone", Leaving: true}}
+	next := []Backend{{Name: "a", Leaving: true}, {Name: "b", Leaving: true}, {Name: "c"}, {Name: "new", Leaving: true}}
+	if count := NewlyLeaving(former, next); count != 2 {
+		test.Errorf("%d newly leaving, want a and new", count)
+	}
+	if count := NewlyLeaving(next, next); count != 0 {
+		test.Errorf("%d newly leaving in the same list", count)
+	}
+}
