Roll-outs of versions: orders, their state in a fifth register, decisions by steps

Cause: the path was never built. Ruled out: that the list of backends has to show the version first.

A table that lists an ordered version names the serial of the roll-outs, and a daemon takes it only with them; a version without an order is not listed. Until the proxies split by version, one under test gets nothing and is reverted at its term.

--- a/agent/counts_flush.go
+++ b/agent/counts_flush.go
@@ -89,10 +89,18 @@
 func (daemon *Daemon) sendCounts(core string, sent *sentCounts) bool {
 	now := daemon.Now()
 	windows, base := sent.unsent(core, daemon.callbacks.windows())
-	if len(windows) == 0 {
+	rollouts := daemon.callbacks.rollouts()
+	if len(windows) == 0 && len(rollouts) == 0 {
 		return true
 	}
-	request := &message.WindowCountsRequest{Incarnation: daemon.incarnation, Windows: windows, NowMs: now, BaseProcess: base}
+	request := &message.WindowCountsRequest{
+		Incarnation:   daemon.incarnation,
+		Windows:       windows,
+		NowMs:         now,
+		BaseProcess:   base,
+		Rollouts:      daemon.Version().RolloutSerial,
+		RolloutCounts: rollouts,
+	}
 	response, err := rpc.Call(daemon.client, core, message.MethodWindowCounts, silentAfter, request)
 	if err != nil {
 		daemon.counters.Add("counts_unsent", 1)
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -27,6 +27,7 @@
 	isWarm      func() bool
 	usage       func() map[string]uint64
 	windows     func() []message.WindowCount
+	rollouts    func() []message.RolloutCounts
 	demand      func() float64
 	onRetire    func(rest time.Duration)
 }
@@ -39,6 +40,7 @@
 		isWarm:      func() bool { return true },
 		usage:       func() map[string]uint64 { return nil },
 		windows:     func() []message.WindowCount { return nil },
+		rollouts:    func() []message.RolloutCounts { return nil },
 		demand:      func() float64 { return 0 },
 		onRetire:    func(time.Duration) {},
 	}
@@ -143,6 +145,11 @@
 	daemon.callbacks.windows = windows
 }
 
+// SetRollouts sets what returns what was counted so far for the roll-outs in force.
+func (daemon *Daemon) SetRollouts(rollouts func() []message.RolloutCounts) {
+	daemon.callbacks.rollouts = rollouts
+}
+
 // SetWarm sets what says whether this daemon has probed what it needs.
 func (daemon *Daemon) SetWarm(isWarm func() bool) { daemon.callbacks.isWarm = isWarm }
 
--- a/agent/readiness.go
+++ b/agent/readiness.go
@@ -133,7 +133,7 @@
 		return false
 	}
 	isInForce := func() bool {
-		return !daemon.Version().isBehind(response.Serial, response.Routing, message.TableVersion{})
+		return !daemon.Version().isBehind(response.Serial, response.Routing, response.Rollouts, message.TableVersion{})
 	}
 	return isInForce() || daemon.fetch(context.Background(), leader.Address) && isInForce()
 }
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -23,7 +23,7 @@
 			daemon.parentFailed(parent)
 			continue
 		}
-		isNewer := version.isBehind(response.Serial, response.Routing, response.Table)
+		isNewer := version.isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
 		if isNewer && !daemon.fetch(context.Background(), parent) {
 			daemon.parentFailed(parent)
 		}
--- a/agent/session.go
+++ b/agent/session.go
@@ -83,15 +83,17 @@
 	daemon.mutex.Unlock()
 	now := daemon.Now()
 	session := &message.Session{
-		Member:  daemon.memberInfo(),
-		Serial:  version.Serial,
-		Table:   version.Table.Version,
-		Parent:  parent,
-		Probes:  daemon.callbacks.probes(),
-		Usage:   daemon.callbacks.usage(),
-		Routing: version.RoutingSerial,
-		NowMs:   now,
-		Ended:   hasEnded,
+		Member:        daemon.memberInfo(),
+		Serial:        version.Serial,
+		Table:         version.Table.Version,
+		Parent:        parent,
+		Probes:        daemon.callbacks.probes(),
+		Usage:         daemon.callbacks.usage(),
+		Routing:       version.RoutingSerial,
+		Rollouts:      version.RolloutSerial,
+		RolloutCounts: daemon.callbacks.rollouts(),
+		NowMs:         now,
+		Ended:         hasEnded,
 	}
 	session.Windows, session.BaseProcess = daemon.sentCounts.unsent(core, daemon.callbacks.windows())
 	return session
@@ -118,7 +120,8 @@
 	} else if daemon.config.DirectSessions || daemon.connectivity.coresSilent() {
 		daemon.failedAt[core] = time.Now()
 	}
-	isBehind := response.Serial > session.Serial || response.Routing > session.Routing || session.Table.Less(response.Table)
+	isBehind := response.Serial > session.Serial || response.Routing > session.Routing ||
+		response.Rollouts > session.Rollouts || session.Table.Less(response.Table)
 	if !isBehind {
 		daemon.behindSince = time.Time{}
 	} else if daemon.behindSince.IsZero() {
--- a/agent/updates.go
+++ b/agent/updates.go
@@ -17,11 +17,12 @@
 func (daemon *Daemon) watch(ctx context.Context, address string, version *Version) (*message.WatchResponse, error) {
 	interval := daemon.intervals.Watch
 	request := &message.WatchRequest{
-		Name:    daemon.config.Name,
-		Serial:  version.Serial,
-		Table:   version.Table.Version,
-		Routing: version.RoutingSerial,
-		SpanMs:  int(interval.Milliseconds()),
+		Name:     daemon.config.Name,
+		Serial:   version.Serial,
+		Table:    version.Table.Version,
+		Routing:  version.RoutingSerial,
+		Rollouts: version.RolloutSerial,
+		SpanMs:   int(interval.Milliseconds()),
 	}
 	return rpc.CallContext(ctx, daemon.client, address, message.MethodWatch, interval+daemon.intervals.callTimeout(), request)
 }
@@ -32,7 +33,9 @@
 func (daemon *Daemon) fetch(ctx context.Context, address string) bool {
 	for range fetchAttempts {
 		version := daemon.Version()
-		request := &message.FetchRequest{Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial}
+		request := &message.FetchRequest{
+			Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial, Rollouts: version.RolloutSerial,
+		}
 		response, err := rpc.CallContext(ctx, daemon.client, address, message.MethodFetch, daemon.intervals.fetchTimeout(), request)
 		if err != nil {
 			return false
@@ -57,7 +60,8 @@
 	daemon.applyMutex.Lock()
 	before := daemon.Version()
 	next, err := before.with(response, chunks)
-	isSame := err == nil && next.Serial == before.Serial && next.RoutingSerial == before.RoutingSerial && next.Table == before.Table
+	isSame := err == nil && next.Serial == before.Serial && next.RoutingSerial == before.RoutingSerial &&
+		next.RolloutSerial == before.RolloutSerial && next.Table == before.Table
 	if err == nil && !isSame {
 		daemon.callbacks.apply(next)
 		daemon.version.Store(next)
@@ -91,7 +95,9 @@
 	for {
 		seen := daemon.updates.Count()
 		version := daemon.Version()
-		response := &message.WatchResponse{Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial}
+		response := &message.WatchResponse{
+			Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial, Rollouts: version.RolloutSerial,
+		}
 		if response.NewerThan(request) || daemon.goroutines.Stopping() || !daemon.updates.Wait(seen, time.Until(deadline)) {
 			return response, nil
 		}
@@ -112,6 +118,9 @@
 		}
 		response.Routing, response.RoutingBody = version.RoutingSerial, body
 	}
+	if version.RolloutSerial > request.Rollouts {
+		response.Rollouts, response.RolloutList = version.RolloutSerial, version.Rollouts
+	}
 	if request.Table.Less(version.Table.Version) {
 		response.Table = version.Table
 	}
--- a/agent/version.go
+++ b/agent/version.go
@@ -6,8 +6,8 @@
 	"orchidjunction/routing"
 )
 
-// Version is what is in force in a daemon: settings, routing and table, with the serials
-// of the first two. It is immutable and replaced as a whole.
+// Version is what is in force in a daemon: settings, routing, roll-outs and table, with the
+// serials of the first three. It is immutable and replaced as a whole.
 type Version struct {
 	Serial        uint64
 	Tree          *config.Tree
@@ -15,6 +15,8 @@
 	Table         *message.Table
 	RoutingSerial uint64
 	Routing       *routing.State
+	RolloutSerial uint64
+	Rollouts      []message.Rollout
 
 	completeTable *message.Table // the newest that was complete, nil if none was yet
 }
@@ -33,11 +35,13 @@
 func (version *Version) Body() []byte { return version.Tree.Body() }
 
 // isBehind reports whether any of the given versions is newer.
-func (version *Version) isBehind(serial, routing uint64, table message.TableVersion) bool {
-	return serial > version.Serial || routing > version.RoutingSerial || version.Table.Version.Less(table)
+func (version *Version) isBehind(serial, routing, rollouts uint64, table message.TableVersion) bool {
+	return serial > version.Serial || routing > version.RoutingSerial || rollouts > version.RolloutSerial ||
+		version.Table.Version.Less(table)
 }
 
-// with returns the version with the newer parts of a response.
+// with returns the version with the newer parts of a response. A table that lists a new
+// version of a service is taken only together with the roll-outs that it was built under.
 func (version *Version) with(response *message.FetchResponse, chunks message.Chunks) (*Version, error) {
 	next := *version
 	if response.Serial > version.Serial {
@@ -54,7 +58,13 @@
 		}
 		next.RoutingSerial, next.Routing = response.Routing, routing
 	}
+	if response.Rollouts > version.RolloutSerial {
+		next.RolloutSerial, next.Rollouts = response.Rollouts, response.RolloutList
+	}
 	next.Table = newerTable(version.Table, response)
+	if next.Table.Rollouts > next.RolloutSerial {
+		next.Table = version.Table
+	}
 	if next.Table.Complete {
 		next.completeTable = next.Table
 	}
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return ctx.Err() != nil
 	}
-	isNewer := version.isBehind(response.Serial, response.Routing, response.Table)
+	isNewer := version.isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
 	return !isNewer || daemon.fetch(ctx, core) || ctx.Err() != nil
 }
 
@@ -69,7 +69,7 @@
 // leads, cores say what they know to be committed.
 func (daemon *Daemon) fetchFirstVersion(core string, response *message.LeaderResponse) {
 	version := daemon.Version()
-	if version.Servable() || !version.isBehind(0, response.Routing, response.Table) {
+	if version.Servable() || !version.isBehind(0, response.Routing, 0, response.Table) {
 		return
 	}
 	daemon.counters.Add("begun_before_a_leader", 1)
--- a/cmd/orchidjunction/core.go
+++ b/cmd/orchidjunction/core.go
@@ -11,6 +11,7 @@
 	"orchidjunction/control"
 	"orchidjunction/platform"
 	"orchidjunction/process"
+	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 	"orchidjunction/storage"
 )
@@ -138,6 +139,7 @@
 		ListInterval:      listInterval(settings),
 		ListsUntilGone:    listsUntilGone,
 		ReplaceAfter:      settings.Bounds.CatchUp / replaceShare,
+		Rollouts:          rollout.Bounds{Share: settings.Bounds.CanaryShare, Extra: settings.Bounds.CanaryExtra},
 	}
 	if !settings.Metered() {
 		return config
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -12,6 +12,7 @@
 	"orchidjunction/message"
 	"orchidjunction/platform"
 	"orchidjunction/process"
+	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 )
 
@@ -86,7 +87,7 @@
 	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
-			plane.Apply(version.Routing, version.ServingTable())
+			plane.Apply(version.Routing, rollout.WithoutTested(version.ServingTable(), version.Rollouts))
 		}
 	}, nil)
 	daemon.SetWindows(plane.Windows)
--- a/control/config.go
+++ b/control/config.go
@@ -6,6 +6,7 @@
 	"orchidjunction/consensus"
 	"orchidjunction/discovery"
 	"orchidjunction/message"
+	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 )
 
@@ -54,6 +55,10 @@
 	ListsUntilGone  int
 	Metering        Metering
 
+	// Rollouts bounds what a version that may be bad gets, and RolloutVerdict judges it.
+	Rollouts       rollout.Bounds
+	RolloutVerdict rollout.Verdict
+
 	// Wall returns the wall clock in milliseconds since the Unix epoch.
 	Wall func() int64
 	// OnRole is called when this core has begun to lead.
@@ -73,6 +78,10 @@
 	if config.OnMembershipChange == nil {
 		config.OnMembershipChange = func(message.Version, []string) {}
 	}
+	if config.RolloutVerdict == nil {
+		config.RolloutVerdict = rollout.FailureThreshold{}
+	}
+	setDefault(&config.Rollouts, rollout.DefaultBounds)
 	setDefault(&config.ReplaceAfter, max(minReplaceAfter, 2*config.SuspicionTimeout))
 	setDefault(&config.FoundingQuiet, foundingQuiet)
 	setDefault(&config.TableInterval, config.HeartbeatInterval)
--- a/control/core.go
+++ b/control/core.go
@@ -59,11 +59,15 @@
 
 	// updates is notified when a value is committed, a table is built or the leader
 	// changes; wakeElection when the election has something to do.
-	updates      *concurrent.Condition
-	wakeElection *concurrent.Condition
-	contentLock  *concurrent.Lock
-	routingCache routingCache
-	fetchCache   fetchCache
+	updates          *concurrent.Condition
+	wakeElection     *concurrent.Condition
+	contentLock      *concurrent.Lock
+	routingCache     routingCache
+	rolloutsCache    rolloutsCache
+	rolloutReports   rolloutReports
+	observedBackends observedBackends
+	listed           listedBackends
+	fetchCache       fetchCache
 
 	// mutex guards what follows. It is never held over a call or a write.
 	mutex       sync.Mutex
@@ -104,8 +108,10 @@
 		core.diskFailed(err)
 	}
 	core.election.timeout = core.firstElectionTimeout()
-	if accepted, isProven := core.replica.State().ProvenCommitted(message.RoutingRegister); isProven {
-		core.committed[message.RoutingRegister] = accepted
+	for _, register := range markedRegisters {
+		if accepted, isProven := core.replica.State().ProvenCommitted(register); isProven {
+			core.committed[register] = accepted
+		}
 	}
 	return core, nil
 }
@@ -177,6 +183,7 @@
 	every(concurrent.Fixed(2*config.HeartbeatInterval), core.shareSessions)
 	every(concurrent.Fixed(config.TableInterval), core.buildTable)
 	every(concurrent.Fixed(config.TableInterval), core.followTable)
+	every(core.leaderInterval(concurrent.Fixed(decideInterval)), core.decideRollouts)
 	every(core.leaderInterval(concurrent.Fixed(config.HeartbeatInterval)), core.changeMembership)
 	if core.readsBackends {
 		every(core.leaderInterval(core.backends.Interval), core.readBackends)
--- a/control/disk_failure.go
+++ b/control/disk_failure.go
@@ -74,7 +74,7 @@
 		return
 	}
 	core.mutex.Lock()
-	failure, committed := core.diskFailure, core.committed[message.RoutingRegister]
+	failure, committed := core.diskFailure, core.committed
 	core.diskFailure = diskFailure{}
 	core.mutex.Unlock()
 	core.counters.Add("disk_repairs", 1)
@@ -85,7 +85,9 @@
 	)
 	core.wakeElection.Notify()
 	if core.config.discoversPeers() {
-		core.replica.MarkCommitted(message.RoutingRegister, committed.Version())
+		for _, register := range markedRegisters {
+			core.replica.MarkCommitted(register, committed[register].Version())
+		}
 	}
 }
 
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -3,6 +3,7 @@
 import (
 	"orchidjunction/consensus"
 	"orchidjunction/message"
+	"orchidjunction/rollout"
 	"orchidjunction/routing"
 	"orchidjunction/rpc"
 )
@@ -25,6 +26,7 @@
 	values     [message.Registers]message.Value
 	content    *content
 	routing    *routing.State
+	rollouts   *rollout.State
 }
 
 // establish returns a leadership under a term. Every step is done anew: none of a former
@@ -93,6 +95,10 @@
 	if err != nil {
 		return err
 	}
+	establishment.rollouts, err = rollout.DecodeState(establishment.values[message.RolloutsRegister].Body)
+	if err != nil {
+		return err
+	}
 	if err := core.replicateAll(establishment.view, establishment.term, establishment.values, chunks); err != nil {
 		return err
 	}
--- a/control/fetch_cache.go
+++ b/control/fetch_cache.go
@@ -19,7 +19,7 @@
 	responses map[fetchKey]*message.FetchResponse
 }
 
-type fetchKey struct{ serial, routing uint64 }
+type fetchKey struct{ serial, routing, rollouts uint64 }
 
 // get returns the encoded response that says the same. One without a table is small and
 // is returned as it is.
@@ -29,7 +29,7 @@
 	}
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
-	key := fetchKey{response.Serial, response.Routing}
+	key := fetchKey{response.Serial, response.Routing, response.Rollouts}
 	if known := cache.responses[key]; known != nil && cache.table == response.Table {
 		return known, nil
 	}
--- a/control/gauges.go
+++ b/control/gauges.go
@@ -38,6 +38,7 @@
 		return 0
 	})
 	gauge("settings_serial", func() float64 { return float64(core.committedSerialOf(message.SettingsRegister)) })
+	gauge("rollouts_serial", func() float64 { return float64(core.committedSerialOf(message.RolloutsRegister)) })
 	gauge("routing_serial", func() float64 { return float64(core.committedSerialOf(message.RoutingRegister)) })
 	gauge("table_members", func() float64 { return float64(len(core.Table().Members)) })
 	gauge("table_backends", func() float64 { return float64(len(core.Table().Backends)) })
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -44,6 +44,8 @@
 	rpc.Handle(server, message.MethodRoutingChange, handler(core.onRoutingChange))
 	rpc.Handle(server, message.MethodRoutingRead, handler(core.onRoutingRead))
 	rpc.Handle(server, message.MethodEvacuate, handler(core.onEvacuate))
+	rpc.Handle(server, message.MethodRolloutOrder, handler(core.onRolloutOrder))
+	rpc.Handle(server, message.MethodRolloutRead, handler(core.onRolloutRead))
 	rpc.Handle(server, message.MethodRemoveVoter, handler(core.onRemoveVoter))
 	rpc.Handle(server, message.MethodStatus, handler(core.onStatus))
 }
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -9,6 +9,7 @@
 
 	"orchidjunction/concurrent"
 	"orchidjunction/message"
+	"orchidjunction/rollout"
 	"orchidjunction/routing"
 	"orchidjunction/rpc"
 )
@@ -38,6 +39,7 @@
 	values              [message.Registers]message.Value
 	content             *content
 	routing             *routing.State
+	rollouts            *rollout.State
 	responses           map[int]*message.HeartbeatResponse
 	lastQuorum          time.Time // when the last heartbeat began that a quorum accepted
 	heartbeatsSent      uint64
@@ -57,6 +59,7 @@
 		values:        establishment.values,
 		content:       establishment.content,
 		routing:       establishment.routing,
+		rollouts:      establishment.rollouts,
 		responses:     map[int]*message.HeartbeatResponse{},
 	}
 	for register, value := range establishment.values {
--- a/control/registers.go
+++ b/control/registers.go
@@ -1,11 +1,16 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"orchidjunction/message"
 )
 
+// markedRegisters are those whose committed value is marked on the disk, so that daemons can
+// have it after a restart before anybody leads.
+var markedRegisters = []message.Register{message.RoutingRegister, message.RolloutsRegister}
+
 // commit takes a register's value as committed if it is newer than the one known. Chunks
 // are those of the settings, as the replica has them at the time: it drops some with the
 // next value.
@@ -24,7 +29,7 @@
 	}
 	core.counters.Add("commits", 1)
 	core.updates.Notify()
-	if register == message.RoutingRegister && core.config.discoversPeers() {
+	if slices.Contains(markedRegisters, register) && core.config.discoversPeers() {
 		core.goroutines.Start(func() { core.replica.MarkCommitted(register, accepted.Version()) })
 	}
 }
@@ -41,9 +46,10 @@
 		return nil, err
 	}
 	return &message.ReadIndexResponse{
-		Serial:  leadership.value(message.SettingsRegister).Serial,
-		Table:   core.Table().Version,
-		Routing: leadership.value(message.RoutingRegister).Serial,
+		Serial:   leadership.value(message.SettingsRegister).Serial,
+		Table:    core.Table().Version,
+		Routing:  leadership.value(message.RoutingRegister).Serial,
+		Rollouts: leadership.value(message.RolloutsRegister).Serial,
 	}, nil
 }
 
@@ -96,9 +102,10 @@
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
 	return &message.WatchResponse{
-		Serial:  core.committedSerial(message.SettingsRegister),
-		Table:   core.tables.current.Version,
-		Routing: core.committedSerial(message.RoutingRegister),
+		Serial:   core.committedSerial(message.SettingsRegister),
+		Table:    core.tables.current.Version,
+		Routing:  core.committedSerial(message.RoutingRegister),
+		Rollouts: core.committedSerial(message.RolloutsRegister),
 	}
 }
 
@@ -129,6 +136,7 @@
 	}
 	core.tables.addTo(response, request.Table)
 	core.mutex.Unlock()
+	core.addRollouts(response, request.Rollouts)
 	return core.fetchCache.get(response)
 }
 
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -148,6 +148,7 @@
 		Table:      core.tables.current.Version,
 		Cores:      view.Addresses(),
 		Routing:    core.committedSerial(message.RoutingRegister),
+		Rollouts:   core.committedSerial(message.RolloutsRegister),
 		Process:    core.windows.Process(),
 		Membership: view.Version,
 	}
@@ -164,6 +165,8 @@
 	core.usage.Add(session.Member.Incarnation, session.Usage)
 	core.probeHints.observe(session)
 	core.windows.Add(session)
+	age := time.Duration(session.AgeMs) * time.Millisecond
+	core.rolloutReports.add(session.Member.Incarnation, session.NowMs, age, session.RolloutCounts)
 }
 
 // onShareSessions takes the sessions that daemons have with another core.
--- a/control/table.go
+++ b/control/table.go
@@ -44,10 +44,11 @@
 	return core.tables.current
 }
 
-// setTable takes a table if it is newer than the one held.
+// setTable takes a table if it is newer than the one held and built under roll-outs that are
+// known here: daemons get both from this core.
 func (core *Core) setTable(table *message.Table) {
 	core.mutex.Lock()
-	isNewer := core.tables.current.Version.Less(table.Version)
+	isNewer := core.tables.current.Version.Less(table.Version) && table.Rollouts <= core.committedSerial(message.RolloutsRegister)
 	if isNewer {
 		core.tables.log.Record(core.tables.current, table)
 		core.tables.current = table
@@ -95,8 +96,10 @@
 	if former.Version.Term == leadership.term {
 		next.Version.Number = former.Version.Number + 1
 	}
+	serial, rollouts := core.Rollouts()
+	next.Rollouts = serial
 	if backends, isComplete := core.backends.Backends(); isComplete {
-		next.Backends, next.Complete = backends, true
+		next.Backends, next.Complete = core.listed.of(backends, serial, rollouts), true
 	}
 	next.Backends = core.probeHints.apply(next.Backends, former.Backends)
 	return next
@@ -146,9 +149,10 @@
 	if former.Version.Term.Number > 0 || !isComplete {
 		return
 	}
-	next := &message.Table{Version: message.TableVersion{Number: former.Version.Number + 1}, Complete: true}
+	serial, rollouts := core.Rollouts()
+	next := &message.Table{Version: message.TableVersion{Number: former.Version.Number + 1}, Complete: true, Rollouts: serial}
 	now := core.Now()
-	for _, backend := range backends {
+	for _, backend := range rollouts.Listed(backends) {
 		if backend.WarmAtMs <= now {
 			next.Backends = append(next.Backends, backend)
 		}
@@ -179,7 +183,9 @@
 		return table
 	}
 	core.counters.Add("tables_completed", 1)
-	return &message.Table{Version: table.Version, Members: table.Members, Backends: source.Backends, Complete: true}
+	return &message.Table{
+		Version: table.Version, Members: table.Members, Backends: source.Backends, Complete: true, Rollouts: source.Rollouts,
+	}
 }
 
 // newerTable fetches the newest table that a daemon has, nil if none is newer.
@@ -260,7 +266,7 @@
 // fetchTable returns the newer table that a process at an address holds, nil if it has
 // none.
 func (core *Core) fetchTable(address string, held *message.Table) (*message.Table, error) {
-	request := &message.FetchRequest{Serial: everything, Routing: everything, Table: held.Version}
+	request := &message.FetchRequest{Serial: everything, Routing: everything, Rollouts: everything, Table: held.Version}
 	response, err := rpc.Call(core.client, address, message.MethodFetch, core.callTimeout(), request)
 	if err != nil {
 		return nil, err
--- a/control/window_reports.go
+++ b/control/window_reports.go
@@ -92,6 +92,7 @@
 // lead keeps it on its disk for the next leader, which asks for it.
 func (core *Core) onWindowCounts(request *message.WindowCountsRequest) (*message.WindowCountsResponse, error) {
 	core.windows.AddBetween(request)
+	core.rolloutReports.add(request.Incarnation, request.NowMs, 0, request.RolloutCounts)
 	if _, err := core.currentLeadership(); err != nil {
 		if err := core.usageCopies.journal(); err != nil {
 			return nil, err
--- a/harness/simulation/regions.go
+++ b/harness/simulation/regions.go
@@ -40,7 +40,12 @@
 	Jump     int64
 	Seeds    []string
 	// inForce is the version of the routing that the data plane serves by.
-	inForce    atomic.Uint64
+	inForce atomic.Uint64
+	// OnVersion, if it is set, is called with each version that is put in force, and
+	// Rollouts returns what is counted for roll-outs.
+	OnVersion func(version *agent.Version)
+	Rollouts  func() []message.RolloutCounts
+
 	goroutines *concurrent.Group
 	server     *http.Server
 	client     *rpc.Client
@@ -146,7 +151,13 @@
 			world.broke("%s slid from routing %d to %d", one.Name, last, version.RoutingSerial)
 		}
 		last = version.RoutingSerial
+		if one.OnVersion != nil {
+			one.OnVersion(version)
+		}
 	}, nil)
+	if one.Rollouts != nil {
+		one.Daemon.SetRollouts(one.Rollouts)
+	}
 	if world.Requests != nil {
 		one.Daemon.SetWindows(func() []message.WindowCount { return world.Requests(one) })
 	}
@@ -271,6 +282,18 @@
 	})
 }
 
+// OrderRollout sends an order for a roll-out until it is acknowledged or refused.
+func (world *World) OrderRollout(order message.RolloutOrder) (*message.RolloutOrderResponse, error) {
+	return again(world, world.holds(), func(forwarder *agent.Forwarder) (*message.RolloutOrderResponse, error) {
+		return agent.OrderRollout(context.Background(), forwarder, order)
+	})
+}
+
+// ReadRollout reads the confirmed newest roll-out of a service.
+func (world *World) ReadRollout(service string) (*message.RolloutReadResponse, error) {
+	return order(world, world.holds(), message.MethodRolloutRead, &message.RolloutReadRequest{Service: service})
+}
+
 // Book reads the confirmed routing back.
 func (world *World) Book() (*routing.State, error) {
 	response, err := order(world, world.holds(), message.MethodRoutingRead, &message.RoutingReadRequest{})
--- a/message/leader.go
+++ b/message/leader.go
@@ -35,5 +35,6 @@
 	Serial uint64
 	Table  TableVersion
 
-	Routing uint64
+	Routing  uint64
+	Rollouts uint64
 }
--- a/message/methods.go
+++ b/message/methods.go
@@ -54,6 +54,10 @@
 	MethodRemoveVoter rpc.Method[RemoveVoterRequest, RemoveVoterResponse] = "removal"
 	// MethodReplicaState asks a replica for its state.
 	MethodReplicaState rpc.Method[ReplicaStateRequest, ReplicaStateResponse] = "restore"
+	// MethodRolloutOrder begins the roll-out of a version, or ends one.
+	MethodRolloutOrder rpc.Method[RolloutOrder, RolloutOrderResponse] = "rollout"
+	// MethodRolloutRead reads the newest roll-out of a service from the leader.
+	MethodRolloutRead rpc.Method[RolloutReadRequest, RolloutReadResponse] = "rolloutread"
 	// MethodRoutingChange changes the routing.
 	MethodRoutingChange rpc.Method[RoutingChangeRequest, RoutingChangeResponse] = "routechange"
 	// MethodRoutingRead reads the routing from the leader.
--- a/message/register.go
+++ b/message/register.go
@@ -9,6 +9,7 @@
 	ReportsRegister
 	RoutingRegister
 	MembersRegister
+	RolloutsRegister
 	Registers
 )
 
--- a/message/session.go
+++ b/message/session.go
@@ -14,8 +14,8 @@
 
 // Session is a daemon's heartbeat to a core: who it is, which versions are in force at
 // it, what it found at backends, and what it counted. Windows hold what changed since
-// the core's process BaseProcess was last told, or everything if that is 0. Times are in
-// milliseconds.
+// the core's process BaseProcess was last told, or everything if that is 0. Rollouts is the
+// serial of the roll-outs in force at it. Times are in milliseconds.
 type Session struct {
 	Member Member
 	Serial uint64
@@ -30,6 +30,9 @@
 	NowMs       int64
 	Ended       bool   `msgpack:"Gone"`
 	BaseProcess uint64 `msgpack:"Upon"`
+
+	Rollouts      uint64
+	RolloutCounts []RolloutCounts
 }
 
 // Check refuses a session without a name, an incarnation, a known kind or an address.
@@ -58,6 +61,7 @@
 	NowMs      int64
 	Process    uint64
 	Membership Version `msgpack:"Members"`
+	Rollouts   uint64
 }
 
 // UsageCountRequest tells the leader at once how many requests of each tenant a process
@@ -85,6 +89,9 @@
 	Windows     []WindowCount
 	NowMs       int64
 	BaseProcess uint64
+
+	Rollouts      uint64
+	RolloutCounts []RolloutCounts
 }
 
 // WindowCountsResponse confirms a WindowCountsRequest. Process identifies the leader's process.
--- a/message/table.go
+++ b/message/table.go
@@ -22,7 +22,7 @@
 
 // Backend is one backend. ProbeHint rises whenever some proxy found it changed, so that
 // the others probe it at once. Capacity is the requests it handles at once, and WarmAtMs
-// when it is warm, in milliseconds since the Unix epoch.
+// when it is warm, in milliseconds since the Unix epoch. Revision is the version of its software.
 type Backend struct {
 	Name      string `json:"name"`
 	Service   string `json:"service"`
@@ -32,6 +32,7 @@
 	ProbeHint uint64 `json:"stir,omitempty" msgpack:"Stir"`
 	Capacity  int    `json:"slots,omitempty" msgpack:"Slots"`
 	WarmAtMs  int64  `json:"warm_at_ms,omitempty" msgpack:"WarmAt"`
+	Revision  string `json:"revision,omitempty"`
 }
 
 // Probe is the last health check of a backend by one proxy. WarmupRate is the requests a
@@ -62,12 +63,14 @@
 }
 
 // Table is the soft state that every daemon holds: the daemons and the backends, both
-// sorted by name. It is immutable.
+// sorted by name. Rollouts is the serial of the roll-outs under which it lists backends: one
+// that lists a new version is not put in force without them. It is immutable.
 type Table struct {
 	Version  TableVersion `json:"mark" msgpack:"Mark"`
 	Members  []Member     `json:"members"`
 	Backends []Backend    `json:"backends"`
 	Complete bool         `json:"complete"`
+	Rollouts uint64       `json:"rollouts,omitempty"`
 }
 
 // TableDelta is what changed in a table since an older version.
@@ -79,6 +82,7 @@
 	Backends        []Backend
 	RemovedMembers  []string `msgpack:"GoneMembers"`
 	RemovedBackends []string `msgpack:"GoneBackends"`
+	Rollouts        uint64
 }
 
 // Apply returns the table after a delta; it returns the table itself and false if the
@@ -87,7 +91,7 @@
 	if table.Version != delta.Base {
 		return table, false
 	}
-	next := &Table{Version: delta.Version, Complete: delta.Complete}
+	next := &Table{Version: delta.Version, Complete: delta.Complete, Rollouts: delta.Rollouts}
 	next.Members = mergeByName(table.Members, delta.Members, delta.RemovedMembers, memberName)
 	next.Backends = mergeByName(table.Backends, delta.Backends, delta.RemovedBackends, backendName)
 	return next, true
--- a/message/table_log.go
+++ b/message/table_log.go
@@ -100,7 +100,7 @@
 	if !found {
 		return nil, false
 	}
-	delta := &TableDelta{Base: version, Version: table.Version, Complete: table.Complete}
+	delta := &TableDelta{Base: version, Version: table.Version, Complete: table.Complete, Rollouts: table.Rollouts}
 	for index := range table.Members {
 		if log.members[table.Members[index].Name] > from {
 			delta.Members = append(delta.Members, table.Members[index])
--- a/message/update.go
+++ b/message/update.go
@@ -17,7 +17,8 @@
 	Table  TableVersion
 	SpanMs int
 
-	Routing uint64
+	Routing  uint64
+	Rollouts uint64
 }
 
 // Timeout returns how long the process waits at most.
@@ -30,12 +31,14 @@
 	Serial uint64
 	Table  TableVersion
 
-	Routing uint64
+	Routing  uint64
+	Rollouts uint64
 }
 
 // NewerThan reports whether any of the versions is newer than those in a request.
 func (response *WatchResponse) NewerThan(request *WatchRequest) bool {
-	return response.Serial > request.Serial || response.Routing > request.Routing || request.Table.Less(response.Table)
+	return response.Serial > request.Serial || response.Routing > request.Routing ||
+		response.Rollouts > request.Rollouts || request.Table.Less(response.Table)
 }
 
 // FetchRequest asks for what is newer than the versions given.
@@ -43,11 +46,12 @@
 	Serial uint64
 	Table  TableVersion
 
-	Routing uint64
+	Routing  uint64
+	Rollouts uint64
 }
 
 // FetchResponse brings what is newer: the chunks that make up the settings, the table or
-// its delta, and the routing without its history.
+// its delta, the routing without its history, and the newest roll-out of each service.
 type FetchResponse struct {
 	Serial uint64
 	Chunks []ChunkRef `msgpack:"Parts"`
@@ -58,6 +62,9 @@
 	RoutingBody       []byte
 	RoutingCompressed bool `msgpack:"RoutingPacked"`
 
+	Rollouts    uint64
+	RolloutList []Rollout
+
 	encoded []byte
 }
 
--- /dev/null
+++ b/rollout/order_test.go
@@ -0,0 +1,82 @@
+package rollout
+
+import (
+	"testing"
+
+	"orchidjunction/message"
+	"orchidjunction/rpc"
+)
+
+func orderOf(service, target string, expected uint64) *message.RolloutOrder {
+	return &message.RolloutOrder{Service: service, Target: target, TermMs: 12_000, ExpectedID: expected}
+}
+
+func mustOrder(test *testing.T, state *State, order *message.RolloutOrder, now int64) *State {
+	test.Helper()
+	next, err := state.Order(order, now)
+	if err != nil || next == nil {
+		test.Fatalf("order %+v: %v, %v", order, next, err)
+	}
+	return next
+}
+
+func endedOf(state *State, name string, phase message.RolloutPhase) *State {
+	return state.with(state.Service(name).ended(phase))
+}
+
+// An order begins one roll-out and no second one: what is sent again is acknowledged, another
+// version is refused while the first is under way, and other services are not concerned.
+func TestOrderBeginsOneRollout(test *testing.T) {
+	active := mustOrder(test, &State{}, orderOf("desk", "v2", 0), 1000)
+	both := mustOrder(test, active, orderOf("room", "v2", 0), 1500)
+	if len(both.Active()) != 2 || both.NewestID("desk") != 1 || both.NewestID("room") != 2 {
+		test.Fatalf("%+v", both)
+	}
+	complete, reverted := endedOf(active, "desk", message.RolloutComplete), endedOf(active, "desk", message.RolloutReverted)
+	for name, one := range map[string]struct {
+		state *State
+		order *message.RolloutOrder
+		now   int64
+		code  rpc.Code
+		next  bool
+	}{
+		"the same again":                          {active, orderOf("desk", "v2", 1), 2000, "", false},
+		"the same, sent before the first came":    {active, orderOf("desk", "v2", 0), 2000, "", false},
+		"another version meanwhile":               {active, orderOf("desk", "v3", 1), 2000, rpc.RolloutActive, false},
+		"the same when complete":                  {complete, orderOf("desk", "v2", 1), 90_000, "", false},
+		"a repeat of what was reverted":           {reverted, orderOf("desk", "v2", 0), 20_000, "", false},
+		"the reverted version once more":          {reverted, orderOf("desk", "v2", 1), 90_000, "", true},
+		"a version after one that is complete":    {complete, orderOf("desk", "v3", 1), 20_000, "", true},
+		"an order overtaken by another roll-out":  {complete, orderOf("desk", "v3", 0), 20_000, rpc.RolloutChanged, false},
+		"an abort":                                {active, &message.RolloutOrder{Service: "desk", Abort: true}, 2000, "", true},
+		"an abort again":                          {reverted, &message.RolloutOrder{Service: "desk", Abort: true}, 2000, "", false},
+		"an abort of a service without roll-outs": {active, &message.RolloutOrder{Service: "hall", Abort: true}, 2000, rpc.NotFound, false},
+	} {
+		next, err := one.state.Order(one.order, one.now)
+		isRefused := err != nil && rpc.CodeOf(err) == one.code
+		if isRefused != (one.code != "") || (next != nil) != one.next || err != nil && !isRefused {
+			test.Errorf("%s: %+v, %v", name, next, err)
+		}
+	}
+}
+
+// The state survives its encoding, and proxies are told the newest roll-out of each service.
+func TestStateIsDecodedAsItWas(test *testing.T) {
+	state := mustOrder(test, &State{}, orderOf("desk", "v2", 0), 1000)
+	state = state.ObserveVersions([]message.Backend{{Name: "a", Service: "desk", Revision: "v1"}})
+	body, err := rpc.Marshal(state)
+	if err != nil {
+		test.Fatal(err)
+	}
+	decoded, err := DecodeState(body)
+	if err != nil || decoded.Service("desk").Current != "v1" || len(decoded.Messages()) != 1 {
+		test.Fatalf("%+v, %v", decoded, err)
+	}
+	want := message.Rollout{Service: "desk", Target: "v2", ID: 1, Phase: message.RolloutActive}
+	if decoded.Messages()[0] != want {
+		test.Errorf("%+v", decoded.Messages())
+	}
+	if empty, err := DecodeState(nil); err != nil || len(empty.Messages()) != 0 {
+		test.Errorf("%+v, %v", empty, err)
+	}
+}
--- a/rpc/error.go
+++ b/rpc/error.go
@@ -33,6 +33,8 @@
 	NotStarted     Code = "not_started"
 	Forgotten      Code = "order_forgotten"
 	ZoneChanged    Code = "zone_changed"
+	RolloutActive  Code = "rollout_active"
+	RolloutChanged Code = "rollout_changed"
 	QueueFull      Code = "hold_full"
 	NoLearner      Code = "no_learner"
 )
@@ -79,7 +81,7 @@
 // Status returns the HTTP status with which the code is answered outside the system.
 func (code Code) Status() int {
 	switch code {
-	case StaleBase, StaleVersion, KeyInFlight, NoLearner:
+	case StaleBase, StaleVersion, KeyInFlight, NoLearner, RolloutActive:
 		return http.StatusConflict
 	case Invalid, BadRequest, BadMessage, KeyRequired:
 		return http.StatusBadRequest
