Proxies send a service's requests to versions as its roll-out says

What callers saw: a version that was started alongside another one got requests as soon as it was listed, since backends had no version and proxies knew no roll-out.

While a roll-out is active each proxy sends its share by a running credit with a random start, so that any number of requests in a row differs from the share by less than one. What has no room there, or failed there, goes to the old version; the reverse only at share 1. Without an order, the version that served before keeps all requests.

Ruled out: coin flips (small proxies stray by far more than one request); a filter in the loop over candidates (two lists cost nothing on the request path).

The daemon passes no roll-outs yet, the counts of items stay 0 until responses are scored.

--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -86,7 +86,7 @@
 	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
-			plane.Apply(version.Routing, version.ServingTable())
+			plane.Apply(version.Routing, version.ServingTable(), nil)
 		}
 	}, nil)
 	daemon.SetWindows(plane.Windows)
--- a/hostproxy/added_latency_test.go
+++ b/hostproxy/added_latency_test.go
@@ -47,7 +47,7 @@
 		Complete: true,
 		Members:  members([]string{"p1"}, []string{"e1"}),
 		Backends: []message.Backend{{Name: "b1", Service: "plain", Address: backend, Zone: "e1", Capacity: 10_000}},
-	})
+	}, nil)
 	return httptest.NewServer(proxy), counters
 }
 
--- a/hostproxy/budget_test.go
+++ b/hostproxy/budget_test.go
@@ -156,6 +156,7 @@
 				Version: message.TableVersion{Term: message.Term{Number: round}, Number: 1},
 				Members: members([]string{"p1"}, []string{"e1"}),
 			},
+			nil,
 		)
 		budget := proxy.budgets["plain"]
 		for range 1000 {
--- a/hostproxy/choose.go
+++ b/hostproxy/choose.go
@@ -46,6 +46,11 @@
 // load on links weighed together. It starts at a random candidate, so that equal
 // costs spread. A cold candidate is taken only where no warm one has room.
 func (proxy *Proxy) choose(request *request, candidates []candidate, tried []*target) (*candidate, choice) {
+	return proxy.chooseFrom(request, candidates, tried, true)
+}
+
+// chooseFrom is choose; it takes an ejected candidate only where that is the last resort.
+func (proxy *Proxy) chooseFrom(request *request, candidates []candidate, tried []*target, lastResort bool) (*candidate, choice) {
 	now := proxy.clock()
 	trueNow := proxy.now()
 	mean, kilobytes := request.stats.expect(request.route)
@@ -71,7 +76,7 @@
 			seen.considerWarm(candidate, cost, isFull, ejected)
 		}
 	}
-	return seen.take(now, len(tried) == 0)
+	return seen.take(now, lastResort && len(tried) == 0)
 }
 
 // mayGoTo is whether the homes of the request's route and tenant allow a region.
--- a/hostproxy/choose_test.go
+++ b/hostproxy/choose_test.go
@@ -13,7 +13,7 @@
 func TestChoosesNearThenIdle(test *testing.T) {
 	synctest.Test(test, func(test *testing.T) {
 		proxies, table := placed()
-		proxies[0].Apply(&routing.State{Config: ownConfig()}, table)
+		proxies[0].Apply(&routing.State{Config: ownConfig()}, table, nil)
 		if candidate, _ := proxies[0].pick(nil, nil); candidate.target.backend.Name != "near" {
 			test.Errorf("chose %s", candidate.target.backend.Name)
 		}
@@ -53,6 +53,7 @@
 		proxy.Apply(
 			&routing.State{Config: ownConfig()},
 			&message.Table{Version: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: backends},
+			nil,
 		)
 		counts := map[string]int{}
 		for range 400 {
@@ -72,7 +73,7 @@
 func TestOverflowIsNotForTheLeftOut(test *testing.T) {
 	synctest.Test(test, func(test *testing.T) {
 		proxies, table := placed()
-		proxies[0].Apply(&routing.State{Config: ownConfig()}, table)
+		proxies[0].Apply(&routing.State{Config: ownConfig()}, table, nil)
 		proxies[0].targets["far"].failed(time.Now(), true)
 		for range 36 {
 			proxies[0].pick(nil, nil)
@@ -88,7 +89,7 @@
 func TestChoosesUntried(test *testing.T) {
 	synctest.Test(test, func(test *testing.T) {
 		proxies, table := placed()
-		proxies[0].Apply(&routing.State{Config: ownConfig()}, table)
+		proxies[0].Apply(&routing.State{Config: ownConfig()}, table, nil)
 		tried := []*target{}
 		for range 4 {
 			candidate, how := proxies[0].pick(nil, nil, tried...)
--- a/hostproxy/forward.go
+++ b/hostproxy/forward.go
@@ -58,7 +58,7 @@
 			return nil, 0
 		}
 		seen := proxy.capacityFreed.Count()
-		candidate, how := proxy.choose(request, view.services[service], request.tried)
+		candidate, how := proxy.chooseVersion(request, view, service)
 		if candidate == nil {
 			if !proxy.wait(request, how, seen, waitUntil) {
 				return nil, 0
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -49,6 +49,8 @@
 	targets     map[string]*target
 	budgets     map[string]*Budget
 	evacuated   map[string]bool
+	rollouts    map[string]*rollout // by service
+	standing    map[string]string   // the version of each service that serves without a roll-out
 	mostProxies int
 }
 
@@ -67,6 +69,8 @@
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
 		evacuated:       map[string]bool{},
+		rollouts:        map[string]*rollout{},
+		standing:        map[string]string{},
 		withheldHeaders: map[string]bool{},
 	}
 	proxy.inbound, proxy.outbound = newShaper(config.LinkBytes, proxy.clock()), newShaper(config.LinkBytes, proxy.clock())
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -60,6 +60,7 @@
 	tenant   *routing.Tenant
 	stats    *RouteStats
 	service  string
+	version  versionTurn
 	rank     int
 	body     []byte
 	begin    time.Time
--- a/hostproxy/target.go
+++ b/hostproxy/target.go
@@ -125,6 +125,13 @@
 	target.mutex.Unlock()
 }
 
+// inFlight is how many requests this process has at the target.
+func (target *target) inFlight() int {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.running
+}
+
 // takeIdle gives an idle connection that is still sound.
 func (target *target) takeIdle(now time.Time) *connection {
 	for {
--- a/hostproxy/view.go
+++ b/hostproxy/view.go
@@ -16,14 +16,17 @@
 	warmAt     int64
 	owned      bool
 	warmupRate float64
+	canary     bool // whether it is of the version under test
 }
 
 // View is what a proxy has in force: routing and backends; it is swapped whole.
-// The slices are indexed by the number that routing.Index gives a service.
+// The slices are indexed by the number that routing.Index gives a service. A service has a
+// canary while a roll-out of it is active.
 type View struct {
 	state       *routing.State
 	index       *routing.Index
 	services    [][]candidate
+	canaries    []*canary
 	budgets     []*Budget
 	connections []int
 }
@@ -45,8 +48,9 @@
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
-// Apply puts a routing state and a table of members and backends in force.
-func (proxy *Proxy) Apply(state *routing.State, table *message.Table) {
+// Apply puts a routing state, a table of members and backends, and the roll-outs of
+// services in force.
+func (proxy *Proxy) Apply(state *routing.State, table *message.Table, rollouts []message.Rollout) {
 	proxy.applyMutex.Lock()
 	defer proxy.applyMutex.Unlock()
 	view := proxy.newView(state)
@@ -54,7 +58,10 @@
 	proxy.mostProxies = max(proxy.mostProxies, len(proxies))
 	led := table.Version.Term.Number > 0
 	proxy.shareLimits(view, led)
-	proxy.addBackends(view, table.Backends, proxies, led)
+	proxy.followRollouts(rollouts)
+	proxy.addCanaries(view, rollouts)
+	proxy.addBackends(view, table.Backends, proxies, proxy.settleVersions(table.Backends, rollouts), led)
+	proxy.setFormer(table.Backends, rollouts)
 	proxy.retireUnlisted(table.Backends)
 	proxy.view.Store(view)
 	proxy.capacityFreed.Notify()
@@ -120,8 +127,10 @@
 }
 
 // addBackends makes candidates of the backends that may be chosen: those of a known
-// service that are not leaving and whose zone is not evacuated.
-func (proxy *Proxy) addBackends(view *View, backends []message.Backend, proxies []message.Member, led bool) {
+// service and a version in use that are not leaving and whose zone is not evacuated.
+func (proxy *Proxy) addBackends(
+	view *View, backends []message.Backend, proxies []message.Member, versions map[string]versions, led bool,
+) {
 	evacuated := map[string]bool{}
 	for _, zone := range view.state.Evacuated {
 		evacuated[zone] = true
@@ -141,7 +150,7 @@
 		}
 		service := view.index.Services[number]
 		mayWarm := led && (backend.WarmAtMs > 0 || held.isSuspect(now))
-		view.services[number] = append(view.services[number], candidate{
+		view.add(number, versions[backend.Service], backend.Revision, candidate{
 			target:     held,
 			region:     proxy.config.Regions[backend.Zone],
 			distance:   proxy.config.distance(backend.Zone),
@@ -153,6 +162,18 @@
 	proxy.evacuated = evacuated
 }
 
+// add adds a candidate of a version: to those of its service, or to those of the canary.
+func (view *View) add(number int, versions versions, revision string, candidate candidate) {
+	if canary := view.canaries[number]; canary != nil && revision == versions.order.Target {
+		candidate.canary = true
+		canary.candidates = append(canary.candidates, candidate)
+		return
+	}
+	if revision == versions.standing {
+		view.services[number] = append(view.services[number], candidate)
+	}
+}
+
 // reopenedZones returns how long the backends of each zone that was opened again
 // stay suspect; the time may already be over.
 func (proxy *Proxy) reopenedZones(state *routing.State) map[string]time.Duration {
--- a/hostproxy/view_test.go
+++ b/hostproxy/view_test.go
@@ -48,7 +48,7 @@
 func TestHomes(test *testing.T) {
 	synctest.Test(test, func(test *testing.T) {
 		proxies, table := placed()
-		proxies[0].Apply(&routing.State{Config: ownConfig()}, table)
+		proxies[0].Apply(&routing.State{Config: ownConfig()}, table, nil)
 		east, west, both := []string{"east"}, []string{"west"}, []string{"west", "east"}
 		for _, bound := range []struct {
 			route, tenant []string
@@ -79,7 +79,7 @@
 			moved.Backends = append([]message.Backend{}, table.Backends...)
 			state, table = &copied, &moved
 			change()
-			proxies[0].Apply(state, table)
+			proxies[0].Apply(state, table, nil)
 		}
 		lay(func() { state.Evacuated = []string{"e1", "z9"} })
 		if names := proxies[0].names(nil, nil); !same(names, "beside", "far") {
@@ -119,14 +119,14 @@
 	synctest.Test(test, func(test *testing.T) {
 		proxies, table := placed()
 		state := &routing.State{Config: ownConfig()}
-		proxies[0].Apply(state, table)
+		proxies[0].Apply(state, table, nil)
 		first, index := proxies[0].targets["near"], proxies[0].view.Load().index
-		proxies[0].Apply(state, table)
+		proxies[0].Apply(state, table, nil)
 		if proxies[0].targets["near"] != first || proxies[0].view.Load().index != index {
 			test.Error("made anew")
 		}
-		proxies[0].Apply(state, &message.Table{Version: leaderMark, Members: table.Members})
-		proxies[0].Apply(state, table)
+		proxies[0].Apply(state, &message.Table{Version: leaderMark, Members: table.Members}, nil)
+		proxies[0].Apply(state, table, nil)
 		if proxies[0].targets["near"] == first {
 			test.Error("a retired target is back")
 		}
@@ -142,7 +142,7 @@
 		config.Services = append(config.Services, routing.Service{Name: "small", MaxConnections: 3}, routing.Service{Name: "free"})
 		for _, step := range []struct{ count, most, small int }{{1, 104, 2}, {4, 26, 2}, {2, 26, 2}} {
 			table.Members = members(names[:step.count], zones[:step.count])
-			proxies[0].Apply(&routing.State{Config: config}, table)
+			proxies[0].Apply(&routing.State{Config: config}, table, nil)
 			limit := proxies[0].view.Load().connections
 			if limit[0] != step.most || limit[2] != step.small || limit[3] != maxConnections {
 				test.Errorf("%d proxies: %v", step.count, limit)
@@ -151,7 +151,7 @@
 		table.Members[1].Leaving = true
 		table.Members = append(table.Members, message.Member{Name: "d1", Kind: "dir"})
 		fresh := many([]string{"p1"}, []string{"e1"})[0]
-		fresh.Apply(&routing.State{Config: config}, table)
+		fresh.Apply(&routing.State{Config: config}, table, nil)
 		if limit := fresh.view.Load().connections[0]; limit != 104 {
 			test.Errorf("beside one that leaves: %d", limit)
 		}
@@ -177,7 +177,7 @@
 				Members:  members([]string{"p1"}, []string{"e1"}),
 				Backends: []message.Backend{cold},
 			}
-			proxies[0].Apply(&routing.State{Config: ownConfig()}, table)
+			proxies[0].Apply(&routing.State{Config: ownConfig()}, table, nil)
 			proxies[0].pick(nil, nil)
 			time.Sleep(time.Second)
 			if _, how := proxies[0].pick(nil, nil); how != want {
@@ -201,6 +201,7 @@
 			proxies[0].Apply(
 				state,
 				&message.Table{Version: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: []message.Backend{backend}},
+				nil,
 			)
 			if _, how := proxies[0].pick(nil, nil); how != want {
 				test.Errorf("taken back %v ago: choice %d, want %d", ago, how, want)
--- a/hostproxy/warmup_test.go
+++ b/hostproxy/warmup_test.go
@@ -109,7 +109,7 @@
 						if differing && index%2 == 1 {
 							table.Members = olds
 						}
-						proxy.Apply(state, table)
+						proxy.Apply(state, table, nil)
 					}
 				}
 				lay()
@@ -141,6 +141,7 @@
 		proxies[0].Apply(
 			&routing.State{Config: ownConfig()},
 			&message.Table{Version: leaderMark, Members: members([]string{"p1"}, []string{"e1"}), Backends: []message.Backend{cold, warm}},
+			nil,
 		)
 		proxies[0].targets["cold"].takeWarmup(time.Now(), 1)
 		time.Sleep(time.Second)
--- a/hostproxy/world_test.go
+++ b/hostproxy/world_test.go
@@ -32,6 +32,7 @@
 	listener   *listener
 	book       *routing.State
 	table      *message.Table
+	rollouts   []message.Rollout
 	backends   map[string]*backend
 	asked      int
 }
@@ -178,7 +179,7 @@
 	state.Config.Services = append([]routing.Service{}, state.Config.Services...)
 	world.book, world.table = &state, &table
 	change()
-	world.proxy.Apply(world.book, world.table)
+	world.proxy.Apply(world.book, world.table, world.rollouts)
 }
 
 func (world *world) arrivals() []*arrival {
--- a/message/table.go
+++ b/message/table.go
@@ -22,7 +22,7 @@
 
 // Backend is one backend. ProbeHint rises whenever some proxy found it changed, so that
 // the others probe it at once. Capacity is the requests it handles at once, and WarmAtMs
-// when it is warm, in milliseconds since the Unix epoch.
+// when it is warm, in milliseconds since the Unix epoch. Revision is the version of its software.
 type Backend struct {
 	Name      string `json:"name"`
 	Service   string `json:"service"`
@@ -32,6 +32,7 @@
 	ProbeHint uint64 `json:"stir,omitempty" msgpack:"Stir"`
 	Capacity  int    `json:"slots,omitempty" msgpack:"Slots"`
 	WarmAtMs  int64  `json:"warm_at_ms,omitempty" msgpack:"WarmAt"`
+	Revision  string `json:"revision,omitempty"`
 }
 
 // Probe is the last health check of a backend by one proxy. WarmupRate is the requests a
