--- a/hostproxy/rollout_test.go
+++ b/hostproxy/rollout_test.go
@@ -34,10 +34,16 @@
 func twoVersions(former, target int) []message.Backend {
 	backends := []message.Backend{}
 	for number := range former {
-		backends = append(backends, message.Backend{Name: fmt.Sprint("a", number), Service: "plain", Zone: "e1", Capacity: 4, Revision: "v1"})
+		backends = append(
+			backends,
+			message.Backend{Name: fmt.Sprint("a", number), Service: "plain", Zone: "e1", Capacity: 4, Revision: "v1"},
+		)
 	}
 	for number := range target {
-		backends = append(backends, message.Backend{Name: fmt.Sprint("b", number), Service: "plain", Zone: "e1", Capacity: 4, Revision: "v2"})
+		backends = append(
+			backends,
+			message.Backend{Name: fmt.Sprint("b", number), Service: "plain", Zone: "e1", Capacity: 4, Revision: "v2"},
+		)
 	}
 	return backends
 }
