--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -12,7 +12,6 @@
 	"orchidjunction/message"
 	"orchidjunction/platform"
 	"orchidjunction/process"
-	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 )
 
@@ -87,10 +86,11 @@
 	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
-			plane.Apply(version.Routing, rollout.WithoutTested(version.ServingTable(), version.Rollouts))
+			plane.Apply(version.Routing, version.ServingTable(), version.Rollouts)
 		}
 	}, nil)
 	daemon.SetWindows(plane.Windows)
+	daemon.SetRollouts(plane.RolloutCounts)
 	daemon.SetWarm(plane.Ready)
 	server := rpc.NewServer(node.counters)
 	daemon.Register(server)
--- a/control/config.go
+++ b/control/config.go
@@ -79,7 +79,7 @@
 		config.OnMembershipChange = func(message.Version, []string) {}
 	}
 	if config.RolloutVerdict == nil {
-		config.RolloutVerdict = rollout.FailureThreshold{}
+		config.RolloutVerdict = rollout.DefaultVerdict()
 	}
 	setDefault(&config.Rollouts, rollout.DefaultBounds)
 	setDefault(&config.ReplaceAfter, max(minReplaceAfter, 2*config.SuspicionTimeout))
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -16,7 +16,7 @@
 	ratePerS = 1600.0
 )
 
-var rules = Rules{Bounds: Bounds{Share: 0.1, Extra: 50}, Verdict: FailureThreshold{}}
+var rules = Rules{Bounds: Bounds{Share: 0.1, Extra: 50}, Verdict: DefaultVerdict()}
 
 // service plays a service whose proxies follow the decisions after a delay: it counts what
 // each version gets, and which of its requests fail.
