--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -108,8 +108,10 @@
 	request.mayHaveRun = true
 	begun := proxy.usageMeter.begin(request.tenantName())
 	exchangeBegin := proxy.clock()
+	held.countSent()
 	answer, ended := proxy.exchange(request, held, connection)
 	request.spent.backends += proxy.clock().Sub(exchangeBegin)
+	proxy.judge(request, held, answer, ended, exchangeBegin)
 	notRun := ended == unsent || ended == refused
 	if notRun {
 		request.mayHaveRun = before
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -10,6 +10,7 @@
 	"orchidjunction/concurrent"
 	"orchidjunction/message"
 	"orchidjunction/metrics"
+	"orchidjunction/rollout/score"
 )
 
 const (
@@ -36,6 +37,7 @@
 	stats           *RouteStats
 	usageMeter      *UsageMeter
 	figures         *figures
+	references      *score.References
 	capacityFreed   *concurrent.Condition
 	queues          waitQueues
 	inFlight        inFlightCounts
@@ -50,7 +52,8 @@
 	budgets     map[string]*Budget
 	evacuated   map[string]bool
 	rollouts    map[string]*rollout // by service
-	standing    map[string]string   // the version of each service that serves without a roll-out
+	lastTarget  uint32
+	standing    map[string]string // the version of each service that serves without a roll-out
 	mostProxies int
 }
 
@@ -65,6 +68,7 @@
 		now:             now,
 		stats:           newRouteStats(),
 		figures:         newFigures(counters),
+		references:      score.NewReferences(),
 		capacityFreed:   concurrent.NewCondition(),
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
@@ -108,6 +112,7 @@
 	}
 	if view := proxy.view.Load(); view != nil {
 		proxy.stats.forgetOthers(view.state.Config.Routes)
+		proxy.forgetReferences(view.state.Config.Routes)
 	}
 }
 
--- a/hostproxy/rollout.go
+++ b/hostproxy/rollout.go
@@ -27,9 +27,14 @@
 // stepCounts are what was counted during one step of a roll-out.
 type stepCounts struct {
 	step        int
+	requests    atomic.Uint64
 	items       atomic.Uint64
 	exceedances atomic.Uint64
 	failures    atomic.Uint64
+
+	formerRequests atomic.Uint64
+	formerItems    atomic.Uint64
+	formerFailures atomic.Uint64
 }
 
 // canary is the version under test in a view: its candidates and its share of the requests.
@@ -93,21 +98,28 @@
 		running += target.inFlight()
 	}
 	for _, counts := range rollout.steps {
-		// Exceedances and failures are read before items, so that they are never more.
-		exceedances, failures := counts.exceedances.Load(), counts.failures.Load()
-		all = append(all, message.RolloutCounts{
-			Service:        rollout.service,
-			ID:             rollout.id,
-			Step:           counts.step,
-			Items:          counts.items.Load(),
-			Exceedances:    exceedances,
-			Failures:       failures,
-			FormerInFlight: running,
-		})
+		all = append(all, counts.report(rollout, running))
 	}
 	return all
 }
 
+// report returns the counts of a step. What is part of another count is read before that, so
+// that it is never more.
+func (counts *stepCounts) report(rollout *rollout, formerInFlight int) message.RolloutCounts {
+	report := message.RolloutCounts{
+		Service:        rollout.service,
+		ID:             rollout.id,
+		Step:           counts.step,
+		Exceedances:    counts.exceedances.Load(),
+		Failures:       counts.failures.Load(),
+		FormerFailures: counts.formerFailures.Load(),
+		FormerInFlight: formerInFlight,
+	}
+	report.Items, report.FormerItems = counts.items.Load(), counts.formerItems.Load()
+	report.Requests, report.FormerRequests = counts.requests.Load(), counts.formerRequests.Load()
+	return report
+}
+
 // takes is whether a request is to go to the version under test. It is decided once for
 // each roll-out; what was sent there already goes to the other version.
 func (canary *canary) takes(request *request) bool {
@@ -138,7 +150,7 @@
 		held, other = proxy.chooseFrom(request, fallback, request.tried, true)
 		how = min(how, other)
 	}
-	if held != nil && held.canary {
+	if held != nil && held.underTest {
 		request.version.triedCanary = true
 	}
 	return held, how
--- a/hostproxy/target.go
+++ b/hostproxy/target.go
@@ -37,6 +37,7 @@
 // target is one incarnation of a backend as this process knows it; it outlives views.
 type target struct {
 	backend message.Backend
+	number  uint32 // tells it from the other targets of this process
 
 	mutex          sync.Mutex
 	idle           []*connection
--- a/hostproxy/view.go
+++ b/hostproxy/view.go
@@ -16,7 +16,8 @@
 	warmAt     int64
 	owned      bool
 	warmupRate float64
-	canary     bool // whether it is of the version under test
+	canary     *canary // the roll-out of its service that is active
+	underTest  bool    // whether it is of that roll-out's target version
 }
 
 // View is what a proxy has in force: routing and backends; it is swapped whole.
@@ -164,9 +165,10 @@
 
 // add adds a candidate of a version: to those of its service, or to those of the canary.
 func (view *View) add(number int, versions versions, revision string, candidate candidate) {
-	if canary := view.canaries[number]; canary != nil && revision == versions.order.Target {
-		candidate.canary = true
-		canary.candidates = append(canary.candidates, candidate)
+	candidate.canary = view.canaries[number]
+	if candidate.canary != nil && revision == versions.order.Target {
+		candidate.underTest = true
+		candidate.canary.candidates = append(candidate.canary.candidates, candidate)
 		return
 	}
 	if revision == versions.standing {
@@ -190,6 +192,8 @@
 	held := proxy.targets[backend.Name]
 	if held == nil {
 		held = newTarget(backend)
+		proxy.lastTarget++
+		held.number = proxy.lastTarget
 		proxy.targets[backend.Name] = held
 	}
 	return held
--- a/message/rollout.go
+++ b/message/rollout.go
@@ -23,16 +23,23 @@
 	Share   float64
 }
 
-// RolloutCounts is what one process of a proxy counted for one roll-out since its start.
-// The counts only rise. Items are the scored responses of the version under test,
-// Exceedances those whose score was in the tail of the reference, Failures those that
-// failed. FormerInFlight is how many requests are at backends of other versions now.
+// RolloutCounts is what one process of a proxy counted for one roll-out during one step. The
+// counts only rise, and a process has counts of a step as soon as that is in force there.
+// Requests are those sent to backends of the version under test, Items the scored ones of
+// their responses, Exceedances those whose score was in the tail of the reference, and
+// Failures those that failed. FormerRequests, FormerItems and FormerFailures are the same for
+// backends of other versions of the service, while the step was in force. FormerInFlight is
+// how many requests are at those backends now, the same in the counts of all steps.
 type RolloutCounts struct {
 	Service        string
 	ID             uint64
 	Step           int
+	Requests       uint64
 	Items          uint64
 	Exceedances    uint64
 	Failures       uint64
+	FormerRequests uint64
+	FormerItems    uint64
+	FormerFailures uint64
 	FormerInFlight int
 }
