Tests: a table waits for its roll-outs, the newest report of a process holds

TestTableWaitsForItsRollouts was seen to fail with the check taken out of Version.with: a daemon that missed a roll-out would put backends of the ordered version in force at a full share. TestNewestRolloutReportHolds guards the sums that decisions are taken by.

--- a/agent/version_test.go
+++ b/agent/version_test.go
@@ -55,3 +55,41 @@
 		version = next
 	}
 }
+
+// A table that lists backends of an ordered version comes into force only with the roll-outs
+// under which it was built: a daemon that missed these would send them a full share.
+func TestTableWaitsForItsRollouts(test *testing.T) {
+	tableOf := func(number, rollouts uint64) *message.Table {
+		return &message.Table{Version: message.TableVersion{Number: number}, Complete: true, Rollouts: rollouts}
+	}
+	list := []message.Rollout{{Service: "desk", Target: "v2", ID: 1}}
+	version := &Version{Table: &message.Table{}}
+	for _, step := range []struct {
+		name     string
+		response *message.FetchResponse
+		table    uint64
+		rollouts uint64
+	}{
+		{"before any roll-out", &message.FetchResponse{Table: tableOf(1, 0)}, 1, 0},
+		{"a table whose roll-outs are missing", &message.FetchResponse{Table: tableOf(2, 1)}, 1, 0},
+		{"a delta whose roll-outs are missing", &message.FetchResponse{
+			Delta: &message.TableDelta{Base: message.TableVersion{Number: 1}, Version: message.TableVersion{Number: 3}, Rollouts: 1},
+		}, 1, 0},
+		{"roll-outs alone", &message.FetchResponse{Rollouts: 1, RolloutList: list}, 1, 1},
+		{"the table once more", &message.FetchResponse{Table: tableOf(2, 1)}, 2, 1},
+		{"older roll-outs", &message.FetchResponse{Rollouts: 0, Table: tableOf(4, 1)}, 4, 1},
+		{"both at once", &message.FetchResponse{Rollouts: 5, RolloutList: list, Table: tableOf(6, 5)}, 6, 5},
+	} {
+		next, err := version.with(step.response, message.Chunks{})
+		if err != nil {
+			test.Fatal(step.name, err)
+		}
+		if next.Table.Version.Number != step.table || next.RolloutSerial != step.rollouts {
+			test.Errorf("%s: table %d, roll-outs %d", step.name, next.Table.Version.Number, next.RolloutSerial)
+		}
+		if step.rollouts > 0 && len(next.Rollouts) != 1 {
+			test.Errorf("%s: %d roll-outs", step.name, len(next.Rollouts))
+		}
+		version = next
+	}
+}
--- /dev/null
+++ b/control/rollouts_test.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"orchidjunction/message"
+	"orchidjunction/rollout"
+)
+
+// A report that comes late does not replace a newer one, and counts of a process that fell
+// silent stay: evidence is neither lost nor counted twice.
+func TestNewestRolloutReportHolds(test *testing.T) {
+	reports := &rolloutReports{}
+	countsOf := func(items uint64) []message.RolloutCounts {
+		return []message.RolloutCounts{{ID: 1, Step: 1, Items: items}}
+	}
+	reports.add("b", 1000, 0, countsOf(5))
+	reports.add("a", 1000, 0, countsOf(7))
+	reports.add("a", 1500, 0, countsOf(9))
+	reports.add("a", 1200, 0, countsOf(8))
+	reports.add("c", 1000, 0, []message.RolloutCounts{{ID: 2, Items: 100}})
+	roll := &rollout.Rollout{ID: 1}
+	if total := roll.Total(reports.of(1)); total.Items != 14 {
+		test.Errorf("%d items, want 14", total.Items)
+	}
+	if reports.age("a") > time.Minute || reports.age("nobody") < time.Minute {
+		test.Errorf("ages %v and %v", reports.age("a"), reports.age("nobody"))
+	}
+}
+
+// The list that proxies may know of is made anew when the list or the roll-outs change, and
+// is the same slice otherwise, by which tables tell that nothing changed.
+func TestListedBackendsFollowTheRollouts(test *testing.T) {
+	backends := []message.Backend{
+		{Name: "a", Service: "desk", Revision: "v1"}, {Name: "b", Service: "desk", Revision: "v1"}, {Name: "c", Service: "desk", Revision: "v2"},
+	}
+	before := &rollout.State{}
+	after, err := before.Order(&message.RolloutOrder{Service: "desk", Target: "v2", TermMs: 1000}, 1)
+	if err != nil {
+		test.Fatal(err)
+	}
+	kept := &listedBackends{}
+	first := kept.of(backends, 1, before)
+	if again := kept.of(backends, 1, before); len(first) != 2 || &again[0] != &first[0] {
+		test.Errorf("%+v, then %+v", first, again)
+	}
+	if listed := kept.of(backends, 2, after); len(listed) != 3 {
+		test.Errorf("ordered: %+v", listed)
+	}
+}
