--- a/hostproxy/offer.go
+++ b/hostproxy/offer.go
@@ -43,7 +43,7 @@
 		target.offer.end()
 		target.offer = nil
 		withdrawn++
-		running += target.runningHere()
+		running += target.inFlight()
 	}
 	if withdrawn == 0 {
 		return
