Roll-outs say what they wait for; warm backends are compared with warm ones

Decide now returns the obstacle of each roll-out that stays, and the leader logs it when it changes. A zone that came back cold made the new version's warm backends fewer than 85% of all listed ones of the former version, cold ones included: now warm ones are compared, and completion, when all requests go to the new version already, needs no such comparison.

--- a/control/core.go
+++ b/control/core.go
@@ -22,6 +22,7 @@
 	"orchidjunction/message"
 	"orchidjunction/metrics"
 	"orchidjunction/replica"
+	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 	"orchidjunction/storage"
 	"orchidjunction/usage"
@@ -65,6 +66,7 @@
 	routingCache     routingCache
 	rolloutsCache    rolloutsCache
 	rolloutReports   rolloutReports
+	waitingRollouts  []rollout.Waiting
 	observedBackends observedBackends
 	listed           listedBackends
 	fetchCache       fetchCache
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -193,14 +194,28 @@
 		return
 	}
 	rules := rollout.Rules{Bounds: core.config.Rollouts, Verdict: core.config.RolloutVerdict}
-	serial, err := leadership.writeRollouts(func(current *rollout.State) (*rollout.State, error) {
-		return rollout.Decide(current, core.observeRollouts(leadership, backends), rules), nil
+	waiting := []rollout.Waiting{}
+	serial, err := leadership.writeRollouts(func(current *rollout.State) (next *rollout.State, err error) {
+		next, waiting = rollout.Decide(current, core.observeRollouts(leadership, backends), rules)
+		return next, nil
 	})
 	if err != nil {
 		core.counters.Add("rollout_decisions_"+string(rpc.CodeOf(err)), 1)
 		return
 	}
 	core.logRollouts(current, leadership.currentRollouts(), serial)
+	core.logWaiting(waiting)
+}
+
+// logWaiting logs what roll-outs wait for when that changed.
+func (core *Core) logWaiting(waiting []rollout.Waiting) {
+	if slices.Equal(waiting, core.waitingRollouts) {
+		return
+	}
+	core.waitingRollouts = waiting
+	for _, one := range waiting {
+		klog.Infof("roll-out of %s waits: %s", one.Service, one.Obstacle)
+	}
 }
 
 // observeVersions notes at which version each service of a complete list is.
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -40,21 +40,43 @@
 	fullCapacity    = 0.85
 )
 
+// Obstacle is why a roll-out stays in its step; it is empty if it need not.
+type Obstacle string
+
+// The obstacles.
+const (
+	NotSettled     Obstacle = "the leader waits for its first table"
+	NotDue         Obstacle = "the step is not over"
+	TooLittleWarm  Obstacle = "too few warm backends of the new version"
+	TooFewItems    Obstacle = "too few responses were judged"
+	ProxiesBehind  Obstacle = "a proxy is silent or has an older step"
+	BoundReached   Obstacle = "the bound of requests would not hold"
+	FormerInFlight Obstacle = "requests are at the former version"
+)
+
+// Waiting is a roll-out that stays in its step.
+type Waiting struct {
+	Service  string
+	Obstacle Obstacle
+}
+
 // Decide returns the state after the next decision on each active roll-out, nil if none of
 // them changes: the next step if the evidence allows it, the end if the version is bad or all
-// is done, and else the same step for longer.
-func Decide(state *State, observation *Observation, rules Rules) *State {
-	next := state
+// is done, and else the same step for longer, with what each of these waits for.
+func Decide(state *State, observation *Observation, rules Rules) (*State, []Waiting) {
+	next, waiting := state, []Waiting{}
 	for _, service := range state.Active() {
-		decision := newDecision(service, observation, rules)
-		if changed := decision.next(); changed != nil {
+		changed, obstacle := newDecision(service, observation, rules).next()
+		if changed != nil {
 			next = next.with(*changed)
+		} else {
+			waiting = append(waiting, Waiting{Service: service.Name, Obstacle: obstacle})
 		}
 	}
 	if next == state {
-		return nil
+		next = nil
 	}
-	return next
+	return next, waiting
 }
 
 // decision is what one roll-out is decided by.
@@ -81,20 +103,23 @@
 	}
 }
 
-// next returns the service after the decision, nil if the roll-out stays as it is.
-func (decision *decision) next() *Service {
+// next returns the service after the decision, nil and the obstacle if the roll-out stays as
+// it is.
+func (decision *decision) next() (*Service, Obstacle) {
 	rollout, isLate := decision.rollout, decision.observation.NowMs >= decision.rollout.TermMs
-	switch {
-	case decision.rules.Verdict.Alarm(decision.total):
-		return decision.end(message.RolloutReverted)
-	case rollout.Step < fullStep && isLate:
-		return decision.end(message.RolloutReverted)
-	case rollout.Step == fullStep && decision.mayComplete():
-		return decision.end(message.RolloutComplete)
-	case rollout.Step < fullStep && decision.mayGrow():
-		return decision.grow()
+	if decision.rules.Verdict.Alarm(decision.total) || rollout.Step < fullStep && isLate {
+		return decision.end(message.RolloutReverted), ""
 	}
-	return nil
+	if rollout.Step < fullStep {
+		if obstacle := decision.obstacleToGrow(); obstacle != "" {
+			return nil, obstacle
+		}
+		return decision.grow(), ""
+	}
+	if obstacle := decision.obstacleToComplete(); obstacle != "" {
+		return nil, obstacle
+	}
+	return decision.end(message.RolloutComplete), ""
 }
 
 func (decision *decision) end(phase message.RolloutPhase) *Service {
@@ -113,17 +138,27 @@
 	return &service
 }
 
-// mayGrow reports whether the next step may begin now.
-func (decision *decision) mayGrow() bool {
+// obstacleToGrow returns why the next step may not begin now.
+func (decision *decision) obstacleToGrow() Obstacle {
 	step := decision.rollout.Step + 1
 	share := decision.rules.Bounds.share(step)
-	if !decision.observation.IsSettled || !decision.stepDue(step) || !decision.capacity.bears(share) {
-		return false
-	}
-	if step == canaryStep {
-		return true
+	switch {
+	case !decision.observation.IsSettled:
+		return NotSettled
+	case !decision.stepDue(step):
+		return NotDue
+	case !decision.capacity.bears(share):
+		return TooLittleWarm
+	case step == canaryStep:
+		return ""
+	case decision.total.Items < minItems:
+		return TooFewItems
+	case !decision.inForceEverywhere():
+		return ProxiesBehind
+	case !decision.rules.Bounds.allows(decision.exposure(), share):
+		return BoundReached
 	}
-	return decision.total.Items >= minItems && decision.inForceEverywhere() && decision.rules.Bounds.allows(decision.exposure(), share)
+	return ""
 }
 
 // stepDue reports whether the time for a step has come.
@@ -138,11 +173,20 @@
 	return true
 }
 
-// mayComplete reports whether the former version may end at once: the new one bears all
-// requests, and no proxy has a request at the former one.
-func (decision *decision) mayComplete() bool {
-	return decision.observation.IsSettled && decision.sinceStep() >= fullTime &&
-		decision.capacity.bears(1) && decision.inForceEverywhere() && decision.formerIdle()
+// obstacleToComplete returns why the former version may not end now, which it does at once:
+// the new one must have had all requests for a while, and no proxy any at the former one.
+func (decision *decision) obstacleToComplete() Obstacle {
+	switch {
+	case !decision.observation.IsSettled:
+		return NotSettled
+	case decision.sinceStep() < fullTime:
+		return NotDue
+	case !decision.inForceEverywhere():
+		return ProxiesBehind
+	case !decision.formerIdle():
+		return FormerInFlight
+	}
+	return ""
 }
 
 // inForceEverywhere reports whether each proxy has the present step in force and said so
@@ -190,8 +234,8 @@
 	return time.Duration(rollout.TermMs-rollout.StartMs) * time.Millisecond
 }
 
-// capacity is how many requests at once the two versions of a service bear: the new one's
-// backends that are warm, and those of all others that stay.
+// capacity is how many requests at once the warm backends of a service bear that stay: those
+// of the new version, and all others.
 type capacity struct{ warm, former float64 }
 
 func capacityOf(observation *Observation, service Service) capacity {
@@ -199,10 +243,10 @@
 	for index := range observation.Backends {
 		backend := &observation.Backends[index]
 		switch {
-		case backend.Service != service.Name || backend.Leaving:
+		case backend.Service != service.Name || backend.Leaving || backend.WarmAtMs > observation.NowMs:
 		case backend.Revision != service.Rollout.Target:
 			capacity.former += float64(max(1, backend.Capacity))
-		case backend.WarmAtMs <= observation.NowMs:
+		default:
 			capacity.warm += float64(max(1, backend.Capacity))
 		}
 	}
