ojctl rollout; a crash is no failure of a version; restarts hold no step up

ojctl rollout start, status, watch and abort, by /v1/rollouts on the cores' operators' side; TestRolloutByTheOwnInterface.

--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -41,6 +41,8 @@
 	operator string
 	base     int
 	whole    bool
+
+	termSeconds int
 }
 
 func main() {
@@ -96,6 +98,7 @@
 		},
 	)
 	command.coreCommands(flags, uses)
+	command.rolloutCommands(flags, uses)
 	add("status", "shows the leader, the cores and every daemon", (*errand).status, nil)
 	flags.Parse()
 	for subcommand, run := range uses {
@@ -114,7 +117,7 @@
 		end(run(command))
 		return
 	}
-	flags.Exit(rpc.Errorf(rpc.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history, aims, core or status"))
+	flags.Exit(rpc.Errorf(rpc.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history, aims, core, rollout or status"))
 }
 
 // end prints an error and turns it into the exit status that scripts read.
--- a/cmd/orchidjunction/core.go
+++ b/cmd/orchidjunction/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"time"
 
@@ -87,9 +88,13 @@
 		func() map[string]string { return node.source.Settings().Zones },
 		node.counters,
 	)
+	orders := http.NewServeMux()
+	orders.Handle(agent.RolloutPath, agent.NewRolloutAPI(forwarder, node.counters))
+	orders.Handle(agent.RolloutPath+"/", agent.NewRolloutAPI(forwarder, node.counters))
+	orders.Handle("/", operators)
 	if err := node.open(
 		endpoint{config.InternalAddress, server},
-		endpoint{settings.Listen.Operators, withMetrics(node.counters, operators)},
+		endpoint{settings.Listen.Operators, withMetrics(node.counters, orders)},
 	); err != nil {
 		return err
 	}
--- a/harness/simulation/rollout_test.go
+++ b/harness/simulation/rollout_test.go
@@ -1,9 +1,13 @@
 package simulation
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +15,7 @@
 	"orchidjunction/agent"
 	"orchidjunction/discovery"
 	"orchidjunction/message"
+	"orchidjunction/metrics"
 	"orchidjunction/rpc"
 )
 
@@ -291,3 +296,45 @@
 		service.world.report(test)
 	})
 }
+
+// The product's own interface starts, shows and aborts a roll-out; an abort gives all requests
+// back to the former version, and what is wrong is refused with a code.
+func TestRolloutByTheOwnInterface(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		service := newRolledService(test, seed, 0)
+		defer service.world.CloseFar()
+		api := agent.NewRolloutAPI(service.world.holds()[0], metrics.NewCounters())
+		call := func(method, path, body string) (int, agent.RolloutStatus) {
+			recorder, status := httptest.NewRecorder(), agent.RolloutStatus{}
+			api.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+			if err := json.Unmarshal(recorder.Body.Bytes(), &status); err != nil {
+				test.Errorf("%s %s: %s", method, path, recorder.Body)
+			}
+			return recorder.Code, status
+		}
+		for _, refused := range []struct {
+			method, path, body string
+			status             int
+		}{
+			{http.MethodPost, "/v1/rollouts", `{"service":"desk","target":"v2"}`, http.StatusBadRequest},
+			{http.MethodPost, "/v1/rollouts", `{"service":"hall","target":"v2","term_ms":9000}`, http.StatusNotFound},
+			{http.MethodGet, "/v1/rollouts/desk", "", http.StatusNotFound},
+			{http.MethodDelete, "/v1/rollouts/desk", "", http.StatusNotFound},
+		} {
+			if status, _ := call(refused.method, refused.path, refused.body); status != refused.status {
+				test.Errorf("%s %s %s: %d, want %d", refused.method, refused.path, refused.body, status, refused.status)
+			}
+		}
+		if status, receipt := call(http.MethodPost, "/v1/rollouts", `{"service":"desk","target":"v2","term_ms":14000}`); status != 200 || receipt.ID != 1 {
+			test.Fatalf("%d %+v", status, receipt)
+		}
+		if status, shown := call(http.MethodGet, "/v1/rollouts/desk", ""); status != 200 || shown.Phase != "active" || shown.Target != "v2" {
+			test.Errorf("%d %+v", status, shown)
+		}
+		if status, _ := call(http.MethodDelete, "/v1/rollouts/desk", ""); status != 200 {
+			test.Errorf("abort: %d", status)
+		}
+		service.awaitPhase(test, message.RolloutReverted)
+		service.world.report(test)
+	})
+}
--- a/hostproxy/judge.go
+++ b/hostproxy/judge.go
@@ -20,7 +20,8 @@
 }
 
 // judge takes what an exchange came to as an item: to be judged where it is of a version
-// under test, else for the reference.
+// under test, else for the reference. A connection that broke before the deadline exceeds, but
+// is no failure of the version: mostly its machine crashed, which few requests tell late.
 func (proxy *Proxy) judge(request *request, held *candidate, answer *answer, ended outcome, begun time.Time) {
 	now := proxy.clock()
 	item, isItem := proxy.itemOf(request, held, answer, ended, begun, now)
@@ -28,12 +29,15 @@
 		return
 	}
 	key := score.Key{Service: request.service, Route: request.route.Name}
+	isBroken := ended == lost && now.Before(request.deadline)
 	if held.underTest {
-		held.canary.counts.countItem(proxy.references.Judge(key, item))
+		judgement := proxy.references.Judge(key, item)
+		judgement.Failed = judgement.Failed && !isBroken
+		held.canary.counts.countItem(judgement)
 		return
 	}
 	if held.canary != nil {
-		held.canary.counts.countFormer(proxy.references.Failed(key, item))
+		held.canary.counts.countFormer(proxy.references.Failed(key, item) && !isBroken)
 	}
 	if !held.target.isEjected(now) {
 		proxy.references.Add(key, item, held.target.number)
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -33,6 +33,10 @@
 // staleAfter is how old a proxy's newest report may be for a step to a larger share.
 const staleAfter = 1200 * time.Millisecond
 
+// growthQuorum is the part of the proxies that must have a step in force before the next one:
+// while some restart, the others tell enough, and who lacks a step sends the version less.
+const growthQuorum = 0.9
+
 // The part of the former version's capacity that the new one must have before a step: as
 // much as the share of requests and a reserve, and nearly all of it for all requests.
 const (
@@ -153,7 +157,7 @@
 		return ""
 	case decision.total.Items < minItems:
 		return TooFewItems
-	case !decision.inForceEverywhere():
+	case decision.inForce() < growthQuorum:
 		return ProxiesBehind
 	case !decision.rules.Bounds.allows(decision.exposure(), share):
 		return BoundReached
@@ -181,7 +185,7 @@
 		return NotSettled
 	case decision.sinceStep() < fullTime:
 		return NotDue
-	case !decision.inForceEverywhere():
+	case decision.inForce() < 1:
 		return ProxiesBehind
 	case !decision.formerIdle():
 		return FormerInFlight
@@ -189,16 +193,17 @@
 	return ""
 }
 
-// inForceEverywhere reports whether each proxy has the present step in force and said so
-// lately.
-func (decision *decision) inForceEverywhere() bool {
+// inForce returns the part of the proxies that have the present step in force and said so
+// lately, 0 if there are none.
+func (decision *decision) inForce() float64 {
 	newest := newestSteps(decision.counts)
+	count := 0
 	for _, process := range decision.observation.Processes {
-		if newest[process.Incarnation].Step != decision.rollout.Step || process.Age > staleAfter {
-			return false
+		if newest[process.Incarnation].Step == decision.rollout.Step && process.Age <= staleAfter {
+			count++
 		}
 	}
-	return len(decision.observation.Processes) > 0
+	return float64(count) / float64(max(1, len(decision.observation.Processes)))
 }
 
 // formerIdle reports whether no proxy has a request at the former version.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -26,8 +26,9 @@
 	canaryOfBound  = 0.3
 	rampingOfBound = 1.5
 	// canaryUntil is the part of the time until the term in which a version stays at its
-	// first share: some turn bad only after a while.
-	canaryUntil = 0.6
+	// first share: some turn bad only after a while. The rest is for the larger shares, and
+	// for the last requests at the former version, which may take as long as their deadline.
+	canaryUntil = 0.5
 	// rampingTime is how long a version stays at its second share.
 	rampingTime = 1100 * time.Millisecond
 	// reactionTime is how long a version that turns bad gets its share still: until enough
