The answer to a long poll brings a small change of the table itself

Cause: an update took a long poll's answer and then a fetch, three ways one after the other, each behind what is queued on a thin link.

Change: if only the table is newer and at most 64 entries of it changed, the answer to the long poll has the delta; the daemon applies it and fetches only what it still lacks. A larger change, or one with a new routing or settings, is fetched as before, so that the time-out of a long poll need not allow for long answers.

--- a/agent/watch.go
+++ b/agent/watch.go
@@ -53,15 +53,18 @@
 	}
 }
 
-// watchOnce waits for an update at a core and fetches it. It returns false if the core
-// failed.
+// watchOnce waits for an update at a core and puts it in force, after a fetch unless the
+// core sent it at once. It returns false if the core failed.
 func (daemon *Daemon) watchOnce(ctx context.Context, core string) bool {
 	version := daemon.Version()
 	response, err := daemon.watch(ctx, core, version)
 	if err != nil {
 		return ctx.Err() != nil
 	}
-	isNewer := version.isBehind(response.Serial, response.Routing, response.Table)
+	if response.Delta != nil && daemon.applyUpdate(&message.FetchResponse{Delta: response.Delta}, nil) {
+		daemon.counters.Add("deltas_with_a_watch", 1)
+	}
+	isNewer := daemon.Version().isBehind(response.Serial, response.Routing, response.Table)
 	return !isNewer || daemon.fetch(ctx, core) || ctx.Err() != nil
 }
 
--- a/control/registers.go
+++ b/control/registers.go
@@ -91,15 +91,20 @@
 	return message.Leader{}
 }
 
-// watched returns the versions that daemons wait for.
-func (core *Core) watched() *message.WatchResponse {
+// watched returns the versions that daemons wait for, and what changed in the table if that
+// is all that is newer than what a daemon holds.
+func (core *Core) watched(request *message.WatchRequest) *message.WatchResponse {
 	core.mutex.Lock()
 	defer core.mutex.Unlock()
-	return &message.WatchResponse{
+	response := &message.WatchResponse{
 		Serial:  core.committedSerial(message.SettingsRegister),
 		Table:   core.tables.current.Version,
 		Routing: core.committedSerial(message.RoutingRegister),
 	}
+	if response.NewerInTableOnly(request) {
+		core.tables.addDelta(response, request.Table)
+	}
+	return response
 }
 
 // onWatch waits until something is newer than what a daemon holds.
@@ -107,7 +112,7 @@
 	deadline := time.Now().Add(request.Timeout())
 	for {
 		seen := core.updates.Count()
-		response := core.watched()
+		response := core.watched(request)
 		if response.NewerThan(request) || core.goroutines.Stopping() {
 			return response, nil
 		}
--- a/control/table.go
+++ b/control/table.go
@@ -15,6 +15,10 @@
 // of that kind.
 const everything = ^uint64(0)
 
+// maxWatchDelta is the most entries of the table that the response to a watch brings, about
+// 10 kB.
+const maxWatchDelta = 64
+
 // tableState is the newest table that a core holds, and the version that the leader
 // announced. The core's mutex guards it.
 type tableState struct {
@@ -39,6 +43,15 @@
 	}
 }
 
+// addDelta adds what changed in the table to a response if that is small: daemons wait for
+// the response only a little longer than they let the watch last.
+func (state *tableState) addDelta(response *message.WatchResponse, than message.TableVersion) {
+	delta, isKnown := state.log.Since(than, state.current)
+	if isKnown && delta.Entries() <= maxWatchDelta {
+		response.Delta = delta
+	}
+}
+
 // Table returns the newest table. It must not be changed.
 func (core *Core) Table() *message.Table {
 	core.mutex.Lock()
--- a/discovery/reading.go
+++ b/discovery/reading.go
@@ -146,6 +146,9 @@
 			reading.takePage(page)
 			return page, nil
 		}
+		if page.RetryAfter > 0 {
+			reading.reader.counters.Add("platform_calls_put_off", 1)
+		}
 		isPutOff := page.RetryAfter > 0 && retries < maxPageRetries
 		if !isPutOff || !reading.goroutines.Sleep(page.RetryAfter) || !reading.goesOn() {
 			reading.failed(page.RetryAfter)
--- a/harness/simulation/drain_test.go
+++ b/harness/simulation/drain_test.go
@@ -95,10 +95,8 @@
 // leavesEverywhere reports whether all daemons hold that a backend leaves.
 func (world *World) leavesEverywhere(name string) bool {
 	for _, one := range world.Members {
-		for _, backend := range one.Daemon.Version().Table.Backends {
-			if backend.Name == name && !backend.Leaving {
-				return false
-			}
+		if !leaves(one.Daemon.Version().Table, name) {
+			return false
 		}
 	}
 	return true
@@ -133,3 +131,39 @@
 		world.report(test)
 	})
 }
+
+// Guards against drains told late: daemons that waited for an update asked for it once more,
+// a second way to the leader and back, after they were told that there was one.
+func TestSmallUpdateComesWithTheWatch(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		world := NewFarWorld(seed, 5)
+		defer world.CloseFar()
+		list := newPagedList(world, listPage)
+		world.Listed = list.page
+		world.farUp(test, 9)
+		for number := range drainsPerSeed {
+			world.Rest(5 * time.Second)
+			name := list.drain(number)
+			leads := func() bool { return leaves(world.Cores[max(world.Leader(), 0)].life(world).Table(), name) }
+			if !world.Until(drainBound, leads) {
+				world.broke("%s: not in the leader's table", name)
+			}
+			told := time.Now()
+			world.Until(drainBound, func() bool { return world.leavesEverywhere(name) })
+			if took := time.Since(told); took > farWay+20*time.Millisecond {
+				world.broke("%s: in force everywhere %v after the leader's table, want one way of %v", name, took, farWay)
+			}
+		}
+		world.report(test)
+	})
+}
+
+// leaves reports whether a table says that a backend leaves.
+func leaves(table *message.Table, name string) bool {
+	for _, backend := range table.Backends {
+		if backend.Name == name {
+			return backend.Leaving
+		}
+	}
+	return false
+}
--- a/message/table.go
+++ b/message/table.go
@@ -81,6 +81,11 @@
 	RemovedBackends []string `msgpack:"GoneBackends"`
 }
 
+// Entries returns how many entries of the table the delta changes or removes.
+func (delta *TableDelta) Entries() int {
+	return len(delta.Members) + len(delta.Backends) + len(delta.RemovedMembers) + len(delta.RemovedBackends)
+}
+
 // Apply returns the table after a delta; it returns the table itself and false if the
 // delta is based on another version.
 func (table *Table) Apply(delta *TableDelta) (*Table, bool) {
--- a/message/update.go
+++ b/message/update.go
@@ -25,12 +25,14 @@
 	return min(time.Duration(request.SpanMs)*time.Millisecond, maxWatch)
 }
 
-// WatchResponse is the versions that the process holds.
+// WatchResponse is the versions that the process holds. It brings the table's delta if only
+// the table is newer and little of it changed, so that no fetch is needed.
 type WatchResponse struct {
 	Serial uint64
 	Table  TableVersion
 
 	Routing uint64
+	Delta   *TableDelta
 }
 
 // NewerThan reports whether any of the versions is newer than those in a request.
@@ -38,6 +40,11 @@
 	return response.Serial > request.Serial || response.Routing > request.Routing || request.Table.Less(response.Table)
 }
 
+// NewerInTableOnly reports whether only the table is newer than that in a request.
+func (response *WatchResponse) NewerInTableOnly(request *WatchRequest) bool {
+	return response.Serial <= request.Serial && response.Routing <= request.Routing && request.Table.Less(response.Table)
+}
+
 // FetchRequest asks for what is newer than the versions given.
 type FetchRequest struct {
 	Serial uint64
