--- a/hostproxy/pipe_test.go
+++ b/hostproxy/pipe_test.go
@@ -138,6 +138,12 @@
 	return nil
 }
 
+// CloseWrite ends what this end sends; it goes on reading.
+func (pipe *pipe) CloseWrite() error {
+	pipe.out.end(io.EOF)
+	return nil
+}
+
 func (pipe *pipe) reset() {
 	pipe.in.abandon(true)
 	pipe.out.end(syscall.ECONNRESET)
@@ -197,6 +203,12 @@
 	doors.mutex.Unlock()
 }
 
+// unsilence lets the dials through that hang at an address.
+func (doors *doors) unsilence(address string) {
+	doors.silence(address, false)
+	doors.wake.Broadcast()
+}
+
 func (doors *doors) dialled(address string) int {
 	doors.mutex.Lock()
 	defer doors.mutex.Unlock()
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -10,6 +10,7 @@
 	"orchidjunction/concurrent"
 	"orchidjunction/message"
 	"orchidjunction/metrics"
+	"orchidjunction/rollout/score"
 )
 
 const (
@@ -36,10 +37,12 @@
 	stats           *RouteStats
 	usageMeter      *UsageMeter
 	figures         *figures
+	references      *score.References
 	capacityFreed   *concurrent.Condition
 	queues          waitQueues
 	inFlight        inFlightCounts
 	bodies          bodyMemory
+	uploads         *pendingUploads
 	inbound         *Shaper
 	outbound        *Shaper
 	transfers       *TransferLimiter
@@ -49,6 +52,9 @@
 	targets     map[string]*target
 	budgets     map[string]*Budget
 	evacuated   map[string]bool
+	rollouts    map[string]*rollout // by service
+	lastTarget  uint32
+	standing    map[string]string // the version of each service that serves without a roll-out
 	mostProxies int
 }
 
@@ -63,10 +69,14 @@
 		now:             now,
 		stats:           newRouteStats(),
 		figures:         newFigures(counters),
+		references:      score.NewReferences(),
 		capacityFreed:   concurrent.NewCondition(),
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
+		uploads:         newPendingUploads(),
 		evacuated:       map[string]bool{},
+		rollouts:        map[string]*rollout{},
+		standing:        map[string]string{},
 		withheldHeaders: map[string]bool{},
 	}
 	proxy.inbound, proxy.outbound = newShaper(config.LinkBytes, proxy.clock()), newShaper(config.LinkBytes, proxy.clock())
@@ -104,6 +114,7 @@
 	}
 	if view := proxy.view.Load(); view != nil {
 		proxy.stats.forgetOthers(view.state.Config.Routes)
+		proxy.forgetReferences(view.state.Config.Routes)
 	}
 }
 
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -60,13 +60,16 @@
 	tenant   *routing.Tenant
 	stats    *RouteStats
 	service  string
+	version  versionTurn
 	rank     int
 	body     []byte
 	begin    time.Time
 	deadline time.Time
 
 	tried      []*target
+	chosenAt   time.Time // when the newest attempt's backend was chosen
 	attempts   int
+	retryPaid  bool // the budget was asked for the attempt that comes next
 	lastAnswer *answer
 	mayHaveRun bool
 
--- a/message/update.go
+++ b/message/update.go
@@ -17,7 +17,8 @@
 	Table  TableVersion
 	SpanMs int
 
-	Routing uint64
+	Routing  uint64
+	Rollouts uint64
 }
 
 // Timeout returns how long the process waits at most.
@@ -31,18 +32,21 @@
 	Serial uint64
 	Table  TableVersion
 
-	Routing uint64
-	Delta   *TableDelta
+	Routing  uint64
+	Rollouts uint64
+	Delta    *TableDelta
 }
 
 // NewerThan reports whether any of the versions is newer than those in a request.
 func (response *WatchResponse) NewerThan(request *WatchRequest) bool {
-	return response.Serial > request.Serial || response.Routing > request.Routing || request.Table.Less(response.Table)
+	return response.Serial > request.Serial || response.Routing > request.Routing ||
+		response.Rollouts > request.Rollouts || request.Table.Less(response.Table)
 }
 
 // NewerInTableOnly reports whether only the table is newer than that in a request.
 func (response *WatchResponse) NewerInTableOnly(request *WatchRequest) bool {
-	return response.Serial <= request.Serial && response.Routing <= request.Routing && request.Table.Less(response.Table)
+	isSame := response.Serial <= request.Serial && response.Routing <= request.Routing && response.Rollouts <= request.Rollouts
+	return isSame && request.Table.Less(response.Table)
 }
 
 // FetchRequest asks for what is newer than the versions given.
@@ -50,11 +54,12 @@
 	Serial uint64
 	Table  TableVersion
 
-	Routing uint64
+	Routing  uint64
+	Rollouts uint64
 }
 
 // FetchResponse brings what is newer: the chunks that make up the settings, the table or
-// its delta, and the routing without its history.
+// its delta, the routing without its history, and the newest roll-out of each service.
 type FetchResponse struct {
 	Serial uint64
 	Chunks []ChunkRef `msgpack:"Parts"`
@@ -65,6 +70,9 @@
 	RoutingBody       []byte
 	RoutingCompressed bool `msgpack:"RoutingPacked"`
 
+	Rollouts    uint64
+	RolloutList []Rollout
+
 	encoded []byte
 }
 
