Test that a long poll brings small changes of the table only

Guards the bound of the last change but one: with maxWatchDelta + 1 changed entries the answer brings none.

--- a/control/table_test.go
+++ b/control/table_test.go
@@ -174,3 +174,30 @@
 		})
 	}
 }
+
+// Guards against long polls that time out: a change of many entries is left to a fetch.
+func TestWatchBringsSmallDeltasOnly(test *testing.T) {
+	for _, sort := range []struct {
+		changed int
+		isSent  bool
+	}{{1, true}, {maxWatchDelta, true}, {maxWatchDelta + 1, false}} {
+		state := newTableState()
+		term := message.Term{Number: 1, Core: 1}
+		former := &message.Table{Version: message.TableVersion{Term: term, Number: 1}}
+		next := &message.Table{Version: message.TableVersion{Term: term, Number: 2}}
+		for number := range maxWatchDelta + 1 {
+			backend := message.Backend{Name: fmt.Sprintf("backend-%03d", number)}
+			former.Backends = append(former.Backends, backend)
+			backend.Leaving = number < sort.changed
+			next.Backends = append(next.Backends, backend)
+		}
+		state.log.Record(state.current, former)
+		state.log.Record(former, next)
+		state.current = next
+		response := &message.WatchResponse{}
+		state.addDelta(response, former.Version)
+		if (response.Delta != nil) != sort.isSent {
+			test.Errorf("%d changes: delta sent %v", sort.changed, response.Delta != nil)
+		}
+	}
+}
