--- a/message/update.go
+++ b/message/update.go
@@ -26,13 +26,15 @@
 	return min(time.Duration(request.SpanMs)*time.Millisecond, maxWatch)
 }
 
-// WatchResponse is the versions that the process holds.
+// WatchResponse is the versions that the process holds. It brings the table's delta if only
+// the table is newer and little of it changed, so that no fetch is needed.
 type WatchResponse struct {
 	Serial uint64
 	Table  TableVersion
 
 	Routing  uint64
 	Rollouts uint64
+	Delta    *TableDelta
 }
 
 // NewerThan reports whether any of the versions is newer than those in a request.
@@ -41,6 +43,12 @@
 		response.Rollouts > request.Rollouts || request.Table.Less(response.Table)
 }
 
+// NewerInTableOnly reports whether only the table is newer than that in a request.
+func (response *WatchResponse) NewerInTableOnly(request *WatchRequest) bool {
+	isSame := response.Serial <= request.Serial && response.Routing <= request.Routing && response.Rollouts <= request.Rollouts
+	return isSame && request.Table.Less(response.Table)
+}
+
 // FetchRequest asks for what is newer than the versions given.
 type FetchRequest struct {
 	Serial uint64
