Requests to backends count on a proxy's own link, which large answers filled beside them

Cause: the outbound Shaper leaves large answers 90% of the link less what small ones take, but counted answers alone as small. Requests to backends went beside them, so that the queue grew for as long as there were large answers. They also went in bursts of 32 KB, 97 ms of this link, four times the chunk.

Change: what is sent to backends passes the outbound Shaper; a burst is one chunk.

TestSmallRequestsWaitBrieflyOnTheOwnLink: the wait at p99 was 948 ms on the former code.

--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -195,7 +195,7 @@
 // of them may have arrived.
 func (proxy *Proxy) send(connection *connection, head, body []byte) (bool, error) {
 	connection.upload = nil
-	proxy.figures.linkWait.Observe(proxy.outbound.enqueue(len(head)+len(body), proxy.clock()))
+	proxy.figures.linkWait.Observe(proxy.outbound.pass(len(head)+len(body), proxy.clock()))
 	if len(body) <= smallBody {
 		count, err := connection.conn.Write(append(head, body...))
 		return count > 0, err
--- a/hostproxy/shaper.go
+++ b/hostproxy/shaper.go
@@ -12,9 +12,10 @@
 const (
 	// largeBody is the size in bytes above which an answer is bulk.
 	largeBody = 32 << 10
-	// Bulk goes in chunks of bulkChunk bytes, at most bulkBurst at once.
+	// Bulk goes in chunks of bulkChunk bytes, at most bulkBurst at once: what is small waits
+	// behind the burst.
 	bulkChunk = 8 << 10
-	bulkBurst = 32 << 10
+	bulkBurst = bulkChunk
 	// bulkShare is the share of the link that bulk has in any case.
 	bulkShare = 0.25
 	// linkUse is the share of the link that is given out.
@@ -110,16 +111,16 @@
 	transfers.mutex.Unlock()
 }
 
-// pass counts bytes that go at once.
-func (shaper *Shaper) pass(bytes int, now time.Time) {
+// pass counts bytes that go at once. It returns how long they wait on the link itself.
+func (shaper *Shaper) pass(bytes int, now time.Time) time.Duration {
 	if shaper == nil {
-		return
+		return 0
 	}
 	shaper.mutex.Lock()
 	shaper.urgentBytes += float64(bytes)
 	shaper.updateRate(now)
 	shaper.mutex.Unlock()
-	shaper.enqueue(bytes, now)
+	return shaper.enqueue(bytes, now)
 }
 
 // enqueue notes that bytes were given to the link. It returns how long they wait there for
--- a/hostproxy/shaper_test.go
+++ b/hostproxy/shaper_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,3 +155,44 @@
 		}
 	}
 }
+
+// Large answers took nearly the whole link beside requests to backends, which were not counted
+// on it: its queue grew for as long as there were large answers, and small requests, dials
+// and updates stood in it (DRAIN, issue 33).
+func TestSmallRequestsWaitBrieflyOnTheOwnLink(test *testing.T) {
+	const link = 2.7e6 / 8
+	const mostWait = 150 * time.Millisecond
+	inWorld(test, func(world *world) {
+		world.proxy.outbound = newShaper(link, time.Now())
+		world.add("b1").ever(func(exchange *exchange) bool {
+			if strings.Contains(exchange.line, "/load/") {
+				return large(200<<10, 200<<10, false)(exchange)
+			}
+			return well(exchange)
+		})
+		stop := time.Now().Add(10 * time.Second)
+		for index := range 4 {
+			world.goroutines.Start(func() {
+				for ask := 0; time.Now().Before(stop); ask++ {
+					client := world.client()
+					client.ask("GET", raw("GET", "/load/a", fmt.Sprintf("load%d-%d", index, ask), "", ""))
+					client.pipe.Close()
+				}
+			})
+		}
+		waits := []time.Duration{}
+		for time.Now().Before(stop) {
+			id, client := world.id(), world.client()
+			world.good(client.ask("POST", raw("POST", "/once/a", id, "", strings.Repeat("b", 6<<10))), id)
+			client.pipe.Close()
+			for range 10 {
+				world.goroutines.Sleep(10 * time.Millisecond)
+				waits = append(waits, world.proxy.outbound.enqueue(0, time.Now()))
+			}
+		}
+		slices.Sort(waits)
+		if wait := waits[len(waits)*99/100]; wait > mostWait {
+			test.Errorf("99%% of the waits are below %s only, at most %s", wait, waits[len(waits)-1])
+		}
+	})
+}
