--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -86,11 +86,13 @@
 	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
-			plane.Apply(version.Routing, version.ServingTable())
+			plane.Apply(version.Routing, version.ServingTable(), version.Rollouts)
 		}
 	}, nil)
 	daemon.SetWindows(plane.Windows)
+	daemon.SetRollouts(plane.RolloutCounts)
 	daemon.SetWarm(plane.Ready)
+	daemon.OnRetire(plane.FinishUploads)
 	server := rpc.NewServer(node.counters)
 	daemon.Register(server)
 	lookups := platform.NewLookup(node.source.Settings, func() *message.Table { return daemon.Version().Table },
--- a/hostproxy/target.go
+++ b/hostproxy/target.go
@@ -37,6 +37,7 @@
 // target is one incarnation of a backend as this process knows it; it outlives views.
 type target struct {
 	backend message.Backend
+	number  uint32 // tells it from the other targets of this process
 	offer   *offer // nil while no view has the target as a candidate
 
 	mutex          sync.Mutex
@@ -126,8 +127,8 @@
 	target.mutex.Unlock()
 }
 
-// runningHere is how many requests this process has at the target.
-func (target *target) runningHere() int {
+// inFlight is how many requests this process has at the target.
+func (target *target) inFlight() int {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
 	return target.running
