A leaving daemon's time to settle counts from its SIGTERM

Cause: Retire tells the cores first, which takes up to a heartbeat's time or two on a busy link, and began the 2.5 s of going on accepting only then.

TestRetireSettlesFromItsBegin settled for 2.9 s on the former code.

--- a/agent/retire.go
+++ b/agent/retire.go
@@ -19,7 +19,7 @@
 	daemon.endsAt = begin.Add(grace)
 	daemon.mutex.Unlock()
 	daemon.Leave()
-	daemon.goroutines.Sleep(settle)
+	daemon.goroutines.Sleep(settle - time.Since(begin))
 	hasDrained := drain(grace - time.Since(begin))
 	daemon.callbacks.onRetire(grace - time.Since(begin))
 	daemon.EndSession()
