--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -86,10 +86,11 @@
 	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
-			plane.Apply(version.Routing, version.ServingTable(), nil)
+			plane.Apply(version.Routing, version.ServingTable(), version.Rollouts)
 		}
 	}, nil)
 	daemon.SetWindows(plane.Windows)
+	daemon.SetRollouts(plane.RolloutCounts)
 	daemon.SetWarm(plane.Ready)
 	server := rpc.NewServer(node.counters)
 	daemon.Register(server)
--- a/message/table.go
+++ b/message/table.go
@@ -63,12 +63,14 @@
 }
 
 // Table is the soft state that every daemon holds: the daemons and the backends, both
-// sorted by name. It is immutable.
+// sorted by name. Rollouts is the serial of the roll-outs under which it lists backends: one
+// that lists a new version is not put in force without them. It is immutable.
 type Table struct {
 	Version  TableVersion `json:"mark" msgpack:"Mark"`
 	Members  []Member     `json:"members"`
 	Backends []Backend    `json:"backends"`
 	Complete bool         `json:"complete"`
+	Rollouts uint64       `json:"rollouts,omitempty"`
 }
 
 // TableDelta is what changed in a table since an older version.
@@ -80,6 +82,7 @@
 	Backends        []Backend
 	RemovedMembers  []string `msgpack:"GoneMembers"`
 	RemovedBackends []string `msgpack:"GoneBackends"`
+	Rollouts        uint64
 }
 
 // Apply returns the table after a delta; it returns the table itself and false if the
@@ -88,7 +91,7 @@
 	if table.Version != delta.Base {
 		return table, false
 	}
-	next := &Table{Version: delta.Version, Complete: delta.Complete}
+	next := &Table{Version: delta.Version, Complete: delta.Complete, Rollouts: delta.Rollouts}
 	next.Members = mergeByName(table.Members, delta.Members, delta.RemovedMembers, memberName)
 	next.Backends = mergeByName(table.Backends, delta.Backends, delta.RemovedBackends, backendName)
 	return next, true
