--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -16,7 +16,7 @@
 	ratePerS = 1600.0
 )
 
-var rules = Rules{Bounds: Bounds{Share: 0.1, Extra: 50}, Verdict: FailureThreshold{}}
+var rules = Rules{Bounds: Bounds{Share: 0.1, Extra: 50}, Verdict: DefaultVerdict()}
 
 // service plays a service whose proxies follow the decisions after a delay: it counts what
 // each version gets, and which of its requests fail.
@@ -74,7 +74,7 @@
 	service.serve()
 	service.reports = append(service.reports, reported{service.nowMs + service.delayMs/2, service.snapshot()})
 	before := service.rollout()
-	if next := Decide(service.state, service.observation(), rules); next != nil {
+	if next, _ := Decide(service.state, service.observation(), rules); next != nil {
 		service.state = next
 	}
 	if after := service.rollout(); after != before {
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"orchidjunction/message"
+	"orchidjunction/rollout/martingale"
 )
 
 // Verdict judges a version by what was counted since its roll-out began. Alarm is asked again
@@ -41,6 +42,24 @@
 	return float64(total.Failures) > expected+leastFailures+deviations*math.Sqrt(expected)
 }
 
+// ExceedanceTest raises an alarm by the sequential test of how often the new version's
+// responses exceed the reference that proxies make of the former one's.
+type ExceedanceTest struct{ Test *martingale.Test }
+
+// Alarm implements Verdict.
+func (verdict ExceedanceTest) Alarm(total message.RolloutCounts) bool {
+	return verdict.Test.Alarm(total.Items, total.Exceedances)
+}
+
+// DefaultVerdict returns the test with its default options beside the plain threshold.
+func DefaultVerdict() Verdict {
+	test, err := martingale.NewTest(martingale.DefaultOptions())
+	if err != nil {
+		panic(err) // the defaults are constants that the package's tests check
+	}
+	return AnyOf{FailureThreshold{}, ExceedanceTest{Test: test}}
+}
+
 // AnyOf raises an alarm when one of several verdicts does.
 type AnyOf []Verdict
 
--- a/rollout/version.go
+++ b/rollout/version.go
@@ -77,27 +77,6 @@
 	return service.Rollout.Target
 }
 
-// WithoutTested returns a table without the backends of versions under test or reverted, and
-// without those of the former versions once a roll-out is complete. The table itself is
-// returned if it has none of these.
-func WithoutTested(table *message.Table, rollouts []message.Rollout) *message.Table {
-	left := slices.DeleteFunc(slices.Clone(table.Backends), func(backend message.Backend) bool {
-		for index := range rollouts {
-			isTarget := rollouts[index].Target == backend.Revision
-			if rollouts[index].Service == backend.Service {
-				return isTarget != (rollouts[index].Phase == message.RolloutComplete)
-			}
-		}
-		return false
-	})
-	if len(left) == len(table.Backends) {
-		return table
-	}
-	next := *table
-	next.Backends = left
-	return &next
-}
-
 // MixedVersions names the services that are listed at several versions, with how many backends
 // of each stay; it is empty if there are none.
 func MixedVersions(backends []message.Backend) string {
