--- a/hostproxy/judge.go
+++ b/hostproxy/judge.go
@@ -29,7 +29,9 @@
 	}
 	key := score.Key{Service: request.service, Route: request.route.Name}
 	if held.underTest {
-		held.canary.counts.countItem(proxy.references.Judge(key, item))
+		judgement := proxy.references.Judge(key, item)
+		held.canary.counts.countItem(judgement)
+		proxy.countJudgement(judgement)
 		return
 	}
 	if held.canary != nil {
@@ -75,6 +77,17 @@
 	}
 }
 
+// countJudgement counts an item of a version under test in this process's metrics.
+func (proxy *Proxy) countJudgement(judgement score.Judgement) {
+	proxy.counters.Add("rollout_items", 1)
+	if judgement.Exceeds {
+		proxy.counters.Add("rollout_exceedances", 1)
+	}
+	if judgement.Failed {
+		proxy.counters.Add("rollout_failures", 1)
+	}
+}
+
 // countFormer counts an item of another version.
 func (counts *stepCounts) countFormer(failed bool) {
 	counts.formerItems.Add(1)
