--- a/cmd/ojctl/main.go
+++ b/cmd/ojctl/main.go
@@ -117,7 +117,12 @@
 		end(run(command))
 		return
 	}
-	flags.Exit(rpc.Errorf(rpc.BadFlag, "want a command: check, digest, show, put, patch, drain, refill, history, aims, core, rollout or status"))
+	flags.Exit(
+		rpc.Errorf(
+			rpc.BadFlag,
+			"want a command: check, digest, show, put, patch, drain, refill, history, aims, core, rollout or status",
+		),
+	)
 }
 
 // end prints an error and turns it into the exit status that scripts read.
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -33,7 +33,9 @@
 // is the same slice otherwise, by which tables tell that nothing changed.
 func TestListedBackendsFollowTheRollouts(test *testing.T) {
 	backends := []message.Backend{
-		{Name: "a", Service: "desk", Revision: "v1"}, {Name: "b", Service: "desk", Revision: "v1"}, {Name: "c", Service: "desk", Revision: "v2"},
+		{Name: "a", Service: "desk", Revision: "v1"},
+		{Name: "b", Service: "desk", Revision: "v1"},
+		{Name: "c", Service: "desk", Revision: "v2"},
 	}
 	before := &rollout.State{}
 	after, err := before.Order(&message.RolloutOrder{Service: "desk", Target: "v2", TermMs: 1000}, 1)
--- a/harness/simulation/rollout_test.go
+++ b/harness/simulation/rollout_test.go
@@ -325,10 +325,12 @@
 				test.Errorf("%s %s %s: %d, want %d", refused.method, refused.path, refused.body, status, refused.status)
 			}
 		}
-		if status, receipt := call(http.MethodPost, "/v1/rollouts", `{"service":"desk","target":"v2","term_ms":14000}`); status != 200 || receipt.ID != 1 {
+		status, receipt := call(http.MethodPost, "/v1/rollouts", `{"service":"desk","target":"v2","term_ms":14000}`)
+		if status != http.StatusOK || receipt.ID != 1 {
 			test.Fatalf("%d %+v", status, receipt)
 		}
-		if status, shown := call(http.MethodGet, "/v1/rollouts/desk", ""); status != 200 || shown.Phase != "active" || shown.Target != "v2" {
+		status, shown := call(http.MethodGet, "/v1/rollouts/desk", "")
+		if status != http.StatusOK || shown.Phase != "active" || shown.Target != "v2" {
 			test.Errorf("%d %+v", status, shown)
 		}
 		if status, _ := call(http.MethodDelete, "/v1/rollouts/desk", ""); status != 200 {
