A last step of a roll-out in which the former version gets nothing, before it may end

Rollout.Exclusive now says that the former version is about to end: no request goes there, not even a retry.

TestExclusiveVersionKeepsItsRequests fails with the check taken out (seen).

--- a/hostproxy/rollout.go
+++ b/hostproxy/rollout.go
@@ -42,6 +42,7 @@
 	rollout    *rollout
 	counts     *stepCounts
 	share      float64
+	exclusive  bool // whether other versions get nothing any more
 	candidates []candidate
 }
 
@@ -132,12 +133,16 @@
 
 // chooseVersion takes a place at a backend of the version that the request is to go to. A
 // request of the version under test goes to the other one where that has no room; the
-// reverse holds only once the version under test gets all requests.
+// reverse holds only once the version under test gets all requests. Where that is exclusive,
+// the other one gets nothing, not even retries.
 func (proxy *Proxy) chooseVersion(request *request, view *View, service int) (*candidate, choice) {
 	former, canary := view.services[service], view.canaries[service]
 	if canary == nil {
 		return proxy.choose(request, former, request.tried)
 	}
+	if canary.exclusive {
+		return proxy.choose(request, canary.candidates, request.tried)
+	}
 	preferred, fallback := former, []candidate(nil)
 	if canary.takes(request) {
 		preferred, fallback = canary.candidates, former
@@ -260,7 +265,7 @@
 			continue
 		}
 		held := proxy.rollouts[service.Name]
-		view.canaries[number] = &canary{rollout: held, counts: held.countsOf(order.Step), share: order.Share}
+		view.canaries[number] = &canary{rollout: held, counts: held.countsOf(order.Step), share: order.Share, exclusive: order.Exclusive}
 	}
 }
 
--- a/hostproxy/rollout_test.go
+++ b/hostproxy/rollout_test.go
@@ -211,6 +211,25 @@
 	})
 }
 
+// Guards against requests at an old version that is about to end: neither a retry nor a
+// request without room goes there once the version under test is exclusive.
+func TestExclusiveVersionKeepsItsRequests(test *testing.T) {
+	inWorld(test, func(world *world) {
+		old := world.addVersion("a1", "v1", 8)
+		bad, good := world.addVersion("b1", "v2", 8), world.addVersion("b2", "v2", 8)
+		bad.ever(status("500 Own"))
+		orders := order(message.RolloutActive, 1)
+		orders[0].Exclusive = true
+		world.roll(orders)
+		for range 20 {
+			world.get("/again/a")
+		}
+		if len(old.seen()) != 0 || len(good.seen()) == 0 {
+			test.Errorf("%d at the old version, %d at the other backend", len(old.seen()), len(good.seen()))
+		}
+	})
+}
+
 // Guards against a leader that ends a roll-out while requests run at the old version, and
 // against counts that are lost when the table or the step changes.
 func TestRolloutCountsOutliveViews(test *testing.T) {
--- a/message/rollout.go
+++ b/message/rollout.go
@@ -31,7 +31,8 @@
 // Rollout is the shift of one service's requests to the backends of a version, as the
 // leader decided it. ID identifies the order: a later roll-out of the same service has a
 // higher one. Share is the part of the service's requests, from 0 to 1, that each proxy
-// sends to the version while the roll-out is active; Step counts the shares so far.
+// sends to the version while the roll-out is active; Step counts the shares so far. Exclusive
+// says that the former version gets nothing any more, not even retries: it is about to end.
 type Rollout struct {
 	Service string
 	Target  string
@@ -39,6 +40,8 @@
 	Phase   RolloutPhase
 	Step    int
 	Share   float64
+
+	Exclusive bool
 }
 
 // RolloutOrder asks for the roll-out of a version, or with Abort for the end of the one
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -55,6 +55,7 @@
 	TooFewItems    Obstacle = "too few responses were judged"
 	ProxiesBehind  Obstacle = "a proxy is silent or has an older step"
 	BoundReached   Obstacle = "the bound of requests would not hold"
+	FormerNeeded   Obstacle = "the new version does not bear all requests alone"
 	FormerInFlight Obstacle = "requests are at the former version"
 )
 
@@ -114,7 +115,7 @@
 	if decision.rules.Verdict.Alarm(decision.total) || rollout.Step < fullStep && isLate {
 		return decision.end(message.RolloutReverted), ""
 	}
-	if rollout.Step < fullStep {
+	if rollout.Step < exclusiveStep {
 		if obstacle := decision.obstacleToGrow(); obstacle != "" {
 			return nil, obstacle
 		}
@@ -155,6 +156,8 @@
 		return TooLittleWarm
 	case step == canaryStep:
 		return ""
+	case step == exclusiveStep:
+		return decision.obstacleToExclusive()
 	case decision.total.Items < minItems:
 		return TooFewItems
 	case decision.inForce() < growthQuorum:
@@ -173,21 +176,35 @@
 		return decision.sinceStart() >= time.Duration(canaryUntil*float64(rollout.term()))
 	case fullStep:
 		return decision.sinceStep() >= rampingTime
+	case exclusiveStep:
+		return decision.sinceStep() >= fullTime
 	}
 	return true
 }
 
+// obstacleToExclusive returns why the former version may not be left without requests: the
+// new one must bear them alone, so that few proxies had to turn to the former one.
+func (decision *decision) obstacleToExclusive() Obstacle {
+	switch {
+	case decision.inForce() < growthQuorum:
+		return ProxiesBehind
+	case decision.formerInFlight() > len(decision.observation.Processes):
+		return FormerNeeded
+	}
+	return ""
+}
+
 // obstacleToComplete returns why the former version may not end now, which it does at once:
-// the new one must have had all requests for a while, and no proxy any at the former one.
+// every proxy must know that it gets nothing, and none may have a request there.
 func (decision *decision) obstacleToComplete() Obstacle {
 	switch {
 	case !decision.observation.IsSettled:
 		return NotSettled
-	case decision.sinceStep() < fullTime:
+	case decision.sinceStep() < exclusiveTime:
 		return NotDue
 	case decision.inForce() < 1:
 		return ProxiesBehind
-	case !decision.formerIdle():
+	case decision.formerInFlight() > 0:
 		return FormerInFlight
 	}
 	return ""
@@ -206,15 +223,13 @@
 	return float64(count) / float64(max(1, len(decision.observation.Processes)))
 }
 
-// formerIdle reports whether no proxy has a request at the former version.
-func (decision *decision) formerIdle() bool {
-	newest := newestSteps(decision.counts)
+// formerInFlight returns how many requests the proxies have at the former version.
+func (decision *decision) formerInFlight() int {
+	newest, count := newestSteps(decision.counts), 0
 	for _, process := range decision.observation.Processes {
-		if newest[process.Incarnation].FormerInFlight > 0 {
-			return false
-		}
+		count += newest[process.Incarnation].FormerInFlight
 	}
-	return true
+	return count
 }
 
 // exposure returns what the new version got so far.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -12,12 +12,14 @@
 // DefaultBounds are used where no others are given.
 var DefaultBounds = Bounds{Share: 0.1, Extra: 50}
 
-// The steps of a roll-out. Before the first one, the new version gets nothing.
+// The steps of a roll-out. Before the first one, the new version gets nothing. In the last
+// one, the former version gets nothing, also where the new one has no room or failed.
 const (
 	waitingStep = iota
 	canaryStep
 	rampingStep
 	fullStep
+	exclusiveStep
 )
 
 // The shares of the steps are by the bound, so that the smaller steps use up about a quarter
@@ -34,8 +36,10 @@
 	// reactionTime is how long a version that turns bad gets its share still: until enough
 	// responses are counted and reported, and the proxies have the decision.
 	reactionTime = 850 * time.Millisecond
-	// fullTime is how long a version gets everything at least before the former one may end.
-	fullTime = 800 * time.Millisecond
+	// fullTime is how long a version gets everything at least before the former one gets
+	// nothing, and exclusiveTime how long that lasts before the former one may end.
+	fullTime      = 800 * time.Millisecond
+	exclusiveTime = 400 * time.Millisecond
 	// minItems is how many responses must have been judged before a step to a larger share.
 	minItems = 100
 	// exposureMargin is the part of the bound that is planned with, and laterTraffic the part
@@ -51,7 +55,7 @@
 		return canaryOfBound * bounds.Share
 	case rampingStep:
 		return min(1, rampingOfBound*bounds.Share)
-	case fullStep:
+	case fullStep, exclusiveStep:
 		return 1
 	}
 	return 0
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -98,12 +98,13 @@
 // Message returns the roll-out of a service as proxies get it.
 func (rollout *Rollout) Message(service string) message.Rollout {
 	return message.Rollout{
-		Service: service,
-		Target:  rollout.Target,
-		ID:      rollout.ID,
-		Phase:   rollout.Phase,
-		Step:    rollout.Step,
-		Share:   rollout.Share,
+		Service:   service,
+		Target:    rollout.Target,
+		ID:        rollout.ID,
+		Phase:     rollout.Phase,
+		Step:      rollout.Step,
+		Share:     rollout.Share,
+		Exclusive: rollout.Phase == message.RolloutActive && rollout.Step >= exclusiveStep,
 	}
 }
 
