--- a/agent/watch.go
+++ b/agent/watch.go
@@ -61,13 +61,26 @@
 	if err != nil {
 		return ctx.Err() != nil
 	}
-	if response.Delta != nil && daemon.applyUpdate(&message.FetchResponse{Delta: response.Delta}, nil) {
-		daemon.counters.Add("deltas_with_a_watch", 1)
-	}
+	daemon.takeWatched(response)
 	isNewer := daemon.Version().isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
 	return !isNewer || daemon.fetch(ctx, core) || ctx.Err() != nil
 }
 
+// takeWatched puts in force what came with the response to a watch: roll-outs, and what
+// changed in the table.
+func (daemon *Daemon) takeWatched(response *message.WatchResponse) {
+	update := &message.FetchResponse{Delta: response.Delta}
+	if response.Rollouts > daemon.Version().RolloutSerial {
+		update.Rollouts, update.RolloutList = response.Rollouts, response.RolloutList
+	}
+	if update.Delta == nil && update.Rollouts == 0 {
+		return
+	}
+	if daemon.applyUpdate(update, nil) && update.Delta != nil {
+		daemon.counters.Add("deltas_with_a_watch", 1)
+	}
+}
+
 // fetchFirstVersion takes a first version from whichever core has one: before anybody
 // leads, cores say what they know to be committed.
 func (daemon *Daemon) fetchFirstVersion(core string, response *message.LeaderResponse) {
