Sequential test: the bits' own distribution bounds it, at a level of 0.1

A version that fails 15% of its requests would not have been found at all (0.15 + 0.03 is below 0.22).

Cause: the source looks for many small shifts, a bad version has few large ones, far in the tail; and Hoeffding's lines take the variance of a fair coin (0.25) for that of the bits (0.09 at a level of 0.1).

The change: the lines are Chernoff's, by the same Ville inequality and the same union bound, with a lambda of their own for each time point; DefaultAlpha is 0.1, which score.Alpha takes. Options.SourceLines gives the source's bound.

--- a/rollout/martingale/bounds.go
+++ b/rollout/martingale/bounds.go
@@ -3,7 +3,7 @@
 import "math"
 
 // line is one piece of the piecewise linear bound: it holds for all times at once, and is
-// lowest, among such lines, at its own time point.
+// lowest, among the lines of its kind, at its own time point.
 type line struct {
 	slope     float64
 	intercept float64
@@ -14,13 +14,27 @@
 // firstTimePointFactor times alpha*log(p/delta) is t_1.
 const firstTimePointFactor = 2
 
+// newLines returns the lines that together have half of delta.
+func newLines(options *Options, start float64) []line {
+	budget := math.Log(float64(options.Pieces) / (options.Delta / 2)) // log(1/d) of each line
+	lines := make([]line, options.Pieces)
+	for index, point := range timePoints(options, budget, start) {
+		if options.SourceLines {
+			lines[index] = hoeffdingLine(point, budget)
+		} else {
+			lines[index] = chernoffLine(options.Alpha, point, budget)
+		}
+	}
+	return lines
+}
+
 // timePoints returns t_1 to t_p, from 2 alpha log(p/delta) to the start of the late bound.
-func timePoints(options *Options, start float64) []float64 {
-	first := firstTimePointFactor * options.Alpha * math.Log(float64(options.Pieces)/(options.Delta/2))
+func timePoints(options *Options, budget, start float64) []float64 {
+	first := firstTimePointFactor * options.Alpha * budget
 	points := make([]float64, options.Pieces)
 	for index := range points {
 		part := float64(index) / float64(options.Pieces-1)
-		if options.Equidistant {
+		if options.SourceLines {
 			points[index] = first + part*(start-first)
 		} else {
 			points[index] = first * math.Pow(start/first, part)
@@ -29,7 +43,7 @@
 	return points
 }
 
-// newLines returns the lines of Lemma 1 for time points, each with an equal part of delta.
+// hoeffdingLine is a line of Lemma 1, lowest at a time point.
 //
 // By Hoeffding's lemma exp(lambda*M_t - lambda^2*t/8) is a supermartingale that starts at 1,
 // so by Ville's inequality M_t <= log(1/d)/lambda + lambda*t/8 for all t with probability
@@ -38,13 +52,45 @@
 //
 // Two neighbouring lines cross at sqrt(t_j * t_(j+1)), the source's tau_j, so the least of
 // all lines is its piecewise bound.
-func newLines(points []float64, delta float64) []line {
-	scale := math.Sqrt(math.Log(float64(len(points))/delta) / 8)
-	lines := make([]line, len(points))
-	for index, point := range points {
-		lines[index] = line{slope: scale / math.Sqrt(point), intercept: scale * math.Sqrt(point)}
+func hoeffdingLine(point, budget float64) line {
+	scale := math.Sqrt(budget / 8)
+	return line{slope: scale / math.Sqrt(point), intercept: scale * math.Sqrt(point)}
+}
+
+// chernoffLine is the line that is lowest at a time point by the distribution of the bits
+// itself: exp(lambda*M_t - t*cumulant(lambda)) is a martingale, so that by Ville's inequality
+// M_t <= log(1/d)/lambda + t*cumulant(lambda)/lambda for all t with probability 1 - d at least.
+func chernoffLine(alpha, point, budget float64) line {
+	lambda := bestLambda(alpha, budget/point)
+	return line{slope: cumulant(alpha, lambda) / lambda, intercept: budget / lambda}
+}
+
+// cumulant is the logarithm of the mean of exp(lambda*x), for a bit less its mean alpha.
+func cumulant(alpha, lambda float64) float64 {
+	return math.Log(1-alpha+alpha*math.Exp(lambda)) - alpha*lambda
+}
+
+const (
+	// maxLambda stands for all larger ones: the line is as steep as M can rise by then.
+	maxLambda = 20
+	// lambdaSteps halve the interval down to the precision of a float64.
+	lambdaSteps = 60
+)
+
+// bestLambda is where log(1/d)/lambda + t*cumulant(lambda)/lambda is least, for a ratio of
+// log(1/d) to t: where lambda*cumulant'(lambda) - cumulant(lambda), which rises, is that ratio.
+func bestLambda(alpha, ratio float64) float64 {
+	low, high := 0.0, float64(maxLambda)
+	for range lambdaSteps {
+		lambda := (low + high) / 2
+		tilted := alpha * math.Exp(lambda) / (1 - alpha + alpha*math.Exp(lambda))
+		if lambda*(tilted-alpha)-cumulant(alpha, lambda) < ratio {
+			low = lambda
+		} else {
+			high = lambda
+		}
 	}
-	return lines
+	return high
 }
 
 // lateBound is the bound by the law of the iterated logarithm (Theorem 2 of the source, of
--- a/rollout/martingale/martingale.go
+++ b/rollout/martingale/martingale.go
@@ -30,14 +30,19 @@
 	// Reference is of how many items of the old version the reference is made. The test does
 	// not use it; whoever scores the items does.
 	Reference int
-	// Equidistant places the time points t_j at equal distances, as the source does. They are
-	// at equal ratios otherwise, which alarms sooner where the shift is large.
-	Equidistant bool
+	// SourceLines uses the lines of the source: those of Hoeffding's inequality, with the time
+	// points t_j at equal distances. They are those of Chernoff's otherwise, at equal ratios,
+	// which alarm sooner.
+	SourceLines bool
 }
 
-// DefaultOptions are the source's values, with the time points at equal ratios.
+// DefaultAlpha is the level of one item unless another is chosen. The source has 0.22. A bad
+// version fails a part of its requests, or is several times slower there: far out in the tail.
+const DefaultAlpha = 0.1
+
+// DefaultOptions are the source's values but for the level.
 func DefaultOptions() Options {
-	return Options{Alpha: 0.22, Delta: 0.1, Pieces: 10, Reference: 200}
+	return Options{Alpha: DefaultAlpha, Delta: 0.1, Pieces: 10, Reference: 200}
 }
 
 // check refuses options for which the bounds do not hold.
@@ -71,7 +76,7 @@
 	late := newLateBound(options.Alpha, options.Delta/2)
 	return &Test{
 		options: options,
-		lines:   newLines(timePoints(&options, late.start), options.Delta/2),
+		lines:   newLines(&options, late.start),
 		late:    late,
 	}, nil
 }
--- a/rollout/score/reference.go
+++ b/rollout/score/reference.go
@@ -16,7 +16,7 @@
 	// that a route of nearly constant time does not make any difference a large one.
 	minDeviation = 0.05
 	// leastObservations is how many observations a failure can be judged by.
-	leastObservations = 2
+	leastObservations = 4
 	// minTook, in milliseconds, stands for shorter times.
 	minTook = 1
 )
@@ -189,8 +189,8 @@
 }
 
 // exceeds is whether an item is farther from the mean than q. Ties are not. While there are
-// too few observations only failures exceed, where none was seen before: after two responses
-// that did not fail, the probability p*(1-p)^2 of that is below alpha for any p.
+// too few observations only failures exceed, where none was seen before: after four responses
+// that did not fail, the probability p*(1-p)^4 of that is below alpha for any p.
 func (reference *reference) exceeds(item *Item) bool {
 	if !reference.complete {
 		return item.Failed && reference.failureShare == 0 && len(reference.observations) >= leastObservations
--- a/rollout/score/score.go
+++ b/rollout/score/score.go
@@ -9,10 +9,14 @@
 // at most.
 package score
 
-import "time"
+import (
+	"time"
 
-// Alpha is the level of one item.
-const Alpha = 0.22
+	"orchidjunction/rollout/martingale"
+)
+
+// Alpha is the level of one item, as the test of the counts has it.
+const Alpha = martingale.DefaultAlpha
 
 // ReferenceSize is of how many items a reference is made.
 const ReferenceSize = 200
