A leader stands again with a large state: inherited values by reference

Cause: a promise brought all registers whole, and establishment sent all of them whole again, each in one call. At this size that takes longer than the others wait (750 to 1,125 ms), and they asked only for a leader, not for a candidate under way: each deposed the one before by a higher term, without end. No time-out knew of the size.

Change (docs/design/election.md, A large state): a candidate names the versions it holds, and a promise brings only newer values; inherited values from 8 KiB are accepted by the version under which a replica holds them, with a record of a few bytes on its disk, and are sent whole only to one that lacks them; calls with values get time by size; a candidate renews its candidacy at its voters, and a core that promised another candidate its term and hears it grants no pre-vote; the pause after a failed candidacy doubles, up to four times; a leader sends what a core lacks beside its heartbeats, once at a time. Revocation, fencing and who writes are as before.

Why a version may stand for a value: a term has one leader, and it proposes one value for a serial; the model now sends references and checks what is held against what was proposed, and a new seeded bug (a reference taken by its serial alone) is found by it.

The messages grow: Prepare, Accept, its answer and the answer on a replica's state by a field each, one new call. Cores of the former release refuse unknown fields, so both do not elect together.

--- a/consensus/acceptor.go
+++ b/consensus/acceptor.go
@@ -16,17 +16,41 @@
 	if request.Term.Less(state.Promised) {
 		return &message.PrepareResponse{Promised: state.Promised}, nil
 	}
-	response := &message.PrepareResponse{Granted: true, Promised: request.Term, Accepted: state.Accepted}
+	response := &message.PrepareResponse{Granted: true, Promised: request.Term, Accepted: state.acceptedBeyond(request.Held)}
 	if !state.Promised.Less(request.Term) {
 		return response, nil
 	}
 	return response, &Record{Promised: &request.Term}
 }
 
+// acceptedBeyond returns the accepted values; those that are not newer than the versions
+// held elsewhere have only their versions.
+func (state *State) acceptedBeyond(held message.Versions) [message.Registers]message.AcceptedValue {
+	accepted := state.Accepted
+	for register := range accepted {
+		if !held[register].Less(accepted[register].Version()) {
+			accepted[register].Value = message.Value{Serial: accepted[register].Value.Serial}
+		}
+	}
+	return accepted
+}
+
+// CompletePromise adds to a promise the values that its replica left out since the candidate
+// holds them under the same versions. Older ones stay without their content: none of them
+// is inherited.
+func CompletePromise(promise *message.PrepareResponse, held [message.Registers]message.AcceptedValue) {
+	for register := range promise.Accepted {
+		if promise.Accepted[register].Version() == held[register].Version() {
+			promise.Accepted[register] = held[register]
+		}
+	}
+}
+
 // Accept returns a replica's answer to an AcceptRequest, and the record that must be
 // durable before the answer is given, nil if there is none. It accepts a value of a term
 // that is not older than the one promised, if the value is not older than the accepted
-// one and none of its chunks is missing.
+// one and none of its chunks is missing. A version stands for one value: one leader writes
+// under a term, and one value for each serial.
 func (state *State) Accept(request *message.AcceptRequest) (*message.AcceptResponse, *Record) {
 	if request.Term.Less(state.Promised) {
 		return &message.AcceptResponse{Promised: state.Promised}, nil
@@ -39,12 +63,27 @@
 	if offered.Less(held) {
 		return &message.AcceptResponse{Promised: state.Promised}, nil
 	}
+	if request.Inherited != (message.Version{}) {
+		return state.acceptInherited(request)
+	}
 	if missing := message.MissingChunks(request.Value.Chunks, state.Chunks, request.Chunks); len(missing) > 0 {
 		return &message.AcceptResponse{Promised: state.Promised, Missing: missing}, nil
 	}
 	return &message.AcceptResponse{Accepted: true, Promised: request.Term}, state.acceptRecord(request)
 }
 
+// acceptInherited accepts the value that is held already under a new term.
+func (state *State) acceptInherited(request *message.AcceptRequest) (*message.AcceptResponse, *Record) {
+	if state.Accepted[request.Register].Version() != request.Inherited || request.Inherited.Serial != request.Value.Serial {
+		return &message.AcceptResponse{Promised: state.Promised, LacksValue: true}, nil
+	}
+	record := &Record{Register: request.Register, Renewed: &request.Term}
+	if state.Promised.Less(request.Term) {
+		record.Promised = &request.Term
+	}
+	return &message.AcceptResponse{Accepted: true, Promised: request.Term}, record
+}
+
 // acceptRecord returns the record of an accepted value with the chunks that are new.
 func (state *State) acceptRecord(request *message.AcceptRequest) *Record {
 	record := &Record{
--- a/consensus/state.go
+++ b/consensus/state.go
@@ -29,6 +29,9 @@
 	Accepted       *message.AcceptedValue
 	Chunks         message.Chunks `msgpack:"Texts"`
 
+	// Renewed is the term under which the register's value was accepted once more.
+	Renewed *message.Term
+
 	Committed *message.Version
 	Then      []Record
 }
@@ -50,14 +53,29 @@
 }
 
 // Versions returns those of the accepted values.
-func (state *State) Versions() message.Versions {
+func (state *State) Versions() message.Versions { return VersionsOf(state.Accepted) }
+
+// VersionsOf returns those of accepted values.
+func VersionsOf(accepted [message.Registers]message.AcceptedValue) message.Versions {
 	versions := message.Versions{}
 	for register := range versions {
-		versions[register] = state.Accepted[register].Version()
+		versions[register] = accepted[register].Version()
 	}
 	return versions
 }
 
+// Size returns how many bytes the accepted values take.
+func (state *State) Size() int {
+	size := 0
+	for register := range state.Accepted {
+		size += state.Accepted[register].Value.Size()
+	}
+	for _, text := range state.Chunks {
+		size += len(text)
+	}
+	return size
+}
+
 // Upgrade makes the list of voters of a former release, which never changed, the first membership.
 func (state *State) Upgrade(voters []message.Peer) {
 	state.FormerRoster = nil
@@ -83,6 +101,9 @@
 			state.keepReferenced(record.Chunks)
 		}
 	}
+	if record.Renewed != nil {
+		state.Accepted[record.Register].Term = *record.Renewed
+	}
 	for _, next := range record.Then {
 		state.Apply(next)
 	}
--- a/control/election.go
+++ b/control/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,6 +12,9 @@
 	"orchidjunction/rpc"
 )
 
+// maxPauseDoublings is how often the pause between candidacies is doubled at most.
+const maxPauseDoublings = 2
+
 // runElections is the goroutine that makes this core a voter, a candidate or the leader
 // as soon as it should be.
 func (core *Core) runElections() {
@@ -91,7 +95,7 @@
 	seenBefore := core.election.leaderSeenAt
 	core.mutex.Unlock()
 	deferred = core.campaign(deferred || isFirst, seenBefore)
-	pause := core.random.between(core.config.HeartbeatInterval/2, core.config.SuspicionTimeout)
+	pause := core.random.between(core.config.HeartbeatInterval/2, core.longestPause())
 	if isFirst {
 		pause = core.random.between(core.config.HeartbeatInterval/2, core.config.HeartbeatInterval) + core.firstElectionTimeout()
 	}
@@ -103,6 +107,14 @@
 	return deferred
 }
 
+// longestPause returns the bound of the random pause after a candidacy. It doubles with each
+// one that failed after raising the term, so that candidates which depose each other part.
+func (core *Core) longestPause() time.Duration {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return core.config.SuspicionTimeout << min(core.election.failures, maxPauseDoublings)
+}
+
 // campaign runs one candidacy: pre-vote, revocation by a fence, establishment. It returns
 // true if it deferred to a better candidate. It gives way to a candidate that this core
 // promised its term to, or a leader that it saw, later than seenBefore: raising the term
@@ -131,6 +143,7 @@
 	revocation, err := core.fence(view, term, former)
 	if err != nil {
 		core.counters.Add("revocations_short", 1)
+		core.candidacyFailed()
 		return false
 	}
 	core.establishLeadership(view, term, revocation)
@@ -225,9 +238,12 @@
 	if !view.MayLead(view.ID) || !core.role.transition(Establishing) {
 		return
 	}
+	stopRenewing := core.renewCandidacy(view, term)
 	leadership, err := core.establish(view, term, revocation)
+	stopRenewing()
 	if err != nil {
 		core.counters.Add("establishments_short", 1)
+		core.candidacyFailed()
 		return
 	}
 	core.mutex.Lock()
@@ -242,6 +258,32 @@
 	core.startLeading(leadership)
 }
 
+// renewCandidacy tells the other voters again and again that this core goes on establishing
+// under a term, so that none of them stands meanwhile: with a large state it may take longer
+// than they wait for a leader. It returns what ends that.
+func (core *Core) renewCandidacy(view *consensus.View, term message.Term) (stop func()) {
+	var stopped atomic.Bool
+	core.goroutines.Start(func() {
+		request := &message.RenewCandidacyRequest{Term: term}
+		for core.goroutines.Sleep(core.config.HeartbeatInterval) && !stopped.Load() {
+			for _, peer := range view.Peers {
+				core.goroutines.Start(func() {
+					// Without an answer the voter's own time-out decides.
+					_, _ = rpc.Call(core.client, peer.Address, message.MethodRenewCandidacy, core.callTimeout(), request)
+				})
+			}
+		}
+	})
+	return func() { stopped.Store(true) }
+}
+
+// candidacyFailed counts a candidacy that failed after it had raised the term.
+func (core *Core) candidacyFailed() {
+	core.mutex.Lock()
+	core.election.failures++
+	core.mutex.Unlock()
+}
+
 // startLeading makes known what the new leadership holds.
 func (core *Core) startLeading(leadership *Leadership) {
 	core.config.OnRole(Leading, leadership.term)
@@ -261,19 +303,21 @@
 	leadership.heartbeat()
 }
 
-// onPreVote says whether this core would support a candidate. It does not while it leads
-// or sees a leader that goes on.
+// onPreVote says whether this core would support a candidate. It does not while it leads,
+// sees a leader that goes on, or has lately promised its term to another candidate, which a
+// higher term would depose.
 func (core *Core) onPreVote(request *message.PreVoteRequest) (*message.PreVoteResponse, error) {
 	state := core.replica.State()
 	core.mutex.Lock()
 	election := &core.election
 	followsLeader := election.leader.Known() && !election.lameduck && election.leaderAlive(core.config.SuspicionTimeout)
 	leaderAlive := core.leadership != nil || followsLeader
+	candidateAlive := election.candidateAlive(request.Core, core.config.SuspicionTimeout)
 	termNumber := max(election.highestTerm, state.Promised.Number)
 	core.mutex.Unlock()
 	canVote := core.CanVote()
 	return &message.PreVoteResponse{
-		Granted:     canVote && !leaderAlive,
+		Granted:     canVote && !leaderAlive && !candidateAlive,
 		LeaderAlive: leaderAlive,
 		Voter:       canVote,
 		Versions:    state.Versions(),
@@ -298,13 +342,23 @@
 	response, err := core.replica.Prepare(request)
 	if err == nil && response.Granted {
 		core.mutex.Lock()
-		core.election.leaderSeenAt = time.Now()
-		core.election.timeout = core.nextElectionTimeout()
+		core.election.promised(request.Term, core.nextElectionTimeout())
 		core.mutex.Unlock()
 	}
 	return response, err
 }
 
+// onRenewCandidacy gives a candidate more time that this core promised its newest term to.
+func (core *Core) onRenewCandidacy(request *message.RenewCandidacyRequest) (*message.RenewCandidacyResponse, error) {
+	if core.replica.State().Promised != request.Term {
+		return &message.RenewCandidacyResponse{}, nil
+	}
+	core.mutex.Lock()
+	core.election.promised(request.Term, core.nextElectionTimeout())
+	core.mutex.Unlock()
+	return &message.RenewCandidacyResponse{Accepted: true}, nil
+}
+
 // onAccept accepts a leader's value.
 func (core *Core) onAccept(request *message.AcceptRequest) (*message.AcceptResponse, error) {
 	core.observeTermNumber(request.Term.Number)
--- a/control/election_state.go
+++ b/control/election_state.go
@@ -20,6 +20,12 @@
 	// lameduck says that the leader steps down in favour of successor.
 	lameduck  bool
 	successor message.Leader
+	// candidate is the core that this one promised its term to last, candidateSeenAt when that
+	// was, or when the candidate said since that it goes on.
+	candidate       int
+	candidateSeenAt time.Time
+	// failures counts the candidacies in a row that failed after they had raised the term.
+	failures int
 	// highestTerm is the highest term number seen.
 	highestTerm uint64
 	// transfer is a leader's request to take over that has not been carried out.
@@ -35,6 +41,20 @@
 	return time.Since(state.leaderSeenAt) < timeout
 }
 
+// promised notes that a candidate was promised a term, or goes on under it, and when this
+// core stands itself if nothing comes of that.
+func (state *electionState) promised(term message.Term, timeout time.Duration) {
+	now := time.Now()
+	state.candidate, state.candidateSeenAt = term.Core, now
+	state.leaderSeenAt, state.timeout = now, timeout
+}
+
+// candidateAlive reports whether another candidate than one core goes on establishing under
+// the term that this core promised.
+func (state *electionState) candidateAlive(than int, timeout time.Duration) bool {
+	return state.candidate != than && time.Since(state.candidateSeenAt) < timeout
+}
+
 // leadershipEnded forgets the leader if it led under the term that ended.
 func (state *electionState) leadershipEnded(term message.Term) {
 	if state.leader.Term == term {
@@ -46,6 +66,7 @@
 // follow takes what a leader's heartbeat says and reports whether the leader is another.
 func (state *electionState) follow(heartbeat *message.HeartbeatRequest) bool {
 	isOther := state.leader.Term != heartbeat.Term
+	state.failures = 0
 	state.leader, state.leaderSeenAt = heartbeat.Leader, time.Now()
 	state.lameduck, state.successor = heartbeat.Lameduck, heartbeat.Successor
 	return isOther
--- a/control/establishment.go
+++ b/control/establishment.go
@@ -23,6 +23,7 @@
 	revocation *Revocation
 	promises   map[int]*message.PrepareResponse
 	values     [message.Registers]message.Value
+	inherited  message.Versions
 	content    *content
 	routing    *routing.State
 }
@@ -82,6 +83,7 @@
 	inherited, sources := consensus.InheritedValues(establishment.view, establishment.promises)
 	for register := range inherited {
 		establishment.values[register] = inherited[register].Value
+		establishment.inherited[register] = inherited[register].Version()
 	}
 	settings := establishment.values[message.SettingsRegister]
 	source := establishment.view.AddressOf(sources[message.SettingsRegister])
@@ -93,7 +95,13 @@
 	if err != nil {
 		return err
 	}
-	if err := core.replicateAll(establishment.view, establishment.term, establishment.values, chunks); err != nil {
+	if err := core.replicateAll(
+		establishment.view,
+		establishment.term,
+		establishment.values,
+		establishment.inherited,
+		chunks,
+	); err != nil {
 		return err
 	}
 	core.mutex.Lock()
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -26,6 +26,7 @@
 	rpc.Handle(server, message.MethodAccept, handler(core.onAccept))
 	rpc.Handle(server, message.MethodHeartbeat, handler(core.onHeartbeat))
 	rpc.Handle(server, message.MethodTransferLeadership, handler(core.onTransferLeadership))
+	rpc.Handle(server, message.MethodRenewCandidacy, handler(core.onRenewCandidacy))
 	rpc.Handle(server, message.MethodReplicaState, handler(core.onReplicaState))
 	rpc.Handle(server, message.MethodJoin, handler(core.onJoin))
 	rpc.Handle(server, message.MethodLeave, handler(core.onLeave))
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -112,8 +112,12 @@
 		leadership.responses[peer.ID] = response
 	}
 	leadership.mutex.Unlock()
-	if response.Accepted && response.Voter && !response.RefusesWrites {
-		leadership.sendMissingValues(peer, response.Versions, request.Committed)
+	if response.Accepted && response.Voter && !response.RefusesWrites &&
+		leadership.startSending(peer, response.Versions, request.Committed) {
+		core.goroutines.Start(func() {
+			defer leadership.endSending(peer)
+			leadership.sendMissingValues(peer, response.Versions, request.Committed)
+		})
 	}
 	return response, nil
 }
@@ -128,13 +132,35 @@
 		}
 		core.counters.Add("copies_mended", 1)
 		request := &message.AcceptRequest{Term: leadership.term, Register: message.Register(register), Value: values[register]}
-		response, err := core.offerTo(peer, request, chunks, core.callTimeout())
+		response, err := core.offerTo(peer, request, chunks, core.callTimeout()+transferTime(request.Value.Size()))
 		if err != nil || !response.Accepted { // its next response to a heartbeat shows that it still lacks it
 			core.counters.Add("copies_not_mended", 1)
 		}
 	}
 }
 
+// startSending reports whether a core lacks values and none are on their way to it, and notes
+// that some are now. Heartbeats go on meanwhile: a large value may take longer than they may.
+func (leadership *Leadership) startSending(peer message.Peer, held, committed message.Versions) bool {
+	lacks := false
+	for register := range committed {
+		lacks = lacks || held[register].Less(committed[register])
+	}
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	if !lacks || leadership.sendingTo[peer.Address] {
+		return false
+	}
+	leadership.sendingTo[peer.Address] = true
+	return true
+}
+
+func (leadership *Leadership) endSending(peer message.Peer) {
+	leadership.mutex.Lock()
+	delete(leadership.sendingTo, peer.Address)
+	leadership.mutex.Unlock()
+}
+
 // onHeartbeat follows a leader whose term is not older than the one promised here.
 func (core *Core) onHeartbeat(request *message.HeartbeatRequest) (*message.HeartbeatResponse, error) {
 	state := core.replica.State()
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -39,7 +39,8 @@
 	content             *content
 	routing             *routing.State
 	responses           map[int]*message.HeartbeatResponse
-	lastQuorum          time.Time // when the last heartbeat began that a quorum accepted
+	sendingTo           map[string]bool // addresses of cores that are sent what they lack
+	lastQuorum          time.Time       // when the last heartbeat began that a quorum accepted
 	heartbeatsSent      uint64
 	heartbeatsConfirmed uint64
 }
@@ -58,6 +59,7 @@
 		content:       establishment.content,
 		routing:       establishment.routing,
 		responses:     map[int]*message.HeartbeatResponse{},
+		sendingTo:     map[string]bool{},
 	}
 	for register, value := range establishment.values {
 		leadership.inherited[register] = value.Serial
--- a/control/model_ledger_test.go
+++ b/control/model_ledger_test.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// holds checks that what a replica accepted under a proposal's version is what was proposed.
+func (ledger *modelLedger) holds(term message.Term, register message.Register, accepted message.AcceptedValue) {
+	proposal := ledger.find(term, register, accepted.Value.Serial)
+	if proposal == nil || accepted.Term != term || string(proposal.value.Body) == string(accepted.Value.Body) {
+		return
+	}
+	ledger.violated(oneValuePerSerial, "%q is held of register %d, %q was proposed under %s",
+		accepted.Value.Body, register, proposal.value.Body, term)
+}
+
 // modelMajorities is the observer's own count: a majority of each group, by machine.
 func modelMajorities(membership *consensus.Membership, machines modelIDs) bool {
 	groups := [][]message.Peer{membership.Voters}
--- a/control/model_machine_test.go
+++ b/control/model_machine_test.go
@@ -84,9 +84,11 @@
 	view    *consensus.View
 	ballot  message.Term
 	values  map[message.Register]message.Value
-	took    map[message.Register]modelIDs
-	learner string
-	leaving int
+	// inherited are the versions under which the values were accepted before.
+	inherited message.Versions
+	took      map[message.Register]modelIDs
+	learner   string
+	leaving   int
 }
 
 // modelAdmission is a learner's question that waits for a confirmed heartbeat.
--- a/control/model_mutants_test.go
+++ b/control/model_mutants_test.go
@@ -77,6 +77,13 @@
 		breaks: []string{acknowledgedIsKept, oneValuePerSerial, oneLeaderPerTerm, confirmedReadIsNewest},
 		mutate: func(rules *modelRules) { rules.decides = modelTooFew },
 	},
+	{
+		name:     "a reference names the serial alone",
+		form:     modelThree,
+		breaks:   []string{oneValuePerSerial, acknowledgedIsKept},
+		detailed: true,
+		mutate:   func(rules *modelRules) { rules.acceptsBySerial = true },
+	},
 	{
 		name: "a write needs one replica less", form: modelThree, breaks: []string{acknowledgedIsKept},
 		mutate: func(rules *modelRules) { rules.pushed = modelTooFew },
--- a/control/model_rules_test.go
+++ b/control/model_rules_test.go
@@ -14,6 +14,7 @@
 	fencesWithout func(view *consensus.View, lost int, has func(id int) bool) bool
 	askedMembers  func(view *consensus.View) message.AcceptedValue
 	takenOver     func(view *consensus.View, promises map[int]*message.PrepareResponse) ([message.Registers]message.AcceptedValue, [message.Registers]int)
+	refersTo      func(inherited message.AcceptedValue) message.Version
 	found         func(core *Core, term message.Term, accepted [message.Registers]message.AcceptedValue) error
 	mayLead       func(view *consensus.View, id int) bool
 	nextTerm      func(core *Core, view *consensus.View) message.Term
@@ -31,6 +32,9 @@
 	beginsByStep   bool
 	syncs          bool
 	blankDiskVotes bool
+	// acceptsBySerial makes replicas take any value of the serial that a reference names for
+	// the one that is meant.
+	acceptsBySerial bool
 }
 
 // modelRealRules are the rules as they are in the package.
@@ -46,6 +50,7 @@
 		fencesWithout: func(view *consensus.View, lost int, has func(id int) bool) bool { return view.FencesWithout(lost, has) },
 		askedMembers:  func(view *consensus.View) message.AcceptedValue { return view.Accepted() },
 		takenOver:     consensus.InheritedValues,
+		refersTo:      message.AcceptedValue.Version,
 		found: func(core *Core, term message.Term, accepted [message.Registers]message.AcceptedValue) error {
 			return core.replica.Initialize(term, accepted, nil)
 		},
--- a/control/model_steps_test.go
+++ b/control/model_steps_test.go
@@ -153,7 +153,11 @@
 			world.ledger.proposed(push.ballot, register, value, push.view)
 		}
 		for _, peer := range targets {
-			world.ask(machine, push.call, peer, &message.AcceptRequest{Term: push.ballot, Register: register, Value: value})
+			request := &message.AcceptRequest{Term: push.ballot, Register: register, Value: value}
+			if inherited := push.inherited[register]; inherited != (message.Version{}) {
+				request = request.ByReference(inherited)
+			}
+			world.ask(machine, push.call, peer, request)
 		}
 	}
 }
@@ -196,6 +200,7 @@
 	push.values[message.MembersRegister] = newest[message.MembersRegister].Value
 	for _, register := range world.bounds.registers {
 		push.values[register] = newest[register].Value
+		push.inherited[register] = world.rules.refersTo(newest[register])
 	}
 	world.pushes(machine, push)
 	if candidacy.restores {
@@ -263,10 +268,15 @@
 			world.answer(packet, response)
 		}
 	case *message.AcceptRequest:
+		if held := process.core.replica.State().Accepted[request.Register]; world.rules.acceptsBySerial &&
+			request.Inherited.Serial > 0 && request.Inherited.Serial == held.Value.Serial {
+			request = request.ByReference(held.Version())
+		}
 		if response, err := process.core.onAccept(request); err == nil {
 			world.counts(machine, packet, response.Accepted)
 			if response.Accepted {
 				world.ledger.accepted(machine.index, request)
+				world.ledger.holds(request.Term, request.Register, process.core.replica.State().Accepted[request.Register])
 			}
 			world.answer(packet, response)
 		}
@@ -446,6 +456,11 @@
 func (world *modelWorld) hearsAccept(machine *modelMachine, packet *modelPacket, response *message.AcceptResponse) {
 	process := machine.process
 	push := process.push
+	if response.LacksValue {
+		request := &message.AcceptRequest{Term: push.ballot, Register: packet.register, Value: push.values[packet.register]}
+		world.ask(machine, push.call, message.Peer{ID: packet.as, Address: world.machines[packet.from].address}, request)
+		return
+	}
 	if !response.Accepted {
 		process.core.observeTermNumber(response.Promised.Number)
 		return
--- a/control/replacement.go
+++ b/control/replacement.go
@@ -259,7 +259,7 @@
 	values, chunks := leadership.snapshot()
 	return core.forAllRegisters(func(register message.Register) error {
 		request := &message.AcceptRequest{Term: leadership.term, Register: register, Value: values[register]}
-		response, err := core.offerTo(peer, request, chunks, core.callTimeout())
+		response, err := core.offerTo(peer, request, chunks, core.callTimeout()+transferTime(request.Value.Size()))
 		if err != nil {
 			return err
 		}
@@ -282,7 +282,7 @@
 		return
 	}
 	values, chunks := leadership.snapshot()
-	if err := core.replicateAll(view, leadership.term, values, chunks); err != nil {
+	if err := core.replicateAll(view, leadership.term, values, message.Versions{}, chunks); err != nil {
 		core.counters.Add("replacements_stuck", 1)
 		core.endLeadership(leadership)
 		return
--- a/control/replication.go
+++ b/control/replication.go
@@ -13,6 +13,21 @@
 // callTimeout is how long a call to another core may take.
 func (core *Core) callTimeout() time.Duration { return core.config.SuspicionTimeout }
 
+const (
+	// transferRate is the least rate, in bytes a second, at which a link between cores is taken
+	// to carry a large value; maxTransferTime bounds the time that one is given by it.
+	transferRate    = 1 << 20
+	maxTransferTime = 10 * time.Second
+	// referenceBytes is the size from which an inherited value is sent by its version first, to
+	// replicas that are likely to hold it: sending it costs more than asking.
+	referenceBytes = 8 << 10
+)
+
+// transferTime returns the time that is added to a call's time-out for so many bytes.
+func transferTime(bytes int) time.Duration {
+	return min(maxTransferTime, time.Duration(float64(bytes)/transferRate*float64(time.Second)))
+}
+
 // callPeers calls every other voter of a membership at once and returns the responses by
 // the voters' IDs, as soon as those that agree are enough or all calls have ended.
 func callPeers[Response any](
@@ -43,7 +58,7 @@
 // replicate sends a value to every voter of a membership, this one too, until a quorum
 // has accepted it. A core gets the chunks that it says it lacks.
 func (core *Core) replicate(view *consensus.View, request *message.AcceptRequest, chunks message.Chunks) error {
-	deadline := time.Now().Add(core.config.writeTimeout())
+	deadline := time.Now().Add(core.config.writeTimeout() + transferTime(request.Value.Size()))
 	voters := view.WithSelf()
 	send := func(index int) (*message.AcceptResponse, error) {
 		if index == 0 {
@@ -138,12 +153,22 @@
 	})
 }
 
-// sendAccept sends a value, and once more with the chunks that the replica lacks.
+// sendAccept sends a value, and once more with the chunks that the replica lacks. One that
+// was inherited under a version is sent by that at first, where it is large.
 func sendAccept(
 	request *message.AcceptRequest,
 	chunks message.Chunks,
 	send func(*message.AcceptRequest) (*message.AcceptResponse, error),
 ) (*message.AcceptResponse, error) {
+	if request.Inherited != (message.Version{}) {
+		response, err := send(request.ByReference(request.Inherited))
+		if err != nil || !response.LacksValue {
+			return response, err
+		}
+		whole := *request
+		whole.Inherited = message.Version{}
+		request = &whole
+	}
 	response, err := send(request)
 	if err != nil || len(response.Missing) == 0 {
 		return response, err
@@ -161,14 +186,19 @@
 }
 
 // replicateAll has a quorum of a membership accept values of all registers under a term.
+// Inherited are the versions under which replicas have accepted them before.
 func (core *Core) replicateAll(
 	view *consensus.View,
 	term message.Term,
 	values [message.Registers]message.Value,
+	inherited message.Versions,
 	chunks message.Chunks,
 ) error {
 	return core.forAllRegisters(func(register message.Register) error {
 		request := &message.AcceptRequest{Term: term, Register: register, Value: values[register]}
+		if request.Value.Size() >= referenceBytes {
+			request.Inherited = inherited[register]
+		}
 		return core.replicate(view, request, chunks)
 	})
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -29,7 +29,7 @@
 		return
 	}
 	term, former := core.nextTerm(view)
-	promises, err := core.restoreFromPeers(view, term)
+	promises, err := core.restoreFromPeers(view, term, largestState(responses))
 	if err != nil {
 		core.counters.Add("restores_short", 1)
 		return
@@ -81,11 +81,21 @@
 	core.startFollowing()
 }
 
-// restoreFromPeers fences the other voters by a term and copies what they accepted. It
-// returns the promises, with this core's own, or none if the disk refused the copies.
-func (core *Core) restoreFromPeers(view *consensus.View, term message.Term) (map[int]*message.PrepareResponse, error) {
+// largestState returns the size in bytes of the largest state that a voter told of.
+func largestState(responses map[int]*message.ReplicaStateResponse) int {
+	largest := 0
+	for _, response := range responses {
+		largest = max(largest, response.Bytes)
+	}
+	return largest
+}
+
+// restoreFromPeers fences the other voters by a term and copies what they accepted, of so
+// many bytes. It returns the promises, with this core's own, or none if the disk refused the
+// copies.
+func (core *Core) restoreFromPeers(view *consensus.View, term message.Term, bytes int) (map[int]*message.PrepareResponse, error) {
 	request := &message.PrepareRequest{Term: term, Membership: view.Accepted()}
-	promises := core.preparePeers(view, request, waitForAll)
+	promises := core.preparePeers(view, request, bytes, waitForAll)
 	if !view.FencesWithout(view.ID, consensus.Agreed(promises, consensus.Granted)) {
 		return nil, rpc.Errorf(rpc.StaleTerm, "%d cores promised %s", len(promises), term)
 	}
@@ -140,5 +150,6 @@
 		Promised:    state.Promised,
 		Versions:    state.Versions(),
 		Membership:  core.members.NewerThan(request.Membership),
+		Bytes:       state.Size(),
 	}, nil
 }
--- a/control/revocation.go
+++ b/control/revocation.go
@@ -75,7 +75,11 @@
 		core.observeTermNumber(own.Promised.Number)
 		return nil, rpc.Errorf(rpc.StaleTerm, "own promise %s", own.Promised)
 	}
-	promises := core.preparePeers(view, request, view.Decides)
+	request.Held = consensus.VersionsOf(own.Accepted)
+	promises := core.preparePeers(view, request, core.replica.State().Size(), view.Decides)
+	for _, promise := range promises {
+		consensus.CompletePromise(promise, own.Accepted)
+	}
 	promises[view.ID] = own
 	if !view.Decides(consensus.Agreed(promises, consensus.Granted)) {
 		return nil, rpc.Errorf(
@@ -90,14 +94,16 @@
 }
 
 // preparePeers asks the other voters to promise, until those that did are enough, and
-// returns the promises that were granted.
+// returns the promises that were granted. They may bring values of so many bytes.
 func (core *Core) preparePeers(
 	view *consensus.View,
 	request *message.PrepareRequest,
+	bytes int,
 	enough func(has func(id int) bool) bool,
 ) map[int]*message.PrepareResponse {
+	timeout := core.callTimeout() + transferTime(bytes)
 	responses := callPeers(core, view, func(peer message.Peer) (*message.PrepareResponse, error) {
-		return rpc.Call(core.client, peer.Address, message.MethodPrepare, core.callTimeout(), request)
+		return rpc.Call(core.client, peer.Address, message.MethodPrepare, timeout, request)
 	}, consensus.Granted, enough)
 	return core.grantedPromises(responses)
 }
--- a/harness/simulation/conn.go
+++ b/harness/simulation/conn.go
@@ -19,7 +19,9 @@
 	// lost is whether what is written goes nowhere, since the reader is gone.
 	lost  bool
 	limit time.Time
-	shut  func() bool
+	// busyUntil is when the link has carried all that was written.
+	busyUntil time.Time
+	shut      func() bool
 }
 
 type part struct {
@@ -39,7 +41,8 @@
 	half.mutex.Unlock()
 }
 
-func (half *half) write(body []byte, delay time.Duration) (int, error) {
+// write sends bytes that keep the link busy for a time and arrive after a delay.
+func (half *half) write(body []byte, delay, busy time.Duration) (int, error) {
 	half.mutex.Lock()
 	defer half.mutex.Unlock()
 	if half.lost {
@@ -48,8 +51,13 @@
 	if half.closed {
 		return 0, io.ErrClosedPipe
 	}
-	half.parts = append(half.parts, part{body: append([]byte{}, body...), at: time.Now().Add(delay)})
-	time.AfterFunc(delay, half.stir)
+	if now := time.Now(); half.busyUntil.Before(now) {
+		half.busyUntil = now
+	}
+	half.busyUntil = half.busyUntil.Add(busy)
+	at := half.busyUntil.Add(delay)
+	half.parts = append(half.parts, part{body: append([]byte{}, body...), at: at})
+	time.AfterFunc(time.Until(at), half.stir)
 	return len(body), nil
 }
 
@@ -131,7 +139,7 @@
 	if conn.abandoned.Load() {
 		return 0, io.ErrClosedPipe
 	}
-	return conn.out.write(body, conn.net.delay(host(string(conn.local)), host(string(conn.remote))))
+	return conn.out.write(body, conn.net.delay(host(string(conn.local)), host(string(conn.remote))), conn.net.sending(len(body)))
 }
 
 func (conn *conn) Close() error {
--- a/harness/simulation/net.go
+++ b/harness/simulation/net.go
@@ -35,6 +35,7 @@
 	faults     Faults
 	slow       map[string]time.Duration
 	lag        func(from, to string) time.Duration
+	rate       int
 	goroutines *concurrent.Group
 	Messages   int
 	Bytes      int
@@ -77,6 +78,24 @@
 	net.mutex.Unlock()
 }
 
+// Rate makes every connection carry so many bytes a second in each direction from now on; 0
+// is no bound.
+func (net *Net) Rate(bytesPerSecond int) {
+	net.mutex.Lock()
+	net.rate = bytesPerSecond
+	net.mutex.Unlock()
+}
+
+// sending returns how long a connection is busy with so many bytes.
+func (net *Net) sending(bytes int) time.Duration {
+	net.mutex.Lock()
+	defer net.mutex.Unlock()
+	if net.rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / float64(net.rate) * float64(time.Second))
+}
+
 func host(address string) string {
 	name, _, _ := splitHost(address)
 	return name
--- a/message/consensus.go
+++ b/message/consensus.go
@@ -25,14 +25,17 @@
 
 // PrepareRequest asks a replica to promise that it accepts nothing under older terms
 // (Paxos phase 1). It names the membership by which the candidate counts its quorum: a
-// replica that knows a newer one with other voters refuses.
+// replica that knows a newer one with other voters refuses. Held are the versions that the
+// candidate has accepted itself: of those, and of older ones, it needs no copy.
 type PrepareRequest struct {
 	Term       Term          `msgpack:"Ballot"`
 	Membership AcceptedValue `msgpack:"Members"`
+	Held       Versions
 }
 
 // PrepareResponse brings all that was accepted if the promise was granted, and the newer
-// membership if it was refused for that.
+// membership if it was refused for that. A value that is not newer than what the candidate
+// holds has only its version.
 type PrepareResponse struct {
 	Granted    bool
 	Promised   Term
@@ -41,20 +44,46 @@
 }
 
 // AcceptRequest asks a replica to accept a value (Paxos phase 2). It brings the chunks
-// that its sender takes for new; the replica names those it lacks all the same.
+// that its sender takes for new; the replica names those it lacks all the same. If Inherited
+// is set, Value has only its serial: it is the value that replicas have accepted under that
+// version, the term of an earlier leader.
 type AcceptRequest struct {
-	Term     Term `msgpack:"Ballot"`
-	Register Register
-	Value    Value
-	Chunks   Chunks `msgpack:"Texts"`
+	Term      Term `msgpack:"Ballot"`
+	Register  Register
+	Value     Value
+	Chunks    Chunks `msgpack:"Texts"`
+	Inherited Version
+}
+
+// ByReference returns the request without what a replica has that accepted the value under
+// an earlier version.
+func (request *AcceptRequest) ByReference(inherited Version) *AcceptRequest {
+	return &AcceptRequest{
+		Term:      request.Term,
+		Register:  request.Register,
+		Value:     Value{Serial: request.Value.Serial},
+		Inherited: inherited,
+	}
 }
 
 // AcceptResponse says whether the value was accepted. Missing are the digests of chunks
-// that the replica lacks.
+// that the replica lacks; LacksValue says that it did not accept the inherited version.
 type AcceptResponse struct {
+	Accepted   bool `msgpack:"Taken"`
+	Promised   Term
+	Missing    []string `msgpack:"Lacks"`
+	LacksValue bool
+}
+
+// RenewCandidacyRequest tells a replica that the candidate which it promised a term to is
+// still about to establish its leadership.
+type RenewCandidacyRequest struct {
+	Term Term `msgpack:"Ballot"`
+}
+
+// RenewCandidacyResponse says whether the replica's promise still stands.
+type RenewCandidacyResponse struct {
 	Accepted bool `msgpack:"Taken"`
-	Promised Term
-	Missing  []string `msgpack:"Lacks"`
 }
 
 // HeartbeatRequest is a leader's heartbeat. It says what is committed and, while the
@@ -112,6 +141,8 @@
 	Promised    Term
 	Versions    Versions      `msgpack:"Marks"`
 	Membership  AcceptedValue `msgpack:"Members"`
+	// Bytes is the size of the values.
+	Bytes int
 }
 
 // ShareSessionsRequest brings the sessions that daemons have with one core to another.
@@ -129,7 +160,11 @@
 // Check refuses a term without a number or of a core out of range.
 func (request *PrepareRequest) Check() error { return request.Term.check() }
 
-// Check refuses an unknown register, a corrupt chunk and an invalid term.
+// Check refuses a term without a number or of a core out of range.
+func (request *RenewCandidacyRequest) Check() error { return request.Term.check() }
+
+// Check refuses an unknown register, a corrupt chunk, a value beside a reference and an
+// invalid term.
 func (request *AcceptRequest) Check() error {
 	if request.Register < 0 || request.Register >= Registers {
 		return rpc.Errorf(rpc.BadMessage, "no register %d", request.Register)
@@ -137,6 +172,9 @@
 	if err := request.Chunks.check(); err != nil {
 		return err
 	}
+	if isReference := request.Inherited != (Version{}); isReference && len(request.Value.Body)+len(request.Value.Chunks) > 0 {
+		return rpc.Errorf(rpc.BadMessage, "register %d has a value beside a reference", request.Register)
+	}
 	return request.Term.check()
 }
 
--- a/message/golden_test.go
+++ b/message/golden_test.go
@@ -40,6 +40,8 @@
 		"BeatTold":        &HeartbeatResponse{},
 		"StepDown":        &TransferLeadershipRequest{},
 		"StepDownTold":    &TransferLeadershipResponse{},
+		"Renew":           &RenewCandidacyRequest{},
+		"RenewTold":       &RenewCandidacyResponse{},
 		"Restore":         &ReplicaStateRequest{},
 		"RestoreTold":     &ReplicaStateResponse{},
 		"Tell":            &ShareSessionsRequest{},
--- a/message/methods.go
+++ b/message/methods.go
@@ -52,6 +52,8 @@
 	MethodRecordClaims rpc.Method[RecordClaimsRequest, RecordClaimsResponse] = "keep"
 	// MethodRemoveVoter has a voter replaced.
 	MethodRemoveVoter rpc.Method[RemoveVoterRequest, RemoveVoterResponse] = "removal"
+	// MethodRenewCandidacy says that a candidate is still establishing its leadership.
+	MethodRenewCandidacy rpc.Method[RenewCandidacyRequest, RenewCandidacyResponse] = "renew-candidacy"
 	// MethodReplicaState asks a replica for its state.
 	MethodReplicaState rpc.Method[ReplicaStateRequest, ReplicaStateResponse] = "restore"
 	// MethodRoutingChange changes the routing.
--- a/message/register.go
+++ b/message/register.go
@@ -30,6 +30,15 @@
 	Chunks []ChunkRef `msgpack:"Parts"`
 }
 
+// Size returns how many bytes the value takes in a message, without its chunks' texts.
+func (value *Value) Size() int {
+	size := len(value.Body)
+	for index := range value.Chunks {
+		size += len(value.Chunks[index].Path) + len(value.Chunks[index].Digest)
+	}
+	return size
+}
+
 // AcceptedValue is a value and the term under which a replica accepted it.
 type AcceptedValue struct {
 	Term  Term `msgpack:"Ballot"`
