--- a/control/leadership.go
+++ b/control/leadership.go
@@ -41,7 +41,8 @@
 	routing             *routing.State
 	rollouts            *rollout.State
 	responses           map[int]*message.HeartbeatResponse
-	lastQuorum          time.Time // when the last heartbeat began that a quorum accepted
+	sendingTo           map[string]bool // addresses of cores that are sent what they lack
+	lastQuorum          time.Time       // when the last heartbeat began that a quorum accepted
 	heartbeatsSent      uint64
 	heartbeatsConfirmed uint64
 }
@@ -61,6 +62,7 @@
 		routing:       establishment.routing,
 		rollouts:      establishment.rollouts,
 		responses:     map[int]*message.HeartbeatResponse{},
+		sendingTo:     map[string]bool{},
 	}
 	for register, value := range establishment.values {
 		leadership.inherited[register] = value.Serial
