A first membership that came with a call gives a vote: the system starts again

One core of three had begun to vote, the other two stayed blank (restores_short=190) and would have for ever. Cause: a core adopts the first membership, and its vote, with the answer to its own question (discoverMembership). Where another core's call brought that membership first (here the mark of complete claims, sent by the founder as soon as it votes), the core knew the membership and asked no more, and tried to restore its blank disk from voters, of which there was no quorum. Class of fault: one fact with two ways in, of which only one has the effect. Ruled out: load alone; the logs show the calls in this order, 37 ms apart, and no progress afterwards. Change: a blank core of the first start that discovers its peers adopts the membership that it knows, whichever way that came. Cores with a fixed list of peers go on asking the others, as before. Evidence: TestFirstMembershipHeardInACallGivesAVote failed on the former code (blank, no vote).

--- a/control/election.go
+++ b/control/election.go
@@ -30,6 +30,9 @@
 		case !core.membership().Votes():
 			core.followAsLearner()
 			continue
+		case core.mayAdoptFirstMembership():
+			core.adoptFirstMembership(core.membership().Accepted())
+			continue
 		case core.replica.Blank():
 			core.role.transition(Blank)
 			core.restoreReplica()
--- /dev/null
+++ b/control/first_membership_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/concurrent"
+	"orchidjunction/consensus"
+	"orchidjunction/message"
+	"orchidjunction/metrics"
+	"orchidjunction/rpc"
+	"orchidjunction/storage"
+)
+
+// unreachable is a transport that reaches nobody.
+type unreachable struct{}
+
+// RoundTrip fails at once.
+func (unreachable) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("unreachable")
+}
+
+// A core that heard of the first membership from a call of another core, before the answer
+// to its own question, stayed blank for ever: no quorum voted, and nobody ever led.
+func TestFirstMembershipHeardInACallGivesAVote(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		seeds := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+		goroutines := concurrent.NewGroup()
+		core, err := NewCore(
+			Config{
+				InternalAddress:   seeds[1],
+				Seeds:             seeds,
+				MinFounders:       len(seeds),
+				Bootstrap:         true,
+				HeartbeatInterval: 10 * time.Millisecond,
+				SuspicionTimeout:  30 * time.Millisecond,
+			},
+			storage.Folder(test.TempDir()),
+			rpc.NewClient(unreachable{}),
+			goroutines,
+			metrics.NewCounters(),
+		)
+		if err != nil {
+			test.Fatal(err)
+		}
+		core.Run()
+		defer core.Close()
+		defer goroutines.Stop()
+		first := consensus.InitialMembership(seeds).Accepted()
+		if _, err := core.onRecordClaims(&message.RecordClaimsRequest{Membership: first}); err != nil {
+			test.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if core.replica.Blank() {
+			test.Errorf("%s, no vote", core.role.Current())
+		}
+	})
+}
--- a/control/join.go
+++ b/control/join.go
@@ -116,6 +116,12 @@
 	return message.AcceptedValue{}, false
 }
 
+// mayAdoptFirstMembership reports whether a membership that came with another core's call,
+// not with the answer to this core's own question, gives it a vote at the first start.
+func (core *Core) mayAdoptFirstMembership() bool {
+	return core.config.discoversPeers() && core.replica.Blank() && core.membership().MayVoteAtOnce(core.sinceBootstrap())
+}
+
 // adoptFirstMembership takes the first membership that this core hears of. At the
 // system's first start it votes by it at once.
 func (core *Core) adoptFirstMembership(accepted message.AcceptedValue) {
