--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -33,11 +33,7 @@
 // is the same slice otherwise, by which tables tell that nothing changed.
 func TestListedBackendsFollowTheRollouts(test *testing.T) {
 	backends := []message.Backend{
-		{
-			Name:     "a",
-			Service:  "desk",
-			Revision: "v1",
-		},
+		{Name: "a", Service: "desk", Revision: "v1"},
 		{Name: "b", Service: "desk", Revision: "v1"},
 		{Name: "c", Service: "desk", Revision: "v2"},
 	}
--- a/message/update.go
+++ b/message/update.go
@@ -26,15 +26,17 @@
 	return min(time.Duration(request.SpanMs)*time.Millisecond, maxWatch)
 }
 
-// WatchResponse is the versions that the process holds. It brings the table's delta if only
-// the table is newer and little of it changed, so that no fetch is needed.
+// WatchResponse is the versions that the process holds. Newer roll-outs come with it, and so
+// does the table's delta if no other version is newer and little of the table changed: what
+// a request must no longer go to is known without a fetch.
 type WatchResponse struct {
 	Serial uint64
 	Table  TableVersion
 
-	Routing  uint64
-	Rollouts uint64
-	Delta    *TableDelta
+	Routing     uint64
+	Rollouts    uint64
+	RolloutList []Rollout
+	Delta       *TableDelta
 }
 
 // NewerThan reports whether any of the versions is newer than those in a request.
@@ -43,10 +45,10 @@
 		response.Rollouts > request.Rollouts || request.Table.Less(response.Table)
 }
 
-// NewerInTableOnly reports whether only the table is newer than that in a request.
+// NewerInTableOnly reports whether, of what does not come with the response by itself, only
+// the table is newer than that in a request.
 func (response *WatchResponse) NewerInTableOnly(request *WatchRequest) bool {
-	isSame := response.Serial <= request.Serial && response.Routing <= request.Routing && response.Rollouts <= request.Rollouts
-	return isSame && request.Table.Less(response.Table)
+	return response.Serial <= request.Serial && response.Routing <= request.Routing && request.Table.Less(response.Table)
 }
 
 // FetchRequest asks for what is newer than the versions given.
