Test of a backend that is offered again: another backend is there meanwhile

TestOfferedAgain failed by chance (178 lines of failure in 300 runs with the race detector): between its two views the only backend was no candidate, and a request that chose in that instant was rightly refused.

--- a/hostproxy/offer_test.go
+++ b/hostproxy/offer_test.go
@@ -137,6 +137,7 @@
 func TestOfferedAgain(test *testing.T) {
 	inWorld(test, func(world *world) {
 		world.add("b1")
+		world.addAt("b2", "plain", "w1", 8)
 		world.doors.silence("b1:80", true)
 		wait := world.begin("/once/a")
 		world.goroutines.Sleep(100 * time.Millisecond)
@@ -145,8 +146,12 @@
 		world.doors.unsilence("b1:80")
 		reply, id := wait()
 		world.good(reply, id)
+		before := len(world.backends["b1"].seen())
 		reply, id = world.get("/once/b")
 		world.good(reply, id)
+		if len(world.backends["b1"].seen()) != before+1 {
+			test.Error("no request at the backend that is offered again")
+		}
 		if sent := world.counters.Get("attempts_sent_withdrawn"); sent != 0 {
 			test.Errorf("%d attempts counted as sent to a withdrawn backend", sent)
 		}
