What large answers may have under way towards a proxy is bounded by its sockets

Cause: the TransferLimiter took a sender to have 64 KB under way, which nothing bounded, and lets two go in any case: 128 KB are 390 ms of this link.

Change: connections to backends have a receive buffer of 16 KB where the link is stated, and turns are given by that for 0.15 s of the link (0.3 s before): three turns instead of two here, for less under way.

--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -82,8 +82,13 @@
 		return err
 	}
 	daemon := agent.NewDaemon(config, agent.NewID(), client, node.goroutines, node.counters)
-	dialer := &net.Dialer{Control: process.SetUserTimeout(backendUserTimeout), KeepAliveConfig: keepAlive}
-	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
+	planeConfig := proxyConfig(settings)
+	control := process.SetUserTimeout(backendUserTimeout)
+	if planeConfig.LinkBytes > 0 {
+		control = process.Controls(control, process.SetReceiveBuffer(hostproxy.TransferWindow))
+	}
+	dialer := &net.Dialer{Control: control, KeepAliveConfig: keepAlive}
+	plane := hostproxy.NewProxy(planeConfig, dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
 			plane.Apply(version.Routing, version.ServingTable(), version.Rollouts)
--- a/hostproxy/shaper.go
+++ b/hostproxy/shaper.go
@@ -73,12 +73,14 @@
 	active int
 }
 
-// A transfer is taken to have transferWindow bytes under way; all transfers together may
-// fill the link for transferSpan seconds.
+// TransferWindow is how many bytes a transfer may have under way: the receive buffer of
+// connections to backends, where the link has a bound.
+const TransferWindow = 16 << 10
+
+// All transfers together may fill the link for transferSpan seconds.
 const (
-	transferSpan   = 0.3
-	transferWindow = 64 << 10
-	minTransfers   = 2
+	transferSpan = 0.15
+	minTransfers = 2
 )
 
 // newTransferLimiter is nil for a link without a bound.
@@ -86,7 +88,7 @@
 	if bytesPerSecond <= 0 {
 		return nil
 	}
-	return &TransferLimiter{limit: max(minTransfers, int(bytesPerSecond*transferSpan/transferWindow))}
+	return &TransferLimiter{limit: max(minTransfers, int(bytesPerSecond*transferSpan/TransferWindow))}
 }
 
 func (transfers *TransferLimiter) enter() bool {
--- a/hostproxy/shaper_test.go
+++ b/hostproxy/shaper_test.go
@@ -196,3 +196,16 @@
 		}
 	})
 }
+
+// Two large answers alone could fill a thin link for 390 ms with what their senders had under
+// way, and dials and updates of the table stood behind it (DRAIN, issue 33).
+func TestTransfersFillTheLinkBriefly(test *testing.T) {
+	const mostWait = 0.15 // seconds
+	for _, megabits := range []float64{2.7, 3.8, 7, 1000} {
+		link := megabits * 1e6 / 8
+		limit := newTransferLimiter(link).limit
+		if wait := float64(limit*TransferWindow) / link; wait > mostWait {
+			test.Errorf("%v Mbit/s: %d transfers fill the link for %.3f s", megabits, limit, wait)
+		}
+	}
+}
--- a/process/far.go
+++ b/process/far.go
@@ -18,12 +18,36 @@
 	return transport
 }
 
-// SetUserTimeout is a dialer's Control that sets TCP_USER_TIMEOUT.
-func SetUserTimeout(span time.Duration) func(network, address string, conn syscall.RawConn) error {
+// SocketControl sets options of a socket before it is connected, as net.Dialer's Control.
+type SocketControl func(network, address string, conn syscall.RawConn) error
+
+// SetUserTimeout is a SocketControl that sets TCP_USER_TIMEOUT.
+func SetUserTimeout(span time.Duration) SocketControl {
+	return setOption(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(span.Milliseconds()))
+}
+
+// SetReceiveBuffer is a SocketControl that bounds the bytes which a peer may have under way.
+func SetReceiveBuffer(bytes int) SocketControl {
+	return setOption(unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+}
+
+// Controls is the SocketControl that does what all the given ones do, in their order.
+func Controls(controls ...SocketControl) SocketControl {
+	return func(network, address string, conn syscall.RawConn) error {
+		for _, control := range controls {
+			if err := control(network, address, conn); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func setOption(level, option, value int) SocketControl {
 	return func(_, _ string, conn syscall.RawConn) error {
 		var err error
 		if opened := conn.Control(func(handle uintptr) {
-			err = unix.SetsockoptInt(int(handle), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(span.Milliseconds()))
+			err = unix.SetsockoptInt(int(handle), level, option, value)
 		}); opened != nil {
 			return opened
 		}
