Proxies report counts of active roll-outs alone; the sum of one that ended is kept

Each session and report of counts went on to carry the counts of a service's last roll-out for ever, four entries of some 200 bytes, twice a second from each proxy over links between regions. Now they end with the roll-out, whose sum is in the register for the operator to read. TestCountsAreNeitherLostNorCountedTwice has the case of a late report after the end.

--- a/agent/counts_flush.go
+++ b/agent/counts_flush.go
@@ -89,7 +89,7 @@
 func (daemon *Daemon) sendCounts(core string, sent *sentCounts) bool {
 	now := daemon.Now()
 	windows, base := sent.unsent(core, daemon.callbacks.windows())
-	rollouts := daemon.callbacks.rollouts()
+	rollouts := daemon.rolloutCounts()
 	if len(windows) == 0 && len(rollouts) == 0 {
 		return true
 	}
--- a/agent/rollout.go
+++ b/agent/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"orchidjunction/message"
 	"orchidjunction/rpc"
@@ -30,6 +31,16 @@
 	return response, err
 }
 
+// rolloutCounts returns what this process counted for the active roll-outs in force. The sums
+// of one that has ended are with the cores.
+func (daemon *Daemon) rolloutCounts() []message.RolloutCounts {
+	active := map[uint64]bool{}
+	for _, rollout := range daemon.Version().Rollouts {
+		active[rollout.ID] = rollout.Phase == message.RolloutActive
+	}
+	return slices.DeleteFunc(daemon.callbacks.rollouts(), func(counts message.RolloutCounts) bool { return !active[counts.ID] })
+}
+
 // ReadRollout returns the confirmed newest roll-out of a service.
 func ReadRollout(forwarder *Forwarder, service string) (*message.RolloutReadResponse, error) {
 	return Forward(forwarder, message.MethodRolloutRead, &message.RolloutReadRequest{Service: service})
--- a/agent/session.go
+++ b/agent/session.go
@@ -91,7 +91,7 @@
 		Usage:         daemon.callbacks.usage(),
 		Routing:       version.RoutingSerial,
 		Rollouts:      version.RolloutSerial,
-		RolloutCounts: daemon.callbacks.rollouts(),
+		RolloutCounts: daemon.rolloutCounts(),
 		NowMs:         now,
 		Ended:         hasEnded,
 	}
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -20,7 +20,7 @@
 	reports.add("a", 1500, 0, countsOf(9))
 	reports.add("a", 1200, 0, countsOf(8))
 	reports.add("c", 1000, 0, []message.RolloutCounts{{ID: 2, Items: 100}})
-	roll := &rollout.Rollout{ID: 1}
+	roll := &rollout.Rollout{ID: 1, Phase: message.RolloutActive}
 	if total := roll.Total(reports.of(1)); total.Items != 14 {
 		test.Errorf("%d items, want 14", total.Items)
 	}
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -47,8 +47,12 @@
 }
 
 // Total returns what all processes counted for the roll-out, by what is stored of them and
-// what they reported since. Of requests in flight, each process's newest report counts.
+// what they reported since. Of requests in flight, each process's newest report counts. The sum
+// of a roll-out that ended is stored.
 func (rollout *Rollout) Total(reported []ProcessCounts) message.RolloutCounts {
+	if rollout.Phase != message.RolloutActive {
+		return sum(rollout.Counts)
+	}
 	return sum(merge(rollout.Counts, reported))
 }
 
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -128,7 +128,7 @@
 }
 
 func (decision *decision) end(phase message.RolloutPhase) *Service {
-	ended := decision.service.ended(phase)
+	ended := decision.service.ended(phase, decision.total)
 	return &ended
 }
 
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -247,7 +247,7 @@
 	countsOf := func(incarnation string, step int, items uint64) ProcessCounts {
 		return ProcessCounts{Incarnation: incarnation, Counts: message.RolloutCounts{Step: step, Items: items}}
 	}
-	rollout := &Rollout{Counts: []ProcessCounts{countsOf("a", 1, 10), countsOf("b", 1, 5)}}
+	rollout := &Rollout{Phase: message.RolloutActive, Counts: []ProcessCounts{countsOf("a", 1, 10), countsOf("b", 1, 5)}}
 	for name, one := range map[string]struct {
 		reported []ProcessCounts
 		want     uint64
@@ -262,6 +262,10 @@
 			test.Errorf("%s: %d items, want %d", name, total.Items, one.want)
 		}
 	}
+	ended := Service{Name: "desk", Rollout: rollout}.ended(message.RolloutReverted, rollout.Total([]ProcessCounts{countsOf("b", 1, 7)}))
+	if total := ended.Rollout.Total([]ProcessCounts{countsOf("b", 1, 9)}); total.Items != 17 {
+		test.Errorf("ended with 17 items, then %d", total.Items)
+	}
 	if rollout.Counts[0].Counts.Items != 10 {
 		test.Error("the stored counts were changed")
 	}
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -65,13 +65,13 @@
 	case service.Rollout.Phase != message.RolloutActive:
 		return nil, nil
 	}
-	return state.with(service.ended(message.RolloutReverted)), nil
+	return state.with(service.ended(message.RolloutReverted, service.Rollout.Total(nil))), nil
 }
 
-// ended returns the service with its roll-out in a final phase.
-func (service Service) ended(phase message.RolloutPhase) Service {
+// ended returns the service with its roll-out in a final phase, after so many counts in all.
+func (service Service) ended(phase message.RolloutPhase, total message.RolloutCounts) Service {
 	final := *service.Rollout
-	final.Phase, final.Counts = phase, nil
+	final.Phase, final.Counts = phase, []ProcessCounts{{Counts: total}}
 	final.Share = 0
 	if phase == message.RolloutComplete {
 		final.Share = 1
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -21,7 +21,7 @@
 }
 
 func endedOf(state *State, name string, phase message.RolloutPhase) *State {
-	return state.with(state.Service(name).ended(phase))
+	return state.with(state.Service(name).ended(phase, message.RolloutCounts{}))
 }
 
 // An order begins one roll-out and no second one: what is sent again is acknowledged, another
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -25,7 +25,7 @@
 
 // Rollout is one roll-out as the leader decided on it. Times are in milliseconds since the
 // Unix epoch: when it was ordered, when it must be complete, and when its step began. Counts
-// is what processes had reported when the step began; it is kept while the roll-out is active.
+// is what processes had reported when the step began, or the sum of it all when it ended.
 type Rollout struct {
 	ID      uint64
 	Target  string
