A service with few requests proves its version by 40 judged responses, not 100

The service has 353 requests a second, its version at a share of 0.03 about ten; the 100th response was judged 14.0 s after the order, and the leader's log says "too few responses were judged" from 8.3 s on.

Ruled out: the verdict (1 of 104 items exceeded), cold backends (the first step began after 2.1 s).

The change: minItems is 40. Four in ten items exceeding raise the alarm within 31 items in nine of ten simulated roll-outs (rollout/martingale, shift 0.3). A service with fewer than some 200 requests a second still misses its term by this rule.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -40,8 +40,9 @@
 	// nothing, and exclusiveTime how long that lasts before the former one may end.
 	fullTime      = 800 * time.Millisecond
 	exclusiveTime = 400 * time.Millisecond
-	// minItems is how many responses must have been judged before a step to a larger share.
-	minItems = 100
+	// minItems is how many responses must have been judged before a step to a larger share. A
+	// version of which four in ten exceed has raised the alarm by then in nine of ten roll-outs.
+	minItems = 40
 	// exposureMargin is the part of the bound that is planned with, and laterTraffic the part
 	// of the present traffic that is expected until the term.
 	exposureMargin = 0.95
