--- a/harness/simulation/rollout_test.go
+++ b/harness/simulation/rollout_test.go
@@ -28,6 +28,8 @@
 	rolloutStepCount = 3
 )
 
+var rolloutOrder = message.RolloutOrder{Service: "desk", Target: "v2", TermMs: rolloutTerm.Milliseconds()}
+
 // rolledService is a service of whose version v2 the platform lists backends once it is
 // ordered; the members count requests by the step that is in force at them.
 type rolledService struct {
@@ -137,7 +139,7 @@
 // order orders v2, whose backends are listed from then on.
 func (service *rolledService) order(test *testing.T) uint64 {
 	test.Helper()
-	response, err := service.world.OrderRollout(message.RolloutOrder{Service: "desk", Target: "v2", TermMs: rolloutTerm.Milliseconds()})
+	response, err := service.world.OrderRollout(rolloutOrder)
 	if err != nil {
 		test.Fatal(err)
 	}
@@ -274,6 +276,31 @@
 	})
 }
 
+// An order whose answer is lost with its leader is sent again until it is acknowledged, and
+// begins one roll-out, whether or not the lost leader had carried it out.
+func TestRolloutOrderWithLostAnswerBeginsOne(test *testing.T) {
+	each(test, func(test *testing.T, seed uint64) {
+		service := newRolledService(test, seed, 0)
+		defer service.world.CloseFar()
+		leader := service.world.calm(test)
+		acknowledged := make(chan error, 1)
+		go func() {
+			_, err := service.world.OrderRollout(rolloutOrder)
+			acknowledged <- err
+		}()
+		service.world.Rest(time.Duration(seed*67%400) * time.Millisecond)
+		service.world.KillCore(leader, true)
+		if err := <-acknowledged; err != nil {
+			test.Errorf("not acknowledged: %v", err)
+		}
+		service.world.StartCore(leader)
+		if again := service.order(test); again != 1 || service.read().ID != 1 {
+			test.Errorf("the order again began roll-out %d, newest %+v", again, service.read())
+		}
+		service.world.report(test)
+	})
+}
+
 // A member that is cut off during the steps does not let the roll-out go on blindly, and one
 // that starts anew during it gets the present step before it has a backend of the version.
 func TestMemberMissesTheRolloutsSteps(test *testing.T) {
