--- a/rollout/martingale/simulation_test.go
+++ b/rollout/martingale/simulation_test.go
@@ -244,7 +244,8 @@
 			alarm func(items, exceedances uint64) bool
 		}{{"default", score.Alpha, made.Alarm}, {"source", sourceAlpha, source.Alarm}, {"plain threshold", score.Alpha, plainThreshold}} {
 			found := firstAlarms(rule.alarm, rule.alpha+one.shift, trials, 10_000)
-			line += fmt.Sprintf(" %s %d, %d;", rule.name, found[trials/2], found[trials*9/10])
+			alarms, _ := slices.BinarySearch(found, 10_000)
+			line += fmt.Sprintf(" %s %d, %d, alarms in %d of %d;", rule.name, found[trials/2], found[trials*9/10], alarms, trials)
 			if rule.name == "default" && one.shift > 0 && found[trials/2] > one.most {
 				test.Errorf("shift %v: median of %d items, at most %d wanted", one.shift, found[trials/2], one.most)
 			}
