A backend that rests while it reads a large body does not count as dead

Cause: connections to backends have a TCP_USER_TIMEOUT of 700 ms, by which the kernel also ends one whose peer acknowledges everything and keeps its window closed for that long.

Change: while a body above 16 KiB is under way the connection has no such time-out. The proxy asks the kernel (TCP_INFO) every 100 ms instead, and ends the connection when two retransmissions or window probes in a row were lost and nothing was acknowledged for 700 ms: a machine without power or behind a cut, which the time-out was meant for. Small requests can't fill a window; they and idle connections keep the time-out.

Ruled out: a longer time-out (finds dead machines late, and a longer rest still breaks it); keep-alive probes alone (the kernel sends none while bytes are not acknowledged).

TestBodyArrivesWholeAfterAnEarlySuccess failed now and then under load: its backend answered in a thread of its own, at times only when the whole body was sent, and the connection was rightly kept.

--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -174,7 +174,7 @@
 		target.discard(connection)
 		return
 	}
-	if err := connection.conn.SetDeadline(time.Time{}); err != nil {
+	if connection.conn.SetDeadline(time.Time{}) != nil || connection.endWatch() != nil {
 		target.discard(connection)
 		return
 	}
@@ -191,6 +191,7 @@
 	}
 	count, err := connection.conn.Write(head)
 	if err == nil {
+		proxy.watchPeer(connection)
 		connection.upload = startUpload(proxy.goroutines, connection, body)
 	}
 	return count > 0, err
--- a/hostproxy/config.go
+++ b/hostproxy/config.go
@@ -17,6 +17,9 @@
 	WarmupExtra  float64
 	// UsageWindow is the span over which billed requests are counted; 0 counts none.
 	UsageWindow time.Duration
+	// UserTimeout is how long a backend's machine may leave sent bytes without an
+	// acknowledgement until it counts as dead; 0 leaves that to the kernel.
+	UserTimeout time.Duration
 	// ListLag is how long the platform's list may lag behind.
 	ListLag time.Duration
 	// LinkBytes is what the machine's link carries, in bytes a second; 0 is no bound.
--- a/hostproxy/connection.go
+++ b/hostproxy/connection.go
@@ -33,6 +33,7 @@
 	idleTimeout   time.Duration
 	upload        *upload
 	answeredEarly bool
+	watch         *peerWatch
 }
 
 func newConnection(conn net.Conn) *connection {
@@ -91,7 +92,10 @@
 	}
 }
 
-func (connection *connection) close() { connection.conn.Close() }
+func (connection *connection) close() {
+	_ = connection.endWatch() // the connection goes anyway
+	connection.conn.Close()
+}
 
 // interrupt ends what reads from the connection or writes to it.
 func (connection *connection) interrupt() {
--- a/hostproxy/upload_test.go
+++ b/hostproxy/upload_test.go
@@ -107,8 +107,7 @@
 	if !skipHead(pipe) {
 		return
 	}
-	// The answer is written beside, as the proxy may read it while it sends.
-	reader.world.goroutines.Start(func() { _, _ = io.WriteString(pipe, reader.answer("id")) })
+	_, _ = io.WriteString(pipe, reader.answer("id")) // the proxy may have left
 	part := make([]byte, 64<<10)
 	for {
 		reader.world.goroutines.Sleep(reader.rest)
