--- /dev/null
+++ b/control/rollout_reports.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"orchidjunction/message"
+	"orchidjunction/rollout"
+)
+
+// reportsTTL is how long the counts of a process are kept that reports no more.
+const reportsTTL = 5 * time.Minute
+
+// rolloutReports is what processes of proxies reported for roll-outs, the newest report of
+// each. Its zero value has none. It is safe for concurrent use.
+type rolloutReports struct {
+	mutex     sync.Mutex
+	processes map[string]rolloutReport // by incarnation
+}
+
+// rolloutReport is one process's newest report, by the process's clock and by this core's.
+type rolloutReport struct {
+	sentMs     int64
+	receivedAt time.Time
+	counts     []message.RolloutCounts
+}
+
+// add takes what a process counted so far, unless a newer report is known.
+func (reports *rolloutReports) add(incarnation string, sentMs int64, age time.Duration, counts []message.RolloutCounts) {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	if former, found := reports.processes[incarnation]; found && former.sentMs > sentMs {
+		return
+	}
+	if reports.processes == nil {
+		reports.processes = map[string]rolloutReport{}
+	}
+	reports.processes[incarnation] = rolloutReport{sentMs: sentMs, receivedAt: time.Now().Add(-age), counts: counts}
+	for process, report := range reports.processes {
+		if time.Since(report.receivedAt) > reportsTTL {
+			delete(reports.processes, process)
+		}
+	}
+}
+
+// of returns what each process reported for a roll-out, in the order in which counts are kept.
+func (reports *rolloutReports) of(id uint64) []rollout.ProcessCounts {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	counts := []rollout.ProcessCounts{}
+	for incarnation, report := range reports.processes {
+		for _, one := range report.counts {
+			if one.ID == id {
+				counts = append(counts, rollout.ProcessCounts{Incarnation: incarnation, Counts: one})
+			}
+		}
+	}
+	return rollout.Sorted(counts)
+}
+
+// age returns how old the newest report of a process is.
+func (reports *rolloutReports) age(incarnation string) time.Duration {
+	reports.mutex.Lock()
+	defer reports.mutex.Unlock()
+	report, found := reports.processes[incarnation]
+	if !found {
+		return reportsTTL
+	}
+	return time.Since(report.receivedAt)
+}
