--- a/agent/updates.go
+++ b/agent/updates.go
@@ -31,6 +31,7 @@
 // of the chunks, then for those that are missing here. A process that moved on meanwhile
 // is asked again.
 func (daemon *Daemon) fetch(ctx context.Context, address string) bool {
+	begin := time.Now()
 	for range fetchAttempts {
 		version := daemon.Version()
 		request := &message.FetchRequest{
@@ -44,7 +45,9 @@
 		err = chunks.Fetch(daemon.client, address, daemon.intervals.fetchTimeout(), missing)
 		if err == nil {
 			daemon.counters.Add("branches_fetched", uint64(len(missing)))
-			return daemon.applyUpdate(response, chunks)
+			applied := daemon.applyUpdate(response, chunks)
+			daemon.counters.Histogram("update_fetch_seconds").Observe(time.Since(begin))
+			return applied
 		}
 		daemon.counters.Add("branches_"+string(rpc.CodeOf(err)), 1)
 		if rpc.CodeOf(err) != rpc.CorruptChunk {
@@ -87,6 +90,11 @@
 		klog.Infof("%s: routing %d in force, version %d", daemon.config.Name, next.RoutingSerial, next.Routing.Config.Version)
 		daemon.counters.Add("routings_in_force", 1)
 	}
+	if leaving := message.NewlyLeaving(before.Table.Backends, next.Table.Backends); leaving > 0 {
+		version := next.Table.Version
+		klog.Infof("%s: table %d of term %s in force: %d backends newly leaving", daemon.config.Name, version.Number, version.Term, leaving)
+		daemon.counters.Add("backends_newly_leaving", uint64(leaving))
+	}
 }
 
 // onWatch waits until something is newer here than what another daemon holds.
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -53,26 +53,32 @@
 	}
 }
 
-// watchOnce waits for an update at a core and fetches it. It returns false if the core
-// failed.
+// watchOnce waits for an update at a core and puts it in force, after a fetch unless the
+// core sent it at once. It returns false if the core failed.
 func (daemon *Daemon) watchOnce(ctx context.Context, core string) bool {
 	version := daemon.Version()
 	response, err := daemon.watch(ctx, core, version)
 	if err != nil {
 		return ctx.Err() != nil
 	}
-	version = daemon.takeRollouts(response)
-	isNewer := version.isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
+	daemon.takeWatched(response)
+	isNewer := daemon.Version().isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
 	return !isNewer || daemon.fetch(ctx, core) || ctx.Err() != nil
 }
 
-// takeRollouts puts the roll-outs in force that came with the response to a watch, and returns
-// the version in force then.
-func (daemon *Daemon) takeRollouts(response *message.WatchResponse) *Version {
+// takeWatched puts in force what came with the response to a watch: roll-outs, and what
+// changed in the table.
+func (daemon *Daemon) takeWatched(response *message.WatchResponse) {
+	update := &message.FetchResponse{Delta: response.Delta}
 	if response.Rollouts > daemon.Version().RolloutSerial {
-		daemon.applyUpdate(&message.FetchResponse{Rollouts: response.Rollouts, RolloutList: response.RolloutList}, nil)
+		update.Rollouts, update.RolloutList = response.Rollouts, response.RolloutList
+	}
+	if update.Delta == nil && update.Rollouts == 0 {
+		return
+	}
+	if daemon.applyUpdate(update, nil) && update.Delta != nil {
+		daemon.counters.Add("deltas_with_a_watch", 1)
 	}
-	return daemon.Version()
 }
 
 // fetchFirstVersion takes a first version from whichever core has one: before anybody
--- a/cmd/orchidjunction/core.go
+++ b/cmd/orchidjunction/core.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -72,6 +74,7 @@
 	platformClient := platform.NewClient(settings.Platform.Address, process.WANTransport(userTimeout), func() int64 { return core.Now() })
 	config := coreConfig(settings, platformClient)
 	config.OnMembershipChange = finder.ObserveMembership
+	config.ListZones = func() []string { return slices.Collect(maps.Keys(node.source.Settings().Zones)) }
 	if err := config.Check(); err != nil {
 		return err
 	}
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -68,6 +68,7 @@
 		WarmupExcess: settings.Bounds.WarmupExcess,
 		WarmupExtra:  settings.Bounds.WarmupExtra,
 		UsageWindow:  settings.Bounds.ReportWindow,
+		UserTimeout:  backendUserTimeout,
 		ListLag:      settings.Platform.Lag,
 		LinkBytes:    settings.Machine.LinkMbps * 1e6 / 8,
 	}
@@ -82,8 +83,13 @@
 		return err
 	}
 	daemon := agent.NewDaemon(config, agent.NewID(), client, node.goroutines, node.counters)
-	dialer := &net.Dialer{Control: process.SetUserTimeout(backendUserTimeout), KeepAliveConfig: keepAlive}
-	plane := hostproxy.NewProxy(proxyConfig(settings), dialer.DialContext, daemon.Now, node.goroutines, node.counters)
+	planeConfig := proxyConfig(settings)
+	control := process.SetUserTimeout(backendUserTimeout)
+	if planeConfig.LinkBytes > 0 {
+		control = process.Controls(control, process.SetReceiveBuffer(hostproxy.TransferWindow))
+	}
+	dialer := &net.Dialer{Control: control, KeepAliveConfig: keepAlive}
+	plane := hostproxy.NewProxy(planeConfig, dialer.DialContext, daemon.Now, node.goroutines, node.counters)
 	daemon.OnVersion(func(version *agent.Version) {
 		if version.Servable() {
 			plane.Apply(version.Routing, version.ServingTable(), version.Rollouts)
@@ -92,6 +98,7 @@
 	daemon.SetWindows(plane.Windows)
 	daemon.SetRollouts(plane.RolloutCounts)
 	daemon.SetWarm(plane.Ready)
+	daemon.OnRetire(plane.FinishUploads)
 	server := rpc.NewServer(node.counters)
 	daemon.Register(server)
 	lookups := platform.NewLookup(node.source.Settings, func() *message.Table { return daemon.Version().Table },
--- a/harness/simulation/rollout_test.go
+++ b/harness/simulation/rollout_test.go
@@ -71,7 +71,7 @@
 	one.Rollouts = func() []message.RolloutCounts { return service.count(one.Name) }
 }
 
-func (service *rolledService) list(string) discovery.Page {
+func (service *rolledService) list(discovery.PageRequest) discovery.Page {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 	page := discovery.Page{}
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -42,6 +42,7 @@
 	queues          waitQueues
 	inFlight        inFlightCounts
 	bodies          bodyMemory
+	uploads         *pendingUploads
 	inbound         *Shaper
 	outbound        *Shaper
 	transfers       *TransferLimiter
@@ -72,6 +73,7 @@
 		capacityFreed:   concurrent.NewCondition(),
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
+		uploads:         newPendingUploads(),
 		evacuated:       map[string]bool{},
 		rollouts:        map[string]*rollout{},
 		standing:        map[string]string{},
--- a/hostproxy/shaper.go
+++ b/hostproxy/shaper.go
@@ -12,9 +12,10 @@
 const (
 	// largeBody is the size in bytes above which an answer is bulk.
 	largeBody = 32 << 10
-	// Bulk goes in chunks of bulkChunk bytes, at most bulkBurst at once.
+	// Bulk goes in chunks of bulkChunk bytes, at most bulkBurst at once: what is small waits
+	// behind the burst.
 	bulkChunk = 8 << 10
-	bulkBurst = 32 << 10
+	bulkBurst = bulkChunk
 	// bulkShare is the share of the link that bulk has in any case.
 	bulkShare = 0.25
 	// linkUse is the share of the link that is given out.
@@ -36,6 +37,23 @@
 	urgentBytes float64
 	urgentRate  float64
 	updatedAt   time.Time
+	queue       linkQueue
+}
+
+// linkQueue is a model of the link's own queue: what was given to the link and it cannot
+// have carried yet by its stated rate.
+type linkQueue struct {
+	bytes     float64
+	updatedAt time.Time
+}
+
+// add puts bytes at the end of the queue. It returns how long they wait for those before
+// them.
+func (queue *linkQueue) add(bytes int, capacity float64, now time.Time) time.Duration {
+	carried := now.Sub(queue.updatedAt).Seconds() * capacity
+	ahead := max(0, queue.bytes-carried)
+	queue.bytes, queue.updatedAt = ahead+float64(bytes), now
+	return time.Duration(ahead / capacity * float64(time.Second))
 }
 
 // newShaper is nil for a link without a bound.
@@ -55,12 +73,14 @@
 	active int
 }
 
-// A transfer is taken to have transferWindow bytes under way; all transfers together may
-// fill the link for transferSpan seconds.
+// TransferWindow is how many bytes a transfer may have under way: the receive buffer of
+// connections to backends, where the link has a bound.
+const TransferWindow = 16 << 10
+
+// All transfers together may fill the link for transferSpan seconds.
 const (
-	transferSpan   = 0.3
-	transferWindow = 64 << 10
-	minTransfers   = 2
+	transferSpan = 0.15
+	minTransfers = 2
 )
 
 // newTransferLimiter is nil for a link without a bound.
@@ -68,7 +88,7 @@
 	if bytesPerSecond <= 0 {
 		return nil
 	}
-	return &TransferLimiter{limit: max(minTransfers, int(bytesPerSecond*transferSpan/transferWindow))}
+	return &TransferLimiter{limit: max(minTransfers, int(bytesPerSecond*transferSpan/TransferWindow))}
 }
 
 func (transfers *TransferLimiter) enter() bool {
@@ -93,15 +113,27 @@
 	transfers.mutex.Unlock()
 }
 
-// pass counts bytes that go at once.
-func (shaper *Shaper) pass(bytes int, now time.Time) {
+// pass counts bytes that go at once. It returns how long they wait on the link itself.
+func (shaper *Shaper) pass(bytes int, now time.Time) time.Duration {
 	if shaper == nil {
-		return
+		return 0
 	}
 	shaper.mutex.Lock()
 	shaper.urgentBytes += float64(bytes)
 	shaper.updateRate(now)
 	shaper.mutex.Unlock()
+	return shaper.enqueue(bytes, now)
+}
+
+// enqueue notes that bytes were given to the link. It returns how long they wait there for
+// those before them.
+func (shaper *Shaper) enqueue(bytes int, now time.Time) time.Duration {
+	if shaper == nil {
+		return 0
+	}
+	shaper.mutex.Lock()
+	defer shaper.mutex.Unlock()
+	return shaper.queue.add(bytes, shaper.capacity, now)
 }
 
 // updateRate sets what is left for large answers by what small ones took of late.
@@ -129,6 +161,7 @@
 		if err := shaper.bulk.WaitN(ctx, part); err != nil {
 			return err
 		}
+		shaper.enqueue(part, time.Now())
 		bytes -= part
 	}
 	return nil
--- a/hostproxy/target.go
+++ b/hostproxy/target.go
@@ -38,6 +38,7 @@
 type target struct {
 	backend message.Backend
 	number  uint32 // tells it from the other targets of this process
+	offer   *offer // nil while no view has the target as a candidate
 
 	mutex          sync.Mutex
 	idle           []*connection
--- a/message/golden_test.go
+++ b/message/golden_test.go
@@ -86,6 +86,8 @@
 		"RolloutReadTold":  &RolloutReadResponse{},
 		"Mishap":           &rpc.Error{},
 		"Table":            &Table{},
+		"Renew":            &RenewCandidacyRequest{},
+		"RenewTold":        &RenewCandidacyResponse{},
 	}
 }
 
