Large bodies are refused before they take a proxy over its memory

Cause: what a body takes was reserved only while it was read and given back before it was passed on, though it is held until the answer; one in chunks reserved 1 KiB whatever its size; reading copied it while it grew; the bound of 96 MiB knew nothing of mem_mb, and the runtime had no memory limit.

Change: a budget for the process, 0.45 of mem_mb, taken before a body is read (as it grows, for chunks), held until its request has ended and nothing of it is owed to a backend. Bodies are kept in the pieces that they were read in, so that growing copies nothing. Beyond the budget a request is refused at once with 503 and a time to come back; a sixteenth is kept for bodies of up to 64 KiB. The runtime's memory limit is 0.85 of mem_mb, for proxies and cores.

TestBodies wanted that a body above the whole bound is taken if it is alone: that is what takes the process over its memory. TestBodyMemoryIsBounded takes its place: nothing above the bound is taken, alone or not, and what there is room for is, to the byte. TestLargeBodiesBeyondTheMemoryAreRefused and TestBodyCountsUntilItIsSent. Where reservations never refuse, TestLargeBodiesBeyondTheMemoryAreRefused fails (the late body served, 4 arrivals) and TestBodyMemoryIsBounded ends by go test's time-out, since its loop over small bodies has no end of its own then: it now has one. The last was not run on former code.

Left: bodies are not streamed, so one above the budget is never served whatever max_body_bytes allows; the product's own proxy and operators' bodies at the cores are bounded only by their own limits.

--- a/cmd/orchidjunction/main.go
+++ b/cmd/orchidjunction/main.go
@@ -7,6 +7,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 
 	"github.com/integrii/flaggy"
@@ -35,6 +36,7 @@
 	source, err := platform.NewSource()
 	flags.Exit(err)
 	node := &node{source: source, goroutines: concurrent.NewGroup(), counters: metrics.NewCounters()}
+	limitMemory(source.Settings())
 	if proxy.Used {
 		flags.Exit(node.runProxy())
 	} else {
@@ -42,6 +44,17 @@
 	}
 }
 
+// memoryLimitShare is the part of the process's memory from which on the garbage collector
+// works harder rather than let it grow.
+const memoryLimitShare = 0.85
+
+// limitMemory tells the runtime how much memory the machine lets the process take.
+func limitMemory(settings *platform.Settings) {
+	if settings.Machine.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Machine.MemoryMB<<20) * memoryLimitShare))
+	}
+}
+
 // node is one process with its listeners, in the order in which they were opened.
 type node struct {
 	source     *platform.Source
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -68,6 +68,7 @@
 		WarmupExcess: settings.Bounds.WarmupExcess,
 		WarmupExtra:  settings.Bounds.WarmupExtra,
 		UsageWindow:  settings.Bounds.ReportWindow,
+		MemoryBytes:  int64(settings.Machine.MemoryMB) << 20,
 		UserTimeout:  backendUserTimeout,
 		ListLag:      settings.Platform.Lag,
 		LinkBytes:    settings.Machine.LinkMbps * 1e6 / 8,
--- a/hostproxy/admit.go
+++ b/hostproxy/admit.go
@@ -1,8 +1,6 @@
 package hostproxy
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -88,51 +86,3 @@
 	}
 	return time.Duration(timeout * float64(time.Millisecond))
 }
-
-// readRequestBody reads the whole body before anything is sent to a backend.
-func (proxy *Proxy) readRequestBody(request *request, limit int64) (int, rpc.Code) {
-	source := request.source
-	proxy.inbound.pass(int(max(source.ContentLength, 0)), request.begin)
-	if limit <= 0 {
-		limit = maxBodies
-	}
-	if source.ContentLength > limit {
-		return http.StatusRequestEntityTooLarge, rpc.TooLarge
-	}
-	if source.ContentLength == 0 {
-		return 0, ""
-	}
-	size := max(source.ContentLength, 1<<10)
-	if !proxy.bodies.reserve(size) {
-		return http.StatusServiceUnavailable, rpc.Overloaded
-	}
-	body, err := readAtMost(source.Body, limit)
-	proxy.bodies.release(size)
-	if errors.Is(err, errBodyTooLarge) {
-		return http.StatusRequestEntityTooLarge, rpc.TooLarge
-	}
-	if err != nil || source.ContentLength >= 0 && int64(len(body)) != source.ContentLength {
-		return http.StatusBadRequest, rpc.BadRequest
-	}
-	request.body = body
-	return 0, ""
-}
-
-var errBodyTooLarge = errors.New("the body is larger than the limit")
-
-// readAtMost reads a body whole; one of more bytes than the limit is an error.
-func readAtMost(source io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(source, limit))
-	if err != nil || int64(len(body)) < limit {
-		return body, err
-	}
-	var next [1]byte
-	_, err = io.ReadFull(source, next[:])
-	switch {
-	case err == nil:
-		return nil, errBodyTooLarge
-	case errors.Is(err, io.EOF):
-		return body, nil
-	}
-	return nil, err
-}
--- a/hostproxy/attempt.go
+++ b/hostproxy/attempt.go
@@ -129,7 +129,7 @@
 	}
 	stop := context.AfterFunc(request.context, connection.interrupt)
 	head := proxy.requestHead(request, held.target.backend.Name, request.deadline.Sub(begin))
-	if sent, err := proxy.send(connection, head, request.body); err != nil {
+	if sent, err := proxy.send(connection, head, &request.body); err != nil {
 		stop()
 		held.target.discard(connection)
 		held.target.failed(proxy.clock(), false)
@@ -183,10 +183,10 @@
 
 // send writes head and body, a large one in the background; sent is whether any byte
 // of them may have arrived.
-func (proxy *Proxy) send(connection *connection, head, body []byte) (bool, error) {
+func (proxy *Proxy) send(connection *connection, head []byte, body *requestBody) (bool, error) {
 	connection.upload = nil
-	if len(body) <= smallBody {
-		count, err := connection.conn.Write(append(head, body...))
+	if body.size <= smallBody {
+		count, err := connection.conn.Write(body.appendTo(head))
 		return count > 0, err
 	}
 	count, err := connection.conn.Write(head)
@@ -200,7 +200,7 @@
 // requestHead is the request's line and fields as this backend gets them.
 func (proxy *Proxy) requestHead(request *request, backend string, left time.Duration) []byte {
 	names, source := &proxy.config.Headers, request.source
-	head := make([]byte, 0, 512+min(len(request.body), smallBody))
+	head := make([]byte, 0, 512+min(request.body.size, smallBody))
 	head = append(head, source.Method...)
 	head = append(head, ' ')
 	head = append(head, source.RequestURI...)
@@ -230,9 +230,9 @@
 	if request.tenant != nil {
 		field(names.Tenant, request.tenant.Name)
 	}
-	if len(request.body) > 0 || source.ContentLength >= 0 && source.Method != http.MethodGet && source.Method != http.MethodHead ||
+	if request.body.size > 0 || source.ContentLength >= 0 && source.Method != http.MethodGet && source.Method != http.MethodHead ||
 		len(source.TransferEncoding) > 0 {
-		field("Content-Length", strconv.Itoa(len(request.body)))
+		field("Content-Length", strconv.FormatInt(request.body.size, 10))
 	}
 	return append(head, "\r\n"...)
 }
--- /dev/null
+++ b/hostproxy/body_memory_test.go
@@ -0,0 +1,101 @@
+package hostproxy
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+// Bodies together are bounded, also one alone: more would take the process over its memory.
+// What is kept free of large bodies is there for small ones.
+func TestBodyMemoryIsBounded(test *testing.T) {
+	const machine = 200 << 20
+	memory := newBodyMemory(machine)
+	if memory.limit >= machine/2 || memory.limit < machine/3 {
+		test.Errorf("%d bytes of %d for bodies", memory.limit, machine)
+	}
+	large := memory.limit - memory.limit/smallBodyShare
+	if memory.reserve(0, memory.limit) || memory.reserve(0, large+1) || !memory.reserve(0, large) {
+		test.Error("not just what there is room for")
+	}
+	if memory.reserve(0, smallBodyBytes+1) || memory.reserve(smallBodyBytes, 1) {
+		test.Error("a large body took what is kept for small ones")
+	}
+	count := int64(0)
+	for count < machine/smallBodyBytes && memory.reserve(0, smallBodyBytes) {
+		count++
+	}
+	if count != memory.limit/smallBodyShare/smallBodyBytes {
+		test.Errorf("%d small bodies beside large ones", count)
+	}
+	memory.release(large + count*smallBodyBytes)
+	if memory.inUse() != 0 || !memory.reserve(0, large) {
+		test.Error("what was given back is not there")
+	}
+	if newBodyMemory(0).limit != defaultBodyMemory {
+		test.Error("no bound where the machine's memory is not known")
+	}
+}
+
+// Large bodies were held until their answers and counted only while they were read, those in
+// chunks not at all, so that a few took the process over its memory and it was killed. They
+// are refused with a time to come back as soon as there is no memory for them; small requests
+// go on, and all of it is given back.
+func TestLargeBodiesBeyondTheMemoryAreRefused(test *testing.T) {
+	const size = 600 << 10
+	body := string(letters(0, size))
+	chunks := "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(size, 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+	head := "POST /once/a HTTP/1.1\r\nHost: host.example\r\nAttempt: late\r\nDeadline: 1500\r\n"
+	for form, late := range map[string]string{"length": raw("POST", "/once/a", "late", "", body), "chunks": head + chunks} {
+		inWorld(test, func(world *world) {
+			world.proxy.bodies = newBodyMemory(2_400_000)
+			world.add("b1").ever(after(500*time.Millisecond, well))
+			first := world.client()
+			defer first.pipe.Close()
+			world.goroutines.Start(func() { world.good(first.ask("POST", raw("POST", "/once/a", "first", "", body)), "first") })
+			world.goroutines.Sleep(100 * time.Millisecond)
+			second := world.client()
+			defer second.pipe.Close()
+			world.goroutines.Start(func() { second.send(late) })
+			refused := second.ask("POST", "")
+			if refused.status != 503 || refused.header.Get("Retry-After") == "" || refused.took > 50*time.Millisecond {
+				test.Errorf("%s: %d %v after %s", form, refused.status, refused.broken, refused.took)
+			}
+			small := world.client()
+			defer small.pipe.Close()
+			world.good(small.ask("POST", raw("POST", "/once/a", "small", "", "a few bytes")), "small")
+			world.goroutines.Sleep(time.Second)
+			if held := world.proxy.bodies.inUse(); held != 0 {
+				test.Errorf("%s: %d bytes held in the end", form, held)
+			}
+			again := world.client()
+			defer again.pipe.Close()
+			if reply := again.ask("POST", late); reply.status != 200 {
+				test.Errorf("%s: %d once there is memory again", form, reply.status)
+			}
+			if count := len(world.arrivals()); count != 3 {
+				test.Errorf("%s: %d arrivals", form, count)
+			}
+		})
+	}
+}
+
+// The rest of a body that is sent after an early answer counts until it is sent.
+func TestBodyCountsUntilItIsSent(test *testing.T) {
+	inWorld(test, func(world *world) {
+		body := string(letters(0, 900<<10))
+		success := func(id string) string { return whole(id, "200 OK", "", text(id)) }
+		reader := &earlyReader{world: world, answer: success, rest: 50 * time.Millisecond}
+		world.add("b1").greet(reader.serve)
+		client := world.client()
+		defer client.pipe.Close()
+		world.good(client.ask("POST", raw("POST", "/once/a", "id", "", body)), "id")
+		if held := world.proxy.bodies.inUse(); held != int64(len(body)) {
+			test.Errorf("%d bytes held while the body is sent", held)
+		}
+		world.proxy.FinishUploads(2 * time.Second)
+		if held := world.proxy.bodies.inUse(); held != 0 {
+			test.Errorf("%d bytes held afterwards", held)
+		}
+	})
+}
--- a/hostproxy/config.go
+++ b/hostproxy/config.go
@@ -22,6 +22,8 @@
 	UserTimeout time.Duration
 	// ListLag is how long the platform's list may lag behind.
 	ListLag time.Duration
+	// MemoryBytes is what the machine lets the process take; 0 if that is not known.
+	MemoryBytes int64
 	// LinkBytes is what the machine's link carries, in bytes a second; 0 is no bound.
 	LinkBytes float64
 }
--- a/hostproxy/counts.go
+++ b/hostproxy/counts.go
@@ -60,25 +60,3 @@
 	defer counts.mutex.Unlock()
 	return counts.running
 }
-
-// bodyMemory bound the bytes of requests that are being read.
-type bodyMemory struct {
-	mutex sync.Mutex
-	held  int64
-}
-
-func (bodies *bodyMemory) reserve(size int64) bool {
-	bodies.mutex.Lock()
-	defer bodies.mutex.Unlock()
-	if bodies.held+size > maxBodies && bodies.held > 0 {
-		return false
-	}
-	bodies.held += size
-	return true
-}
-
-func (bodies *bodyMemory) release(size int64) {
-	bodies.mutex.Lock()
-	bodies.held -= size
-	bodies.mutex.Unlock()
-}
--- a/hostproxy/counts_test.go
+++ b/hostproxy/counts_test.go
@@ -23,15 +23,3 @@
 		test.Error("somebody waits")
 	}
 }
-
-// Bodies together are bounded; one alone is always taken.
-func TestBodies(test *testing.T) {
-	bodies := bodyMemory{}
-	if !bodies.reserve(2*maxBodies) || bodies.reserve(1) {
-		test.Error("beside one that is too large")
-	}
-	bodies.release(2 * maxBodies)
-	if !bodies.reserve(maxBodies-1) || !bodies.reserve(1) || bodies.reserve(1) {
-		test.Error("not just what there is room for")
-	}
-}
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -39,7 +39,7 @@
 	capacityFreed   *concurrent.Condition
 	queues          waitQueues
 	inFlight        inFlightCounts
-	bodies          bodyMemory
+	bodies          *bodyMemory
 	uploads         *pendingUploads
 	inbound         *Shaper
 	outbound        *Shaper
@@ -67,6 +67,7 @@
 		capacityFreed:   concurrent.NewCondition(),
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
+		bodies:          newBodyMemory(config.MemoryBytes),
 		uploads:         newPendingUploads(),
 		evacuated:       map[string]bool{},
 		withheldHeaders: map[string]bool{},
@@ -75,6 +76,7 @@
 	proxy.transfers = newTransferLimiter(config.LinkBytes)
 	proxy.usageMeter = newUsageMeter(config.UsageWindow, now)
 	counters.Gauge("requests_in_flight", func() float64 { return float64(proxy.InFlight()) })
+	counters.Gauge("body_bytes_held", func() float64 { return float64(proxy.bodies.inUse()) })
 	counters.Gauge("backends_ejected", func() float64 { return float64(proxy.ejected()) })
 	for _, name := range []string{config.Headers.Deadline, config.Headers.Target, config.Headers.Tenant} {
 		proxy.withheldHeaders[http.CanonicalHeaderKey(name)] = true
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -36,10 +36,8 @@
 	// turn on the link for 1/transferWaitShare.
 	waitShare         = 4
 	transferWaitShare = 2
-	// maxWaiting bounds the requests that wait at once, maxBodies the bytes of bodies that
-	// are being read.
+	// maxWaiting bounds the requests that wait at once.
 	maxWaiting = 256
-	maxBodies  = 96 << 20
 	// firstViewWait is how long a request waits for the first view; one that waited in
 	// vain may come back after firstViewRetry.
 	firstViewWait  = 120 * time.Millisecond
@@ -61,7 +59,7 @@
 	stats    *RouteStats
 	service  string
 	rank     int
-	body     []byte
+	body     requestBody
 	begin    time.Time
 	deadline time.Time
 
@@ -100,6 +98,7 @@
 	proxy.counters.Add("requests", 1)
 	proxy.inFlight.enter()
 	defer proxy.inFlight.leave()
+	defer func() { proxy.bodies.release(request.body.takeReservation()) }()
 	defer func() { proxy.figures.ended(request, proxy.clock()) }()
 	if status := proxy.malformed(request); status != 0 {
 		proxy.refuse(request, status, rpc.BadRequest)
--- a/hostproxy/upload.go
+++ b/hostproxy/upload.go
@@ -22,13 +22,11 @@
 }
 
 // startUpload writes a body in a thread of its own.
-func startUpload(goroutines *concurrent.Group, connection *connection, body []byte) *upload {
+func startUpload(goroutines *concurrent.Group, connection *connection, body *requestBody) *upload {
 	upload := &upload{}
 	upload.wake = sync.NewCond(&upload.mutex)
-	goroutines.Start(func() {
-		_, err := connection.conn.Write(body)
-		upload.end(err == nil)
-	})
+	pieces := requestBody{pieces: body.pieces}
+	goroutines.Start(func() { upload.end(pieces.writeTo(connection.conn) == nil) })
 	return upload
 }
 
@@ -79,6 +77,7 @@
 	}
 	proxy.counters.Add("uploads_after_answer", 1)
 	proxy.uploads.add(connection)
+	reserved := request.body.takeReservation()
 	proxy.goroutines.Start(func() {
 		if connection.upload.wait() {
 			connection.closeWrite()
@@ -89,6 +88,7 @@
 	proxy.goroutines.Start(func() {
 		_, _ = io.Copy(io.Discard, connection.reader) // until the backend closes, or the deadline
 		connection.upload.wait()
+		proxy.bodies.release(reserved)
 		proxy.uploads.remove(connection)
 		target.discard(connection)
 	})
