Directory keeps clients of homed hosts in their region while it has a proxy

Cause: a list names proxies of all regions once fewer than two ready ones are left in the client's own, and does not know whether the host's requests may leave it.

Change: lists of two kinds, mostly one and the same. A host with a route that has homes gets other regions' proxies only where its client's region has none; all other hosts are spread as before, since a single proxy need not bear what others can take. Before a routing is known a host counts as homed.

The existing tests of the lookup are unchanged.

--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -98,6 +98,7 @@
 	daemon.Register(server)
 	lookups := platform.NewLookup(node.source.Settings, func() *message.Table { return daemon.Version().Table },
 		func() (string, bool) { return settings.Listen.Clients, plane.Ready() })
+	lookups.SetHomed(plane.HasHomes)
 	ready := withMetrics(node.counters, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		if !daemon.Ready() || plane.Leaving() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -157,5 +157,12 @@
 // Ready is whether a view is in force.
 func (proxy *Proxy) Ready() bool { return proxy.view.Load() != nil && !proxy.Leaving() }
 
+// HasHomes is whether requests for a host may have to stay in certain regions; it is taken
+// for so while no view is in force.
+func (proxy *Proxy) HasHomes(host string) bool {
+	view := proxy.view.Load()
+	return view == nil || view.index.HasHomes(host)
+}
+
 // Windows are the usage counts of the last windows.
 func (proxy *Proxy) Windows() []message.WindowCount { return proxy.usageMeter.Windows() }
--- a/routing/index.go
+++ b/routing/index.go
@@ -31,6 +31,7 @@
 type prefixes struct {
 	routes  map[string]*CompiledRoute
 	longest int
+	homes   bool // whether one of the routes has homes
 }
 
 // NewIndex makes the index of a state that was checked.
@@ -71,6 +72,7 @@
 		index.hosts[host] = known
 	}
 	known.routes[route.Prefix] = index.compile(route)
+	known.homes = known.homes || len(route.Homes) > 0
 	known.longest = max(known.longest, len(route.Prefix))
 }
 
@@ -119,6 +121,12 @@
 	}
 }
 
+// HasHomes is whether a route of the host has regions that its requests must stay in.
+func (index *Index) HasHomes(host string) bool {
+	known := index.hosts[hostKey(host)]
+	return known != nil && known.homes
+}
+
 // TenantOf is the tenant that a key belongs to.
 func (index *Index) TenantOf(key string) (*Tenant, bool) {
 	tenant, known := index.keys[key]
--- a/routing/index_test.go
+++ b/routing/index_test.go
@@ -129,3 +129,20 @@
 		test.Errorf("%+v", index)
 	}
 }
+
+// A host has homes if one of its routes has: the directory asks by host alone.
+func TestHostHasHomesByItsRoutes(test *testing.T) {
+	index := NewIndex(&State{Config: Config{
+		Services: []Service{{Name: "desk"}},
+		Routes: []Route{
+			{Name: "free", Host: "both.test", Prefix: "/a/", Service: "desk"},
+			{Name: "homed", Host: "both.test", Prefix: "/b/", Service: "desk", Homes: []string{"north"}},
+			{Name: "other", Host: "free.test", Prefix: "/", Service: "desk"},
+		},
+	}})
+	for host, want := range map[string]bool{"both.test": true, "free.test": false, "nobody.test": false, "": false} {
+		if index.HasHomes(host) != want {
+			test.Errorf("%q: homes %v", host, !want)
+		}
+	}
+}
--- a/steering/index.go
+++ b/steering/index.go
@@ -39,52 +39,60 @@
 	return part
 }
 
-// Index holds a List for each zone, for each region, and for clients of neither.
+// Index holds a List for each zone, for each region, and for clients of neither. Those of
+// homed requests name no other region's proxies while there is one in the client's own.
 type Index struct {
 	regionOf map[string]string
-	zones    map[string]*List
-	regions  map[string]*List
+	zones    map[string]lists
+	regions  map[string]lists
 	other    *List
 }
 
+// lists are those of a zone or region: for any requests, and for homed ones.
+type lists struct{ any, homed *List }
+
 // NewIndex makes the index of a table; a nil table has no members. regionOf gives the
 // region of each zone. Peaks says how many proxies a zone had at most.
 func NewIndex(table *message.Table, regionOf map[string]string, peaks *Peaks) *Index {
-	index := &Index{regionOf: regionOf, zones: map[string]*List{}, regions: map[string]*List{}}
+	index := &Index{regionOf: regionOf, zones: map[string]lists{}, regions: map[string]lists{}}
 	members := servingMembers(table)
 	missing := peaks.missing(members)
 	for zone, region := range regionOf {
-		index.zones[zone] = index.newList(members, region, zone, missing[zone])
-		if index.regions[region] == nil {
-			index.regions[region] = index.newList(members, region, "", 0)
+		index.zones[zone] = index.newLists(members, region, zone, missing[zone])
+		if _, known := index.regions[region]; !known {
+			index.regions[region] = index.newLists(members, region, "", 0)
 		}
 	}
-	index.other = index.newList(members, "", "", 0)
+	index.other = index.newList(members, "", "", 0, otherRegion)
 	return index
 }
 
 // List returns the proxies for clients of a zone, or, where that is not known, of a
-// region.
-func (index *Index) List(region, zone string) *List {
-	if list := index.zones[zone]; list != nil {
-		return list
+// region. Homed is whether their requests may have to stay in certain regions.
+func (index *Index) List(region, zone string, homed bool) *List {
+	found, known := index.zones[zone]
+	if !known {
+		found, known = index.regions[region]
 	}
-	if list := index.regions[region]; list != nil {
-		return list
+	switch {
+	case !known:
+		return index.other
+	case homed:
+		return found.homed
 	}
-	return index.other
+	return found.any
 }
 
 // Lists returns all lists.
 func (index *Index) Lists() []*List {
-	lists := []*List{index.other}
-	for _, list := range index.zones {
-		lists = append(lists, list)
+	all := []*List{index.other}
+	for _, of := range index.zones {
+		all = append(all, of.any, of.homed)
 	}
-	for _, list := range index.regions {
-		lists = append(lists, list)
+	for _, of := range index.regions {
+		all = append(all, of.any, of.homed)
 	}
-	return lists
+	return all
 }
 
 // servingMembers are the proxies that are ready or, when none is, those not leaving.
@@ -108,10 +116,21 @@
 	return staying
 }
 
-// newList takes the nearest members, and farther ones only while there are too few.
+// newLists makes the lists of a zone, or of a region, mostly one and the same.
+func (index *Index) newLists(members []message.Member, region, zone string, missing int) lists {
+	made := lists{any: index.newList(members, region, zone, missing, otherRegion)}
+	made.homed = index.newList(members, region, zone, missing, sameRegion)
+	if len(made.homed.Addresses) == 0 || len(made.homed.Addresses) == len(made.any.Addresses) {
+		made.homed = made.any
+	}
+	return made
+}
+
+// newList takes the nearest members up to a distance, and farther ones only while there are
+// too few.
 // For each of a zone's proxies that is missing it adds one of the region's others,
 // so that those left don't bear the whole zone alone.
-func (index *Index) newList(members []message.Member, region, zone string, missing int) *List {
+func (index *Index) newList(members []message.Member, region, zone string, missing int, most distance) *List {
 	list := &List{}
 	distanceOf := func(member *message.Member) distance {
 		switch {
@@ -122,7 +141,7 @@
 		}
 		return otherRegion
 	}
-	for away := sameZone; away <= otherRegion && len(list.Addresses) < enough; away++ {
+	for away := sameZone; away <= most && len(list.Addresses) < enough; away++ {
 		for number := range members {
 			if distanceOf(&members[number]) == away {
 				list.Addresses = append(list.Addresses, members[number].PublicAddress)
