--- a/agent/relay.go
+++ b/agent/relay.go
@@ -23,7 +23,8 @@
 			daemon.parentFailed(parent)
 			continue
 		}
-		isNewer := version.isBehind(response.Serial, response.Routing, response.Table)
+		daemon.takeWatched(response)
+		isNewer := daemon.Version().isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
 		if isNewer && !daemon.fetch(context.Background(), parent) {
 			daemon.parentFailed(parent)
 		}
--- a/agent/updates.go
+++ b/agent/updates.go
@@ -17,11 +17,12 @@
 func (daemon *Daemon) watch(ctx context.Context, address string, version *Version) (*message.WatchResponse, error) {
 	interval := daemon.intervals.Watch
 	request := &message.WatchRequest{
-		Name:    daemon.config.Name,
-		Serial:  version.Serial,
-		Table:   version.Table.Version,
-		Routing: version.RoutingSerial,
-		SpanMs:  int(interval.Milliseconds()),
+		Name:     daemon.config.Name,
+		Serial:   version.Serial,
+		Table:    version.Table.Version,
+		Routing:  version.RoutingSerial,
+		Rollouts: version.RolloutSerial,
+		SpanMs:   int(interval.Milliseconds()),
 	}
 	return rpc.CallContext(ctx, daemon.client, address, message.MethodWatch, interval+daemon.intervals.callTimeout(), request)
 }
@@ -30,9 +31,12 @@
 // of the chunks, then for those that are missing here. A process that moved on meanwhile
 // is asked again.
 func (daemon *Daemon) fetch(ctx context.Context, address string) bool {
+	begin := time.Now()
 	for range fetchAttempts {
 		version := daemon.Version()
-		request := &message.FetchRequest{Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial}
+		request := &message.FetchRequest{
+			Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial, Rollouts: version.RolloutSerial,
+		}
 		response, err := rpc.CallContext(ctx, daemon.client, address, message.MethodFetch, daemon.intervals.fetchTimeout(), request)
 		if err != nil {
 			return false
@@ -41,7 +45,9 @@
 		err = chunks.Fetch(daemon.client, address, daemon.intervals.fetchTimeout(), missing)
 		if err == nil {
 			daemon.counters.Add("branches_fetched", uint64(len(missing)))
-			return daemon.applyUpdate(response, chunks)
+			applied := daemon.applyUpdate(response, chunks)
+			daemon.counters.Histogram("update_fetch_seconds").Observe(time.Since(begin))
+			return applied
 		}
 		daemon.counters.Add("branches_"+string(rpc.CodeOf(err)), 1)
 		if rpc.CodeOf(err) != rpc.CorruptChunk {
@@ -57,7 +63,8 @@
 	daemon.applyMutex.Lock()
 	before := daemon.Version()
 	next, err := before.with(response, chunks)
-	isSame := err == nil && next.Serial == before.Serial && next.RoutingSerial == before.RoutingSerial && next.Table == before.Table
+	isSame := err == nil && next.Serial == before.Serial && next.RoutingSerial == before.RoutingSerial &&
+		next.RolloutSerial == before.RolloutSerial && next.Table == before.Table
 	if err == nil && !isSame {
 		daemon.callbacks.apply(next)
 		daemon.version.Store(next)
@@ -83,6 +90,11 @@
 		klog.Infof("%s: routing %d in force, version %d", daemon.config.Name, next.RoutingSerial, next.Routing.Config.Version)
 		daemon.counters.Add("routings_in_force", 1)
 	}
+	if leaving := message.NewlyLeaving(before.Table.Backends, next.Table.Backends); leaving > 0 {
+		version := next.Table.Version
+		klog.Infof("%s: table %d of term %s in force: %d backends newly leaving", daemon.config.Name, version.Number, version.Term, leaving)
+		daemon.counters.Add("backends_newly_leaving", uint64(leaving))
+	}
 }
 
 // onWatch waits until something is newer here than what another daemon holds.
@@ -91,7 +103,12 @@
 	for {
 		seen := daemon.updates.Count()
 		version := daemon.Version()
-		response := &message.WatchResponse{Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial}
+		response := &message.WatchResponse{
+			Serial: version.Serial, Table: version.Table.Version, Routing: version.RoutingSerial, Rollouts: version.RolloutSerial,
+		}
+		if response.Rollouts > request.Rollouts {
+			response.RolloutList = version.Rollouts
+		}
 		if response.NewerThan(request) || daemon.goroutines.Stopping() || !daemon.updates.Wait(seen, time.Until(deadline)) {
 			return response, nil
 		}
@@ -112,6 +129,9 @@
 		}
 		response.Routing, response.RoutingBody = version.RoutingSerial, body
 	}
+	if version.RolloutSerial > request.Rollouts {
+		response.Rollouts, response.RolloutList = version.RolloutSerial, version.Rollouts
+	}
 	if request.Table.Less(version.Table.Version) {
 		response.Table = version.Table
 	}
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -53,23 +53,39 @@
 	}
 }
 
-// watchOnce waits for an update at a core and fetches it. It returns false if the core
-// failed.
+// watchOnce waits for an update at a core and puts it in force, after a fetch unless the
+// core sent it at once. It returns false if the core failed.
 func (daemon *Daemon) watchOnce(ctx context.Context, core string) bool {
 	version := daemon.Version()
 	response, err := daemon.watch(ctx, core, version)
 	if err != nil {
 		return ctx.Err() != nil
 	}
-	isNewer := version.isBehind(response.Serial, response.Routing, response.Table)
+	daemon.takeWatched(response)
+	isNewer := daemon.Version().isBehind(response.Serial, response.Routing, response.Rollouts, response.Table)
 	return !isNewer || daemon.fetch(ctx, core) || ctx.Err() != nil
 }
 
+// takeWatched puts in force what came with the response to a watch: roll-outs, and what
+// changed in the table.
+func (daemon *Daemon) takeWatched(response *message.WatchResponse) {
+	update := &message.FetchResponse{Delta: response.Delta}
+	if response.Rollouts > daemon.Version().RolloutSerial {
+		update.Rollouts, update.RolloutList = response.Rollouts, response.RolloutList
+	}
+	if update.Delta == nil && update.Rollouts == 0 {
+		return
+	}
+	if daemon.applyUpdate(update, nil) && update.Delta != nil {
+		daemon.counters.Add("deltas_with_a_watch", 1)
+	}
+}
+
 // fetchFirstVersion takes a first version from whichever core has one: before anybody
 // leads, cores say what they know to be committed.
 func (daemon *Daemon) fetchFirstVersion(core string, response *message.LeaderResponse) {
 	version := daemon.Version()
-	if version.Servable() || !version.isBehind(0, response.Routing, response.Table) {
+	if version.Servable() || !version.isBehind(0, response.Routing, 0, response.Table) {
 		return
 	}
 	daemon.counters.Add("begun_before_a_leader", 1)
--- a/cmd/orchidjunction/core.go
+++ b/cmd/orchidjunction/core.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,6 +14,7 @@
 	"orchidjunction/control"
 	"orchidjunction/platform"
 	"orchidjunction/process"
+	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 	"orchidjunction/storage"
 )
@@ -70,6 +74,7 @@
 	platformClient := platform.NewClient(settings.Platform.Address, process.WANTransport(userTimeout), func() int64 { return core.Now() })
 	config := coreConfig(settings, platformClient)
 	config.OnMembershipChange = finder.ObserveMembership
+	config.ListZones = func() []string { return slices.Collect(maps.Keys(node.source.Settings().Zones)) }
 	if err := config.Check(); err != nil {
 		return err
 	}
@@ -86,9 +91,13 @@
 		func() map[string]string { return node.source.Settings().Zones },
 		node.counters,
 	)
+	orders := http.NewServeMux()
+	orders.Handle(agent.RolloutPath, agent.NewRolloutAPI(forwarder, node.counters))
+	orders.Handle(agent.RolloutPath+"/", agent.NewRolloutAPI(forwarder, node.counters))
+	orders.Handle("/", operators)
 	if err := node.open(
 		endpoint{config.InternalAddress, server},
-		endpoint{settings.Listen.Operators, withMetrics(node.counters, operators)},
+		endpoint{settings.Listen.Operators, withMetrics(node.counters, orders)},
 	); err != nil {
 		return err
 	}
@@ -138,6 +147,7 @@
 		ListInterval:      listInterval(settings),
 		ListsUntilGone:    listsUntilGone,
 		ReplaceAfter:      settings.Bounds.CatchUp / replaceShare,
+		Rollouts:          rollout.Bounds{Share: settings.Bounds.CanaryShare, Extra: settings.Bounds.CanaryExtra},
 	}
 	if !settings.Metered() {
 		return config
--- a/control/config.go
+++ b/control/config.go
@@ -6,6 +6,7 @@
 	"orchidjunction/consensus"
 	"orchidjunction/discovery"
 	"orchidjunction/message"
+	"orchidjunction/rollout"
 	"orchidjunction/rpc"
 )
 
@@ -47,13 +48,19 @@
 	TableInterval  time.Duration
 
 	// PlatformAddress is where the platform that the product brings itself lists the
-	// backends and takes reports. ListBackends and Metering replace it.
+	// backends and takes reports. ListBackends and Metering replace it; ListZones returns
+	// the zones that ListBackends knows, if it lists by zone.
 	PlatformAddress string
 	ListBackends    discovery.Lister
+	ListZones       func() []string
 	ListInterval    time.Duration
 	ListsUntilGone  int
 	Metering        Metering
 
+	// Rollouts bounds what a version that may be bad gets, and RolloutVerdict judges it.
+	Rollouts       rollout.Bounds
+	RolloutVerdict rollout.Verdict
+
 	// Wall returns the wall clock in milliseconds since the Unix epoch.
 	Wall func() int64
 	// OnRole is called when this core has begun to lead.
@@ -73,6 +80,10 @@
 	if config.OnMembershipChange == nil {
 		config.OnMembershipChange = func(message.Version, []string) {}
 	}
+	if config.RolloutVerdict == nil {
+		config.RolloutVerdict = rollout.DefaultVerdict()
+	}
+	setDefault(&config.Rollouts, rollout.DefaultBounds)
 	setDefault(&config.ReplaceAfter, max(minReplaceAfter, 2*config.SuspicionTimeout))
 	setDefault(&config.FoundingQuiet, foundingQuiet)
 	setDefault(&config.TableInterval, config.HeartbeatInterval)
--- a/hostproxy/peer_watch_test.go
+++ b/hostproxy/peer_watch_test.go
@@ -71,7 +71,7 @@
 		Complete: true,
 		Members:  []message.Member{{Name: "p1", Kind: message.ProxyKind, Zone: "e1", Ready: true}},
 		Backends: []message.Backend{{Name: "b1", Service: "plain", Address: listener.Addr().String(), Zone: "e1", Capacity: 8}},
-	})
+	}, nil)
 	seen := -1
 	goroutines.Start(func() {
 		conn, err := listener.Accept()
--- a/hostproxy/shaper_test.go
+++ b/hostproxy/shaper_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +140,72 @@
 		}
 	})
 }
+
+// The wait on the link is what was given to it before and it cannot have carried yet.
+func TestLinkQueue(test *testing.T) {
+	begin := time.Now()
+	queue := linkQueue{updatedAt: begin}
+	for _, step := range []struct {
+		after  time.Duration
+		bytes  int
+		waited time.Duration
+	}{{0, 1000, 0}, {0, 500, time.Second}, {time.Second, 0, 500 * time.Millisecond}, {3 * time.Second, 100, 0}} {
+		if waited := queue.add(step.bytes, 1000, begin.Add(step.after)); waited != step.waited {
+			test.Errorf("%d bytes after %s waited %s", step.bytes, step.after, waited)
+		}
+	}
+}
+
+// Large answers took nearly the whole link beside requests to backends, which were not counted
+// on it: its queue grew for as long as there were large answers, and small requests, dials
+// and updates stood in it (DRAIN, issue 33).
+func TestSmallRequestsWaitBrieflyOnTheOwnLink(test *testing.T) {
+	const link = 2.7e6 / 8
+	const mostWait = 150 * time.Millisecond
+	inWorld(test, func(world *world) {
+		world.proxy.outbound = newShaper(link, time.Now())
+		world.add("b1").ever(func(exchange *exchange) bool {
+			if strings.Contains(exchange.line, "/load/") {
+				return large(200<<10, 200<<10, false)(exchange)
+			}
+			return well(exchange)
+		})
+		stop := time.Now().Add(10 * time.Second)
+		for index := range 4 {
+			world.goroutines.Start(func() {
+				for ask := 0; time.Now().Before(stop); ask++ {
+					client := world.client()
+					client.ask("GET", raw("GET", "/load/a", fmt.Sprintf("load%d-%d", index, ask), "", ""))
+					client.pipe.Close()
+				}
+			})
+		}
+		waits := []time.Duration{}
+		for time.Now().Before(stop) {
+			id, client := world.id(), world.client()
+			world.good(client.ask("POST", raw("POST", "/once/a", id, "", strings.Repeat("b", 6<<10))), id)
+			client.pipe.Close()
+			for range 10 {
+				world.goroutines.Sleep(10 * time.Millisecond)
+				waits = append(waits, world.proxy.outbound.enqueue(0, time.Now()))
+			}
+		}
+		slices.Sort(waits)
+		if wait := waits[len(waits)*99/100]; wait > mostWait {
+			test.Errorf("99%% of the waits are below %s only, at most %s", wait, waits[len(waits)-1])
+		}
+	})
+}
+
+// Two large answers alone could fill a thin link for 390 ms with what their senders had under
+// way, and dials and updates of the table stood behind it (DRAIN, issue 33).
+func TestTransfersFillTheLinkBriefly(test *testing.T) {
+	const mostWait = 0.15 // seconds
+	for _, megabits := range []float64{2.7, 3.8, 7, 1000} {
+		link := megabits * 1e6 / 8
+		limit := newTransferLimiter(link).limit
+		if wait := float64(limit*TransferWindow) / link; wait > mostWait {
+			test.Errorf("%v Mbit/s: %d transfers fill the link for %.3f s", megabits, limit, wait)
+		}
+	}
+}
--- a/hostproxy/target.go
+++ b/hostproxy/target.go
@@ -37,6 +37,8 @@
 // target is one incarnation of a backend as this process knows it; it outlives views.
 type target struct {
 	backend message.Backend
+	number  uint32 // tells it from the other targets of this process
+	offer   *offer // nil while no view has the target as a candidate
 
 	mutex          sync.Mutex
 	idle           []*connection
@@ -125,6 +127,13 @@
 	target.mutex.Unlock()
 }
 
+// inFlight is how many requests this process has at the target.
+func (target *target) inFlight() int {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.running
+}
+
 // takeIdle gives an idle connection that is still sound.
 func (target *target) takeIdle(now time.Time) *connection {
 	for {
