A dial to a version that was reverted ends: backends of other versions are not offered

What callers saw: a request that had chosen a backend of the version under test, and waited for its connection, was sent there after the roll-out was reverted (EXPOSURE).

Cause: addBackends prolonged the offer of every listed backend that stays, also of one whose version the view leaves out. The table lists a reverted version until the leader's next one, so its offers outlived the roll-out.

Ruled out: requests chosen after the revert (chooseVersion has no canary then).

Change: only what becomes a candidate is offered. TestRevertedWhileDialling failed before: 1 request at the reverted version.

--- a/hostproxy/rollout_test.go
+++ b/hostproxy/rollout_test.go
@@ -253,3 +253,24 @@
 		}
 	})
 }
+
+// A request that had chosen a backend of the version under test, and whose dial came through
+// after the roll-out was reverted, was sent there all the same (EXPOSURE): the table lists such
+// backends for a moment longer.
+func TestRevertedWhileDialling(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.addVersion("b1", "v1", 8)
+		world.addVersion("b2", "v2", 8)
+		world.roll(order(message.RolloutActive, 1))
+		world.doors.silence("b2:80", true)
+		wait := world.begin("/once/a")
+		world.goroutines.Sleep(100 * time.Millisecond)
+		world.roll(order(message.RolloutReverted, 0))
+		world.doors.unsilence("b2:80")
+		reply, id := wait()
+		world.good(reply, id)
+		if count := len(world.backends["b2"].seen()); count != 0 {
+			test.Errorf("%d requests at the reverted version", count)
+		}
+	})
+}
--- a/hostproxy/view.go
+++ b/hostproxy/view.go
@@ -158,7 +158,6 @@
 			target:     held,
 			region:     proxy.config.Regions[backend.Zone],
 			distance:   proxy.config.distance(backend.Zone),
-			offer:      held.offerIn(view),
 			warmAt:     backend.WarmAtMs,
 			owned:      mayWarm && owner(backend, proxies, proxy.config.Regions) == proxy.config.Name,
 			warmupRate: ownerWarmupRate(service.WarmupRate, proxy.config.WarmupExcess, proxy.config.WarmupExtra),
@@ -167,15 +166,17 @@
 	proxy.evacuated = evacuated
 }
 
-// add adds a candidate of a version: to those of its service, or to those of the canary.
+// add adds a candidate of a version: to those of its service, or to those of the canary. A
+// backend of any other version is not offered.
 func (view *View) add(number int, versions versions, revision string, candidate candidate) {
 	candidate.canary = view.canaries[number]
 	if candidate.canary != nil && revision == versions.order.Target {
-		candidate.underTest = true
+		candidate.underTest, candidate.offer = true, candidate.target.offerIn(view)
 		candidate.canary.candidates = append(candidate.canary.candidates, candidate)
 		return
 	}
 	if revision == versions.standing {
+		candidate.offer = candidate.target.offerIn(view)
 		view.services[number] = append(view.services[number], candidate)
 	}
 }
