The version that follows a completed roll-out without an order is served

What callers would have seen: no backend for a service whose completed version was replaced by another one without an order, for as long as that roll-out was the newest.

Cause: which version stands is worked out twice, by rollout.ObserveVersions at the leader and by standingVersion at the proxies. The leader moves on once no backend of the version is listed, the proxies kept to a completed roll-out's target for ever.

Change: proxies keep to the target while any backend of it is listed, as the leader does. TestVersionAfterACompleteOneIsServed failed before: 10 of 10 requests had no backend.

--- a/hostproxy/rollout.go
+++ b/hostproxy/rollout.go
@@ -211,12 +211,12 @@
 }
 
 // standingVersion returns the version of a service that serves without an order: the target
-// of a complete roll-out, else the one that served before. A process that knows of none
-// takes that of most backends: what no order allows gets no requests.
+// of a complete roll-out, else the one that served before. Where none of that is listed, or
+// a process knows of none, it is that of most backends: what no order allows gets no requests.
 func (proxy *Proxy) standingVersion(service string, revisions map[string]int, order *message.Rollout) string {
 	standing, known := proxy.standing[service]
 	switch {
-	case order != nil && order.Phase == message.RolloutComplete:
+	case order != nil && order.Phase == message.RolloutComplete && revisions[order.Target] > 0:
 		standing = order.Target
 	case known && revisions[standing] > 0 && !isTarget(order, standing):
 	default:
--- a/hostproxy/rollout_test.go
+++ b/hostproxy/rollout_test.go
@@ -274,3 +274,20 @@
 		}
 	})
 }
+
+// Guards against a service without backends once those of a completed roll-out were replaced
+// by another version without an order: the core lists that one, proxies passed over it.
+func TestVersionAfterACompleteOneIsServed(test *testing.T) {
+	synctest.Test(test, func(test *testing.T) {
+		proxy, complete := many([]string{"p1"}, []string{"e1"})[0], order(message.RolloutComplete, 0)
+		applyVersions(proxy, twoVersions(0, 3), complete)
+		replaced := twoVersions(0, 3)
+		for index := range replaced {
+			replaced[index].Name, replaced[index].Revision = fmt.Sprint("c", index), "v3"
+		}
+		applyVersions(proxy, replaced, complete)
+		if counts := countVersions(proxy, 10); counts["v3"] != 10 {
+			test.Errorf("10 requests went to %v", counts)
+		}
+	})
+}
