--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -64,7 +64,7 @@
 		Regions:      settings.Zones,
 		Headers:      platform.RequestHeaders(),
 		RetryRatio:   settings.Bounds.RetryRatio,
-		RetryExtra:   float64(settings.Bounds.RetryExtra),
+		RetryExtra:   settings.Bounds.RetryExtra,
 		WarmupExcess: settings.Bounds.WarmupExcess,
 		WarmupExtra:  settings.Bounds.WarmupExtra,
 		UsageWindow:  settings.Bounds.ReportWindow,
