Routing and roll-outs are written by one function

writeRollouts repeated writeRouting line by line. writeState encodes and writes what either builds; behaviour is unchanged.

--- a/control/leadership.go
+++ b/control/leadership.go
@@ -188,6 +188,35 @@
 	return next.value.Serial, nil
 }
 
+// writeState writes the state that build makes, encoded, as a register's next value and
+// returns the serial that holds it; if build makes none, that is the current serial. Accepted
+// takes the state once a quorum has it, with the leadership's mutex held.
+func writeState[State any](
+	leadership *Leadership,
+	register message.Register,
+	build func() (*State, error),
+	accepted func(next *State),
+) (uint64, error) {
+	currentSerial := uint64(0)
+	serial, err := leadership.write(register, func(current message.Value) (*proposal, error) {
+		currentSerial = current.Serial
+		next, err := build()
+		if err != nil || next == nil {
+			return nil, err
+		}
+		body, err := rpc.Marshal(next)
+		if err != nil {
+			return nil, err
+		}
+		value := message.Value{Serial: current.Serial + 1, Body: body}
+		return &proposal{value: value, accepted: func() { accepted(next) }}, nil
+	})
+	if err == nil && serial == 0 {
+		serial = currentSerial
+	}
+	return serial, err
+}
+
 // replicate has a quorum accept a value, with the write lock held.
 func (leadership *Leadership) replicate(register message.Register, current message.Value, next *proposal) error {
 	core := leadership.core
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -92,24 +92,9 @@
 // writeRollouts writes the roll-outs that build makes of the current ones and returns the
 // serial that holds them; if build makes none, that is the current serial.
 func (leadership *Leadership) writeRollouts(build func(current *rollout.State) (*rollout.State, error)) (uint64, error) {
-	currentSerial := uint64(0)
-	serial, err := leadership.write(message.RolloutsRegister, func(current message.Value) (*proposal, error) {
-		currentSerial = current.Serial
-		next, err := build(leadership.currentRollouts())
-		if err != nil || next == nil {
-			return nil, err
-		}
-		body, err := rpc.Marshal(next)
-		if err != nil {
-			return nil, err
-		}
-		value := message.Value{Serial: current.Serial + 1, Body: body}
-		return &proposal{value: value, accepted: func() { leadership.rollouts = next }}, nil
-	})
-	if err == nil && serial == 0 {
-		serial = currentSerial
-	}
-	return serial, err
+	return writeState(leadership, message.RolloutsRegister, func() (*rollout.State, error) {
+		return build(leadership.currentRollouts())
+	}, func(next *rollout.State) { leadership.rollouts = next })
 }
 
 // onRolloutOrder begins a roll-out or ends one. What needs no write, a repeated or a refused
--- a/control/routing.go
+++ b/control/routing.go
@@ -70,24 +70,9 @@
 // writeRouting writes the routing that build makes of the current one and returns the
 // serial that holds it; if build makes none, that is the current serial.
 func (leadership *Leadership) writeRouting(build func(current *routing.State) (*routing.State, error)) (uint64, error) {
-	currentSerial := uint64(0)
-	serial, err := leadership.write(message.RoutingRegister, func(current message.Value) (*proposal, error) {
-		currentSerial = current.Serial
-		next, err := build(leadership.currentRouting())
-		if err != nil || next == nil {
-			return nil, err
-		}
-		body, err := rpc.Marshal(next)
-		if err != nil {
-			return nil, err
-		}
-		value := message.Value{Serial: current.Serial + 1, Body: body}
-		return &proposal{value: value, accepted: func() { leadership.routing = next }}, nil
-	})
-	if err == nil && serial == 0 {
-		serial = currentSerial
-	}
-	return serial, err
+	return writeState(leadership, message.RoutingRegister, func() (*routing.State, error) {
+		return build(leadership.currentRouting())
+	}, func(next *routing.State) { leadership.routing = next })
 }
 
 // currentRouting returns the routing that the leadership wrote or inherited.
