Reports of a proxy whose clock was corrected count for its roll-outs

What callers would have seen: a roll-out that stays in its step or never completes ("a proxy is silent"), and responses of that proxy that the verdict does not count.

Cause: reports are ordered by the process's time of day. A process reads its wall clock once, at its start, and is corrected by the answer to its first session; that session itself has the uncorrected time. With a clock that was ahead by 30 s, all reports of the next 30 s passed for older ones.

Ruled out: usage windows take the highest of each count and are not ordered by time.

Change: a report with an earlier time that comes over 2 s after the newest one is taken. Older reports that come by way of another core are still passed over, and counts only rise with steps, so that a late one errs towards waiting.

--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -311,6 +311,10 @@
 // reportsTTL is how long the counts of a process are kept that reports no more.
 const reportsTTL = 5 * time.Minute
 
+// relayTime is how much later than a newer report an older one may come, by way of another
+// core. What comes later still with an earlier time is of a process whose clock was set back.
+const relayTime = 2 * time.Second
+
 // rolloutReports is what processes of proxies reported for roll-outs, the newest report of
 // each. Its zero value has none. It is safe for concurrent use.
 type rolloutReports struct {
@@ -329,13 +333,15 @@
 func (reports *rolloutReports) add(incarnation string, sentMs int64, age time.Duration, counts []message.RolloutCounts) {
 	reports.mutex.Lock()
 	defer reports.mutex.Unlock()
-	if former, found := reports.processes[incarnation]; found && former.sentMs > sentMs {
+	receivedAt := time.Now().Add(-age)
+	former, found := reports.processes[incarnation]
+	if found && former.sentMs > sentMs && receivedAt.Sub(former.receivedAt) <= relayTime {
 		return
 	}
 	if reports.processes == nil {
 		reports.processes = map[string]rolloutReport{}
 	}
-	reports.processes[incarnation] = rolloutReport{sentMs: sentMs, receivedAt: time.Now().Add(-age), counts: counts}
+	reports.processes[incarnation] = rolloutReport{sentMs: sentMs, receivedAt: receivedAt, counts: counts}
 	for process, report := range reports.processes {
 		if time.Since(report.receivedAt) > reportsTTL {
 			delete(reports.processes, process)
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"orchidjunction/message"
@@ -29,6 +30,25 @@
 	}
 }
 
+// Guards against a proxy that counts for no roll-out, and holds each one up as silent, since it
+// started with a clock that was ahead: its reports after the correction passed for older ones.
+func TestReportsAfterACorrectedClockCount(test *testing.T) {
+	synctest.Test(test, func(*testing.T) {
+		reports := &rolloutReports{}
+		reports.add("a", 60_000, 0, nil)
+		const interval, later = 500 * time.Millisecond, 6
+		for report := range later {
+			time.Sleep(interval) // virtual time
+			sentMs := 30_000 + int64(report)*interval.Milliseconds()
+			reports.add("a", sentMs, 0, []message.RolloutCounts{{ID: 1, Step: 1, Items: uint64(report)}})
+		}
+		roll := &rollout.Rollout{ID: 1, Phase: message.RolloutActive}
+		if total := roll.Total(reports.of(1)); total.Items != later-1 || reports.age("a") != 0 {
+			test.Errorf("%d items, report %v old, want %d of now", total.Items, reports.age("a"), later-1)
+		}
+	})
+}
+
 // The list that proxies may know of is made anew when the list or the roll-outs change, and
 // is the same slice otherwise, by which tables tell that nothing changed.
 func TestListedBackendsFollowTheRollouts(test *testing.T) {
