The roll-out of the version that serves already is complete at once

What callers would see: a service without any backend from the order on, and for as long as that roll-out is the newest once it was reverted.

Cause: all backends of the service counted as those under test, and an active roll-out gives these its share alone (0 at first); a reverted target is never the version that stands.

Change: an order for the version that the leader has noted as the serving one is taken and complete at once; nothing changes for requests.

TestOrderOfTheCurrentVersionIsComplete failed before: the roll-out was active with share 0.

--- a/rollout/order.go
+++ b/rollout/order.go
@@ -20,8 +20,9 @@
 }
 
 // Order returns the state after an order at a time in milliseconds, nil if the order was
-// taken before. It returns RolloutActive while another version is under way, RolloutChanged
-// if the service had a roll-out since the order was sent, and NotFound for the abort of none.
+// taken before. The roll-out of the version that serves already is complete at once. Order
+// returns RolloutActive while another version is under way, RolloutChanged if the service had
+// a roll-out since the order was sent, and NotFound for the abort of none.
 func (state *State) Order(order *message.RolloutOrder, now int64) (*State, error) {
 	service := Service{Name: order.Service}
 	if known := state.Service(order.Service); known != nil {
@@ -52,6 +53,9 @@
 		TermMs:  now + order.TermMs,
 		StepMs:  now,
 	}
+	if service.Current == order.Target {
+		service = service.ended(message.RolloutComplete, message.RolloutCounts{})
+	}
 	next := state.with(service)
 	next.LastID = service.Rollout.ID
 	return next, nil
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// Guards against a service without backends while the version that serves already is rolled out,
+// and for good once that was reverted: all its backends counted as those under test.
+func TestOrderOfTheCurrentVersionIsComplete(test *testing.T) {
+	backends := []message.Backend{{Name: "a", Service: "desk", Revision: "v1"}}
+	state := (&State{}).ObserveVersions(backends)
+	next := mustOrder(test, state, orderOf("desk", "v1", 0), 1000)
+	if newest := next.Service("desk").Rollout; newest.Phase != message.RolloutComplete || newest.ID != 1 {
+		test.Errorf("%+v", newest)
+	}
+	if listed := next.Listed(backends); len(listed) != 1 {
+		test.Errorf("listed: %+v", listed)
+	}
+}
+
 // The state survives its encoding, and proxies are told the newest roll-out of each service.
 func TestStateIsDecodedAsItWas(test *testing.T) {
 	state := mustOrder(test, &State{}, orderOf("desk", "v2", 0), 1000)
