--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -64,10 +64,11 @@
 		Regions:      settings.Zones,
 		Headers:      platform.RequestHeaders(),
 		RetryRatio:   settings.Bounds.RetryRatio,
-		RetryExtra:   float64(settings.Bounds.RetryExtra),
+		RetryExtra:   settings.Bounds.RetryExtra,
 		WarmupExcess: settings.Bounds.WarmupExcess,
 		WarmupExtra:  settings.Bounds.WarmupExtra,
 		UsageWindow:  settings.Bounds.ReportWindow,
+		MemoryBytes:  int64(settings.Machine.MemoryMB) << 20,
 		UserTimeout:  backendUserTimeout,
 		ListLag:      settings.Platform.Lag,
 		LinkBytes:    settings.Machine.LinkMbps * 1e6 / 8,
@@ -103,6 +104,7 @@
 	daemon.Register(server)
 	lookups := platform.NewLookup(node.source.Settings, func() *message.Table { return daemon.Version().Table },
 		func() (string, bool) { return settings.Listen.Clients, plane.Ready() })
+	lookups.SetHomed(plane.HasHomes)
 	ready := withMetrics(node.counters, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		if !daemon.Ready() || plane.Leaving() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
