Connections of a listener keep limits that may change while they are open

Cause looked at: net/http's server reads its three bounds (head bytes, head time, idle time) from fields that cannot change while it serves, so that an operator's limits had no way to its connections.

Change: a client's connection (process/client_conn.go) knows whether it waits, reads a head or serves; it sets the deadlines of reads itself, counts a head's bytes, and refuses a head with 431, 408 or 503 and a typed body. Listener.SetLimits acts on open connections; a head that has begun keeps the wider of both limits. Bytes that came before a wait ended are served, also where the process was too slow to read them. Heads above 8 KiB draw on the memory for bodies. ConnBudget bounds clients' connections by the process's descriptors: three quarters are served, a sixteenth more gets 503, the rest is closed unread.

Ruled out: http.ResponseController, which exists only once a head is read, and a parser of our own. Behaviour that changes: heads up to 64 KiB instead of 32 KiB at the product's own doors, 408 instead of a close for a late head.

Tests: process/client_conn_test.go in virtual time; the listener's former tests hold unchanged but for their construction; hostproxy's tests now run behind the real listener.

--- a/cmd/ojbackend/main.go
+++ b/cmd/ojbackend/main.go
@@ -35,7 +35,7 @@
 		flags.Exit(rpc.Errorf(rpc.BadFlag, "--journal: %v", err))
 	}
 	goroutines := concurrent.NewGroup()
-	listener, err := process.Listen(listen, backend, 64<<10)
+	listener, err := process.Listen(listen, backend, process.ListenOptions{})
 	flags.Exit(err)
 	listener.Serve(goroutines)
 	process.OnTerm(goroutines, func() {
--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -23,13 +23,11 @@
 
 // options is what the command line says beside the core's own configuration.
 type options struct {
-	data  string
-	grace time.Duration
+	data   string
+	grace  time.Duration
+	limits process.ConnLimits
 }
 
-// maxHeaderBytes bounds the header of a message on either listener.
-const maxHeaderBytes = 64 << 10
-
 func main() {
 	flags, config, given := parse()
 	goroutines, counters := concurrent.NewGroup(), metrics.NewCounters()
@@ -46,9 +44,9 @@
 	forwarder := agent.NewForwarder(finder, client, counters)
 	name := nameOf(config)
 	operatorAPI := agent.NewOperatorAPI(name, forwarder, counters, core.Settings, core.CanVote)
-	internal, err := process.Listen(config.InternalAddress, server, maxHeaderBytes)
+	internal, err := process.Listen(config.InternalAddress, server, process.ListenOptions{Counters: counters})
 	flags.Exit(err)
-	operators, err := process.Listen(config.OperatorAddress, operatorAPI, maxHeaderBytes)
+	operators, err := process.Listen(config.OperatorAddress, operatorAPI, process.ListenOptions{Limits: given.limits, Counters: counters})
 	flags.Exit(err)
 	internal.Serve(goroutines)
 	operators.Serve(goroutines)
@@ -94,7 +92,11 @@
 	flags.Parser.Int(&heartbeatMs, "", "beat-ms", "milliseconds between the leader's heartbeats")
 	flags.Parser.Int(&suspicionMs, "", "suspect-ms", "silence after which a leader is suspected")
 	flags.Parser.Int(&graceMs, "", "grace-ms", "grace after SIGTERM")
+	limitFlags := process.NewLimitFlags(flags)
 	flags.Parse()
+	limits, err := limitFlags.Limits()
+	flags.Exit(err)
+	given.limits = limits
 	flags.Exit(takePeers(config, peers))
 	flags.Exit(takeSeeds(config, seeds))
 	config.HeartbeatInterval = time.Duration(heartbeatMs) * time.Millisecond
--- a/cmd/orchidjunction/core.go
+++ b/cmd/orchidjunction/core.go
@@ -96,8 +96,9 @@
 	orders.Handle(agent.RolloutPath+"/", agent.NewRolloutAPI(forwarder, node.counters))
 	orders.Handle("/", operators)
 	if err := node.open(
-		endpoint{config.InternalAddress, server},
-		endpoint{settings.Listen.Operators, withMetrics(node.counters, orders)},
+		nil,
+		endpoint{address: config.InternalAddress, handler: server},
+		endpoint{address: settings.Listen.Operators, handler: withMetrics(node.counters, orders), external: true},
 	); err != nil {
 		return err
 	}
--- a/cmd/orchidjunction/main.go
+++ b/cmd/orchidjunction/main.go
@@ -16,12 +16,10 @@
 	"orchidjunction/metrics"
 	"orchidjunction/platform"
 	"orchidjunction/process"
+	"orchidjunction/routing"
 	"orchidjunction/rpc"
 )
 
-// maxHeaderBytes bounds the header of a request on any listener.
-const maxHeaderBytes = 64 << 10
-
 func main() {
 	flags := process.NewFlags("orchidjunction", "a machine of orchidjunction on a platform")
 	proxy, core := flaggy.NewSubcommand("proxy"), flaggy.NewSubcommand("core")
@@ -29,13 +27,16 @@
 	core.Description = "keeps the routing, elects the leader and takes operators' orders"
 	flags.Parser.AttachSubcommand(proxy, 1)
 	flags.Parser.AttachSubcommand(core, 1)
+	limitFlags := process.NewLimitFlags(flags)
 	flags.Parse()
+	limits, err := limitFlags.Limits()
+	flags.Exit(err)
 	if !proxy.Used && !core.Used {
 		flags.Exit(rpc.Errorf(rpc.BadFlag, "want proxy or core"))
 	}
 	source, err := platform.NewSource()
 	flags.Exit(err)
-	node := &node{source: source, goroutines: concurrent.NewGroup(), counters: metrics.NewCounters()}
+	node := &node{source: source, goroutines: concurrent.NewGroup(), counters: metrics.NewCounters(), limits: limits}
 	limitMemory(source.Settings())
 	if proxy.Used {
 		flags.Exit(node.runProxy())
@@ -60,26 +61,39 @@
 	source     *platform.Source
 	goroutines *concurrent.Group
 	counters   *metrics.Counters
+	limits     process.ConnLimits // of those outside, unless an operator's routing has others
 	listeners  []*process.Listener
+	externals  []*process.Listener
 }
 
-// endpoint is one address and what serves it.
+// endpoint is one address and what serves it. An external one serves those outside, by the
+// limits and the budget of their connections; others serve the system's own processes.
 type endpoint struct {
-	address string
-	handler http.Handler
+	address  string
+	handler  http.Handler
+	external bool
 }
 
 // open listens on every endpoint that has an address.
-func (node *node) open(endpoints ...endpoint) error {
+func (node *node) open(memory process.HeadMemory, endpoints ...endpoint) error {
+	budget := process.NewConnBudget(node.source.Settings().Machine.Descriptors)
+	node.counters.Gauge("connections_open", func() float64 { return float64(budget.Open()) })
 	for _, endpoint := range endpoints {
 		if endpoint.address == "" {
 			continue
 		}
-		listener, err := process.Listen(endpoint.address, endpoint.handler, maxHeaderBytes)
+		options := process.ListenOptions{Counters: node.counters}
+		if endpoint.external {
+			options.Limits, options.Memory, options.Budget = node.limits, memory, budget
+		}
+		listener, err := process.Listen(endpoint.address, endpoint.handler, options)
 		if err != nil {
 			return err
 		}
 		node.listeners = append(node.listeners, listener)
+		if endpoint.external {
+			node.externals = append(node.externals, listener)
+		}
 	}
 	for _, listener := range node.listeners {
 		listener.Serve(node.goroutines)
@@ -88,6 +102,13 @@
 	return nil
 }
 
+// setLimits puts an operator's limits in force on the connections of those outside.
+func (node *node) setLimits(limits routing.Limits) {
+	for _, listener := range node.externals {
+		listener.SetLimits(process.ConnLimitsOf(limits))
+	}
+}
+
 // metricsPath is where every role gives its figures, on its readiness or operators' side.
 const metricsPath = "/metrics"
 
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -110,11 +110,13 @@
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}))
+	plane.OnLimits(node.setLimits)
 	if err := node.open(
-		endpoint{settings.Listen.Clients, plane},
-		endpoint{config.InternalAddress, server},
-		endpoint{settings.Listen.Ready, ready},
-		endpoint{settings.Listen.Lookups, lookups},
+		plane.Memory(),
+		endpoint{address: settings.Listen.Clients, handler: plane, external: true},
+		endpoint{address: config.InternalAddress, handler: server},
+		endpoint{address: settings.Listen.Ready, handler: ready},
+		endpoint{address: settings.Listen.Lookups, handler: lookups, external: true},
 	); err != nil {
 		return err
 	}
--- a/hostproxy/body.go
+++ b/hostproxy/body.go
@@ -60,7 +60,7 @@
 	source := request.source
 	proxy.inbound.pass(int(max(source.ContentLength, 0)), request.begin)
 	if limit <= 0 {
-		limit = proxy.bodies.limit
+		limit = proxy.memory.limit
 	}
 	if source.ContentLength > limit {
 		return http.StatusRequestEntityTooLarge, rpc.TooLarge
@@ -127,7 +127,7 @@
 
 // reserve takes memory for more bytes of a body.
 func (proxy *Proxy) reserve(body *requestBody, bytes int64) bool {
-	if !proxy.bodies.reserve(body.reserved, bytes) {
+	if !proxy.memory.Reserve(body.reserved, bytes) {
 		return false
 	}
 	body.reserved += bytes
--- a/hostproxy/proxy.go
+++ b/hostproxy/proxy.go
@@ -11,6 +11,7 @@
 	"orchidjunction/message"
 	"orchidjunction/metrics"
 	"orchidjunction/rollout/score"
+	"orchidjunction/routing"
 )
 
 const (
@@ -41,12 +42,13 @@
 	capacityFreed   *concurrent.Condition
 	queues          waitQueues
 	inFlight        inFlightCounts
-	bodies          *bodyMemory
+	memory          *RequestMemory
 	uploads         *pendingUploads
 	inbound         *Shaper
 	outbound        *Shaper
 	transfers       *TransferLimiter
 	leaving         atomic.Bool
+	onLimits        func(routing.Limits)
 
 	applyMutex  sync.Mutex
 	targets     map[string]*target
@@ -73,18 +75,19 @@
 		capacityFreed:   concurrent.NewCondition(),
 		targets:         map[string]*target{},
 		budgets:         map[string]*Budget{},
-		bodies:          newBodyMemory(config.MemoryBytes),
+		memory:          newRequestMemory(config.MemoryBytes),
 		uploads:         newPendingUploads(),
 		evacuated:       map[string]bool{},
 		rollouts:        map[string]*rollout{},
 		standing:        map[string]string{},
 		withheldHeaders: map[string]bool{},
+		onLimits:        func(routing.Limits) {},
 	}
 	proxy.inbound, proxy.outbound = newShaper(config.LinkBytes, proxy.clock()), newShaper(config.LinkBytes, proxy.clock())
 	proxy.transfers = newTransferLimiter(config.LinkBytes)
 	proxy.usageMeter = newUsageMeter(config.UsageWindow, now)
 	counters.Gauge("requests_in_flight", func() float64 { return float64(proxy.InFlight()) })
-	counters.Gauge("body_bytes_held", func() float64 { return float64(proxy.bodies.inUse()) })
+	counters.Gauge("body_bytes_held", func() float64 { return float64(proxy.memory.InUse()) })
 	counters.Gauge("backends_ejected", func() float64 { return float64(proxy.ejected()) })
 	for _, name := range []string{config.Headers.Deadline, config.Headers.Target, config.Headers.Tenant} {
 		proxy.withheldHeaders[http.CanonicalHeaderKey(name)] = true
@@ -94,6 +97,13 @@
 
 func (config *Config) suspectTTL() time.Duration { return config.ListLag + suspectSlack }
 
+// OnLimits calls the hook with the limits of clients' connections, each time that a routing
+// state is put in force. It must be called before Apply.
+func (proxy *Proxy) OnLimits(hook func(routing.Limits)) { proxy.onLimits = hook }
+
+// Memory is the memory for bodies and heads, for the listeners to draw on.
+func (proxy *Proxy) Memory() *RequestMemory { return proxy.memory }
+
 // Run starts the proxy's background work: it closes old connections and probes backends
 // that gave no answer.
 func (proxy *Proxy) Run() {
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -101,7 +101,7 @@
 	proxy.counters.Add("requests", 1)
 	proxy.inFlight.enter()
 	defer proxy.inFlight.leave()
-	defer func() { proxy.bodies.release(request.body.takeReservation()) }()
+	defer func() { proxy.memory.Release(request.body.takeReservation()) }()
 	defer func() { proxy.figures.ended(request, proxy.clock()) }()
 	if status := proxy.malformed(request); status != 0 {
 		proxy.refuse(request, status, rpc.BadRequest)
--- a/hostproxy/body_memory.go
+++ b/hostproxy/request_memory.go
@@ -14,26 +14,28 @@
 	smallBodyShare = 16
 )
 
-// bodyMemory bounds the bytes of requests' bodies that the process holds, from before they
-// are read until their requests have ended and no backend is owed any of them.
-type bodyMemory struct {
+// RequestMemory bounds the bytes of requests' bodies and long heads that the process holds,
+// from before they are read until their requests have ended and no backend is owed any of
+// them.
+type RequestMemory struct {
 	limit int64
 
 	mutex sync.Mutex
 	held  int64
 }
 
-// newBodyMemory returns the memory for bodies on a machine with so many bytes in all, 0 if
+// newRequestMemory returns the memory for bodies on a machine with so many bytes in all, 0 if
 // that is not known.
-func newBodyMemory(machine int64) *bodyMemory {
+func newRequestMemory(machine int64) *RequestMemory {
 	if machine <= 0 {
-		return &bodyMemory{limit: defaultBodyMemory}
+		return &RequestMemory{limit: defaultBodyMemory}
 	}
-	return &bodyMemory{limit: int64(float64(machine) * bodyMemoryShare)}
+	return &RequestMemory{limit: int64(float64(machine) * bodyMemoryShare)}
 }
 
-// reserve takes bytes for a body that holds some already; false when there are not so many.
-func (memory *bodyMemory) reserve(reserved, bytes int64) bool {
+// Reserve takes bytes for a body or a head that holds some already; false when there are not
+// so many.
+func (memory *RequestMemory) Reserve(reserved, bytes int64) bool {
 	memory.mutex.Lock()
 	defer memory.mutex.Unlock()
 	available := memory.limit - memory.held
@@ -47,14 +49,15 @@
 	return true
 }
 
-func (memory *bodyMemory) release(bytes int64) {
+// Release gives bytes back.
+func (memory *RequestMemory) Release(bytes int64) {
 	memory.mutex.Lock()
 	memory.held -= bytes
 	memory.mutex.Unlock()
 }
 
-// inUse returns how many bytes bodies hold now.
-func (memory *bodyMemory) inUse() int64 {
+// InUse returns how many bytes are held now.
+func (memory *RequestMemory) InUse() int64 {
 	memory.mutex.Lock()
 	defer memory.mutex.Unlock()
 	return memory.held
--- a/hostproxy/body_memory_test.go
+++ b/hostproxy/request_memory_test.go
@@ -10,29 +10,29 @@
 // What is kept free of large bodies is there for small ones.
 func TestBodyMemoryIsBounded(test *testing.T) {
 	const machine = 200 << 20
-	memory := newBodyMemory(machine)
+	memory := newRequestMemory(machine)
 	if memory.limit >= machine/2 || memory.limit < machine/3 {
 		test.Errorf("%d bytes of %d for bodies", memory.limit, machine)
 	}
 	large := memory.limit - memory.limit/smallBodyShare
-	if memory.reserve(0, memory.limit) || memory.reserve(0, large+1) || !memory.reserve(0, large) {
+	if memory.Reserve(0, memory.limit) || memory.Reserve(0, large+1) || !memory.Reserve(0, large) {
 		test.Error("not just what there is room for")
 	}
-	if memory.reserve(0, smallBodyBytes+1) || memory.reserve(smallBodyBytes, 1) {
+	if memory.Reserve(0, smallBodyBytes+1) || memory.Reserve(smallBodyBytes, 1) {
 		test.Error("a large body took what is kept for small ones")
 	}
 	count := int64(0)
-	for count < machine/smallBodyBytes && memory.reserve(0, smallBodyBytes) {
+	for count < machine/smallBodyBytes && memory.Reserve(0, smallBodyBytes) {
 		count++
 	}
 	if count != memory.limit/smallBodyShare/smallBodyBytes {
 		test.Errorf("%d small bodies beside large ones", count)
 	}
-	memory.release(large + count*smallBodyBytes)
-	if memory.inUse() != 0 || !memory.reserve(0, large) {
+	memory.Release(large + count*smallBodyBytes)
+	if memory.InUse() != 0 || !memory.Reserve(0, large) {
 		test.Error("what was given back is not there")
 	}
-	if newBodyMemory(0).limit != defaultBodyMemory {
+	if newRequestMemory(0).limit != defaultBodyMemory {
 		test.Error("no bound where the machine's memory is not known")
 	}
 }
@@ -48,7 +48,7 @@
 	head := "POST /once/a HTTP/1.1\r\nHost: host.example\r\nAttempt: late\r\nDeadline: 1500\r\n"
 	for form, late := range map[string]string{"length": raw("POST", "/once/a", "late", "", body), "chunks": head + chunks} {
 		inWorld(test, func(world *world) {
-			world.proxy.bodies = newBodyMemory(2_400_000)
+			world.proxy.memory = newRequestMemory(2_400_000)
 			world.add("b1").ever(after(500*time.Millisecond, well))
 			first := world.client()
 			defer first.pipe.Close()
@@ -65,7 +65,7 @@
 			defer small.pipe.Close()
 			world.good(small.ask("POST", raw("POST", "/once/a", "small", "", "a few bytes")), "small")
 			world.goroutines.Sleep(time.Second)
-			if held := world.proxy.bodies.inUse(); held != 0 {
+			if held := world.proxy.memory.InUse(); held != 0 {
 				test.Errorf("%s: %d bytes held in the end", form, held)
 			}
 			again := world.client()
@@ -90,11 +90,11 @@
 		client := world.client()
 		defer client.pipe.Close()
 		world.good(client.ask("POST", raw("POST", "/once/a", "id", "", body)), "id")
-		if held := world.proxy.bodies.inUse(); held != int64(len(body)) {
+		if held := world.proxy.memory.InUse(); held != int64(len(body)) {
 			test.Errorf("%d bytes held while the body is sent", held)
 		}
 		world.proxy.FinishUploads(2 * time.Second)
-		if held := world.proxy.bodies.inUse(); held != 0 {
+		if held := world.proxy.memory.InUse(); held != 0 {
 			test.Errorf("%d bytes held afterwards", held)
 		}
 	})
--- a/hostproxy/upload.go
+++ b/hostproxy/upload.go
@@ -88,7 +88,7 @@
 	proxy.goroutines.Start(func() {
 		_, _ = io.Copy(io.Discard, connection.reader) // until the backend closes, or the deadline
 		connection.upload.wait()
-		proxy.bodies.release(reserved)
+		proxy.memory.Release(reserved)
 		proxy.uploads.remove(connection)
 		target.discard(connection)
 	})
--- a/hostproxy/view.go
+++ b/hostproxy/view.go
@@ -66,6 +66,7 @@
 	proxy.addBackends(view, table.Backends, proxies, proxy.settleVersions(table.Backends, rollouts), led)
 	proxy.setFormer(table.Backends, rollouts)
 	proxy.view.Store(view)
+	proxy.onLimits(state.Config.Limits)
 	proxy.withdrawOthers(view, table.Version)
 	proxy.retireUnlisted(table.Backends)
 	proxy.capacityFreed.Notify()
--- a/hostproxy/world_test.go
+++ b/hostproxy/world_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"sort"
@@ -17,6 +16,7 @@
 	"orchidjunction/concurrent"
 	"orchidjunction/message"
 	"orchidjunction/metrics"
+	"orchidjunction/process"
 	"orchidjunction/routing"
 )
 
@@ -28,7 +28,7 @@
 	counters   *metrics.Counters
 	doors      *doors
 	proxy      *Proxy
-	server     *http.Server
+	server     *process.Listener
 	listener   *listener
 	book       *routing.State
 	table      *message.Table
@@ -132,8 +132,13 @@
 		world.goroutines,
 		world.counters,
 	)
-	world.server = &http.Server{Handler: world.proxy, ErrorLog: log.New(io.Discard, "", 0)}
-	world.goroutines.Start(func() { _ = world.server.Serve(world.listener) }) // until close
+	world.server = process.NewListener(world.listener, world.proxy, process.ListenOptions{
+		Limits:   process.ConnLimits{HeaderBytes: http.DefaultMaxHeaderBytes},
+		Counters: world.counters,
+		Memory:   world.proxy.Memory(),
+	})
+	world.proxy.OnLimits(func(limits routing.Limits) { world.server.SetLimits(process.ConnLimitsOf(limits)) })
+	world.server.Serve(world.goroutines)
 	world.proxy.Run()
 	return world
 }
@@ -142,7 +147,7 @@
 	if off := world.counters.Get("requests_off_the_chart"); off != 0 {
 		world.test.Errorf("%d steps off the chart of requests", off)
 	}
-	_ = world.server.Close() // what is open still, the test ends
+	world.server.Close() // what is open still, the test ends
 	for _, backend := range world.backends {
 		backend.stop()
 	}
--- a/process/standing_test.go
+++ b/process/conn_tracker_test.go
@@ -60,11 +60,8 @@
 	held, read := &sync.WaitGroup{}, &sync.WaitGroup{}
 	held.Add(1)
 	read.Add(1)
-	standing := newConnTracker()
-	listener := &Listener{open: slowListener{open, held, read}, tracker: standing, server: &http.Server{
-		ConnState: standing.stateChanged,
-		Handler:   http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.Write([]byte("served")) }),
-	}}
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.Write([]byte("served")) })
+	listener := NewListener(slowListener{open, held, read}, handler, ListenOptions{})
 	goroutines := concurrent.NewGroup()
 	listener.Serve(goroutines)
 	ask := func(conn net.Conn) { say(test, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -34,7 +34,9 @@
 	listeners []*Listener
 }
 
-func newInstance(flags *Flags, config agent.Config, goroutines *concurrent.Group, construct Constructor) *Instance {
+func newInstance(
+	flags *Flags, config agent.Config, limits ConnLimits, goroutines *concurrent.Group, construct Constructor,
+) *Instance {
 	instance := &Instance{client: rpc.NewClient(Transport()), counters: metrics.NewCounters()}
 	instance.Daemon = agent.NewDaemon(config, agent.NewID(), instance.client, goroutines, instance.counters)
 	plane, probes := construct(instance.Daemon, goroutines, instance.counters)
@@ -47,11 +49,13 @@
 		version := instance.Daemon.Version()
 		return version.Serial, version.Body()
 	}, instance.Daemon.Ready)
+	outside, inside := ListenOptions{Limits: limits, Counters: instance.counters}, ListenOptions{Counters: instance.counters}
 	for _, side := range []struct {
 		address string
 		handler http.Handler
-	}{{config.PublicAddress, plane}, {config.InternalAddress, server}, {config.OperatorAddress, operate}} {
-		listener, err := Listen(side.address, side.handler, 32<<10)
+		options ListenOptions
+	}{{config.PublicAddress, plane, outside}, {config.InternalAddress, server, inside}, {config.OperatorAddress, operate, outside}} {
+		listener, err := Listen(side.address, side.handler, side.options)
 		flags.Exit(err)
 		instance.listeners = append(instance.listeners, listener)
 	}
@@ -105,16 +109,19 @@
 	flags.Parser.StringSlice(&config.Seeds, "", "seed", "IP:port of a core's wire side; up to three")
 	flags.Parser.Int(&grace, "", "grace-ms", "grace after SIGTERM for what is in flight")
 	flags.Parser.Int(&settle, "", "settle-ms", "part of the grace in which callers learn to go elsewhere")
+	limitFlags := NewLimitFlags(flags)
 	if guest != nil {
 		guest.add(flags)
 	}
 	flags.Parse()
+	limits, err := limitFlags.Limits()
+	flags.Exit(err)
 	flags.Exit(config.Check())
 	if grace < 0 || settle < 0 || settle > grace {
 		flags.Exit(rpc.Errorf(rpc.BadFlag, "--settle-ms: %d is not in 0 to the grace of %d", settle, grace))
 	}
 	goroutines := concurrent.NewGroup()
-	instances := []*Instance{newInstance(flags, config, goroutines, construct)}
+	instances := []*Instance{newInstance(flags, config, limits, goroutines, construct)}
 	if guest != nil && guest.given() {
 		guest.Config.Kind, guest.Config.Guest = kind, true
 		if err := guest.Config.Check(); err != nil {
@@ -123,7 +130,7 @@
 		if guest.PerSecond <= 0 || guest.InFlight < 1 {
 			flags.Exit(rpc.Errorf(rpc.BadFlag, "--lend-rps and --lend-in-flight: a guest lends something of both"))
 		}
-		instances = append(instances, newInstance(flags, guest.Config, goroutines, construct))
+		instances = append(instances, newInstance(flags, guest.Config, limits, goroutines, construct))
 		guest.Join(instances[0].Plane, instances[1].Plane)
 	}
 	for _, instance := range instances {
--- a/process/framing_test.go
+++ b/process/framing_test.go
@@ -21,7 +21,7 @@
 	}
 	address := probe.Addr().String()
 	probe.Close()
-	listener, err := Listen(address, handler, 4<<10)
+	listener, err := Listen(address, handler, ListenOptions{Limits: ConnLimits{HeaderBytes: 4 << 10}})
 	if err != nil {
 		test.Fatal(err)
 	}
--- a/process/typed_test.go
+++ b/process/refusal_test.go
@@ -23,7 +23,8 @@
 	address := probe.Addr().String()
 	probe.Close()
 	touched := 0
-	listener, err := Listen(address, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { touched++ }), 4<<10)
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { touched++ })
+	listener, err := Listen(address, handler, ListenOptions{Limits: ConnLimits{HeaderBytes: 4 << 10}})
 	if err != nil {
 		test.Fatal(err)
 	}
--- a/process/run.go
+++ b/process/run.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -161,79 +160,6 @@
 	}
 }
 
-// Listener is one open address and what serves it.
-type Listener struct {
-	server  *http.Server
-	open    net.Listener
-	tracker *connTracker
-}
-
-const (
-	drainPace         = 20 * time.Millisecond
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = time.Minute
-)
-
-// Listen opens an address; what the handler does not answer there gets a typed
-// refusal, and the library answers nothing in its place.
-func Listen(address string, handler http.Handler, header int) (*Listener, error) {
-	if err := rpc.CheckAddress("listen", address); err != nil {
-		return nil, err
-	}
-	open, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, rpc.Errorf(rpc.BadFlag, "%s: %v", address, err)
-	}
-	standing := newConnTracker()
-	server := &http.Server{
-		Handler:                      marked(handler),
-		DisableGeneralOptionsHandler: true,
-		ReadHeaderTimeout:            readHeaderTimeout,
-		IdleTimeout:                  idleTimeout,
-		MaxHeaderBytes:               header,
-		ErrorLog:                     klog.NewStandardLogger("INFO"),
-		ConnContext:                  withConn,
-		ConnState: func(conn net.Conn, state http.ConnState) {
-			if typed, is := conn.(*jsonErrorConn); is {
-				typed.turned(state)
-			}
-			standing.stateChanged(conn, state)
-		},
-	}
-	return &Listener{open: jsonErrorListener{open}, tracker: standing, server: server}, nil
-}
-
-// Serve accepts connections until the listener is drained or closed.
-func (listener *Listener) Serve(goroutines *concurrent.Group) {
-	goroutines.Start(func() {
-		err := listener.server.Serve(listener.open)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			klog.Errorf("%s: stopped accepting connections: %v", listener.open.Addr(), err)
-		}
-	})
-}
-
-// Drain takes nothing new and waits for what is in flight, at most the grace. A
-// connection that waits for a request is ended by its reads: what was read of a
-// request before that is served.
-func (listener *Listener) Drain(grace time.Duration) bool {
-	until := time.Now().Add(grace)
-	listener.open.Close()
-	for {
-		if listener.tracker.closeIdle() == 0 {
-			return true
-		}
-		if !time.Now().Before(until) {
-			listener.Close()
-			return false
-		}
-		time.Sleep(drainPace)
-	}
-}
-
-// Close ends the listener and all its connections at once.
-func (listener *Listener) Close() { _ = listener.server.Close() } // what it cannot close is closed already
-
 // OnTerm calls the hook at SIGTERM or SIGINT.
 func OnTerm(goroutines *concurrent.Group, hook func()) {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/rpc/error.go
+++ b/rpc/error.go
@@ -67,6 +67,7 @@
 	KeyInFlight      Code = "money_key_in_flight"
 	KeyReused        Code = "money_key_reused"
 	TooLarge         Code = "too_large"
+	RequestTimeout   Code = "request_timeout"
 	NoBackend        Code = "no_backend"
 	Overloaded       Code = "busy"
 	BadResponse      Code = "bad_receipt"
@@ -97,6 +98,8 @@
 		return http.StatusMethodNotAllowed
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case RequestTimeout:
+		return http.StatusRequestTimeout
 	case OutcomeUnknown, DeadlineExceeded:
 		return http.StatusGatewayTimeout
 	case BadResponse, WrongBackend, ConnectionBroken:
