max_header_bytes acts on clients' connections

Cause: the number was read from the routing by nobody; the listener had a bound of its own (64 KiB).

Change: the limit in force is the listener's.

--- a/process/conn_limits.go
+++ b/process/conn_limits.go
@@ -32,8 +32,10 @@
 }
 
 // ConnLimitsOf are the limits that an operator's routing names.
-func ConnLimitsOf(routing.Limits) ConnLimits {
-	return ConnLimits{}
+func ConnLimitsOf(limits routing.Limits) ConnLimits {
+	return ConnLimits{
+		HeaderBytes: int64(limits.HeaderBytes),
+	}
 }
 
 var defaultLimits = ConnLimits{
