header_timeout_ms acts on clients' connections

Cause: the number was read from the routing by nobody; the listener had 5 s of its own.

The highest number is no bound.

TestHeaderTimeoutOfTheRoutingActs failed before (408 after 5 s at 1,000 and at 9,000 ms), on open and on new connections; it passes now.

--- a/hostproxy/limits_test.go
+++ b/hostproxy/limits_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"orchidjunction/routing"
 )
@@ -55,3 +56,41 @@
 	}
 }
 
+// header_timeout_ms was acknowledged and had no effect: the process's own five seconds held,
+// for clients that are slower than allowed and for slow ones that are not.
+func TestHeaderTimeoutOfTheRoutingActs(test *testing.T) {
+	for limit, after := range map[int]time.Duration{
+		1000: time.Second, 9000: 9 * time.Second, math.MaxInt: time.Hour, 0: 5 * time.Second,
+	} {
+		inWorld(test, func(world *world) {
+			world.add("b1")
+			open := world.client()
+			defer open.pipe.Close()
+			if reply := open.ask("GET", raw("GET", "/again/a", "first", "", "")); reply.status != 200 {
+				test.Fatal(reply)
+			}
+			world.limit(func(limits *routing.Limits) { limits.HeaderMs, limits.IdleMs = limit, math.MaxInt })
+			for name, dial := range map[string]func() *client{"open": func() *client { return open }, "fresh": world.client} {
+				client := dial()
+				defer client.pipe.Close()
+				text := raw("GET", "/again/a", name, "", "")
+				client.send(text[:60])
+				time.Sleep(after - time.Millisecond)
+				if reply := client.ask("GET", text[60:]); reply.status != 200 {
+					test.Errorf("%d ms, %s, just in time: %d %v", limit, name, reply.status, reply.broken)
+				}
+				if limit == math.MaxInt {
+					continue
+				}
+				client.send(text[:60])
+				if reply := client.ask("GET", ""); reply.status != 408 || reply.took != after {
+					test.Errorf("%d ms, %s, never ended: %d after %v", limit, name, reply.status, reply.took)
+				}
+			}
+			if count := len(world.arrivals()); count != 3 {
+				test.Errorf("%d at the backend", count)
+			}
+		})
+	}
+}
+
--- a/process/conn_limits.go
+++ b/process/conn_limits.go
@@ -34,7 +34,8 @@
 // ConnLimitsOf are the limits that an operator's routing names.
 func ConnLimitsOf(limits routing.Limits) ConnLimits {
 	return ConnLimits{
-		HeaderBytes: int64(limits.HeaderBytes),
+		HeaderBytes:   int64(limits.HeaderBytes),
+		HeaderTimeout: Milliseconds(limits.HeaderMs),
 	}
 }
 
