idle_timeout_ms acts on clients' connections

Cause: the number was read from the routing by nobody; the listener had a minute of its own.

Change: the limit in force bounds the time from an answer to the next request's first byte, on open connections from the change on, whether it shrinks or grows. A request that came before the end of that time is served, and one under way is never ended by it; a head that has begun keeps the wider limits.

--- a/hostproxy/limits_test.go
+++ b/hostproxy/limits_test.go
@@ -94,3 +94,80 @@
 	}
 }
 
+// idle_timeout_ms was acknowledged and had no effect: the process's own minute held.
+func TestIdleTimeoutOfTheRoutingActs(test *testing.T) {
+	for limit, after := range map[int]time.Duration{
+		2000: 2 * time.Second, 90_000: 90 * time.Second, math.MaxInt: time.Hour, 0: time.Minute,
+	} {
+		inWorld(test, func(world *world) {
+			world.add("b1")
+			open := world.client()
+			defer open.pipe.Close()
+			ask := func(client *client, id string) reply { return client.ask("GET", raw("GET", "/again/a", id, "", "")) }
+			if reply := ask(open, "first"); reply.status != 200 {
+				test.Fatal(reply)
+			}
+			world.limit(func(limits *routing.Limits) { limits.IdleMs = limit })
+			for _, dial := range []func() *client{func() *client { return open }, world.client} {
+				client := dial()
+				defer client.pipe.Close()
+				for try := range 2 {
+					if reply := ask(client, world.id()); reply.status != 200 {
+						test.Fatalf("%d ms, try %d: %d %v", limit, try, reply.status, reply.broken)
+					}
+					if try == 0 {
+						time.Sleep(after - time.Millisecond)
+					}
+				}
+				if limit == math.MaxInt {
+					continue
+				}
+				begin := time.Now()
+				if _, err := client.reader.ReadByte(); err == nil || time.Since(begin) != after {
+					test.Errorf("%d ms: closed after %v", limit, time.Since(begin))
+				}
+			}
+			if count := len(world.arrivals()); count != 5 {
+				test.Errorf("%d at the backend", count)
+			}
+		})
+	}
+}
+
+// A change of a limit took hold of new connections only, or ended requests under way.
+func TestLimitsChangeUnderIdleSlowAndLongRequests(test *testing.T) {
+	inWorld(test, func(world *world) {
+		world.add("b1")
+		world.limit(func(limits *routing.Limits) { limits.IdleMs, limits.HeaderMs = 60_000, 8000 })
+		idle, slow, long := world.client(), world.client(), world.client()
+		for _, client := range []*client{idle, slow, long} {
+			defer client.pipe.Close()
+		}
+		if reply := idle.ask("GET", raw("GET", "/again/a", "idle", "", "")); reply.status != 200 {
+			test.Fatal(reply)
+		}
+		text := raw("GET", "/again/a", "slow", "", "")
+		slow.send(text[:40])
+		body := string(letters(0, 1000))
+		post := raw("POST", "/once/a", "long", "Deadline: 60000\r\n", body)
+		long.send(post[:len(post)-500])
+		time.Sleep(100 * time.Millisecond)
+		world.limit(func(limits *routing.Limits) { limits.IdleMs, limits.HeaderMs, limits.BodyBytes = 150, 500, 10 })
+		changed := time.Now()
+		if _, err := idle.reader.ReadByte(); err == nil || time.Since(changed) != 50*time.Millisecond {
+			test.Errorf("idle: closed %v after the change", time.Since(changed))
+		}
+		if reply := long.ask("POST", post[len(post)-500:]); reply.status != 200 {
+			test.Errorf("long: %d %v", reply.status, reply.broken)
+		}
+		time.Sleep(2 * time.Second)
+		if reply := slow.ask("GET", text[40:]); reply.status != 200 {
+			test.Errorf("slow: %d %v", reply.status, reply.broken)
+		}
+		for _, arrived := range world.arrivals() {
+			if arrived.line[:4] == "POST" && string(arrived.body) != body {
+				test.Errorf("%d bytes of the long body", len(arrived.body))
+			}
+		}
+	})
+}
--- a/process/conn_limits.go
+++ b/process/conn_limits.go
@@ -36,6 +36,7 @@
 	return ConnLimits{
 		HeaderBytes:   int64(limits.HeaderBytes),
 		HeaderTimeout: Milliseconds(limits.HeaderMs),
+		IdleTimeout:   Milliseconds(limits.IdleMs),
 	}
 }
 
