Soak: limits change while clients rest, send slow heads and long ones

Each change of the soak's operator now draws the three limits of clients' connections, and eight clients try them: a rest until the connection is closed, a rest of 0.8 of the shortest limit and another request, a head that never ends, a head of 70 KiB. LIMITS is judged where proxy and cores were in touch, against all versions that may have been in force, within 500 ms for a busy machine's timers.

--- a/harness/soak/check.go
+++ b/harness/soak/check.go
@@ -16,6 +16,7 @@
 	RuleConfig   Rule = "CONFIG"
 	RuleDrain    Rule = "DRAIN"
 	RuleExposure Rule = "EXPOSURE"
+	RuleLimits   Rule = "LIMITS"
 	RuleLost     Rule = "LOST"
 	RuleMixed    Rule = "MIXED"
 	RuleOrders   Rule = "ORDERS"
@@ -24,7 +25,7 @@
 	RuleUnasked  Rule = "UNASKED"
 )
 
-var rules = []Rule{RuleConfig, RuleDrain, RuleExposure, RuleLost, RuleMixed, RuleOrders, RuleRefused, RuleTwice, RuleUnasked}
+var rules = []Rule{RuleConfig, RuleDrain, RuleExposure, RuleLimits, RuleLost, RuleMixed, RuleOrders, RuleRefused, RuleTwice, RuleUnasked}
 
 // maxShown is how many cases of a broken rule are kept as text.
 const maxShown = 5
@@ -93,6 +94,9 @@
 func (judge *judge) all() {
 	arrivals := judge.byID()
 	for _, exchange := range judge.log.exchanges {
+		if exchange.isProbe {
+			continue
+		}
 		judge.report.Requests++
 		if exchange.status == http.StatusOK {
 			judge.report.Served++
@@ -190,17 +194,27 @@
 		return
 	}
 	allowed := map[string]bool{}
+	for _, version := range judge.possible(exchange.sentAt, arrival.at) {
+		allowed[version.movedTo] = true
+	}
+	judge.report.judged(RuleConfig, !allowed[arrival.backend.Service], "%s by %s ran at %s, which only an older version allows",
+		arrival.id, exchange.proxy, arrival.backend.Service)
+}
+
+// possible returns the versions that may have been in force at some time of a span, at a
+// machine in touch.
+func (judge *judge) possible(from, to time.Time) []*acknowledged {
+	versions := []*acknowledged{}
 	for _, version := range judge.log.versions {
-		if version.sentAt.After(arrival.at) {
+		if version.sentAt.After(to) {
 			break
 		}
-		if !version.ackedAt.IsZero() && version.ackedAt.Add(judge.bounds.Apply).Before(exchange.sentAt) {
-			clear(allowed)
+		if !version.ackedAt.IsZero() && version.ackedAt.Add(judge.bounds.Apply).Before(from) {
+			versions = versions[:0]
 		}
-		allowed[version.movedTo] = true
+		versions = append(versions, version)
 	}
-	judge.report.judged(RuleConfig, !allowed[arrival.backend.Service], "%s by %s ran at %s, which only an older version allows",
-		arrival.id, exchange.proxy, arrival.backend.Service)
+	return versions
 }
 
 // acknowledged judges whether an order was acknowledged in time while the cores were calm.
--- a/harness/soak/client.go
+++ b/harness/soak/client.go
@@ -38,6 +38,14 @@
 	movedPath   = "/moved/" // to either service, as the configuration says
 )
 
+// emptyDigest is the digest of a body without bytes.
+var emptyDigest = digestOf(nil)
+
+func digestOf(body []byte) string {
+	digest := sha256.Sum256(body)
+	return hex.EncodeToString(digest[:])
+}
+
 // client sends one request after the other on a connection to a random proxy. It uses the
 // connection until the proxy closes it or asks it to.
 type client struct {
@@ -105,8 +113,7 @@
 		body = client.body()
 	}
 	exchange.path += strconv.Itoa(client.count) + "?from=" + strconv.Itoa(client.number)
-	digest := sha256.Sum256(body)
-	exchange.body = hex.EncodeToString(digest[:])
+	exchange.body = digestOf(body)
 	return exchange, body
 }
 
--- a/harness/soak/evidence.go
+++ b/harness/soak/evidence.go
@@ -20,12 +20,14 @@
 	seal     string
 	answer   string
 	timedOut bool
+	isProbe  bool // of a limit, judged by itself
 }
 
 // acknowledged is one configuration that was sent, and when it was acknowledged.
 type acknowledged struct {
 	version int
 	movedTo string
+	limits  limits
 	sentAt  time.Time
 	ackedAt time.Time // zero if it was not
 }
@@ -51,6 +53,7 @@
 	arrivals  []*arrival
 	versions  []*acknowledged
 	shifts    []*shift
+	probes    []*limitProbe
 }
 
 func newEvidence() *evidence { return &evidence{exchanges: map[string]*exchange{}} }
@@ -74,6 +77,12 @@
 	evidence.mutex.Unlock()
 }
 
+func (evidence *evidence) probed(probe *limitProbe) {
+	evidence.mutex.Lock()
+	evidence.probes = append(evidence.probes, probe)
+	evidence.mutex.Unlock()
+}
+
 func (evidence *evidence) ordered(shift *shift) {
 	evidence.mutex.Lock()
 	evidence.shifts = append(evidence.shifts, shift)
--- a/harness/soak/orders.go
+++ b/harness/soak/orders.go
@@ -8,24 +8,26 @@
 	"time"
 )
 
-// changeConfigurations moves a route between two services, again and again until ctx ends.
+// changeConfigurations moves a route between two services and draws the limits of clients'
+// connections, again and again until ctx ends.
 func (soak *soak) changeConfigurations(ctx context.Context, random *rand.Rand) {
 	for pause(ctx, random); ctx.Err() == nil; pause(ctx, random) {
 		next := roomService
 		if soak.movedTo == roomService {
 			next = deskService
 		}
-		if !soak.configure(ctx, next) {
+		if !soak.configure(ctx, next, drawLimits(random)) {
 			return
 		}
 	}
 }
 
 // configure sends the next version; false if it was not acknowledged.
-func (soak *soak) configure(ctx context.Context, movedTo string) bool {
-	record := &acknowledged{version: soak.version + 1, movedTo: movedTo, sentAt: time.Now()}
+func (soak *soak) configure(ctx context.Context, movedTo string, limits limits) bool {
+	record := &acknowledged{version: soak.version + 1, movedTo: movedTo, limits: limits, sentAt: time.Now()}
 	soak.log.configured(record)
-	status, err := soak.operator.configure(ctx, configuration{Version: record.version, Base: soak.version, MovedTo: movedTo})
+	next := configuration{Version: record.version, Base: soak.version, MovedTo: movedTo, Limits: limits}
+	status, err := soak.operator.configure(ctx, next)
 	if err != nil || status != http.StatusOK {
 		soak.printf("version %d was not acknowledged: status %d, %v", record.version, status, err)
 		return false
--- a/harness/soak/run.go
+++ b/harness/soak/run.go
@@ -81,10 +81,11 @@
 	}
 	soak.version, soak.movedTo = 1, deskService
 	begin := time.Now()
-	if err := soak.deployment.start(context.Background(), soak.operator, configuration{Version: 1, MovedTo: deskService}); err != nil {
+	first := configuration{Version: 1, MovedTo: deskService, Limits: wideLimits}
+	if err := soak.deployment.start(context.Background(), soak.operator, first); err != nil {
 		return err
 	}
-	soak.log.configured(&acknowledged{version: 1, movedTo: deskService, sentAt: begin, ackedAt: time.Now()})
+	soak.log.configured(&acknowledged{version: 1, movedTo: deskService, limits: wideLimits, sentAt: begin, ackedAt: time.Now()})
 	time.Sleep(soak.options.Bounds.Contact)
 	return nil
 }
@@ -98,6 +99,10 @@
 		user := &client{number: number + 1, random: fork(soak.random), proxies: soak.deployment.withRole(proxyRole), log: soak.log}
 		users.Go(func() { user.run(done) })
 	}
+	for range limitClients {
+		user := &limitClient{random: fork(soak.random), proxies: soak.deployment.withRole(proxyRole), log: soak.log}
+		users.Go(func() { user.run(done) })
+	}
 	soak.disturb()
 	time.Sleep(soak.options.Bounds.Contact)
 	close(done)
@@ -139,6 +144,7 @@
 	report := newReport(soak.options.Seed)
 	judge := &judge{log: soak.log, calm: soak.calm, bounds: soak.options.Bounds, report: report}
 	judge.all()
+	judge.limits()
 	status, body := 0, []byte(nil)
 	for until := time.Now().Add(soak.options.Bounds.Contact); status != http.StatusOK && time.Now().Before(until); time.Sleep(orderPause) {
 		status, body = soak.operator.call(context.Background(), http.MethodGet, "/config", nil)
--- a/harness/soak/wire.go
+++ b/harness/soak/wire.go
@@ -63,10 +63,12 @@
 	Bounds                             Bounds
 }
 
-// configuration is one version of the routing: only the service of one route changes.
+// configuration is one version of the routing: only the service of one route and the limits
+// of clients' connections change.
 type configuration struct {
 	Version, Base int
 	MovedTo       string
+	Limits        limits
 }
 
 // rolloutOrder is an order to shift a service to a version.
