--- a/hostproxy/body_test.go
+++ b/hostproxy/body_test.go
@@ -102,7 +102,11 @@
 				served := reply.status == 200
 				tooShort := name == "timeout" && value <= 1 && reply.status >= 503
 				tooLarge := name == "body bytes" && value == 1 && reply.status == 413
-				if reply.broken != nil || !served && !tooShort && !tooLarge {
+				headTooLong := name == "header bytes" && value == 1
+				if headTooLong && reply.status != 431 {
+					test.Errorf("%s at %d: %d, the limit does not act", name, value, reply.status)
+				}
+				if reply.broken != nil || !served && !tooShort && !tooLarge && !headTooLong {
 					test.Errorf("%s at %d: %d %v", name, value, reply.status, reply.broken)
 				}
 				for _, arrived := range world.arrivals() {
--- a/hostproxy/limits_test.go
+++ b/hostproxy/limits_test.go
@@ -20,7 +20,7 @@
 	return raw("GET", "/again/a", id, "Long:"+strings.Repeat("x", size-empty)+"\r\n", "")
 }
 
-// max_header_bytes was acknowledged and had no effect: heads over it reached a backend, and
+// The limit on header bytes was acknowledged and had no effect: heads over it reached a backend, and
 // heads below it were refused by the process's own bound.
 func TestHeaderBytesOfTheRoutingAct(test *testing.T) {
 	for _, one := range []struct{ limit, size, status int }{
@@ -56,7 +56,7 @@
 	}
 }
 
-// header_timeout_ms was acknowledged and had no effect: the process's own five seconds held,
+// The limit on the time of heads was acknowledged and had no effect: the process's own five seconds held,
 // for clients that are slower than allowed and for slow ones that are not.
 func TestHeaderTimeoutOfTheRoutingActs(test *testing.T) {
 	for limit, after := range map[int]time.Duration{
@@ -94,7 +94,7 @@
 	}
 }
 
-// idle_timeout_ms was acknowledged and had no effect: the process's own minute held.
+// The limit on the time between requests was acknowledged and had no effect: the process's own minute held.
 func TestIdleTimeoutOfTheRoutingActs(test *testing.T) {
 	for limit, after := range map[int]time.Duration{
 		2000: 2 * time.Second, 90_000: 90 * time.Second, math.MaxInt: time.Hour, 0: time.Minute,
