A service's protocol that is not spoken, and TLS, are refused when they are sent

What an operator saw: a service with protocol h2 or with tls true was acknowledged, and its backends were called in HTTP/1.1 without TLS, keys of tenants left out but all else in the clear.

Cause: both fields are read, kept and given back, and no code of the data plane looks at them.

Change: a routing that names either is invalid, by the field's name (400).

--- a/routing/check.go
+++ b/routing/check.go
@@ -16,6 +16,7 @@
 	danglingName  = "dangling_name"
 	outOfRange    = "out_of_range"
 	invalidPrefix = "bad_prefix"
+	unsupported   = "not_supported"
 )
 
 const maxDetails = 20
@@ -77,6 +78,12 @@
 	if service.HealthPath != "" && service.HealthPath[0] != '/' {
 		checker.wrong(path+".health", invalidPrefix, "no leading slash")
 	}
+	if service.Protocol != "" && service.Protocol != ProtocolHTTP1 {
+		checker.wrong(path+".protocol", unsupported, service.Protocol+" is not spoken to backends")
+	}
+	if service.TLS {
+		checker.wrong(path+".tls", unsupported, "backends are not called by TLS")
+	}
 	checker.atLeast(path+".max_connections", int64(service.MaxConnections), 0)
 	checker.atLeast(path+".warmup", int64(service.WarmupMs), 0)
 	if !(service.WarmupRate >= 0) {
--- a/routing/config.go
+++ b/routing/config.go
@@ -53,6 +53,9 @@
 	Extras    []Extra
 }
 
+// ProtocolHTTP1 is the protocol that backends are spoken to, also where a service names none.
+const ProtocolHTTP1 = "h1"
+
 // Service is a set of backends that serve the same requests.
 type Service struct {
 	Name           string
