Waiting requests of a higher priority choose first

What clients saw: prio of routes and of tenants decided nothing. Requests that wait for room at a service's backends are all woken when a place is freed, and the first to look again took it, whatever its priority; a request that had just come could take it too.

Cause: waiting requests were counted by priority, and nobody asked for the counts.

Change: a request that is outranked by one that waits for the same service leaves it 2 ms to choose before it looks itself. Nothing is held back for longer: a place that the others may not take (homes, version, tried already) is taken by it then. A request stays counted until it has chosen. Ruled out: a queue in order of priority, in which one that may not use the free backend holds up all behind it.

The check of tenants sent the key with both requests and was put right. TestLines now names queues by service.

--- a/hostproxy/counts_test.go
+++ b/hostproxy/counts_test.go
@@ -4,20 +4,27 @@
 
 func TestLines(test *testing.T) {
 	queues := waitQueues{}
+	high, low, other := waitQueue{"plain", 0}, waitQueue{"plain", 1}, waitQueue{"other", 1}
 	for range maxWaiting {
-		if !queues.enter(1) {
+		if !queues.enter(low) {
 			test.Fatal("no place")
 		}
 	}
-	if queues.enter(0) || !queues.waiting() {
+	if queues.enter(high) || !queues.waiting() {
 		test.Error("a place too many")
 	}
-	if queues.leave(1); !queues.enter(0) || queues.count[0] != 1 || queues.count[1] != maxWaiting-1 {
+	if queues.leave(low); !queues.enter(high) || queues.count[high] != 1 || queues.count[low] != maxWaiting-1 {
 		test.Errorf("%v", queues.count)
 	}
-	queues.leave(0)
+	if !queues.outranked(low) || queues.outranked(high) || queues.outranked(other) {
+		test.Error("outranked otherwise than by a higher priority at the same service")
+	}
+	queues.leave(high)
+	if queues.outranked(low) {
+		test.Error("outranked by one that has left")
+	}
 	for range maxWaiting - 1 {
-		queues.leave(1)
+		queues.leave(low)
 	}
 	if queues.waiting() {
 		test.Error("somebody waits")
--- a/hostproxy/field_checks_test.go
+++ b/hostproxy/field_checks_test.go
@@ -381,7 +381,7 @@
 		backend.then(after(time.Duration(number+1)*work, well))
 	}
 	asking := sync.WaitGroup{}
-	ask := func(path string) {
+	ask := func(path, fields string) {
 		client, id := world.client(), world.id()
 		asking.Go(func() {
 			defer client.pipe.Close()
@@ -392,10 +392,14 @@
 		synctest.Wait()
 	}
 	for range full {
-		ask("/once/filler")
+		ask("/once/filler", "")
 	}
 	for _, path := range paths {
-		ask(path)
+		if path == "/again/a" {
+			ask(path, fields)
+		} else {
+			ask(path, "")
+		}
 	}
 	asking.Wait()
 	return strings.Fields(backend.seen()[full].line)[1]
--- a/hostproxy/forward.go
+++ b/hostproxy/forward.go
@@ -10,6 +10,9 @@
 // minTarget stands in for a route's target time where that is shorter or not given.
 const minTarget = 40 * time.Millisecond
 
+// urgentHeadStart is how long a request leaves a freed place to those of a higher priority.
+const urgentHeadStart = 2 * time.Millisecond
+
 // forward sends the request until an answer stands, nothing more may be tried, or
 // time is over. What has not run and will not is refused with a time to come back.
 func (proxy *Proxy) forward(request *request) {
@@ -54,6 +57,7 @@
 // to it are allowed; nil when there is none in time, or no budget for a retry. A retry that
 // was taken back before it was sent has its budget still.
 func (proxy *Proxy) nextBackend(request *request, waitUntil time.Time) (*candidate, int) {
+	defer proxy.leaveQueue(request)
 	for {
 		view := proxy.view.Load()
 		service, found := view.index.ServiceIndex(request.service)
@@ -65,6 +69,7 @@
 			return nil, 0
 		}
 		seen := proxy.capacityFreed.Count()
+		proxy.yieldToUrgent(request, waitUntil)
 		candidate, how := proxy.chooseVersion(request, view, service)
 		if candidate == nil {
 			if !proxy.wait(request, how, seen, waitUntil) {
@@ -91,15 +96,43 @@
 	if how == noneLeft && request.attempts == 0 && left > 0 {
 		request.tried = request.tried[:0]
 	}
-	if how == noneAllowed || left <= 0 || !proxy.queues.enter(request.rank) {
+	if how == noneAllowed || left <= 0 || !proxy.enterQueue(request) {
 		return false
 	}
 	proxy.move(request, waiting)
 	proxy.capacityFreed.Wait(seen, min(left, waitInterval))
-	proxy.queues.leave(request.rank)
 	return true
 }
 
+// enterQueue counts the request among those that wait, until leaveQueue; false when too many
+// wait already.
+func (proxy *Proxy) enterQueue(request *request) bool {
+	if !request.queued {
+		request.queued = proxy.queues.enter(request.queue())
+	}
+	return request.queued
+}
+
+func (proxy *Proxy) leaveQueue(request *request) {
+	if request.queued {
+		request.queued = false
+		proxy.queues.leave(request.queue())
+	}
+}
+
+// queue is where the request waits.
+func (request *request) queue() waitQueue {
+	return waitQueue{service: request.service, priority: request.rank}
+}
+
+// yieldToUrgent lets waiting requests of a higher priority choose first: all that wait are
+// woken at once when a place is freed. One that they cannot take is taken after that.
+func (proxy *Proxy) yieldToUrgent(request *request, waitUntil time.Time) {
+	if waitUntil.Sub(proxy.clock()) > urgentHeadStart && proxy.queues.outranked(request.queue()) {
+		time.Sleep(urgentHeadStart)
+	}
+}
+
 // settle takes what an attempt came to; true when the client has its answer.
 func (proxy *Proxy) settle(request *request, answer *answer, ended outcome) bool {
 	repeats := request.route.Kind.IsIdempotent()
--- a/hostproxy/request.go
+++ b/hostproxy/request.go
@@ -67,6 +67,7 @@
 	tried      []*target
 	chosenAt   time.Time // when the newest attempt's backend was chosen
 	attempts   int
+	queued     bool // counted among those that wait
 	retryPaid  bool // the budget was asked for the attempt that comes next
 	lastAnswer *answer
 	mayHaveRun bool
--- a/hostproxy/request_test.go
+++ b/hostproxy/request_test.go
@@ -367,7 +367,7 @@
 	inWorld(test, func(world *world) {
 		world.fill(3, time.Second)
 		for range maxWaiting {
-			if !world.proxy.queues.enter(3) {
+			if !world.proxy.queues.enter(waitQueue{"plain", 3}) {
 				test.Fatal("no place in line")
 			}
 		}
