A roll-out's term is bounded at the leader's door, not only at the platform's

The leader adds the term to its clock and turns it into a duration; only the platform's reader had a bound (a week).

TestTermsAreRefusedOrLastAsLongAsTheySay failed before (four terms overflowed, ten accepted) and passes.

--- a/message/rollout.go
+++ b/message/rollout.go
@@ -2,6 +2,9 @@
 
 import "orchidjunction/rpc"
 
+// MaxRolloutTermMs is the longest term of a roll-out, in milliseconds: a week.
+const MaxRolloutTermMs = 7 * 24 * 3600 * 1000
+
 // maxVersionName is the longest name of a service or of a version of it, in bytes.
 const maxVersionName = 200
 
@@ -70,6 +73,9 @@
 	if order.Target == "" || len(order.Target) > maxVersionName || order.TermMs <= 0 {
 		return rpc.Errorf(rpc.BadMessage, "roll-out: target of %d letters within %d ms", len(order.Target), order.TermMs)
 	}
+	if order.TermMs > MaxRolloutTermMs {
+		return rpc.Errorf(rpc.BadMessage, "roll-out: term of %d ms, at most %d", order.TermMs, MaxRolloutTermMs)
+	}
 	return nil
 }
 
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"orchidjunction/message"
 	"orchidjunction/rpc"
@@ -94,3 +96,28 @@
 		test.Errorf("%+v, %v", empty, err)
 	}
 }
+
+// A term at the end of its range overflowed to one that had passed: the version was reverted
+// at once, although its order was acknowledged.
+func TestTermsAreRefusedOrLastAsLongAsTheySay(test *testing.T) {
+	const now = 1_800_000_000_000
+	accepted := 0
+	for _, term := range []int64{
+		math.MinInt64, -1, 0, 1, 12_000, message.MaxRolloutTermMs - 1, message.MaxRolloutTermMs, message.MaxRolloutTermMs + 1,
+		math.MaxInt64 / int64(time.Millisecond), math.MaxInt64/int64(time.Millisecond) + 1, math.MaxInt64 - now, math.MaxInt64 - 1, math.MaxInt64,
+	} {
+		order := orderOf("desk", "v2", 0)
+		order.TermMs = term
+		if order.Check() != nil {
+			continue
+		}
+		accepted++
+		begun := mustOrder(test, &State{}, order, now).Service("desk").Rollout
+		if begun.TermMs <= now || begun.term() != time.Duration(term)*time.Millisecond || begun.term() <= 0 {
+			test.Errorf("%d ms: ends at %d, after %v", term, begun.TermMs, begun.term())
+		}
+	}
+	if accepted != 4 {
+		test.Errorf("%d of the terms are accepted", accepted)
+	}
+}
