Bytes of bodies count on the link as they come, not as their heads name them

Bodies in chunks were never counted.

The length of the head went into the model of the proxy's own link before the limits were looked at.

Change: each piece of a body counts when it was read, whatever its framing.

--- a/hostproxy/body.go
+++ b/hostproxy/body.go
@@ -58,7 +58,6 @@
 // reserved before it is read, that of a body of unknown length as it grows.
 func (proxy *Proxy) readRequestBody(request *request, limit int64) (int, rpc.Code) {
 	source := request.source
-	proxy.inbound.pass(int(max(source.ContentLength, 0)), request.begin)
 	if limit <= 0 {
 		limit = proxy.memory.limit
 	}
@@ -102,6 +101,7 @@
 		count, err := io.ReadFull(source.Body, piece)
 		body.pieces = append(body.pieces, piece[:count])
 		body.size += int64(count)
+		proxy.inbound.pass(count, proxy.clock())
 		switch {
 		case err == nil:
 		case source.ContentLength < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
--- a/hostproxy/shaper_test.go
+++ b/hostproxy/shaper_test.go
@@ -209,3 +209,47 @@
 		}
 	}
 }
+
+// The length that a refused request named counted as bytes on the link: one request took large
+// answers down to their floor for seconds, though none of its body had come.
+func TestLengthsThatClientsNameAreNoBytesOnTheLink(test *testing.T) {
+	const whole = 1 << 20
+	for _, length := range []string{"9223372036854775807", "99999999999", "2097152"} {
+		inWorld(test, func(world *world) {
+			world.add("b1")
+			world.proxy.inbound = newShaper(whole, time.Now())
+			client := world.client()
+			defer client.pipe.Close()
+			reply := client.ask("POST", raw("POST", "/once/a", "id", "Content-Length: "+length+"\r\n", ""))
+			if reply.status != 413 {
+				test.Fatalf("%s: %d %v", length, reply.status, reply.broken)
+			}
+			time.Sleep(rateInterval)
+			if share := world.proxy.inbound.large(time.Second) / whole; share < 0.88 {
+				test.Errorf("after a length of %s, large answers have %.3f of the link", length, share)
+			}
+		})
+	}
+}
+
+// What did come of a body counts, whether its length was named or not.
+func TestBodiesCountOnTheLinkAsTheyCome(test *testing.T) {
+	const whole = 1 << 20
+	body := string(letters(0, 512<<10))
+	chunks := "Transfer-Encoding: chunked\r\n\r\n80000\r\n" + body + "\r\n0\r\n\r\n"
+	head := "POST /once/a HTTP/1.1\r\nHost: host.example\r\nAttempt: id\r\nDeadline: 1500\r\n"
+	for form, text := range map[string]string{"length": raw("POST", "/once/a", "id", "", body), "chunks": head + chunks} {
+		inWorld(test, func(world *world) {
+			world.add("b1")
+			world.proxy.inbound = newShaper(whole, time.Now())
+			client := world.client()
+			defer client.pipe.Close()
+			if reply := client.ask("POST", text); reply.status != 200 {
+				test.Fatalf("%s: %d %v", form, reply.status, reply.broken)
+			}
+			if bytes := world.proxy.inbound.urgentBytes; bytes < float64(len(body)) || bytes > float64(len(body))+1000 {
+				test.Errorf("%s: %.0f bytes of %d counted", form, bytes, len(body))
+			}
+		})
+	}
+}
