A caller's own limit above all time is the route's, not one that has passed

Change: the caller's number is compared with the route's in milliseconds, and only a smaller one becomes a duration. Searched for on the way: every conversion of a number to a duration outside tests (47 places); the others are of 32 bits, bounded by their readers, or calls between the system's own processes.

TestCallersLimitsShortenTheRoutesOrAreRefused failed before (-2ms, -2562047h, 448 us and -1ms in place of 4 s) and passes.

--- a/serviceproxy/attempt.go
+++ b/serviceproxy/attempt.go
@@ -150,13 +150,13 @@
 	for name, values := range task.request.Header {
 		request.Header[name] = append([]string{}, values...)
 	}
-	for _, name := range append(hopHeaders, "Authorization", "Accept-Encoding", "Oj-Limit-Ms") {
+	for _, name := range append(hopHeaders, "Authorization", "Accept-Encoding", limitHeader) {
 		request.Header.Del(name)
 	}
 	for name, value := range map[string]string{
 		"Oj-Task": task.id, "Oj-Tenant": task.plan.routes.TenantName(task.tenant), "Oj-Class": task.route.Class,
 		"Oj-Service": task.route.Service, "Oj-Serial": strconv.FormatUint(task.plan.routes.Serial, 10),
-		"Oj-Limit-Ms": strconv.FormatInt(max(time.Until(task.deadline).Milliseconds(), 1), 10),
+		limitHeader: strconv.FormatInt(max(time.Until(task.deadline).Milliseconds(), 1), 10),
 	} {
 		request.Header.Set(name, value)
 	}
--- a/serviceproxy/task_admission.go
+++ b/serviceproxy/task_admission.go
@@ -91,19 +91,35 @@
 	if !task.plan.routes.allowed(task.proxy.daemon.Zone(), task.tenant, route) {
 		return rpc.Errorf(rpc.ForbiddenRegion, "zone %s is closed to this task", task.proxy.daemon.Zone())
 	}
-	span := time.Duration(task.route.TimeoutMs) * time.Millisecond
-	if request := task.request.Header.Get("Oj-Limit-Ms"); request != "" {
-		own, err := strconv.Atoi(request)
-		if err != nil || own < 1 {
-			return rpc.Errorf(rpc.BadRequest, "Oj-Limit-Ms: %q is not a whole number above 0", request)
-		}
-		span = min(span, time.Duration(own)*time.Millisecond)
+	limit, err := timeLimit(task.route.TimeoutMs, task.request.Header.Get(limitHeader))
+	if err != nil {
+		return err
 	}
-	task.deadline = time.Now().Add(span)
+	task.deadline = time.Now().Add(limit)
 	task.state.advance(Routed)
 	return nil
 }
 
+// limitHeader is the header by which a caller says how many milliseconds it waits.
+const limitHeader = "Oj-Limit-Ms"
+
+// timeLimit is how long a task may take: as long as its route says, or its caller if that is
+// shorter.
+func timeLimit(routeMs int, callerMs string) (time.Duration, error) {
+	limit := time.Duration(routeMs) * time.Millisecond
+	if callerMs == "" {
+		return limit, nil
+	}
+	own, err := strconv.Atoi(callerMs)
+	if err != nil || own < 1 {
+		return 0, rpc.Errorf(rpc.BadRequest, limitHeader+": %q is not a whole number above 0", callerMs)
+	}
+	if own >= routeMs {
+		return limit, nil
+	}
+	return time.Duration(own) * time.Millisecond, nil
+}
+
 // readBody reads the whole body, so that a broken caller starts nothing.
 func (task *task) readBody(writer http.ResponseWriter) error {
 	most := int64(task.route.BodyBytes)
