The product's own proxy takes no success before the task was sent whole

Cause: net/http ends a connection whose response was read while the request is still being written, and with it the rest of the body; nothing looked whether the request had been written.

Change: a success is returned once the request was written (httptrace), at most until the deadline. Where the connection ended before that, or the backend never reads on, the outcome is unknown: no success, and no second send of what may have run. Refusals and failures are passed on as before.

--- /dev/null
+++ b/serviceproxy/early_response_test.go
@@ -0,0 +1,111 @@
+package serviceproxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"orchidjunction/config"
+	"orchidjunction/message"
+	"orchidjunction/metrics"
+	"orchidjunction/rpc"
+)
+
+// earlyBackend answers a task before it has read its body, and reads on after a while.
+type earlyBackend struct {
+	readFirst int // bytes of the body that it reads before its answer
+	readsOn   time.Duration
+	answer    string // without its task
+	read      atomic.Int64
+}
+
+func (backend *earlyBackend) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go backend.serve(far)
+	return near, nil
+}
+
+func (backend *earlyBackend) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	if _, err := http.ReadRequest(reader); err != nil {
+		return
+	}
+	const identity = `{"service":"plain","instance":"b1","incarnation":"b1"}`
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(identity), identity) // the task fails otherwise
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	first, _ := io.CopyN(io.Discard, request.Body, int64(backend.readFirst)) // less where the proxy leaves
+	_, _ = fmt.Fprintf(conn, backend.answer, request.Header.Get("Oj-Task"))  // as above
+	time.Sleep(backend.readsOn)
+	rest, _ := io.Copy(io.Discard, request.Body) // what the proxy sends yet
+	backend.read.Store(first + rest)
+}
+
+// An answer that came before the body was sent was a success for the caller, and the connection
+// was closed on the rest of the body: the backend had a part of it.
+func TestSuccessCoversTheWholeBody(test *testing.T) {
+	const size = 1 << 20
+	for name, one := range map[string]struct {
+		backend *earlyBackend
+		code    rpc.Code
+	}{
+		"after the body":       {&earlyBackend{readFirst: size, answer: answerWithBody}, ""},
+		"early, reads on soon": {&earlyBackend{readFirst: 1000, readsOn: time.Second, answer: answerWithBody}, ""},
+		"early, never reads":   {&earlyBackend{readFirst: 1000, readsOn: time.Hour, answer: answerWithBody}, rpc.DeadlineExceeded},
+		"early, without body":  {&earlyBackend{readFirst: 1000, readsOn: time.Second, answer: answerWithoutBody}, rpc.BadResponse},
+		"early, and closes":    {&earlyBackend{readFirst: 1000, readsOn: time.Second, answer: answerAndClose}, ""},
+	} {
+		test.Run(name, func(test *testing.T) {
+			synctest.Test(test, func(test *testing.T) {
+				err := sendBody(one.backend, size)
+				time.Sleep(2 * time.Hour)
+				if read := one.backend.read.Load(); err == nil && read != size {
+					test.Errorf("a success, and %d of %d bytes", read, size)
+				}
+				if code := rpc.CodeOf(err); (err != nil || one.code != "") && code != one.code {
+					test.Errorf("%v, want %q", err, one.code)
+				}
+				if err != nil && rpc.AsError(err).Outcome != rpc.MayHaveRun {
+					test.Errorf("outcome %q", rpc.AsError(err).Outcome)
+				}
+			})
+		})
+	}
+}
+
+const (
+	answerWithBody    = "HTTP/1.1 200 OK\r\nOj-Task: %s\r\nContent-Length: 4\r\n\r\nwell"
+	answerWithoutBody = "HTTP/1.1 200 OK\r\nOj-Task: %s\r\nContent-Length: 0\r\n\r\n"
+	answerAndClose    = "HTTP/1.1 200 OK\r\nOj-Task: %s\r\nConnection: close\r\nContent-Length: 4\r\n\r\nwell"
+)
+
+// sendBody sends a task with a body of so many bytes to a backend.
+func sendBody(backend *earlyBackend, size int) error {
+	proxy := &Proxy{counters: metrics.NewCounters(), budget: newRetryBudget(), usage: metrics.NewCounters(), dial: backend.dial}
+	target := newTarget(message.Backend{Name: "b1", Service: "plain", Address: "b1:80"}, backend.dial)
+	target.identity, target.probed = Identity{Incarnation: "b1"}, true
+	defer target.close()
+	proxy.plan.Store(&plan{
+		routes: NewRoutes(1, &config.Settings{}, nil), services: map[string][]*Target{"plain": {target}},
+	})
+	task := &task{
+		proxy: proxy, plan: proxy.plan.Load(), state: newStateMachine(proxy.counters), id: "task-1",
+		request: httptest.NewRequest(http.MethodPost, "/charge", nil), body: []byte(strings.Repeat("x", size)),
+		route: &config.FlatRoute{Service: "plain", Attempts: 1, ResponseBytes: 1000}, path: "/charge",
+		deadline: time.Now().Add(4 * time.Second), tried: map[*Target]bool{},
+	}
+	task.plan.routes.tenants = []tenantEntry{{name: "tenant"}}
+	return task.sendUntilAnswered()
+}
--- a/serviceproxy/pipe.go
+++ b/serviceproxy/pipe.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -85,14 +87,35 @@
 	return &BackendConn{conn: counted, client: client, used: time.Now()}, identity, nil
 }
 
-// send gives the request to this pipe only; ran is false when no byte of it
-// left, nor ever will.
+// send sends the request on this connection only; ran is false when no byte of it left, nor
+// ever will. A success is returned once its request was sent whole: net/http ends a connection
+// whose response was read before that, and with it the rest of the request.
 func (connection *BackendConn) send(request *http.Request) (response *http.Response, ran bool, err error) {
 	before := connection.conn.count()
-	response, err = connection.client.RoundTrip(request)
+	written := make(chan error, 1)
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		select {
+		case written <- info.Err:
+		default: // told already
+		}
+	}}
+	response, err = connection.client.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, connection.conn.sever() > before, err
 	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return response, true, nil
+	}
+	select {
+	case err = <-written:
+	case <-request.Context().Done():
+		err = request.Context().Err()
+	}
+	if err != nil {
+		response.Body.Close()
+		connection.conn.sever()
+		return nil, true, fmt.Errorf("answered before the request was sent: %w", err)
+	}
 	return response, true, nil
 }
 
