--- a/cmd/ojsoak/main.go
+++ b/cmd/ojsoak/main.go
@@ -16,7 +16,7 @@
 func main() {
 	flags := process.NewFlags("ojsoak", "soaks a deployment of real processes on this machine and checks the rules")
 	program, folder := "bin/orchidjunction", ""
-	seed, seeds, seconds, proxies, clients, backends, term := 1, 1, 60, 6, 36, 6, 14
+	seed, seeds, seconds, proxies, clients, backends, slowHeads, term := 1, 1, 60, 6, 36, 6, 0, 14
 	isVerbose := false
 	flags.Parser.String(&program, "", "program", "the program whose processes are run")
 	flags.Parser.String(&folder, "", "folder", "folder for logs and state, kept at the end; a temporary one if empty")
@@ -26,15 +26,16 @@
 	flags.Parser.Int(&proxies, "", "proxies", "number of proxies")
 	flags.Parser.Int(&clients, "", "clients", "number of clients")
 	flags.Parser.Int(&backends, "", "backends", "number of backends of each of the two services")
+	flags.Parser.Int(&slowHeads, "", "slow-heads", "connections to the first proxy that send a byte of a head each second")
 	flags.Parser.Int(&term, "", "term", "seconds that a roll-out may take")
 	flags.Parser.Bool(&isVerbose, "", "verbose", "print what happens")
 	flags.Parse()
-	if seeds < 1 || seconds < 1 || proxies < 1 || clients < 1 || backends < 1 || term < 1 || seed < 0 {
+	if seeds < 1 || seconds < 1 || proxies < 1 || clients < 1 || backends < 1 || term < 1 || seed < 0 || slowHeads < 0 {
 		flags.Exit(rpc.Errorf(rpc.BadFlag, "numbers must be positive"))
 	}
 	options := soak.Options{
 		Program: program, Folder: folder, Span: time.Duration(seconds) * time.Second,
-		Proxies: proxies, Clients: clients, Backends: backends,
+		Proxies: proxies, Clients: clients, Backends: backends, SlowHeads: slowHeads,
 		RolloutTerm: time.Duration(term) * time.Second, Bounds: soak.DefaultBounds(),
 		Printf: func(format string, values ...any) {
 			if isVerbose {
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -37,6 +37,7 @@
 	operator   *operator
 	log        *evidence
 	calm       *calm
+	attack     *slowHeads // nil without one
 	work       sync.WaitGroup
 	names      int
 	version    int
--- a/harness/soak/machine.go
+++ b/harness/soak/machine.go
@@ -81,6 +81,16 @@
 	return machine.starts == 0
 }
 
+// pid is the number of the process, 0 if there was none yet.
+func (machine *machine) pid() int {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	if machine.command == nil {
+		return 0
+	}
+	return machine.command.Process.Pid
+}
+
 // signal sends a signal to the process; one that just ended needs none.
 func (machine *machine) signal(signal syscall.Signal) {
 	machine.mutex.Lock()
--- a/harness/soak/run.go
+++ b/harness/soak/run.go
@@ -23,6 +23,7 @@
 	Proxies     int
 	Clients     int
 	Backends    int // of each of the two services
+	SlowHeads   int // connections to one proxy that send a byte of a head each second
 	RolloutTerm time.Duration
 	Bounds      Bounds
 	Printf      func(format string, values ...any)
@@ -103,6 +104,11 @@
 		user := &limitClient{random: fork(soak.random), proxies: soak.deployment.withRole(proxyRole), log: soak.log}
 		users.Go(func() { user.run(done) })
 	}
+	attack := &slowHeads{target: soak.deployment.withRole(proxyRole)[0], count: soak.options.SlowHeads}
+	if attack.count > 0 {
+		soak.attack = attack
+		users.Go(func() { attack.run(done) })
+	}
 	soak.disturb()
 	time.Sleep(soak.options.Bounds.Contact)
 	close(done)
@@ -145,6 +151,9 @@
 	judge := &judge{log: soak.log, calm: soak.calm, bounds: soak.options.Bounds, report: report}
 	judge.all()
 	judge.limits()
+	if soak.attack != nil {
+		report.Notes = append(report.Notes, soak.attack.note(soak.log))
+	}
 	status, body := 0, []byte(nil)
 	for until := time.Now().Add(soak.options.Bounds.Contact); status != http.StatusOK && time.Now().Before(until); time.Sleep(orderPause) {
 		status, body = soak.operator.call(context.Background(), http.MethodGet, "/config", nil)
