--- a/cmd/ojbackend/main.go
+++ b/cmd/ojbackend/main.go
@@ -40,8 +40,8 @@
 	listener.Serve(goroutines)
 	process.OnTerm(goroutines, func() {
 		backend.Leave()
-		goroutines.Sleep(time.Duration(leaveMs) * time.Millisecond)
-		listener.Drain(6*time.Second - time.Duration(leaveMs)*time.Millisecond)
+		goroutines.Sleep(process.Milliseconds(leaveMs))
+		listener.Drain(6*time.Second - process.Milliseconds(leaveMs))
 		goroutines.Stop()
 	})
 	goroutines.Wait()
--- a/cmd/ojcore/main.go
+++ b/cmd/ojcore/main.go
@@ -99,10 +99,13 @@
 	given.limits = limits
 	flags.Exit(takePeers(config, peers))
 	flags.Exit(takeSeeds(config, seeds))
-	config.HeartbeatInterval = time.Duration(heartbeatMs) * time.Millisecond
-	config.SuspicionTimeout = time.Duration(suspicionMs) * time.Millisecond
+	config.HeartbeatInterval = process.Milliseconds(heartbeatMs)
+	config.SuspicionTimeout = process.Milliseconds(suspicionMs)
 	config.Seed = uint64(time.Now().UnixNano())
-	given.grace = time.Duration(graceMs) * time.Millisecond
+	if graceMs < 0 {
+		flags.Exit(rpc.Errorf(rpc.BadFlag, "--grace-ms: %d is below 0", graceMs))
+	}
+	given.grace = process.Milliseconds(graceMs)
 	flags.Exit(config.Check())
 	flags.Exit(rpc.CheckAddress("--operate", config.OperatorAddress))
 	if config.PlatformAddress != "" {
--- a/cmd/ojplatform/main.go
+++ b/cmd/ojplatform/main.go
@@ -37,7 +37,7 @@
 		flags.Exit(rpc.Errorf(rpc.BadFlag, "--rate and --page are at least 1, --lag-ms at least 0"))
 	}
 	goroutines := concurrent.NewGroup()
-	standIn := standin.NewPlatform(page, time.Duration(lag)*time.Millisecond, float64(rate), items)
+	standIn := standin.NewPlatform(page, process.Milliseconds(lag), float64(rate), items)
 	listener, err := process.Listen(listen, standIn, process.ListenOptions{})
 	flags.Exit(err)
 	listener.Serve(goroutines)
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -137,7 +136,7 @@
 		instance.run(goroutines)
 	}
 	OnTerm(goroutines, func() {
-		settleTime, graceTime := time.Duration(settle)*time.Millisecond, time.Duration(grace)*time.Millisecond
+		settleTime, graceTime := Milliseconds(settle), Milliseconds(grace)
 		ended, _ := concurrent.Gather(goroutines, len(instances), func(index int) (bool, error) {
 			instance := instances[index]
 			return instance.Daemon.Retire(settleTime, graceTime, instance.listeners[0].Drain), nil
