--- a/hostproxy/body_test.go
+++ b/hostproxy/body_test.go
@@ -1,13 +1,16 @@
 package hostproxy
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"orchidjunction/routing"
 )
@@ -114,7 +117,19 @@
 						test.Errorf("%s at %d: %q arrived", name, value, arrived.body)
 					}
 				}
+				if open := !headTooLong && !tooLarge &&
+					client.openAfter(30*time.Second); served &&
+					open == (name == "idle timeout" && value == 1) {
+					test.Errorf("%s at %d: open after 30 s: %v", name, value, open)
+				}
 			})
 		}
 	}
 }
+
+// openAfter is whether the proxy has not closed the connection after a time.
+func (client *client) openAfter(span time.Duration) bool {
+	client.limit(span)
+	_, err := client.reader.ReadByte()
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
