--- a/control/clock_trust.go
+++ b/control/clock_trust.go
@@ -27,7 +27,7 @@
 	mutex     sync.Mutex
 	startedAt time.Time
 	isTrusted bool
-	firstAt   time.Time        // when the first daemon told its time
+	firstAt   time.Time        // when the first daemon sent its time
 	offsets   map[string]int64 // of the daemons' clocks, by names
 }
 
--- a/control/restore.go
+++ b/control/restore.go
@@ -81,7 +81,7 @@
 	core.startFollowing()
 }
 
-// largestState returns the size in bytes of the largest state that a voter told of.
+// largestState returns the size in bytes of the largest state that a voter named.
 func largestState(responses map[int]*message.ReplicaStateResponse) int {
 	largest := 0
 	for _, response := range responses {
--- a/harness/checker/usage.go
+++ b/harness/checker/usage.go
@@ -26,7 +26,7 @@
 // maxUsageError is the share of a tenant's tasks by which its reports may be off.
 const maxUsageError = 0.05
 
-// usageReports is what the platform was told, put together by tenant.
+// usageReports is what was reported to the platform, put together by tenant.
 type usageReports struct {
 	tasks   map[string]int
 	periods map[string]map[uint64]bool
@@ -73,7 +73,7 @@
 	return bad
 }
 
-// usageReported compares what the platform was told with the tasks that the
+// usageReported compares what was reported to the platform with the tasks that the
 // backends saw: in all, by period for every tenant, quiet ones too, and for
 // every task within ten seconds of it.
 func (evidence *Evidence) usageReported() (bad []string, detail string) {
@@ -87,12 +87,12 @@
 		off := math.Abs(float64(reports.tasks[tenant]-len(tasks))) / float64(len(tasks))
 		worst = max(worst, off)
 		if off > maxUsageError {
-			bad = append(bad, fmt.Sprintf("%s told %d, seen %d", tenant, reports.tasks[tenant], len(tasks)))
+			bad = append(bad, fmt.Sprintf("%s reported %d, seen %d", tenant, reports.tasks[tenant], len(tasks)))
 		}
 		lag := reportLag(tasks, reports.counts[tenant])
 		slowest = max(slowest, lag)
 		if lag > usageLateMs {
-			bad = append(bad, fmt.Sprintf("%s's tasks were told up to %d ms late", tenant, lag))
+			bad = append(bad, fmt.Sprintf("%s's tasks were reported up to %d ms late", tenant, lag))
 		}
 	}
 	return bad, fmt.Sprintf(
@@ -145,17 +145,17 @@
 }
 
 // reportLag is the longest time from a task to the report by which as many
-// tasks were told; what maxUsageError allows to be missing is left out.
+// tasks were reported; what maxUsageError allows to be missing is left out.
 func reportLag(tasks []int64, reports []reportedCount) int64 {
 	sort.Slice(reports, func(left, right int) bool { return reports[left].atMs < reports[right].atMs })
-	longest, told, next := int64(0), 0, 0
+	longest, reported, next := int64(0), 0, 0
 	for index, at := range tasks {
 		wanted := float64(index+1) * (1 - maxUsageError)
-		for next < len(reports) && float64(told) < wanted {
-			told += reports[next].tasks
+		for next < len(reports) && float64(reported) < wanted {
+			reported += reports[next].tasks
 			next++
 		}
-		if float64(told) >= wanted && next > 0 {
+		if float64(reported) >= wanted && next > 0 {
 			longest = max(longest, reports[next-1].atMs-at)
 		}
 	}
--- a/harness/standin/origin.go
+++ b/harness/standin/origin.go
@@ -398,13 +398,13 @@
 		try.Foreign = response.Header.Get("Stand-For") != caller.Tenant+" /"+inner
 		return
 	}
-	mishap := struct {
+	refusal := struct {
 		Code    string `json:"code"`
 		Outcome string `json:"outcome"`
 		Cause   string `json:"cause"`
 	}{}
-	_ = json.Unmarshal(body, &mishap) // any other body leaves all fields empty
-	try.Code, try.Outcome, try.Cause = mishap.Code, mishap.Outcome, mishap.Cause
+	_ = json.Unmarshal(body, &refusal) // any other body leaves all fields empty
+	try.Code, try.Outcome, try.Cause = refusal.Code, refusal.Outcome, refusal.Cause
 }
 
 func (generator *LoadGenerator) count(code string) {
--- a/hostproxy/view.go
+++ b/hostproxy/view.go
@@ -35,7 +35,7 @@
 }
 
 // presumedProxies is how many proxies are taken to share a backend's limits while
-// no leader has told how many there are.
+// no leader has said how many there are.
 const presumedProxies = 32
 
 // The proxies together use this share of a service's connection limit; no proxy's
--- a/process/client_conn.go
+++ b/process/client_conn.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"orchidjunction/rpc"
 )
 
 // connPhase is what a client's connection is used for at a time.
@@ -27,7 +25,7 @@
 // runs, so the connection keeps the time and the length of heads and the time between
 // requests itself: it sets the deadlines of reads while it waits for a request, and passes
 // the server's own on while one is served. A head that breaks a limit is refused here, and
-// the server is told that the client fell silent.
+// for the server the client has fallen silent.
 //
 // Limits that change act at once on a connection that waits. A head that has begun keeps the
 // more generous of the former and the new ones.
@@ -294,47 +292,3 @@
 	}
 	return nil
 }
-
-// headRefusal is why a head is refused before the server has read it.
-type headRefusal struct {
-	status  int
-	code    rpc.Code
-	message string
-	counter string
-}
-
-var (
-	headTooLarge = &headRefusal{
-		http.StatusRequestHeaderFieldsTooLarge, rpc.TooLarge, "the request's head is longer than the limit", "heads_too_large",
-	}
-	headLate          = &headRefusal{http.StatusRequestTimeout, rpc.RequestTimeout, "the request's head came too slowly", "heads_late"}
-	headWithoutMemory = &headRefusal{
-		http.StatusServiceUnavailable, rpc.Overloaded, "no memory for the request's head", "heads_without_memory",
-	}
-	connectionRefused = &headRefusal{http.StatusServiceUnavailable, rpc.Overloaded, "too many connections", "connections_refused_full"}
-)
-
-// Times of a refusal: the client's machine has refusalWriteTimeout to take it, and the
-// client refusalLinger to read it, since a close with unread bytes resets the connection.
-const (
-	refusalWriteTimeout = time.Second
-	refusalLinger       = 500 * time.Millisecond
-)
-
-// refuse answers a head that is not read to its end, and returns what the server shall take
-// for the end of the connection.
-func (conn *clientConn) refuse(refusal *headRefusal) error {
-	conn.mutex.Lock()
-	again := conn.refused
-	conn.refused = true
-	conn.mutex.Unlock()
-	if again {
-		return os.ErrDeadlineExceeded
-	}
-	conn.tracker.counters.Add(refusal.counter, 1)
-	_ = conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // as in arm
-	if err := refusal.writeTo(conn.Conn); err == nil && conn.CloseWrite() == nil {
-		time.Sleep(refusalLinger)
-	}
-	return os.ErrDeadlineExceeded
-}
--- a/process/conn_budget.go
+++ b/process/conn_budget.go
@@ -2,9 +2,9 @@
 
 import "sync/atomic"
 
-// Shares of a process's descriptors. Connections above the first share are told to come
-// back, those above the second are closed unread; the rest is for backends, disks and the
-// system's own calls.
+// Shares of a process's descriptors. Connections above the first share get 503 and a time to
+// come back, those above the second are closed unread; the rest is for backends, disks and
+// the system's own calls.
 const (
 	reservedDescriptors   = 200
 	servedShareNumerator  = 3
--- a/process/refusal.go
+++ b/process/refusal.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,9 +10,6 @@
 	"orchidjunction/rpc"
 )
 
-// retryAfterSeconds is when a client that is refused for want of room may come back.
-const retryAfterSeconds = "1"
-
 // connKey is where a request's context holds its connection.
 type connKey struct{}
 
@@ -74,40 +68,6 @@
 	return int64(size)
 }
 
-// body is the refusal as all others of the system are.
-func (refusal *headRefusal) body() []byte {
-	text, _ := json.Marshal(&rpc.Error{Code: refusal.code, Message: refusal.message, Outcome: rpc.NotRun}) // texts only
-	return append(text, '\n')
-}
-
-// answer refuses a request that the server has read; the connection ends with it.
-func (refusal *headRefusal) answer(writer http.ResponseWriter) {
-	header := writer.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Connection", "close")
-	if refusal.status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", retryAfterSeconds)
-	}
-	writer.WriteHeader(refusal.status)
-	writer.Write(refusal.body())
-}
-
-// writeTo refuses a request on its connection.
-func (refusal *headRefusal) writeTo(conn io.Writer) error {
-	retry := ""
-	if refusal.status == http.StatusServiceUnavailable {
-		retry = "Retry-After: " + retryAfterSeconds + "\r\n"
-	}
-	line := fmt.Sprintf("HTTP/1.1 %d %s", refusal.status, http.StatusText(refusal.status))
-	return writeRefusal(conn, line, retry, refusal.body())
-}
-
-func writeRefusal(conn io.Writer, line, fields string, body []byte) error {
-	const head = "%s\r\nContent-Type: application/json\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s"
-	_, err := fmt.Fprintf(conn, head, line, fields, len(body), body)
-	return err
-}
-
 // bareHead is how the library's refusals go on after the status line; answers
 // of handlers always have a date.
 var bareHead = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
@@ -126,8 +86,7 @@
 	if strings.Contains(string(line), " 431 ") || strings.Contains(string(line), " 413 ") {
 		code = rpc.TooLarge
 	}
-	refusal, _ := json.Marshal(&rpc.Error{Code: code, Message: strings.TrimSpace(string(text)), Outcome: rpc.NotRun}) // texts only
-	if err := writeRefusal(conn.Conn, string(line), "", append(refusal, '\n')); err != nil {
+	if err := writeRefusal(conn.Conn, string(line), "", refusalBody(code, strings.TrimSpace(string(text)))); err != nil {
 		return 0, err
 	}
 	return len(body), nil
--- a/serviceproxy/claim_poll.go
+++ b/serviceproxy/claim_poll.go
@@ -28,7 +28,7 @@
 	core    *message.RecordClaimsResponse
 }
 
-func (answer claimVote) told() *message.ClaimResponse {
+func (answer claimVote) response() *message.ClaimResponse {
 	if answer.replica != nil {
 		return answer.replica
 	}
@@ -50,7 +50,7 @@
 // refused is what somebody holds of the key; what is settled tells most.
 func (poll *poll) refused() (refusal *message.ClaimRecord) {
 	for _, answer := range poll.got {
-		if response := answer.told(); !response.Granted && response.Existing.ID != "" &&
+		if response := answer.response(); !response.Granted && response.Existing.ID != "" &&
 			(refusal == nil || refusal.Stage == message.ClaimRunning) {
 			refusal = &response.Existing
 		}
@@ -63,7 +63,7 @@
 	votes := newCoreVotes(poll.membership)
 	for _, answer := range poll.got {
 		if answer.core != nil {
-			votes.add(answer.core.Membership, answer.core.Core, answer.told().Granted, answer.core.Complete)
+			votes.add(answer.core.Membership, answer.core.Core, answer.response().Granted, answer.core.Complete)
 		}
 	}
 	return votes
--- a/serviceproxy/core_store.go
+++ b/serviceproxy/core_store.go
@@ -186,7 +186,7 @@
 }
 
 // fetchAllClaims passes every page of claims of a proxy or core to take. It returns the last
-// page, with the membership under which the first one was told.
+// page, with the membership under which the first one was given.
 func fetchAllClaims(
 	client *rpc.Client,
 	address string,
--- a/serviceproxy/pipe.go
+++ b/serviceproxy/pipe.go
@@ -65,13 +65,13 @@
 		return nil, nil, rpc.Errorf(rpc.ConnectFailed, "%v", err)
 	}
 	identity := &Identity{}
-	mishap := identity.query(conn, backend.Address, limit)
-	if mishap == nil {
-		mishap = identity.belongs(backend)
+	err = identity.query(conn, backend.Address, limit)
+	if err == nil {
+		err = identity.belongs(backend)
 	}
-	if mishap != nil {
+	if err != nil {
 		conn.Close()
-		return nil, nil, mishap
+		return nil, nil, err
 	}
 	counted := &countedConn{Conn: conn}
 	transport := &http.Transport{
@@ -96,7 +96,7 @@
 	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		select {
 		case written <- info.Err:
-		default: // told already
+		default: // known already
 		}
 	}}
 	response, err = connection.client.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
--- a/serviceproxy/target.go
+++ b/serviceproxy/target.go
@@ -224,7 +224,7 @@
 }
 
 // probeSpan is how long a proxy waits between looks at a backend: the more
-// proxies look, the seldomer each does. What one finds stirs all others.
+// proxies look, the seldomer each does. What one finds makes the others look too.
 func probeSpan(proxies int) time.Duration {
 	return min(max(probePace, probePace*time.Duration(proxies)/probers), probeMost)
 }
