--- a/hostproxy/added_latency_test.go
+++ b/hostproxy/added_latency_test.go
@@ -14,6 +14,7 @@
 	"orchidjunction/concurrent"
 	"orchidjunction/message"
 	"orchidjunction/metrics"
+	"orchidjunction/process"
 	"orchidjunction/routing"
 )
 
@@ -37,8 +38,14 @@
 	}))
 }
 
+// realServer is a proxy behind its listener on loopback.
+type realServer struct {
+	*process.Listener
+	URL string
+}
+
 // realProxy serves on loopback, in real time, before one backend with room for all.
-func realProxy(goroutines *concurrent.Group, backend string) (*httptest.Server, *metrics.Counters) {
+func realProxy(bench testing.TB, goroutines *concurrent.Group, backend string) (*realServer, *metrics.Counters) {
 	counters := metrics.NewCounters()
 	dialer := &net.Dialer{}
 	proxy := NewProxy(ownPlace("p1", "e1"), dialer.DialContext, func() int64 { return time.Now().UnixMilli() }, goroutines, counters)
@@ -48,7 +55,13 @@
 		Members:  members([]string{"p1"}, []string{"e1"}),
 		Backends: []message.Backend{{Name: "b1", Service: "plain", Address: backend, Zone: "e1", Capacity: 10_000}},
 	}, nil)
-	return httptest.NewServer(proxy), counters
+	open, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		bench.Fatal(err)
+	}
+	listener := process.NewListener(open, proxy, process.ListenOptions{Counters: counters, Memory: proxy.Memory()})
+	listener.Serve(goroutines)
+	return &realServer{Listener: listener, URL: "http://" + open.Addr().String()}, counters
 }
 
 // timeRequest returns how long a request takes until its answer is read.
@@ -123,7 +136,7 @@
 	for range bench.N {
 		goroutines := concurrent.NewGroup()
 		backend := directBackend()
-		proxy, _ := realProxy(goroutines, backend.Listener.Addr().String())
+		proxy, _ := realProxy(bench, goroutines, backend.Listener.Addr().String())
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 		took := paced(bench, client, [2]string{backend.URL, proxy.URL})
 		for _, share := range []float64{0.5, 0.99} {
