Soak: a refusal for want of backends after a rest breaks no limit

It now looks for what a limit does: no answer, 408 or 431. As strict on limits as before: a connection closed within its time still fails it.

--- a/harness/soak/check_limits.go
+++ b/harness/soak/check_limits.go
@@ -22,7 +22,7 @@
 		case restProbe:
 			judge.rest(probe, judge.possible(probe.end.Add(-limitSlack), probe.end))
 		case reuseProbe:
-			judge.report.judged(RuleLimits, probe.status != http.StatusOK, "%s: %v after a rest of %v: status %d",
+			judge.report.judged(RuleLimits, endedByLimit(probe.status), "%s: %v after a rest of %v: status %d",
 				probe.proxy, probe.kind, rounded(probe), probe.status)
 		case slowProbe:
 			judge.slowHead(probe, versions)
@@ -33,6 +33,12 @@
 	}
 }
 
+// endedByLimit is whether a request was ended by a limit, or got no answer at all. Any other
+// refusal, for want of backends, came on a connection that was open.
+func endedByLimit(status int) bool {
+	return status == 0 || status == http.StatusRequestTimeout || status == http.StatusRequestHeaderFieldsTooLarge
+}
+
 func rounded(probe *limitProbe) time.Duration {
 	return probe.end.Sub(probe.begin).Round(time.Millisecond)
 }
