Limits that change just while a connection comes to rest, or is opened, are not missed

What an operator could see: a connection whose request ended, or which was opened, in the instant of a change kept the former limits for its next rest, past apply_ms.

Cause: the limits in force were read before the connection's mutex was taken. A change between the two saw a connection that is still serving and passed it over; the former limits were laid on it after that.

Change: they are read under the connection's mutex.

--- a/process/client_conn.go
+++ b/process/client_conn.go
@@ -49,17 +49,20 @@
 	refused  bool
 }
 
-// begin starts the wait for the first request.
-func (conn *clientConn) begin(limits ConnLimits) {
+// await starts the wait for a request, as phaseNew or phaseIdle. The limits in force are
+// read under the mutex: those that change meanwhile come by limitsChanged after it.
+func (conn *clientConn) await(phase connPhase) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.enter(phaseNew, limits)
+	conn.release()
+	conn.limits = conn.tracker.current()
+	conn.enter(phase)
 	conn.arm()
 }
 
 // enter begins a phase. The mutex is held.
-func (conn *clientConn) enter(phase connPhase, limits ConnLimits) {
-	conn.phase, conn.since, conn.limits = phase, time.Now(), limits
+func (conn *clientConn) enter(phase connPhase) {
+	conn.phase, conn.since = phase, time.Now()
 	conn.head, conn.awaited, conn.ending = 0, false, false
 }
 
@@ -100,7 +103,7 @@
 	case conn.phase == phaseIdle && !conn.awaited:
 		conn.awaited = true
 	case conn.phase == phaseIdle:
-		conn.enter(phaseHead, conn.limits)
+		conn.enter(phaseHead)
 		conn.arm()
 	}
 	return nil
@@ -152,7 +155,7 @@
 	defer conn.mutex.Unlock()
 	switch conn.phase {
 	case phaseNew, phaseIdle:
-		conn.enter(phaseHead, conn.limits)
+		conn.enter(phaseHead)
 		conn.head = int64(count)
 	case phaseHead:
 		conn.head += int64(count)
@@ -228,12 +231,7 @@
 		conn.mutex.Unlock()
 	case http.StateIdle:
 		conn.answering.Store(false)
-		limits := conn.tracker.current()
-		conn.mutex.Lock()
-		conn.release()
-		conn.enter(phaseIdle, limits)
-		conn.arm()
-		conn.mutex.Unlock()
+		conn.await(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		conn.tracker.forget(conn)
 		conn.mutex.Lock()
--- a/process/client_conn_test.go
+++ b/process/client_conn_test.go
@@ -419,3 +419,41 @@
 		}
 	}
 }
+
+// A connection that came to rest, or was opened, just while limits changed kept the former ones.
+func TestLimitsThatChangeMeanwhileAreNotMissed(test *testing.T) {
+	tracker := newConnTracker(ListenOptions{})
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := tracker.open(far)
+	const meetings = 40_000
+	missed, missedOpen := 0, 0
+	for round := range meetings {
+		next := ConnLimits{HeaderBytes: int64(round + 1), HeaderTimeout: time.Hour, IdleTimeout: time.Hour}
+		conn.stateChanged(http.StateActive)
+		start, both := make(chan struct{}), sync.WaitGroup{}
+		var opened *clientConn
+		both.Go(func() {
+			<-start
+			conn.stateChanged(http.StateIdle)
+			opened = tracker.open(far)
+		})
+		both.Go(func() {
+			<-start
+			tracker.setLimits(next)
+		})
+		close(start)
+		both.Wait()
+		if conn.headerLimit() != next.HeaderBytes {
+			missed++
+		}
+		if opened.headerLimit() != next.HeaderBytes {
+			missedOpen++
+		}
+		tracker.forget(opened)
+	}
+	if missed+missedOpen > 0 {
+		test.Errorf("of %d each, %d that came to rest and %d that were opened keep the former limits", meetings, missed, missedOpen)
+	}
+}
--- a/process/conn_tracker.go
+++ b/process/conn_tracker.go
@@ -50,9 +50,8 @@
 	conn := &clientConn{Conn: accepted, tracker: tracker, overBudget: admitted == admitRefused}
 	tracker.mutex.Lock()
 	tracker.conns[conn] = true
-	limits := tracker.limits
 	tracker.mutex.Unlock()
-	conn.begin(limits)
+	conn.await(phaseNew)
 	return conn
 }
 
