Nothing is read from a connection after its refusal

Guarded against: a head that is refused with 408 as too late, and whose rest comes while the refusal is read, could be read to its end by another read of the server, and the request served although 408 promises that it never runs. By reading, net/http makes no such read today: it reads on after an error only in its tolerance of empty lines after a POST, and there it has four bytes already. The promise must not hang on that.

Change: a connection that was refused reads nothing more.

TestNothingIsReadAfterARefusal failed before ("TP/1.1..." was read) and passes.

--- a/process/client_conn.go
+++ b/process/client_conn.go
@@ -36,6 +36,7 @@
 	// answering is set while a handler answers. Only what the library writes at other times
 	// can be a refusal of its own.
 	answering atomic.Bool
+	refused   atomic.Bool // nothing is read any more
 
 	mutex    sync.Mutex
 	phase    connPhase
@@ -46,7 +47,6 @@
 	armed    bool  // whether reads have a deadline of the connection's own
 	awaited  bool  // whether the server has begun to wait for the next request
 	ending   bool  // whether a wait is to end now
-	refused  bool
 }
 
 // await starts the wait for a request, as phaseNew or phaseIdle. The limits in force are
@@ -111,6 +111,9 @@
 
 // Read reads a part of a request.
 func (conn *clientConn) Read(buffer []byte) (int, error) {
+	if conn.refused.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	if refusal := conn.checkHead(); refusal != nil {
 		return 0, conn.refuse(refusal)
 	}
--- a/process/client_conn_test.go
+++ b/process/client_conn_test.go
@@ -457,3 +457,36 @@
 		test.Errorf("of %d each, %d that came to rest and %d that were opened keep the former limits", meetings, missed, missedOpen)
 	}
 }
+
+// A request whose head was refused as too late could be read to its end, when the rest of it
+// came while the refusal was read: what 408 promises would not hold.
+func TestNothingIsReadAfterARefusal(test *testing.T) {
+	open, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
+	}
+	defer open.Close()
+	client, err := net.Dial("tcp", open.Addr().String())
+	if err != nil {
+		test.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := open.Accept()
+	if err != nil {
+		test.Fatal(err)
+	}
+	defer accepted.Close()
+	say(test, client, "GET / HT")
+	conn := newConnTracker(ListenOptions{Limits: ConnLimits{HeaderTimeout: time.Nanosecond}}).open(accepted)
+	buffer := make([]byte, 100)
+	if count, err := conn.Read(buffer); count != 8 || err != nil {
+		test.Fatal(count, err)
+	}
+	if count, err := conn.Read(buffer); count != 0 || err == nil {
+		test.Fatalf("%d bytes, %v", count, err)
+	}
+	say(test, client, "TP/1.1\r\nHost: a\r\n\r\n")
+	if count, err := conn.Read(buffer); count != 0 || err == nil {
+		test.Errorf("after the refusal: %q", buffer[:count])
+	}
+}
--- a/process/head_refusal.go
+++ b/process/head_refusal.go
@@ -43,13 +43,7 @@
 // refuse answers a head that is not read to its end, and returns what the server shall take
 // for the end of the connection.
 func (conn *clientConn) refuse(refusal *headRefusal) error {
-	conn.mutex.Lock()
-	again := conn.refused
-	conn.refused = true
-	conn.mutex.Unlock()
-	if again {
-		return os.ErrDeadlineExceeded
-	}
+	conn.refused.Store(true)
 	conn.tracker.counters.Add(refusal.counter, 1)
 	_ = conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // as in arm
 	if err := refusal.writeTo(conn.Conn); err == nil && conn.CloseWrite() == nil {
