--- a/hostproxy/field_checks_test.go
+++ b/hostproxy/field_checks_test.go
@@ -440,7 +440,11 @@
 	world.backends["b-plain"].ever(after(100*time.Millisecond, well))
 	asking := sync.WaitGroup{}
 	for range 20 {
-		asking.Go(func() { statusOf("")(world) })
+		client, text := world.client(), raw("GET", "/again/a", world.id(), "", "")
+		asking.Go(func() {
+			defer client.pipe.Close()
+			client.ask("GET", text)
+		})
 	}
 	asking.Wait()
 	return strconv.Itoa(world.backends["b-plain"].connections())
