--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -30,12 +30,13 @@
 
 // isOf reports whether the answer is the backend's.
 func (answer answer) isOf(id string) bool {
-	return answer.err == nil && answer.status == http.StatusOK && answer.seal == "seal-"+id && answer.body == "done "+id
+	return answer.err == nil && answer.status == http.StatusOK && answer.seal == "seal-"+id && answer.body == answerBody(id)
 }
 
 // post sends a request on the route whose requests run at most once to a proxy, on a connection of its own.
 func (system *deployment) post(proxy *machine) answer {
 	result := answer{id: fmt.Sprintf("%016x", rand.Uint64())}
+	system.record.note("client: %s is sent to %s", result.id, proxy.name)
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
 	url := "http://" + system.port(proxy.address, portClients) + "/pufi791/2f"
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(record *recorder, trouble bool) (bool, error){
 	"answers-without-length": answersWithoutLength,
 	"founder-loses-disk":     founderLosesDisk,
+	"platform-moves":         platformMoves,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin2/without_length.go
+++ b/review/standin2/without_length.go
@@ -39,6 +39,7 @@
 		return false, fmt.Errorf("%w: %w", errNotRun, err)
 	}
 	waits.Wait()
+	time.Sleep(postWork) // until the backends have ended their work
 	ran, replaced := 0, 0
 	for _, answer := range answers {
 		record.note("client: %s gets %s", answer.id, answer)
@@ -48,7 +49,7 @@
 		ran++
 		if !answer.isOf(answer.id) {
 			replaced++
-			record.note("LOST: %s was run and answered by its backend, and the client has no answer of the backend", answer.id)
+			record.note("LOST: %s was passed on and run, and the client has no answer of its backend", answer.id)
 		}
 	}
 	record.note("%d requests, %d were run, %d of these have an answer that is not their backend's", posts, ran, replaced)
