hostproxy: pass on responses whose body ends with the connection

Callers saw a 502 in place of their backend's answer if that had neither a Content-Length nor chunks, as soon as its head had come, and the backend was broken off at work.

Cause: readResponseBody gave such a response up before it read a byte. Ruled out: the stop. A proxy that serves did the same, and under the same stop a length was enough.

Now the body is read to the end of its connection. An orderly close completes it (RFC 9112, section 8); a reset and the deadline are read errors, as for a body with a length. net/http's parser marks the response as closing, so the connection is not reused.

--- a/hostproxy/backend_response.go
+++ b/hostproxy/backend_response.go
@@ -184,15 +184,14 @@
 	}
 }
 
-// readResponseBody reads a response body, or the first maxBufferedBodyBytes of a larger one.
+// readResponseBody reads a response body, or the first maxBufferedBodyBytes of a larger one. A
+// body without a length ends with its connection: an orderly close completes it, a reset is an
+// error (RFC 9112, section 8).
 func (proxy *Proxy) readResponseBody(request *request, head *http.Response) (*response, outcome) {
 	response := &response{head: head}
 	if request.source.Method == http.MethodHead || !allowsBody(head.StatusCode) {
 		return response, answered
 	}
-	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
-		return nil, lost
-	}
 	buffer := bytes.Buffer{}
 	if head.ContentLength > 0 && head.ContentLength <= maxBufferedBodyBytes {
 		buffer.Grow(int(head.ContentLength) + bytes.MinRead)
--- a/hostproxy/mutations_test.go
+++ b/hostproxy/mutations_test.go
@@ -40,6 +40,16 @@
 // check fails the test unless the client got the complete response, or an error that does not
 // claim more than the proxy knows.
 func (testCase *responseCase) check(test *testing.T, label string, result *scriptResult) {
+	test.Helper()
+	want := successBody(result.id)
+	if testCase.status != 200 {
+		want = "failure"
+	}
+	testCase.checkBody(test, label, result, want)
+}
+
+// checkBody is check for a response with the given body.
+func (testCase *responseCase) checkBody(test *testing.T, label string, result *scriptResult, want string) {
 	test.Helper()
 	reply := &result.reply
 	if result.requests != 1 {
@@ -49,10 +59,6 @@
 	case reply.err != nil:
 		test.Errorf("%s: incomplete reply: %v", label, reply.err)
 	case reply.header.Get("Seal") != "":
-		want := successBody(result.id)
-		if testCase.status != 200 {
-			want = "failure"
-		}
 		if !testCase.executed || reply.status != testCase.status || reply.header.Get("Seal") != "s-"+result.id ||
 			reply.header.Get("Attempt") != result.id ||
 			reply.body != want ||
@@ -139,6 +145,12 @@
 				if changesValue && !strings.HasPrefix(mutated, "Attempt:") && result.reply.status == testCase.status {
 					continue
 				}
+				if name == "removed" && strings.HasPrefix(mutated, "Transfer-Encoding:") {
+					// What remains is complete: all that follows the head, up to the close.
+					_, rest, _ := strings.Cut(testCase.response(result.id), "\r\n\r\n")
+					testCase.checkBody(test, label, &result, rest)
+					continue
+				}
 				testCase.check(test, label, &result)
 			}
 		}
--- a/hostproxy/upload_test.go
+++ b/hostproxy/upload_test.go
@@ -84,6 +84,7 @@
 	env          *testEnv
 	response     func(id string) string
 	readInterval time.Duration
+	halfCloses   bool // it closes its sending direction after the response
 
 	mutex sync.Mutex
 	body  []byte
@@ -108,6 +109,9 @@
 		return
 	}
 	_, _ = io.WriteString(pipe, responder.response("id")) // the proxy may have closed the connection
+	if responder.halfCloses {
+		_ = pipe.CloseWrite() // never fails
+	}
 	part := make([]byte, 64<<10)
 	for {
 		responder.env.goroutines.Sleep(responder.readInterval)
