serviceproxy: a response to HEAD keeps its Content-Length

Callers of the product's own interface got Content-Length 0 for HEAD in place of the backend's, and an error if the length was above the route's limit, though no byte of a body is sent.

Cause: readResponse took the number of bytes read for the length, and compared the named length with the limit, for HEAD too.

TestHeadResponseKeepsLength failed before with "0" for 77 and with bad_receipt for bytes; it passes now. TestResponseFramings goes through framings and endings on real sockets and passed before.

--- a/serviceproxy/response.go
+++ b/serviceproxy/response.go
@@ -37,7 +37,7 @@
 var internalHeaders = []string{"Oj-Usage", "Oj-Serial", "Oj-Leaving", "Oj-Cold", "Oj-Incarnation"}
 
 // readResponse checks that the response is the task's and reads it: all of it if buffered is set,
-// otherwise up to maxBufferedBytes.
+// otherwise up to maxBufferedBytes. The response to a HEAD request names a length, but has no body.
 func readResponse(response *http.Response, taskID string, maxBytes int, buffered bool) (*Response, error) {
 	if responseTask := response.Header.Get("Oj-Task"); responseTask != taskID {
 		return nil, rpc.Errorf(rpc.BadResponse, "response is for task %q", responseTask)
@@ -45,6 +45,9 @@
 	if response.StatusCode < 200 {
 		return nil, rpc.Errorf(rpc.BadResponse, "unexpected status %d", response.StatusCode)
 	}
+	if response.Request.Method == http.MethodHead {
+		return &Response{status: response.StatusCode, header: response.Header, length: response.ContentLength}, nil
+	}
 	if response.ContentLength > int64(maxBytes) {
 		return nil, rpc.Errorf(rpc.BadResponse, "response of %d bytes exceeds the limit of %d", response.ContentLength, maxBytes)
 	}
