soak: backends frame responses in every way, LOST counts replaced responses

Its backends always sent a length, and LOST looked only at connections that ended without any response, while the rule counts the proxy's own error in place of the response of a backend at work as the same.

Backends now draw the framing from the request's ID: a length, chunks, the end of the connection with and without Connection: close, and one response in a hundred is reset midway; the second half of a body follows after a pause. LOST also fails for a 5xx without seal to a request that was executed, before the client's deadline, unless its backend broke the response off.

--- a/harness/soak/backend.go
+++ b/harness/soak/backend.go
@@ -31,6 +31,7 @@
 	bodyDigest   string // SHA-256, in hex
 	failed       bool   // answered with a simulated failure of the version
 	bodyComplete bool   // the whole body was received
+	brokenOff    bool   // the backend doesn't complete its response
 }
 
 // backend is an entry of the platform's backend list and the stand-in that serves at its
@@ -151,19 +152,26 @@
 	_, err := io.Copy(hash, request.Body)
 	received.bodyComplete, received.bodyDigest = err == nil, hex.EncodeToString(hash.Sum(nil))
 	received.failed = rand.Float64() < backend.failureShare
+	plan := planResponse(id)
+	received.brokenOff = !received.failed && plan.breaksOff()
 	backend.slots <- struct{}{}
+	defer func() { <-backend.slots }()
 	backend.recorder.addArrival(received)
-	time.Sleep(minServiceTime + time.Duration(rand.Int64N(int64(serviceTimeRange))))
-	<-backend.slots
+	serviceTime := minServiceTime + time.Duration(rand.Int64N(int64(serviceTimeRange)))
+	time.Sleep(serviceTime / 2)
 	header.Set(headers.Seal, backend.ID)
-	header.Set(headers.Load, fmt.Sprintf("%d,0,%d", len(backend.slots), backendCapacity))
+	header.Set(headers.Load, fmt.Sprintf("%d,0,%d", len(backend.slots)-1, backendCapacity))
 	if backend.Leaving() {
 		header.Set("Connection", "close")
 	}
+	body := responseBody(backend.ID, id)
 	if received.failed {
+		time.Sleep(serviceTime / 2)
 		writer.WriteHeader(http.StatusInternalServerError)
+		writer.Write([]byte(body))
+	} else {
+		plan.writeResponse(writer, body, serviceTime/2)
 	}
-	_, _ = writer.Write([]byte(responseBody(backend.ID, id)))
 }
 
 // responseBody is the body with which a backend answers a request.
--- a/harness/soak/check.go
+++ b/harness/soak/check.go
@@ -151,22 +151,30 @@
 }
 
 // checkLost checks requests in flight during a planned stop of their proxy: an executed one
-// must get a response, and so must a GET on a new connection if it lasted beyond LossSlack.
+// must get its backend's response, unless the backend broke that off, and a GET on a new
+// connection must get some response if it lasted beyond LossSlack.
 func (checker *ruleChecker) checkLost(exchange *exchange, arrivals []*arrival) {
 	until := exchange.endedAt
 	if !checker.disturbances.stoppedAsPlanned(exchange.proxy, exchange.sentAt, until) ||
 		checker.disturbances.anyUnplanned(exchange.sentAt, until) {
 		return
 	}
+	if slices.ContainsFunc(arrivals, func(arrival *arrival) bool { return arrival.brokenOff }) {
+		return
+	}
 	gotNoResponse := exchange.status == 0 && !exchange.timedOut
+	// The proxy's own error in place of the response of a backend at work is a lost response too.
+	replaced := len(arrivals) > 0 && exchange.status >= http.StatusInternalServerError && exchange.seal == "" &&
+		until.Sub(exchange.sentAt) < requestDeadline
 	outlastedSlack := until.Sub(exchange.sentAt) > checker.bounds.LossSlack
 	checker.report.record(
 		RuleLost,
-		gotNoResponse && (len(arrivals) > 0 || exchange.method == http.MethodGet && outlastedSlack && !exchange.onReusedConn),
-		"%s %s at %s: connection ended without a response after %v, executed %d times",
+		replaced || gotNoResponse && (len(arrivals) > 0 || exchange.method == http.MethodGet && outlastedSlack && !exchange.onReusedConn),
+		"%s %s at %s: status %d without a backend's response after %v, executed %d times",
 		exchange.method,
 		exchange.id,
 		exchange.proxy,
+		exchange.status,
 		until.Sub(exchange.sentAt).Round(time.Millisecond),
 		len(arrivals),
 	)
