standin: backends answer in chunks, until the close, and with a reset

Faults "chunks", "close", "announced-close" (valid responses) and "reset" (half a response without length, then a reset) join the others, which now stand once, as standin.FaultModes. Connections of the simulator can be reset. Checked by "responses complete and for the right request" with the digest of the body.

--- a/harness/cluster/backend_faults.go
+++ b/harness/cluster/backend_faults.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"orchidjunction/harness/standin"
 )
 
 func (fleet *Fleet) injectFault(process *Process, mode string, count int) {
@@ -17,7 +19,7 @@
 func backendsMisbehave(fleet *Fleet) {
 	random := fleet.newRandom()
 	for range 30 {
-		modes := []string{"lose", "garbage", "truncate", "foreign", "overlong", "vanish", "busy"}
+		modes := standin.FaultModes
 		fleet.injectFault(fleet.Backends[random.IntN(len(fleet.Backends))], modes[random.IntN(len(modes))], 1+random.IntN(3))
 		fleet.sleepFraction(0.03)
 	}
--- a/harness/simulation/combined_faults.go
+++ b/harness/simulation/combined_faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"orchidjunction/harness/checker"
+	"orchidjunction/harness/standin"
 	"orchidjunction/message"
 	"orchidjunction/operator"
 )
@@ -272,7 +273,7 @@
 		world.ReviveBackend(backend, 2000)
 	case "misbehave":
 		for range 6 {
-			modes := []string{"lose", "garbage", "truncate", "foreign", "overlong", "vanish", "busy"}
+			modes := standin.FaultModes
 			world.Backends[random.IntN(len(world.Backends))].Backend.Misbehave(modes[random.IntN(len(modes))], 1+random.IntN(4))
 			world.Sleep(faults.randomSpan(50, 300))
 		}
--- a/harness/simulation/conn.go
+++ b/harness/simulation/conn.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 	wake   *sync.Cond
 	chunks []chunk
 	closed bool
+	// reset says that the writer has reset the connection, which loses the bytes under way.
+	reset bool
 	// readerGone says that written bytes are discarded: the reading process has vanished.
 	readerGone   bool
 	readDeadline time.Time
@@ -75,6 +78,9 @@
 			}
 			return count, nil
 		}
+		if stream.reset {
+			return 0, syscall.ECONNRESET
+		}
 		if stream.closed && len(stream.chunks) == 0 {
 			return 0, io.EOF
 		}
@@ -92,6 +98,14 @@
 	stream.mutex.Unlock()
 }
 
+// abort closes the stream so that its reader gets an error. It discards the bytes under way.
+func (stream *stream) abort() {
+	stream.mutex.Lock()
+	stream.reset = true
+	stream.mutex.Unlock()
+	stream.close(true)
+}
+
 // closeReader ends the reader; writes still succeed, but their bytes are discarded.
 func (stream *stream) closeReader() {
 	stream.mutex.Lock()
@@ -116,6 +130,7 @@
 	local, remote address
 	network       *Network
 	abandoned     atomic.Bool
+	resetsOnClose atomic.Bool
 }
 
 func (conn *conn) hasEndpoint(name string) bool {
@@ -150,9 +165,19 @@
 		return nil
 	}
 	conn.in.close(true)
+	if conn.resetsOnClose.Load() {
+		conn.out.abort()
+		return nil
+	}
 	conn.out.close(false)
 	return nil
 }
+
+// SetLinger is as for a TCP connection: after SetLinger(0), Close resets the connection.
+func (conn *conn) SetLinger(seconds int) error {
+	conn.resetsOnClose.Store(seconds == 0)
+	return nil
+}
 func (conn *conn) LocalAddr() net.Addr  { return conn.local }
 func (conn *conn) RemoteAddr() net.Addr { return conn.remote }
 func (conn *conn) SetDeadline(deadline time.Time) error {
--- a/harness/simulation/traffic_test.go
+++ b/harness/simulation/traffic_test.go
@@ -45,7 +45,7 @@
 		done := atomic.Bool{}
 		world.goroutines.Start(func() {
 			for !done.Load() {
-				kinds := []string{"lose", "garbage", "truncate", "foreign", "overlong", "vanish", "busy"}
+				kinds := standin.FaultModes
 				world.Backends[random.IntN(6)].Backend.Misbehave(kinds[random.IntN(len(kinds))], 1+random.IntN(3))
 				world.goroutines.Sleep(time.Duration(50+random.IntN(300)) * time.Millisecond)
 			}
--- a/harness/standin/backend.go
+++ b/harness/standin/backend.go
@@ -19,6 +19,9 @@
 	"k8s.io/klog/v2"
 )
 
+// framedPause is the time between the halves of a response that is sent in raw bytes.
+const framedPause = 5 * time.Millisecond
+
 // BackendConfig is the identity and behaviour of a Backend. WorkMs is the time per request
 // and ColdMs the warm-up time after the start, both in milliseconds. GentleRate is the number
 // of requests per second that it reports for the warm-up, Room the number of concurrent
@@ -93,6 +96,20 @@
 	backend.mutex.Unlock()
 }
 
+// FaultModes are the modes of Misbehave that a proxy must survive without a stall. In the last
+// three, the response is valid: its body is chunked, or ends with the connection.
+var FaultModes = []string{
+	"lose", "garbage", "truncate", "foreign", "overlong", "vanish", "busy", "reset", "chunks", "close", "announced-close",
+}
+
+// framedModes are the modes that send the response of a task that has run in raw bytes.
+var framedModes = map[string]FramedResponse{
+	"chunks":          {Framing: FramedByChunks},
+	"close":           {Framing: FramedByClose},
+	"announced-close": {Framing: FramedByAnnouncedClose},
+	"reset":           {Framing: FramedByClose, Ending: EndsWithReset},
+}
+
 // Misbehave injects a fault into the next count requests.
 func (backend *Backend) Misbehave(mode string, count int) {
 	backend.mutex.Lock()
@@ -215,18 +232,17 @@
 	backend.mutex.Unlock()
 	time.Sleep(time.Duration(slowdown * float64(backend.workMs(request)) * float64(time.Millisecond)))
 	backend.recordRun(number)
-	backend.mutex.Lock()
-	backend.inFlight--
-	header.Set("Oj-Usage", strconv.FormatFloat(backend.usage(), 'f', 4, 64))
-	header.Set("Oj-Serial", strconv.FormatUint(backend.serial, 10))
-	header.Set("Oj-Leaving", strconv.FormatBool(!backend.leavingSince.IsZero()))
-	header.Set("Oj-Cold", strconv.FormatBool(backend.cold()))
-	backend.mutex.Unlock()
+	backend.endTask(header)
 	response := backend.responseBody(request, body)
 	sum := sha256.Sum256(response)
 	header.Set("Stand-Sum", hex.EncodeToString(sum[:]))
 	header.Set("Stand-For", request.Header.Get("Oj-Tenant")+" "+request.URL.Path)
 	header.Set("Content-Type", "application/json")
+	if framed, found := framedModes[fault]; found {
+		framed.Body = string(response)
+		sendFramed(writer, &framed)
+		return
+	}
 	header.Set("Content-Length", strconv.Itoa(len(response)))
 	switch fault {
 	case "lose":
@@ -259,6 +275,17 @@
 	}
 }
 
+// endTask counts a task out and sets the header fields of the backend's state.
+func (backend *Backend) endTask(header http.Header) {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	backend.inFlight--
+	header.Set("Oj-Usage", strconv.FormatFloat(backend.usage(), 'f', 4, 64))
+	header.Set("Oj-Serial", strconv.FormatUint(backend.serial, 10))
+	header.Set("Oj-Leaving", strconv.FormatBool(!backend.leavingSince.IsZero()))
+	header.Set("Oj-Cold", strconv.FormatBool(backend.cold()))
+}
+
 // workMs returns the time of the task, which the query parameter work overrides, up to 30 s.
 func (backend *Backend) workMs(request *http.Request) int {
 	if requested, err := strconv.Atoi(request.URL.Query().Get("work")); err == nil {
@@ -282,6 +309,23 @@
 	return []byte(text + "\"}")
 }
 
+// sendFramed sends a response with the header fields set so far, and closes the connection.
+func sendFramed(writer http.ResponseWriter, response *FramedResponse) {
+	fields := strings.Builder{}
+	_ = writer.Header().Write(&fields) // a Builder never fails
+	response.Fields = fields.String()
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	if response.Begin(conn) != nil {
+		return // the caller is gone
+	}
+	time.Sleep(framedPause)
+	_, _ = response.End(conn) // the caller may be gone
+}
+
 // hijack writes raw bytes and closes the connection.
 func hijack(writer http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(writer).Hijack()
