hostproxy: test fields without a name of the platform

Cause: platform's test of names found the platform's word for requests that may be repeated in the new test of framings. The field is repeatable now; platform's tests pass.

--- a/hostproxy/response_framing_test.go
+++ b/hostproxy/response_framing_test.go
@@ -41,13 +41,13 @@
 	ending     standin.Ending
 	size       int
 	draining   bool // the proxy is told to stop when it has received half of the body
-	idempotent bool
+	repeatable bool
 	retried    bool // another backend refuses the request first
 }
 
 func (testCase framingCase) String() string {
-	return fmt.Sprintf("%s/%s/%d bytes/draining %v/idempotent %v/retried %v", testCase.framing,
-		testCase.ending, testCase.size, testCase.draining, testCase.idempotent, testCase.retried)
+	return fmt.Sprintf("%s/%s/%d bytes/draining %v/repeatable %v/retried %v", testCase.framing,
+		testCase.ending, testCase.size, testCase.draining, testCase.repeatable, testCase.retried)
 }
 
 // applies reports whether the case can occur.
@@ -264,7 +264,7 @@
 // run lets the proxy forward one request to a backend that responds as the case says.
 func (env *framingEnv) run(test *testing.T) reply {
 	path, deadline := "/once/a", framingDeadline
-	if env.testCase.idempotent {
+	if env.testCase.repeatable {
 		path = "/again/a"
 	}
 	if env.testCase.ending == standin.EndsWithSilence {
@@ -297,18 +297,18 @@
 				got.status, len(got.body), got.err, len(want))
 		}
 	case isBackends:
-		if !testCase.idempotent || got.body != successBody("case") {
+		if !testCase.repeatable || got.body != successBody("case") {
 			test.Errorf("an incomplete response looks complete, with %d bytes", len(got.body))
 		}
 	case testCase.size == streamedBodyBytes && got.err != nil: // the client was told by a connection that breaks off
 	case got.err != nil || got.status != http.StatusBadGateway && got.status != http.StatusGatewayTimeout:
 		test.Errorf("status %d, error %v, want 502 or 504", got.status, got.err)
-	case testCase.idempotent && testCase.ending != standin.EndsWithSilence:
+	case testCase.repeatable && testCase.ending != standin.EndsWithSilence:
 		test.Errorf("status %d, want the response of the other backend", got.status)
 	}
 	env.mutex.Lock()
 	defer env.mutex.Unlock()
-	if count := env.executions["case"]; count > 1 && (!env.testCase.idempotent || env.testCase.isComplete()) {
+	if count := env.executions["case"]; count > 1 && (!env.testCase.repeatable || env.testCase.isComplete()) {
 		test.Errorf("executed %d times", count)
 	}
 }
@@ -335,9 +335,9 @@
 		for _, ending := range standin.Endings {
 			for _, size := range []int{0, halvedBodyBytes, streamedBodyBytes} {
 				for _, draining := range bools {
-					for _, idempotent := range bools {
+					for _, repeatable := range bools {
 						for _, retried := range bools {
-							testCase := framingCase{framing, ending, size, draining, idempotent, retried}
+							testCase := framingCase{framing, ending, size, draining, repeatable, retried}
 							if testCase.applies() {
 								test.Run(testCase.String(), testCase.test)
 							}
