platform: a changed address of the platform is used at once

Cause: the file was read anew, but the client had been made with the address of the start. The class is a setting that is read anew, acts nowhere, and of which nothing says so.

The client asks for the address at each call. Each other field that changes while a process runs is either applied (platform.LiveFields, by role) or named in a log line and counted by the gauge settings_pending_restart.

--- a/cmd/orchidjunction/core.go
+++ b/cmd/orchidjunction/core.go
@@ -72,7 +72,8 @@
 	finder := agent.NewLeaderFinder(client, node.goroutines, internalSeeds(settings)).
 		WithIntervals(agent.Intervals{FindLeader: findLeaderInterval})
 	var core *control.Core
-	platformClient := platform.NewClient(settings.Platform.Address, process.WANTransport(userTimeout), func() int64 { return core.Now() })
+	platformAddress := func() string { return node.source.Settings().Platform.Address }
+	platformClient := platform.NewClient(platformAddress, process.WANTransport(userTimeout), func() int64 { return core.Now() })
 	config := coreConfig(settings, platformClient)
 	config.OnMembershipChange = finder.ObserveMembership
 	config.ListZones = func() []string { return slices.Collect(maps.Keys(node.source.Settings().Zones)) }
@@ -105,7 +106,7 @@
 	}
 	finder.Run()
 	core.Run()
-	node.source.Follow(node.goroutines)
+	node.source.Follow(node.goroutines, platform.CoreLiveFields, node.counters)
 	process.LogCounts(node.goroutines, node.counters, settings.Name)
 	process.OnTerminate(node.goroutines, func() {
 		start, grace := time.Now(), settings.Bounds.Grace-graceMargin
--- a/cmd/orchidjunction/proxy.go
+++ b/cmd/orchidjunction/proxy.go
@@ -119,7 +119,7 @@
 	}
 	daemon.Run()
 	plane.Run()
-	node.source.Follow(node.goroutines)
+	node.source.Follow(node.goroutines, platform.ProxyLiveFields, node.counters)
 	process.LogCounts(node.goroutines, node.counters, settings.Name)
 	process.OnTerminate(node.goroutines, func() {
 		plane.StartDrain()
--- a/harness/soak/deployment.go
+++ b/harness/soak/deployment.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +42,8 @@
 	ports    ports
 	provider *provider
 	machines []*machine
+
+	settingsMutex sync.Mutex // held while a settings file is written, so that the last one is the newest
 }
 
 // newDeployment finds free ports and starts the platform's stand-in.
@@ -116,6 +120,33 @@
 
 // launch starts a machine's process.
 func (deployment *deployment) launch(machine *machine) error {
+	if err := deployment.writeSettings(machine); err != nil {
+		return err
+	}
+	return machine.launch(deployment.program, deployment.folder, deployment.wire.names.SettingsVariable)
+}
+
+// movePlatform moves the platform's stand-in to a new address, writes that to all settings files
+// and sends SIGHUP. The former address is closed after a delay.
+func (deployment *deployment) movePlatform(delay time.Duration) error {
+	former, err := deployment.provider.listen()
+	if err != nil {
+		return err
+	}
+	for _, machine := range deployment.machines {
+		if err := deployment.writeSettings(machine); err != nil {
+			return err
+		}
+		machine.signal(syscall.SIGHUP)
+	}
+	time.AfterFunc(delay, func() { _ = former.Close() }) // its connections are given up
+	return nil
+}
+
+// writeSettings writes a machine's settings file.
+func (deployment *deployment) writeSettings(machine *machine) error {
+	deployment.settingsMutex.Lock()
+	defer deployment.settingsMutex.Unlock()
 	values := &settings{
 		Name:      machine.name,
 		Role:      machine.role,
@@ -131,7 +162,7 @@
 		Clients:   machine.clientsAddress(),
 		Ready:     machine.readyAddress(),
 		Lookups:   joinPort(machine.address, deployment.ports.lookups),
-		Provider:  deployment.provider.address,
+		Provider:  deployment.provider.currentAddress(),
 		Bounds:    deployment.bounds,
 	}
 	for _, core := range deployment.withRole(coreRole) {
@@ -141,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	return machine.launch(deployment.program, deployment.folder, deployment.wire.names.SettingsVariable, text)
+	return os.WriteFile(machine.settingsPath(deployment.folder), text, 0o600)
 }
 
 // start starts all machines and returns once the first configuration is accepted and all
@@ -188,7 +219,7 @@
 	for _, backend := range deployment.provider.backendsWhere(func(*backend) bool { return true }) {
 		backend.close()
 	}
-	_ = deployment.provider.server.Close() // no process is left to use it
+	deployment.provider.close()
 }
 
 // makeFolder creates the folder for settings, logs and the cores' state.
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -27,6 +27,7 @@
 	rolloutSlack           = 6 * time.Second // beyond the term, for which the outcome is still polled
 	revertedDrainDelay     = 2 * time.Second // until the backends of a failed rollout leave
 	badVersionFailureShare = 0.5             // of its responses
+	formerAddressDelay     = 2 * time.Second // for which a moved platform still answers at its former address
 )
 
 // soak is one run.
@@ -119,6 +120,16 @@
 	}
 }
 
+// movePlatform changes the platform's address until ctx ends.
+func (soak *soak) movePlatform(ctx context.Context, random *rand.Rand) {
+	for randomPause(ctx, random); ctx.Err() == nil; sleep(ctx, 2*soak.options.Bounds.Contact) {
+		if err := soak.deployment.movePlatform(formerAddressDelay); err != nil {
+			soak.printf("could not move the platform: %v", err)
+			return
+		}
+	}
+}
+
 // newBackends starts backends of a service, spread over the zones in rotation.
 func (soak *soak) newBackends(count int, service, revision string, failureShare float64, needsWarmup bool) ([]*backend, error) {
 	backends := []*backend{}
--- a/harness/soak/machine.go
+++ b/harness/soak/machine.go
@@ -47,18 +47,19 @@
 
 func joinPort(address string, port int) string { return net.JoinHostPort(address, strconv.Itoa(port)) }
 
-// launch starts the process with a settings file and appends its output to a log file.
-func (machine *machine) launch(program, folder, variable string, text []byte) error {
-	settingsPath := filepath.Join(folder, machine.name+".toml")
-	if err := os.WriteFile(settingsPath, text, 0o600); err != nil {
-		return err
-	}
+// settingsPath is the path of the machine's settings file.
+func (machine *machine) settingsPath(folder string) string {
+	return filepath.Join(folder, machine.name+".toml")
+}
+
+// launch starts the process with its settings file and appends its output to a log file.
+func (machine *machine) launch(program, folder, variable string) error {
 	logFile, err := os.OpenFile(filepath.Join(folder, machine.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	command := exec.Command(program, machine.role)
-	command.Env = []string{variable + "=" + settingsPath, "PATH=" + os.Getenv("PATH")}
+	command.Env = []string{variable + "=" + machine.settingsPath(folder), "PATH=" + os.Getenv("PATH")}
 	command.Stdout, command.Stderr = logFile, logFile
 	if err := command.Start(); err != nil {
 		_ = logFile.Close() // the start error is the one to report
--- a/harness/soak/provider.go
+++ b/harness/soak/provider.go
@@ -10,26 +10,48 @@
 // provider is the stand-in of the platform: it serves the backend list and accepts usage
 // reports.
 type provider struct {
-	address string
-	server  *http.Server
-	wire    *wireFormat
+	wire *wireFormat
 
 	mutex    sync.Mutex
+	address  string
+	server   *http.Server
 	backends []*backend
 }
 
 func newProvider(wire *wireFormat) (*provider, error) {
+	provider := &provider{wire: wire}
+	_, err := provider.listen()
+	return provider, err
+}
+
+// listen serves at a new address and returns the server at the former one, if any.
+func (provider *provider) listen() (*http.Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	provider := &provider{wire: wire, address: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /backends", provider.serveList)
 	mux.HandleFunc("POST /usage", func(http.ResponseWriter, *http.Request) {})
-	provider.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = provider.server.Serve(listener) }() // ends when the server is closed
-	return provider, nil
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(listener) }() // ends when the server is closed
+	provider.mutex.Lock()
+	defer provider.mutex.Unlock()
+	former := provider.server
+	provider.address, provider.server = listener.Addr().String(), server
+	return former, nil
+}
+
+func (provider *provider) currentAddress() string {
+	provider.mutex.Lock()
+	defer provider.mutex.Unlock()
+	return provider.address
+}
+
+func (provider *provider) close() {
+	provider.mutex.Lock()
+	defer provider.mutex.Unlock()
+	_ = provider.server.Close() // no process is left to use it
 }
 
 func (provider *provider) backendsWhere(matches func(*backend) bool) []*backend {
--- a/harness/soak/run.go
+++ b/harness/soak/run.go
@@ -1,7 +1,7 @@
 // Package soak runs a deployment of real processes on loopback addresses under client load
-// on persistent connections, while signals, restarts, configuration changes, backend drains
-// and rollouts overlap, drawn from a seed. It then checks the records of clients, backends
-// and the operator against the rules in check.go.
+// on persistent connections, while signals, restarts, configuration changes, backend drains,
+// rollouts and changes of the platform's address overlap, drawn from a seed. It then checks the
+// records of clients, backends and the operator against the rules in check.go.
 package soak
 
 import (
@@ -139,6 +139,7 @@
 			sleep(ctx, fractionOf(soak.options.Duration, coreFaultsFromShare))
 			soak.disturbCores(ctx, random)
 		},
+		func(random *rand.Rand) { soak.movePlatform(ctx, random) },
 	}
 	var running sync.WaitGroup
 	for _, task := range tasks {
