control: the seeds choose the first membership by a majority

Cause: that core alone made the first membership, had it on its own disk alone, and nobody could succeed it.

The lowest seed proposes as before, with one more round; the next one does when those before it have said that their disks were lost. Nobody takes a membership that no majority of the seeds has synced, and a lost disk never votes. The vote is a file beside the replica's, which former releases read as before.

--- a/consensus/doc.go
+++ b/consensus/doc.go
@@ -7,7 +7,7 @@
 // The package is deterministic: it has no clock, disk, network or goroutines. State is
 // the durable state of a replica, and Record one change of it. Membership and View define
 // the voters and their quorums, also while a voter is being replaced. Tracker holds the
-// newest membership that a core knows.
+// newest membership that a core knows. Founding is a seed's vote on the first membership.
 //
 // Package replica stores a State on disk, and package control sends the messages. The
 // model check in package control (model_*_test.go) runs these rules under random and
--- a/control/core.go
+++ b/control/core.go
@@ -44,6 +44,7 @@
 	members  *consensus.Tracker
 	role     *RoleState
 	founders *Founders
+	founding *foundingStore
 
 	// Daemons, backends and usage.
 	sessions    *Sessions
@@ -97,6 +98,9 @@
 		return nil, err
 	}
 	core := newCore(config, store, client, goroutines, counters)
+	if core.founding, err = openFoundingStore(disk); err != nil {
+		return nil, err
+	}
 	if core.claims, err = idempotency.OpenLog(disk, core.config.ID, counters); err != nil {
 		return nil, err
 	}
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -28,6 +28,7 @@
 	rpc.Handle(server, message.MethodTransferLeadership, handler(core.onTransferLeadership))
 	rpc.Handle(server, message.MethodRenewCandidacy, handler(core.onRenewCandidacy))
 	rpc.Handle(server, message.MethodReplicaState, handler(core.onReplicaState))
+	rpc.Handle(server, message.MethodFound, handler(core.onFound))
 	rpc.Handle(server, message.MethodJoin, handler(core.onJoin))
 	rpc.Handle(server, message.MethodLeave, handler(core.onLeave))
 	rpc.Handle(server, message.MethodLeaveVoter, handler(core.onLeaveVoter))
--- a/control/join.go
+++ b/control/join.go
@@ -24,22 +24,35 @@
 type Founders struct {
 	mutex       sync.Mutex
 	seen        map[string]bool
+	lostDisks   map[string]bool
 	lastAddedAt time.Time
 }
 
 func newFounders(address string) *Founders {
-	return &Founders{seen: map[string]bool{address: true}, lastAddedAt: time.Now()}
+	return &Founders{seen: map[string]bool{address: true}, lostDisks: map[string]bool{}, lastAddedAt: time.Now()}
 }
 
-func (founders *Founders) addFounder(address string) {
+// addFounder records that a core asked. A disk that does not date from the first start stands for
+// one that was lost.
+func (founders *Founders) addFounder(address string, sinceBootstrap bool) {
 	founders.mutex.Lock()
 	defer founders.mutex.Unlock()
+	if !sinceBootstrap {
+		founders.lostDisks[address] = true
+	}
 	if !founders.seen[address] && len(founders.seen) < maxFounders {
 		founders.seen[address] = true
 		founders.lastAddedAt = time.Now()
 	}
 }
 
+// haveLostDisks reports whether all cores at the given addresses have lost their disks.
+func (founders *Founders) haveLostDisks(addresses []string) bool {
+	founders.mutex.Lock()
+	defer founders.mutex.Unlock()
+	return !slices.ContainsFunc(addresses, func(address string) bool { return !founders.lostDisks[address] })
+}
+
 // complete returns the addresses once they include all seeds, are at least atLeast, and none
 // was added for the duration of quiet.
 func (founders *Founders) complete(seeds []string, atLeast int, quiet time.Duration) ([]string, bool) {
@@ -66,28 +79,21 @@
 	return slices.DeleteFunc(slices.Clone(core.config.Seeds), func(seed string) bool { return seed == core.config.InternalAddress })
 }
 
-// createsInitialMembership reports whether this core creates the membership at the first
-// start, which the core with the lowest seed address does.
-func (core *Core) createsInitialMembership() bool {
-	return core.sinceBootstrap() && slices.MinFunc(core.config.Seeds, consensus.CompareAddresses) == core.config.InternalAddress
-}
-
-// discoverMembership asks the seeds for the membership. At the first start one core creates it
+// discoverMembership asks the seeds for the membership. At the first start, the seeds choose it
 // from all cores that asked.
 func (core *Core) discoverMembership() {
 	if core.config.Bootstrap && !core.replica.State().SinceBootstrap {
-		if core.replica.MarkSinceBootstrap() != nil {
+		if core.founding.begin(core.config.Seeds) != nil || core.replica.MarkSinceBootstrap() != nil {
 			core.goroutines.Sleep(joinInterval)
 			return
 		}
 	}
-	if membership, found := core.askSeeds(); found {
-		core.adoptFirstMembership(membership)
-		return
+	membership, found := core.askSeeds()
+	if !found {
+		membership, found = core.foundSystem()
 	}
-	addresses, isComplete := core.founders.complete(core.config.Seeds, core.config.MinFounders, core.config.FoundingQuietPeriod)
-	if isComplete && core.createsInitialMembership() {
-		core.adoptFirstMembership(consensus.InitialMembership(addresses).Accepted())
+	if found {
+		core.adoptFirstMembership(membership)
 		return
 	}
 	core.goroutines.Sleep(joinInterval)
@@ -153,7 +159,7 @@
 // a learner.
 func (core *Core) onJoin(request *message.JoinRequest) (*message.JoinResponse, error) {
 	if !core.membership().HasMembership() {
-		core.founders.addFounder(request.Address)
+		core.founders.addFounder(request.Address, request.SinceBootstrap)
 		return &message.JoinResponse{}, nil
 	}
 	response := &message.JoinResponse{}
--- a/message/methods.go
+++ b/message/methods.go
@@ -25,6 +25,8 @@
 	MethodFetchClaims rpc.Method[FetchClaimsRequest, FetchClaimsResponse] = "pull"
 	// MethodFetchCounts fetches the window counts held by a core.
 	MethodFetchCounts rpc.Method[FetchCountsRequest, FetchCountsResponse] = "fetchcounts"
+	// MethodFound asks a seed for its vote on the first membership.
+	MethodFound rpc.Method[FoundRequest, FoundResponse] = "found"
 	// MethodHeartbeat sends the leader's heartbeat to a core.
 	MethodHeartbeat rpc.Method[HeartbeatRequest, HeartbeatResponse] = "beat"
 	// MethodJoin asks for the membership, and the leader to add a core as a learner.
